--- /dev/null
+++ b/Makefile
@@ -0,0 +1,41 @@
+# Seed and number of checks of the randomised runs.
+SEED ?= 1
+CHECKS ?= 200
+
+MODULES = ./... ./coordination/...
+
+.PHONY: all build format vet lint test race random mutants fault-matrix measure bench
+
+all: format vet lint build test
+
+build:
+	go build -o bin/ ./cmd/...
+
+format:
+	@test -z "$$(gofmt -l . | tee /dev/stderr)"
+
+vet:
+	go vet $(MODULES)
+
+lint:
+	go tool staticcheck $(MODULES)
+
+test:
+	go test $(MODULES)
+
+race:
+	go test -race $(MODULES)
+
+# Randomised runs of all cores; the reports say what was tried.
+random:
+	@mkdir -p out
+	SEED=$(SEED) CHECKS=$(CHECKS) go test -count=1 -run Random -v $(MODULES) >out/random.log || (cat out/random.log; exit 1)
+	@grep -E 'seed [0-9]|invariants held' out/random.log
+
+mutants:
+	scripts/mutants.sh
+
+fault-matrix:
+	@mkdir -p out
+	go test -count=1 -run FaultMatrix -v $(MODULES) >out/fault-matrix.log || (cat out/fault-matrix.log; exit 1)
+	@grep -vE '^(=== |--- | +--- |PASS|ok|\?|testing: )' out/fault-matrix.log
--- /dev/null
+++ b/cmd/monsooncrank/main.go
@@ -0,0 +1,4 @@
+// Command monsooncrank is the operators' command.
+package main
+
+func main() {}
--- /dev/null
+++ b/cmd/monsooncrankd/main.go
@@ -0,0 +1,4 @@
+// Command monsooncrankd is the daemon that serves callers.
+package main
+
+func main() {}
