Add the callers' gateway

Cause: callers need OpenAI-compatible chats, service calls, deferred requests and problems that say truthfully whether a request ran; fasthttp does not tell a handler that its caller has gone.

--- /dev/null
+++ b/pkg/gateway/call.go
@@ -0,0 +1,64 @@
+package gateway
+
+import (
+	"encoding/json"
+	"net/http"
+	"strings"
+
+	"github.com/monsooncrank/monsooncrank/pkg/api"
+)
+
+const headerIdempotencyKey = "Idempotency-Key"
+
+// maxIdempotencyKeyBytes bounds the key, which is part of a table row's key.
+const maxIdempotencyKeyBytes = 255
+
+// call answers POST /v1/services/{service}/{call}.
+func (x *exchange) call() {
+	req, err := x.parseCall()
+	if err != nil {
+		x.fail(asProblem(err))
+		return
+	}
+	answer, err := x.server.options.Calls.Call(x.ctx, req)
+	if err != nil {
+		x.fail(asProblem(err))
+		return
+	}
+	x.http.SetStatusCode(answer.Status)
+	x.http.SetContentType(answer.ContentType)
+	x.http.Response.Header.Set(headerRequestID, x.request.ID)
+	if answer.Replayed {
+		x.http.Response.Header.Set(headerReplayed, "true")
+	}
+	x.http.SetBody(answer.Body)
+	x.end(answer.Status, api.OutcomeDone)
+}
+
+func (x *exchange) parseCall() (*api.CallRequest, error) {
+	path := strings.TrimPrefix(string(x.http.Path()), "/v1/services/")
+	service, call, ok := strings.Cut(path, "/")
+	if !ok || service == "" || call == "" || strings.Contains(call, "/") {
+		return nil, api.NotRun(api.ProblemNotFound, http.StatusNotFound, "the path must be /v1/services/{service}/{call}")
+	}
+	timeout, ok := x.server.options.Catalog.CallTimeout(service, call)
+	if !ok {
+		return nil, api.NotRun(api.ProblemNotFound, http.StatusNotFound, "no such service or call")
+	}
+	key := string(x.http.Request.Header.Peek(headerIdempotencyKey))
+	if len(key) > maxIdempotencyKeyBytes {
+		return nil, api.NotRun(api.ProblemBadRequest, http.StatusBadRequest, "Idempotency-Key is longer than 255 bytes")
+	}
+	// The body outlives the handler when a once-only call goes on after its
+	// caller has gone, so it must not stay in fasthttp's buffer.
+	body := append([]byte(nil), x.http.PostBody()...)
+	if !json.Valid(body) {
+		return nil, api.NotRun(api.ProblemBadRequest, http.StatusBadRequest, "the body is not JSON")
+	}
+	if err := x.limit(timeout); err != nil {
+		return nil, err
+	}
+	return &api.CallRequest{
+		Request: x.request, Service: service, Call: call, IdempotencyKey: key, Body: body,
+	}, nil
+}
--- /dev/null
+++ b/pkg/gateway/problem.go
@@ -0,0 +1,110 @@
+package gateway
+
+import (
+	"encoding/json"
+	"math"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/valyala/fasthttp"
+	"k8s.io/klog/v2"
+
+	"github.com/monsooncrank/monsooncrank/pkg/api"
+)
+
+const (
+	headerRequestID  = "Monsooncrank-Request"
+	headerReplayed   = "Idempotency-Replayed"
+	headerRetryAfter = "Retry-After"
+
+	contentTypeProblem = "application/problem+json"
+	contentTypeJSON    = "application/json"
+)
+
+// problemBody is the wire form of a problem (RFC 9457).
+type problemBody struct {
+	Type      string      `json:"type"`
+	Title     string      `json:"title"`
+	Status    int         `json:"status"`
+	Detail    string      `json:"detail,omitempty"`
+	Outcome   api.Outcome `json:"outcome"`
+	RequestID string      `json:"request_id,omitempty"`
+}
+
+// asProblem returns err as a problem. An error of another type is an internal
+// failure after which the outcome is not known.
+func asProblem(err error) *api.Problem {
+	var problem *api.Problem
+	if errors.As(err, &problem) {
+		return problem
+	}
+	klog.ErrorS(err, "request failed with an error that is no problem")
+	return &api.Problem{
+		Name:    api.ProblemInternal,
+		Status:  http.StatusInternalServerError,
+		Detail:  "internal failure",
+		Outcome: api.OutcomeUnknown,
+	}
+}
+
+func encodeProblem(problem *api.Problem, requestID string) []byte {
+	body, err := json.Marshal(problemBody{
+		Type:      problem.URN(),
+		Title:     http.StatusText(problem.Status),
+		Status:    problem.Status,
+		Detail:    problem.Detail,
+		Outcome:   problem.Outcome,
+		RequestID: requestID,
+	})
+	if err != nil {
+		klog.ErrorS(err, "encode problem", "problem", problem.Name)
+		return []byte("{}")
+	}
+	return body
+}
+
+func writeProblem(ctx *fasthttp.RequestCtx, problem *api.Problem, requestID string) {
+	ctx.Response.Reset()
+	ctx.SetStatusCode(problem.Status)
+	ctx.SetContentType(contentTypeProblem)
+	if requestID != "" {
+		ctx.Response.Header.Set(headerRequestID, requestID)
+	}
+	if problem.RetryAfter > 0 {
+		ctx.Response.Header.Set(headerRetryAfter, retryAfterSeconds(problem.RetryAfter))
+	}
+	ctx.SetBody(encodeProblem(problem, requestID))
+}
+
+// retryAfterSeconds rounds up, since the header takes whole seconds.
+func retryAfterSeconds(d time.Duration) string {
+	return strconv.Itoa(int(math.Ceil(d.Seconds())))
+}
+
+func writeJSON(ctx *fasthttp.RequestCtx, status int, value any) {
+	body, err := json.Marshal(value)
+	if err != nil {
+		writeProblem(ctx, asProblem(errors.Trace(err)), "")
+		return
+	}
+	ctx.SetStatusCode(status)
+	ctx.SetContentType(contentTypeJSON)
+	ctx.SetBody(body)
+}
+
+// handleReadError answers a request that could not be read: too large, too
+// slow or malformed.
+func (s *Server) handleReadError(ctx *fasthttp.RequestCtx, err error) {
+	problem := api.NotRun(api.ProblemBadRequest, http.StatusBadRequest, "the request could not be read")
+	var small *fasthttp.ErrSmallBuffer
+	switch {
+	case errors.Is(err, fasthttp.ErrBodyTooLarge):
+		problem = api.NotRun(api.ProblemTooLarge, http.StatusRequestEntityTooLarge, "the body is too large")
+	case errors.As(err, &small):
+		problem = api.NotRun(api.ProblemTooLarge, http.StatusRequestHeaderFieldsTooLarge, "the headers are too large")
+	}
+	writeProblem(ctx, problem, "")
+	ctx.SetConnectionClose()
+}
