--- /dev/null
+++ b/coordination/quarantine/quarantine_test.go
@@ -0,0 +1,137 @@
+package quarantine_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"github.com/monsooncrank/monsooncrank/coordination/quarantine"
+	"github.com/monsooncrank/monsooncrank/coordination/randomtest"
+)
+
+// Guards against a request that takes down one engine after another: with
+// daemons that tell one another late, in any order and repeatedly, every daemon
+// refuses the request once it has heard of two crashes, and a release holds
+// everywhere against stale news.
+func TestRandomQuarantine(t *testing.T) {
+	randomtest.Check(t, []string{"crash", "late message", "duplicate message"}, func(rt *rapid.T, report *randomtest.Report) {
+		const daemons = 3
+		now := time.Unix(1000, 0)
+		fingerprint := quarantine.FingerprintOf("a", []byte("body"))
+		cores := make([]*quarantine.Core, daemons)
+		for i := range cores {
+			cores[i] = quarantine.New(quarantine.DefaultOptions())
+		}
+		var sent []quarantine.Entry
+		crashes := 0
+		// A daemon may let a request crash at most two servers between two
+		// releases that it knows of, even if it hears nothing from others.
+		own := make(map[[2]uint64]int)
+		deliver := func(core *quarantine.Core, e quarantine.Entry) { core.Merge(now, e) }
+		for range rapid.IntRange(1, 30).Draw(rt, "steps") {
+			report.Step()
+			now = now.Add(time.Second)
+			daemon := rapid.IntRange(0, daemons-1).Draw(rt, "daemon")
+			core := cores[daemon]
+			switch rapid.IntRange(0, 3).Draw(rt, "event") {
+			case 0:
+				verdict := core.Check(now, fingerprint)
+				report.Outcome(fmt.Sprint(verdict))
+				if verdict == quarantine.VerdictRefuse {
+					continue
+				}
+				crashes++
+				report.Fault("crash")
+				e, _ := core.Crashed(now, fingerprint, fmt.Sprintf("engine-%d", crashes))
+				sent = append(sent, e)
+				key := [2]uint64{uint64(daemon), e.Generation}
+				if own[key]++; own[key] > 2 {
+					rt.Fatalf("daemon %d let the request crash %d servers", daemon, own[key])
+				}
+			case 1, 2:
+				if len(sent) == 0 {
+					continue
+				}
+				report.Fault("late message")
+				e := sent[rapid.IntRange(0, len(sent)-1).Draw(rt, "message")]
+				deliver(core, e)
+				if rapid.Bool().Draw(rt, "again") {
+					report.Fault("duplicate message")
+					if core.Merge(now, e) {
+						rt.Fatalf("a duplicate changed the entry")
+					}
+				}
+			case 3:
+				if e, err := core.Release(fingerprint); err == nil {
+					sent = append(sent, e)
+				}
+			}
+		}
+		for range 2 {
+			for _, e := range sent {
+				for _, core := range cores {
+					deliver(core, e)
+				}
+			}
+		}
+		want := cores[0].Check(now, fingerprint)
+		for i, core := range cores {
+			if got := core.Check(now, fingerprint); got != want {
+				rt.Fatalf("daemon %d says %d, daemon 0 says %d", i, got, want)
+			}
+		}
+	})
+}
+
+func TestVerdicts(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Unix(1000, 0)
+	core := quarantine.New(quarantine.DefaultOptions())
+	f := quarantine.FingerprintOf("a", []byte("body"))
+	g.Expect(core.Check(now, f)).To(Equal(quarantine.VerdictRun))
+	_, quarantined := core.Crashed(now, f, "engine-1#1")
+	g.Expect(quarantined).To(BeFalse())
+	g.Expect(core.Check(now, f)).To(Equal(quarantine.VerdictIsolate))
+
+	// Several attempts on one engine that died once are one crash.
+	_, quarantined = core.Crashed(now, f, "engine-1#1")
+	g.Expect(quarantined).To(BeFalse())
+
+	_, quarantined = core.Crashed(now, f, "engine-2#1")
+	g.Expect(quarantined).To(BeTrue())
+	g.Expect(core.Check(now.Add(24*time.Hour), f)).To(Equal(quarantine.VerdictRefuse))
+	g.Expect(core.List()).To(HaveLen(1))
+
+	_, err := core.Release(f)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(core.Check(now, f)).To(Equal(quarantine.VerdictRun))
+}
+
+// Guards against a request that is blamed for unrelated crashes long apart, and
+// against unbounded memory.
+func TestSuspectsAreForgotten(t *testing.T) {
+	g := NewWithT(t)
+	options := quarantine.Options{Crashes: 2, SuspectRetention: time.Minute, MaxEntries: 3}
+	core := quarantine.New(options)
+	now := time.Unix(1000, 0)
+	f := quarantine.FingerprintOf("a", []byte("body"))
+	core.Crashed(now, f, "engine-1")
+	now = now.Add(2 * time.Minute)
+	g.Expect(core.Check(now, f)).To(Equal(quarantine.VerdictRun))
+	_, quarantined := core.Crashed(now, f, "engine-2")
+	g.Expect(quarantined).To(BeFalse())
+	core.Crashed(now, f, "engine-3")
+	for i := range 10 {
+		core.Crashed(now.Add(time.Second), quarantine.FingerprintOf("b", []byte{byte(i)}), "engine-4")
+	}
+	g.Expect(core.Check(now, f)).To(Equal(quarantine.VerdictRefuse), "a quarantined request outlives suspects")
+}
+
+// Guards against accounts that share a fingerprint through concatenation.
+func TestFingerprintSeparatesAccountAndBody(t *testing.T) {
+	g := NewWithT(t)
+	g.Expect(quarantine.FingerprintOf("ab", []byte("c"))).NotTo(Equal(quarantine.FingerprintOf("a", []byte("bc"))))
+}
--- /dev/null
+++ b/coordination/retry/retry_test.go
@@ -0,0 +1,85 @@
+package retry_test
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"github.com/monsooncrank/monsooncrank/coordination/randomtest"
+	"github.com/monsooncrank/monsooncrank/coordination/retry"
+)
+
+// Guards against a retry storm: over any history the allowed retries stay
+// within the initial balance plus the share of successes, and none may end
+// after the caller's deadline.
+func TestRandomRetryBudget(t *testing.T) {
+	randomtest.Check(t, []string{"failure"}, func(rt *rapid.T, report *randomtest.Report) {
+		options := retry.DefaultOptions()
+		policy := retry.NewPolicy(options, rand.New(rand.NewPCG(rapid.Uint64().Draw(rt, "seed"), 0)))
+		now := time.Unix(1000, 0)
+		successes, retries := 0, 0
+		for range rapid.IntRange(1, 300).Draw(rt, "steps") {
+			report.Step()
+			if rapid.Bool().Draw(rt, "succeeds") {
+				policy.Succeeded("a", "p")
+				successes++
+				continue
+			}
+			report.Fault("failure")
+			r := retry.Request{
+				ClientAccount: "a", Pool: "p",
+				Attempt:  rapid.IntRange(1, 40).Draw(rt, "attempt"),
+				Deadline: now.Add(time.Duration(rapid.IntRange(-1000, 3000).Draw(rt, "remaining")) * time.Millisecond),
+				Expected: 100 * time.Millisecond,
+			}
+			d := policy.Retry(now, r)
+			report.Outcome(string(d.Denied))
+			if !d.Allowed {
+				continue
+			}
+			retries++
+			if end := now.Add(d.Delay + r.Expected); end.After(r.Deadline) {
+				rt.Fatalf("retry would end %s after the deadline", end.Sub(r.Deadline))
+			}
+		}
+		if bound := options.Initial + options.Ratio*float64(successes) + 1e-9; float64(retries) > bound {
+			rt.Fatalf("%d retries, at most %.1f allowed", retries, bound)
+		}
+	})
+}
+
+// Guards against one account's failures spending the retries of others.
+func TestBudgetsOfAccountsAreSeparate(t *testing.T) {
+	g := NewWithT(t)
+	policy := retry.NewPolicy(retry.Options{Ratio: 0.1, Initial: 2, Max: 10}, rand.New(rand.NewPCG(1, 1)))
+	now := time.Unix(0, 0)
+	ask := func(account, pool string) retry.Decision {
+		return policy.Retry(now, retry.Request{ClientAccount: account, Pool: pool, Attempt: 1, Deadline: now.Add(time.Second)})
+	}
+	g.Expect(ask("large", "p1").Allowed).To(BeTrue())
+	g.Expect(ask("large", "p1").Allowed).To(BeTrue())
+	g.Expect(ask("large", "p2").Denied).To(Equal(retry.DenyBudget))
+	g.Expect(ask("small", "p2").Allowed).To(BeTrue())
+	g.Expect(ask("small", "p1").Denied).To(Equal(retry.DenyBudget), "the pool's budget is spent")
+}
+
+// Guards against retries in step with one another: delays spread over the
+// whole range and their bound doubles up to the maximum.
+func TestBackoffUsesFullJitter(t *testing.T) {
+	g := NewWithT(t)
+	options := retry.DefaultOptions()
+	random := rand.New(rand.NewPCG(1, 2))
+	for attempt, bound := range map[int]time.Duration{1: 20, 2: 40, 3: 80, 30: 2000} {
+		lowest, highest := time.Hour, time.Duration(0)
+		for range 1000 {
+			d := options.Backoff(random, attempt)
+			lowest, highest = min(lowest, d), max(highest, d)
+		}
+		g.Expect(highest).To(BeNumerically("<=", bound*time.Millisecond))
+		g.Expect(highest).To(BeNumerically(">", bound*time.Millisecond*9/10))
+		g.Expect(lowest).To(BeNumerically("<", bound*time.Millisecond/10))
+	}
+}
