Add admission: fair queues, early refusal, limits shared by daemons

Cause: overload must not collapse goodput, a large account must not push out a small one, and limits must hold across daemons without a table write per request. Change: a pure core with priority, weighted fair queueing between accounts and earliest deadline within one; refusal at arrival by the expected wait; each daemon takes an equal share of limits and slots; deferred requests use free slots only and are preempted. A controller drives it for concurrent requests.

--- /dev/null
+++ b/pkg/admission/admission_test.go
@@ -0,0 +1,275 @@
+package admission_test
+
+import (
+	"container/heap"
+	"context"
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"github.com/prometheus/client_golang/prometheus"
+	"go.uber.org/goleak"
+	"k8s.io/utils/clock"
+	"pgregory.net/rapid"
+
+	"github.com/monsooncrank/monsooncrank/coordination/randomtest"
+	"github.com/monsooncrank/monsooncrank/pkg/admission"
+)
+
+var epoch = time.Unix(1000, 0)
+
+const unlimited = 1 << 20
+
+func newCore(slots int, weights map[string]float64) *admission.Core {
+	core := admission.NewCore(admission.DefaultOptions())
+	accounts := make(map[string]admission.Account)
+	for name, weight := range weights {
+		accounts[name] = admission.Account{Weight: weight, MaxInFlight: unlimited, RequestsPerSecond: unlimited}
+	}
+	core.SetAccounts(epoch, accounts)
+	core.SetSlots(epoch, "r", slots)
+	return core
+}
+
+// Guards against lost or doubled slots, refusals after the fact and admissions
+// that cannot end in time, over random arrivals, ends, capacity changes and
+// daemons joining and leaving.
+func TestRandomAdmission(t *testing.T) {
+	faults := []string{"capacity lost", "daemon joined", "caller gone"}
+	randomtest.Check(t, faults, func(rt *rapid.T, report *randomtest.Report) {
+		core := newCore(4, map[string]float64{"a": 1, "b": 4})
+		now := epoch
+		requests := make(map[string]admission.Request)
+		running := make(map[string]bool)
+		take := func(outcomes []admission.Outcome) {
+			for _, o := range outcomes {
+				r, known := requests[o.ID]
+				switch {
+				case !known:
+					rt.Fatalf("outcome for %s, which is not in the system", o.ID)
+				case o.Preempted && (!running[o.ID] || !r.Deferred):
+					rt.Fatalf("%s preempted: running %t, deferred %t", o.ID, running[o.ID], r.Deferred)
+				case o.Refused != nil && running[o.ID]:
+					rt.Fatalf("%s refused while it runs", o.ID)
+				case o.Admitted && running[o.ID]:
+					rt.Fatalf("%s admitted twice", o.ID)
+				case o.Admitted && !r.Deferred && now.Add(r.Expected).After(r.Deadline):
+					rt.Fatalf("%s admitted too late", o.ID)
+				}
+				report.Outcome(fmt.Sprintf("admitted %t preempted %t", o.Admitted, o.Preempted))
+				if o.Admitted {
+					running[o.ID] = true
+					continue
+				}
+				delete(running, o.ID)
+				delete(requests, o.ID)
+			}
+		}
+		for step := range rapid.IntRange(1, 80).Draw(rt, "steps") {
+			report.Step()
+			now = now.Add(time.Duration(rapid.IntRange(0, 400).Draw(rt, "ms")) * time.Millisecond)
+			switch rapid.IntRange(0, 6).Draw(rt, "event") {
+			case 0, 1, 2:
+				r := admission.Request{
+					ID: fmt.Sprintf("%03d", step), Resource: "r",
+					ClientAccount: rapid.SampledFrom([]string{"a", "b"}).Draw(rt, "account"),
+					Priority:      rapid.IntRange(0, 1).Draw(rt, "priority"),
+					Deadline:      now.Add(time.Duration(rapid.IntRange(0, 9000).Draw(rt, "deadline")) * time.Millisecond),
+					Expected:      500 * time.Millisecond,
+					Deferred:      rapid.IntRange(0, 2).Draw(rt, "deferred") == 0,
+				}
+				requests[r.ID] = r
+				take(core.Submit(now, r))
+			case 3, 4:
+				if id := pick(rt, requests); id != "" {
+					if !running[id] {
+						report.Fault("caller gone")
+					}
+					delete(requests, id)
+					delete(running, id)
+					take(core.Finish(now, id))
+				}
+			case 5:
+				report.Fault("capacity lost")
+				take(core.SetSlots(now, "r", rapid.IntRange(0, 8).Draw(rt, "slots")))
+			case 6:
+				report.Fault("daemon joined")
+				take(core.SetDaemons(now, rapid.IntRange(1, 3).Draw(rt, "daemons")))
+			}
+			take(core.Tick(now))
+			if got := core.Running("r"); got != len(running) {
+				rt.Fatalf("core counts %d running, %d run", got, len(running))
+			}
+			if got := core.Waiting("r"); got != len(requests)-len(running) {
+				rt.Fatalf("core counts %d waiting, %d wait", got, len(requests)-len(running))
+			}
+		}
+	})
+}
+
+func pick(rt *rapid.T, requests map[string]admission.Request) string {
+	if len(requests) == 0 {
+		return ""
+	}
+	return rapid.SampledFrom(slices.Sorted(maps.Keys(requests))).Draw(rt, "request")
+}
+
+// arrival and departure events of the overload experiment.
+type event struct {
+	at      time.Time
+	id      string
+	account string
+	arrives bool
+}
+
+type events []event
+
+func (e events) Len() int           { return len(e) }
+func (e events) Less(i, j int) bool { return e[i].at.Before(e[j].at) }
+func (e events) Swap(i, j int)      { e[i], e[j] = e[j], e[i] }
+func (e *events) Push(x any)        { *e = append(*e, x.(event)) }
+func (e *events) Pop() any {
+	old := *e
+	x := old[len(old)-1]
+	*e = old[:len(old)-1]
+	return x
+}
+
+// overload offers load times the capacity of 16 slots for a minute and returns
+// the requests offered and answered in time per account, and the capacity's
+// bound.
+func overload(load map[string]float64, weights map[string]float64) (offered, inTime map[string]int, capacity float64) {
+	const slots, service, patience = 16, time.Second, 3 * time.Second
+	const duration = time.Minute
+	core := newCore(slots, weights)
+	random := rand.New(rand.NewPCG(7, 7))
+	queue := &events{}
+	n := 0
+	offered, inTime = make(map[string]int), make(map[string]int)
+	for _, account := range slices.Sorted(maps.Keys(load)) {
+		rate := load[account] * slots / service.Seconds()
+		for at := epoch; at.Before(epoch.Add(duration)); at = at.Add(time.Duration(random.ExpFloat64() / rate * float64(time.Second))) {
+			n++
+			offered[account]++
+			heap.Push(queue, event{at: at, id: fmt.Sprint(n), account: account, arrives: true})
+		}
+	}
+	arrived := make(map[string]event)
+	for queue.Len() > 0 {
+		e := heap.Pop(queue).(event)
+		var outcomes []admission.Outcome
+		if e.arrives {
+			arrived[e.id] = e
+			outcomes = core.Submit(e.at, admission.Request{
+				ID: e.id, Resource: "r", ClientAccount: e.account, Deadline: e.at.Add(patience), Expected: service,
+			})
+		} else {
+			if e.at.Sub(arrived[e.id].at) <= patience {
+				inTime[e.account]++
+			}
+			outcomes = core.Finish(e.at, e.id)
+		}
+		for _, o := range outcomes {
+			if o.Admitted {
+				heap.Push(queue, event{at: e.at.Add(service), id: o.ID, account: arrived[o.ID].account})
+			}
+		}
+	}
+	return offered, inTime, slots * duration.Seconds() / service.Seconds()
+}
+
+// Guards against a collapse under overload: at three times the capacity the
+// answers in time stay within 10% of what the capacity allows.
+func TestOverloadKeepsGoodput(t *testing.T) {
+	g := NewWithT(t)
+	_, inTime, capacity := overload(map[string]float64{"a": 3}, map[string]float64{"a": 1})
+	t.Logf("answered in time %d of a capacity of %.0f", inTime["a"], capacity)
+	g.Expect(float64(inTime["a"])).To(BeNumerically(">=", 0.9*capacity))
+}
+
+// Guards against a large account that floods and pushes out a small one.
+func TestFloodingAccountKeepsOthersShare(t *testing.T) {
+	g := NewWithT(t)
+	offered, inTime, capacity := overload(map[string]float64{"large": 3, "small": 0.2}, map[string]float64{"large": 1, "small": 1})
+	t.Logf("offered %v, answered in time %v of a capacity of %.0f", offered, inTime, capacity)
+	g.Expect(float64(inTime["small"])).To(BeNumerically(">=", 0.9*float64(offered["small"])))
+	g.Expect(float64(inTime["small"] + inTime["large"])).To(BeNumerically(">=", 0.9*capacity))
+}
+
+// Guards against fair shares that ignore weights.
+func TestSharesFollowWeights(t *testing.T) {
+	g := NewWithT(t)
+	_, inTime, _ := overload(map[string]float64{"one": 2, "three": 2}, map[string]float64{"one": 1, "three": 3})
+	t.Logf("answered in time: %v", inTime)
+	g.Expect(float64(inTime["three"]) / float64(inTime["one"])).To(BeNumerically("~", 3, 0.5))
+}
+
+func TestLimitsAreSharedByDaemons(t *testing.T) {
+	g := NewWithT(t)
+	core := admission.NewCore(admission.DefaultOptions())
+	core.SetAccounts(epoch, map[string]admission.Account{"a": {Weight: 1, MaxInFlight: 14, RequestsPerSecond: 70}})
+	core.SetSlots(epoch, "r", 700)
+	core.SetDaemons(epoch, 7)
+	admitted := 0
+	var last *admission.RefusedError
+	for i := range 30 {
+		o := core.Submit(epoch, admission.Request{ID: fmt.Sprint(i), Resource: "r", ClientAccount: "a", Deadline: epoch.Add(time.Minute)})[0]
+		if o.Admitted {
+			admitted++
+		} else {
+			last = o.Refused
+		}
+	}
+	g.Expect(admitted).To(Equal(2), "14 in flight over 7 daemons")
+	g.Expect(last.Reason).To(Equal(admission.ReasonInFlight))
+	g.Expect(core.Slots("r")).To(Equal(100))
+}
+
+// Guards against deferred work that makes others wait.
+func TestDeferredWorkYields(t *testing.T) {
+	g := NewWithT(t)
+	core := newCore(2, map[string]float64{"a": 1})
+	submit := func(id string, deferred bool) []admission.Outcome {
+		return core.Submit(epoch, admission.Request{ID: id, Resource: "r", ClientAccount: "a", Deferred: deferred, Deadline: epoch.Add(time.Minute)})
+	}
+	submit("brief-1", true)
+	submit("brief-2", true)
+	g.Expect(submit("chat", false)).To(Equal([]admission.Outcome{{ID: "brief-2", Preempted: true}, {ID: "chat", Admitted: true}}))
+	g.Expect(submit("brief-3", true)).To(BeEmpty())
+	g.Expect(core.Finish(epoch, "chat")).To(Equal([]admission.Outcome{{ID: "brief-3", Admitted: true}}))
+}
+
+// Guards against goroutine leaks and lost slots when callers go while they
+// wait.
+func TestControllerReturnsSlots(t *testing.T) {
+	defer goleak.VerifyNone(t)
+	g := NewWithT(t)
+	c, err := admission.NewController(admission.ControllerOptions{
+		Core: admission.DefaultOptions(), Clock: clock.RealClock{}, Registry: prometheus.NewRegistry(),
+	})
+	g.Expect(err).NotTo(HaveOccurred())
+	defer c.Close()
+	c.SetAccounts(map[string]admission.Account{"a": {Weight: 1, MaxInFlight: unlimited, RequestsPerSecond: unlimited}})
+	c.SetSlots("r", 2)
+	var group sync.WaitGroup
+	for i := range 64 {
+		group.Go(func() {
+			ctx, cancel := context.WithTimeout(context.Background(), time.Duration(i)*time.Millisecond)
+			defer cancel()
+			slot, err := c.Acquire(ctx, admission.Request{ID: fmt.Sprint(i), Resource: "r", ClientAccount: "a", Deadline: time.Now().Add(time.Minute)})
+			if err == nil {
+				time.Sleep(time.Millisecond)
+				slot.Release()
+			}
+		})
+	}
+	group.Wait()
+	slot, err := c.Acquire(context.Background(), admission.Request{ID: "last", Resource: "r", ClientAccount: "a", Deadline: time.Now().Add(time.Minute)})
+	g.Expect(err).NotTo(HaveOccurred())
+	slot.Release()
+}
--- /dev/null
+++ b/pkg/admission/controller.go
@@ -0,0 +1,214 @@
+package admission
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"k8s.io/utils/clock"
+
+	"github.com/monsooncrank/monsooncrank/pkg/decision"
+)
+
+// tickInterval bounds how long a waiting request that has become late keeps its
+// place.
+const tickInterval = 20 * time.Millisecond
+
+// Slot is a place in a resource. Release must be called once.
+type Slot struct {
+	controller *Controller
+	id         string
+	preempted  chan struct{}
+	once       sync.Once
+}
+
+// Preempted is closed when the holder must stop at once.
+func (s *Slot) Preempted() <-chan struct{} { return s.preempted }
+
+// Release frees the slot.
+func (s *Slot) Release() {
+	s.once.Do(func() { s.controller.finish(s.id) })
+}
+
+// waiter is a request that waits or runs.
+type waiter struct {
+	decided   chan *RefusedError
+	preempted chan struct{}
+}
+
+// ControllerOptions are what a Controller needs.
+type ControllerOptions struct {
+	Core     Options
+	Clock    clock.WithTicker
+	Registry prometheus.Registerer
+	Recorder *decision.Recorder
+}
+
+// Controller drives a Core for concurrent requests.
+type Controller struct {
+	clock    clock.WithTicker
+	recorder *decision.Recorder
+	metrics  *metrics
+
+	mu      sync.Mutex
+	core    *Core
+	waiters map[string]*waiter
+
+	stop chan struct{}
+	done chan struct{}
+}
+
+// NewController starts a Controller.
+func NewController(options ControllerOptions) (*Controller, error) {
+	metrics, err := newMetrics(options.Registry)
+	if err != nil {
+		return nil, err
+	}
+	c := &Controller{
+		clock:    options.Clock,
+		recorder: options.Recorder,
+		metrics:  metrics,
+		core:     NewCore(options.Core),
+		waiters:  make(map[string]*waiter),
+		stop:     make(chan struct{}),
+		done:     make(chan struct{}),
+	}
+	go c.run()
+	return c, nil
+}
+
+// Close stops the Controller. Waiting requests end by their contexts.
+func (c *Controller) Close() {
+	close(c.stop)
+	<-c.done
+}
+
+// SetDaemons passes the number of live daemons to the core.
+func (c *Controller) SetDaemons(daemons int) {
+	c.update(func(now time.Time) []Outcome { return c.core.SetDaemons(now, daemons) })
+}
+
+// SetAccounts passes the accounts of a configuration to the core.
+func (c *Controller) SetAccounts(accounts map[string]Account) {
+	c.update(func(now time.Time) []Outcome {
+		c.core.SetAccounts(now, accounts)
+		return nil
+	})
+}
+
+// SetSlots passes the slots of a resource to the core.
+func (c *Controller) SetSlots(resource string, slots int) {
+	c.update(func(now time.Time) []Outcome { return c.core.SetSlots(now, resource, slots) })
+}
+
+// Acquire waits for a slot. It returns RefusedError when the request does not
+// run, or the context's error.
+func (c *Controller) Acquire(ctx context.Context, request Request) (*Slot, error) {
+	w := &waiter{decided: make(chan *RefusedError, 1), preempted: make(chan struct{})}
+	started := c.clock.Now()
+	c.update(func(now time.Time) []Outcome {
+		c.waiters[request.ID] = w
+		return c.core.Submit(now, request)
+	})
+	select {
+	case refused := <-w.decided:
+		return c.decided(request, w, refused, c.clock.Since(started))
+	case <-ctx.Done():
+	}
+	c.finish(request.ID)
+	// The request may have been decided at the same moment; either way its
+	// slot is free again.
+	return nil, ctx.Err()
+}
+
+func (c *Controller) decided(request Request, w *waiter, refused *RefusedError, waited time.Duration) (*Slot, error) {
+	d := decision.Decision{Time: c.clock.Now(), Kind: decision.KindAdmission, RequestID: request.ID}
+	if refused != nil {
+		c.metrics.refused.WithLabelValues(string(refused.Reason)).Inc()
+		d.Reason = string(refused.Reason)
+		c.recorder.Record(d)
+		return nil, refused
+	}
+	c.metrics.wait.Observe(waited.Seconds())
+	d.Chosen, d.Reason = request.Resource, "admitted after "+waited.String()
+	c.recorder.Record(d)
+	return &Slot{controller: c, id: request.ID, preempted: w.preempted}, nil
+}
+
+func (c *Controller) finish(id string) {
+	c.update(func(now time.Time) []Outcome {
+		delete(c.waiters, id)
+		return c.core.Finish(now, id)
+	})
+}
+
+// update runs an event of the core and tells its outcomes.
+func (c *Controller) update(event func(now time.Time) []Outcome) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, o := range event(c.clock.Now()) {
+		c.tell(o)
+	}
+}
+
+func (c *Controller) tell(o Outcome) {
+	w, ok := c.waiters[o.ID]
+	if !ok {
+		return
+	}
+	if o.Preempted {
+		c.metrics.preempted.Inc()
+		close(w.preempted)
+		delete(c.waiters, o.ID)
+		return
+	}
+	if o.Refused != nil {
+		delete(c.waiters, o.ID)
+	}
+	w.decided <- o.Refused
+}
+
+func (c *Controller) run() {
+	defer close(c.done)
+	ticker := c.clock.NewTicker(tickInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ticker.C():
+			c.update(func(now time.Time) []Outcome { return c.core.Tick(now) })
+		case <-c.stop:
+			return
+		}
+	}
+}
+
+type metrics struct {
+	refused   *prometheus.CounterVec
+	preempted prometheus.Counter
+	wait      prometheus.Histogram
+}
+
+func newMetrics(registry prometheus.Registerer) (*metrics, error) {
+	m := &metrics{
+		refused: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "monsooncrank_admission_refused_total",
+			Help: "Requests refused by reason.",
+		}, []string{"reason"}),
+		preempted: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "monsooncrank_admission_preempted_total",
+			Help: "Deferred requests whose slot was taken for others.",
+		}),
+		wait: prometheus.NewHistogram(prometheus.HistogramOpts{
+			Name:    "monsooncrank_admission_wait_seconds",
+			Help:    "Time that admitted requests waited for a slot.",
+			Buckets: prometheus.ExponentialBuckets(0.0005, 2, 16),
+		}),
+	}
+	for _, collector := range []prometheus.Collector{m.refused, m.preempted, m.wait} {
+		if err := registry.Register(collector); err != nil {
+			return nil, err
+		}
+	}
+	return m, nil
+}
--- /dev/null
+++ b/pkg/admission/resource.go
@@ -0,0 +1,249 @@
+package admission
+
+import (
+	"container/heap"
+	"time"
+)
+
+// resource is the state of one set of slots.
+type resource struct {
+	// total is the number of slots across all daemons, slots this daemon's.
+	total   int
+	slots   int
+	running int
+	waiting int
+	// queues hold the waiting requests by account.
+	queues map[string]*accountQueue
+	// deferred are the running requests that can be preempted.
+	deferred map[string]*entry
+	// virtual is the virtual time of fair queueing: the start time of the
+	// request admitted last.
+	virtual float64
+	// service is the moving average of the occupancy of a slot.
+	service time.Duration
+}
+
+func newResource() *resource {
+	return &resource{queues: make(map[string]*accountQueue), deferred: make(map[string]*entry)}
+}
+
+// accountQueue holds one account's waiting requests by priority and deadline.
+type accountQueue struct {
+	entries entryHeap
+	weight  float64
+	// finish is the virtual time at which the account has used what it was
+	// admitted so far.
+	finish float64
+}
+
+type entryHeap []*entry
+
+func (h entryHeap) Len() int           { return len(h) }
+func (h entryHeap) Less(i, j int) bool { return before(h[i], h[j]) }
+func (h entryHeap) Swap(i, j int)      { h[i], h[j] = h[j], h[i] }
+func (h *entryHeap) Push(x any)        { *h = append(*h, x.(*entry)) }
+
+func (h *entryHeap) Pop() any {
+	old := *h
+	e := old[len(old)-1]
+	old[len(old)-1] = nil
+	*h = old[:len(old)-1]
+	return e
+}
+
+// before orders requests of one account: deferred ones last, then by priority,
+// deadline, and arrival.
+func before(a, b *entry) bool {
+	if a.request.Deferred != b.request.Deferred {
+		return b.request.Deferred
+	}
+	if a.request.Priority != b.request.Priority {
+		return a.request.Priority < b.request.Priority
+	}
+	if !a.request.Deadline.Equal(b.request.Deadline) {
+		return a.request.Deadline.Before(b.request.Deadline)
+	}
+	if !a.queuedAt.Equal(b.queuedAt) {
+		return a.queuedAt.Before(b.queuedAt)
+	}
+	return a.request.ID < b.request.ID
+}
+
+func (r *resource) enqueue(e *entry, weight float64) {
+	q, ok := r.queues[e.request.ClientAccount]
+	if !ok {
+		q = &accountQueue{}
+		r.queues[e.request.ClientAccount] = q
+	}
+	q.weight = max(weight, minWeight)
+	heap.Push(&q.entries, e)
+	r.waiting++
+}
+
+// minWeight keeps an account without a weight from a division by zero.
+const minWeight = 0.001
+
+func (r *resource) remove(e *entry) {
+	q := r.queues[e.request.ClientAccount]
+	for i, other := range q.entries {
+		if other == e {
+			heap.Remove(&q.entries, i)
+			r.waiting--
+			return
+		}
+	}
+}
+
+func (r *resource) queued(account string) int {
+	q, ok := r.queues[account]
+	if !ok {
+		return 0
+	}
+	return len(q.entries)
+}
+
+// next returns the waiting request that may start now, or nil.
+func (r *resource) next(options Options) *entry {
+	if r.running >= r.slots || r.waiting == 0 {
+		return nil
+	}
+	var best *entry
+	var bestQueue *accountQueue
+	for _, q := range r.queues {
+		if len(q.entries) == 0 {
+			continue
+		}
+		if best == nil || r.precedes(q, q.entries[0], bestQueue, best) {
+			best, bestQueue = q.entries[0], q
+		}
+	}
+	if best.request.Deferred && r.running >= r.slots-r.reserved(options) {
+		return nil
+	}
+	return best
+}
+
+// precedes compares the first requests of two accounts: deferred last, then
+// priority, then the account that has used less of its share.
+func (r *resource) precedes(qa *accountQueue, a *entry, qb *accountQueue, b *entry) bool {
+	if a.request.Deferred != b.request.Deferred {
+		return b.request.Deferred
+	}
+	if a.request.Priority != b.request.Priority {
+		return a.request.Priority < b.request.Priority
+	}
+	startA, startB := max(qa.finish, r.virtual), max(qb.finish, r.virtual)
+	if startA != startB {
+		return startA < startB
+	}
+	return before(a, b)
+}
+
+func (r *resource) reserved(options Options) int {
+	return int(float64(r.slots) * options.DeferredReserve)
+}
+
+// start occupies a slot and charges the account for it.
+func (r *resource) start(e *entry, now time.Time) {
+	e.state = stateRunning
+	e.started = now
+	r.running++
+	if e.request.Deferred {
+		r.deferred[e.request.ID] = e
+		return
+	}
+	q := r.queues[e.request.ClientAccount]
+	e.start = max(q.finish, r.virtual)
+	r.virtual = e.start
+	q.finish = e.start + max(e.request.Expected, time.Millisecond).Seconds()/q.weight
+}
+
+// newestDeferred returns the deferred request that was started last.
+func (r *resource) newestDeferred() *entry {
+	var newest *entry
+	for _, e := range r.deferred {
+		if newest == nil || e.started.After(newest.started) ||
+			(e.started.Equal(newest.started) && e.request.ID > newest.request.ID) {
+			newest = e
+		}
+	}
+	return newest
+}
+
+// late returns the waiting requests that can no longer start in time.
+func (r *resource) late(now time.Time) []*entry {
+	var late []*entry
+	for _, q := range r.queues {
+		for _, e := range q.entries {
+			if !e.request.Deferred && now.Add(e.request.Expected).After(e.request.Deadline) {
+				late = append(late, e)
+			}
+		}
+	}
+	return late
+}
+
+func (r *resource) observe(occupied time.Duration, options Options) {
+	if r.service == 0 {
+		r.service = occupied
+		return
+	}
+	r.service += time.Duration(options.ServiceWeight * float64(occupied-r.service))
+}
+
+func (r *resource) meanService(options Options) time.Duration {
+	if r.service == 0 {
+		return options.InitialService
+	}
+	return r.service
+}
+
+// expectedWait estimates how long a request that arrives now waits for a slot:
+// the requests ahead of it, its own account's counted by the account's share,
+// at the rate at which slots become free.
+func (r *resource) expectedWait(request *Request, weight float64, options Options) time.Duration {
+	if free := r.slots - (r.running - len(r.deferred)); free > r.waitingNow() {
+		return 0
+	}
+	probe := &entry{request: *request}
+	ahead, activeWeight := 0.0, 0.0
+	own := 0
+	for name, q := range r.queues {
+		active := false
+		for _, e := range q.entries {
+			switch {
+			case e.request.Deferred:
+			case e.request.Priority < request.Priority:
+				ahead++
+			case e.request.Priority == request.Priority:
+				active = true
+				if name == request.ClientAccount && before(e, probe) {
+					own++
+				}
+			}
+		}
+		if active && name != request.ClientAccount {
+			activeWeight += q.weight
+		}
+	}
+	weight = max(weight, minWeight)
+	ahead += float64(own+1) * (activeWeight + weight) / weight
+	// The requests ahead include other accounts' in proportion to their
+	// weights, but there are never more of them than wait in all.
+	ahead = min(ahead, float64(r.waiting+1))
+	perSlot := float64(r.meanService(options)) / float64(max(r.slots, 1))
+	return time.Duration(ahead * perSlot)
+}
+
+// waitingNow is the number of waiting requests that are not deferred.
+func (r *resource) waitingNow() int {
+	n := 0
+	for _, q := range r.queues {
+		for _, e := range q.entries {
+			if !e.request.Deferred {
+				n++
+			}
+		}
+	}
+	return n
+}
