Add the routing core and its driver

Cause: the daemon needs a choice of a BackendServer whose cost does not grow with the number of workers.

--- /dev/null
+++ b/pkg/routing/cache.go
@@ -0,0 +1,122 @@
+package routing
+
+import (
+	"math"
+	"time"
+)
+
+// maxHolders bounds the servers that are remembered for a prefix.
+const maxHolders = 4
+
+// holder says that a server is believed to hold a prefix.
+type holder struct {
+	server *server
+	// incarnation is that of the server when it was seen with the prefix; a
+	// restarted server has an empty cache.
+	incarnation uint64
+	at          time.Duration
+	// trust is the belief at that time, from 0 to 1.
+	trust float64
+}
+
+// holders are the servers that hold one prefix.
+type holders struct {
+	hash uint64
+	list [maxHolders]holder
+}
+
+// prefixTable remembers which servers hold which prefix. It is bounded: a new
+// prefix replaces the oldest one.
+type prefixTable struct {
+	halfLife time.Duration
+	index    map[uint64]int32
+	entries  []holders
+	next     int
+	capacity int
+}
+
+func newPrefixTable(capacity int, halfLife time.Duration) *prefixTable {
+	return &prefixTable{halfLife: halfLife, index: make(map[uint64]int32), capacity: capacity}
+}
+
+func (t *prefixTable) find(hash uint64) *holders {
+	i, ok := t.index[hash]
+	if !ok {
+		return nil
+	}
+	return &t.entries[i]
+}
+
+func (t *prefixTable) findOrAdd(hash uint64) *holders {
+	if h := t.find(hash); h != nil {
+		return h
+	}
+	if len(t.entries) < t.capacity {
+		t.entries = append(t.entries, holders{hash: hash})
+		t.index[hash] = int32(len(t.entries) - 1)
+		return &t.entries[len(t.entries)-1]
+	}
+	h := &t.entries[t.next]
+	delete(t.index, h.hash)
+	*h = holders{hash: hash}
+	t.index[hash] = int32(t.next)
+	t.next = (t.next + 1) % len(t.entries)
+	return h
+}
+
+// belief returns the current belief that the holder has the prefix.
+func (t *prefixTable) belief(h *holder, now time.Duration) float64 {
+	if h.server == nil || h.incarnation != h.server.Incarnation {
+		return 0
+	}
+	age := max(now-h.at, 0)
+	return h.trust * math.Exp2(-float64(age)/float64(t.halfLife))
+}
+
+// stored records that s holds the prefix, in place of the least believed
+// holder when the entry is full.
+func (t *prefixTable) stored(now time.Duration, hash uint64, s *server, trust float64) {
+	entry := t.findOrAdd(hash)
+	slot, lowest := 0, math.Inf(1)
+	for i := range entry.list {
+		if entry.list[i].server == s {
+			slot = i
+			break
+		}
+		if b := t.belief(&entry.list[i], now); b < lowest {
+			slot, lowest = i, b
+		}
+	}
+	h := &entry.list[slot]
+	if h.server == s && h.incarnation == s.Incarnation {
+		trust = max(trust, t.belief(h, now))
+	}
+	*h = holder{server: s, incarnation: s.Incarnation, at: now, trust: trust}
+}
+
+// evicted records that s no longer holds the prefix.
+func (t *prefixTable) evicted(hash uint64, s *server) {
+	entry := t.find(hash)
+	if entry == nil {
+		return
+	}
+	for i := range entry.list {
+		if entry.list[i].server == s {
+			entry.list[i] = holder{}
+		}
+	}
+}
+
+// holderOf returns the belief that s holds the prefix.
+func (t *prefixTable) holderOf(hash uint64, s *server, now time.Duration) float64 {
+	entry := t.find(hash)
+	if entry == nil {
+		return 0
+	}
+	for i := range entry.list {
+		if entry.list[i].server == s {
+			return t.belief(&entry.list[i], now)
+		}
+	}
+	return 0
+}
--- /dev/null
+++ b/pkg/routing/pick.go
@@ -0,0 +1,178 @@
+package routing
+
+import (
+	"slices"
+	"time"
+
+	"github.com/monsooncrank/monsooncrank/pkg/decision"
+)
+
+const (
+	// maxSampled bounds Options.Choices, so that holders and the owner of
+	// the prefix also find room among the candidates.
+	maxSampled = 4
+	// isolatedSampled is how many servers are compared for an isolated
+	// request.
+	isolatedSampled = MaxCandidates
+	// sampleTries is how many servers a sample passes that may not be picked
+	// or were drawn before.
+	sampleTries = 8
+	// ownerTries is how many points of the ring are passed to find an owner
+	// within the load bound.
+	ownerTries = 16
+)
+
+type candidate struct {
+	server *server
+	reason Reason
+	hit    float64
+	score  float64
+}
+
+// Pick chooses a server. It records nothing; the caller reports Started when it
+// has sent the request.
+func (r *Router) Pick(now time.Time, q *Query) (Decision, error) {
+	g := r.groups[q.Group]
+	if g == nil {
+		return Decision{}, &UnknownGroupError{Group: q.Group}
+	}
+	at := now.Sub(r.epoch)
+	r.count = 0
+	if q.Isolated {
+		r.addSamples(g, q, isolatedSampled, ReasonIsolated)
+	} else {
+		r.addHolders(g, q, at)
+		r.addOwner(g, q, at)
+		r.addSamples(g, q, r.options.Choices, ReasonLoad)
+	}
+	if r.count == 0 && !r.addByScan(g, q) {
+		return Decision{}, noServer(g, q)
+	}
+	return r.best(g, q, at), nil
+}
+
+func (r *Router) best(g *group, q *Query, at time.Duration) Decision {
+	mean := g.meanOthers()
+	bestIndex := 0
+	d := Decision{count: r.count}
+	for i := range r.candidates[:r.count] {
+		c := &r.candidates[i]
+		if q.Isolated {
+			c.score = float64(c.server.outstanding) + c.server.othersNow(at, r.options.LoadMemory, mean)
+		} else {
+			c.hit = r.expectedHit(q, c.server, at)
+			c.score = r.score(g, q, c.server, c.hit, at)
+		}
+		d.alternatives[i] = decision.Alternative{Name: c.server.Name, Score: c.score}
+		if c.score < r.candidates[bestIndex].score {
+			bestIndex = i
+		}
+	}
+	chosen := &r.candidates[bestIndex]
+	d.Server, d.Reason, d.ExpectedCachedTokens = chosen.server.BackendServer, chosen.reason, int(chosen.hit)
+	return d
+}
+
+// addHolders adds the likely holders of the longest known prefix.
+func (r *Router) addHolders(g *group, q *Query, at time.Duration) {
+	for i := len(q.Prefixes) - 1; i >= 0; i-- {
+		entry := r.prefixes.find(q.Prefixes[i].Hash)
+		if entry == nil {
+			continue
+		}
+		before := r.count
+		for j := range entry.list {
+			h := &entry.list[j]
+			if r.prefixes.belief(h, at) > 0 && r.withinBound(g, h.server, at) {
+				r.add(g, q, h.server, ReasonPrefix)
+			}
+		}
+		if r.count > before {
+			return
+		}
+	}
+}
+
+// addOwner adds the owner of the prompt's affinity key on the ring, or the next
+// server on the ring that is within the load bound.
+func (r *Router) addOwner(g *group, q *Query, at time.Duration) {
+	if len(q.Prefixes) == 0 || len(g.ring) == 0 {
+		return
+	}
+	start := g.ring.search(affinityKey(q))
+	for i := range min(ownerTries, len(g.ring)) {
+		s := g.ring[(start+i)%len(g.ring)].server
+		if r.withinBound(g, s, at) && r.add(g, q, s, ReasonOwner) {
+			return
+		}
+	}
+}
+
+// affinityKey returns the hash that places a conversation on the ring: the
+// prefix up to its second message, which tells conversations apart whose system
+// prompt is the same.
+func affinityKey(q *Query) uint64 {
+	return q.Prefixes[min(affinityLevel, len(q.Prefixes)-1)].Hash
+}
+
+const affinityLevel = 1
+
+// addSamples adds up to n servers drawn from this daemon's subset.
+func (r *Router) addSamples(g *group, q *Query, n int, reason Reason) {
+	if len(g.subset) == 0 {
+		return
+	}
+	for range min(n, len(g.subset)) {
+		start := r.random.IntN(len(g.subset))
+		for i := range min(sampleTries, len(g.subset)) {
+			if r.add(g, q, g.subset[(start+i)%len(g.subset)], reason) {
+				break
+			}
+		}
+	}
+}
+
+// addByScan adds the first server that may be picked. It is used when samples
+// found none, as when most of the group is leaving.
+func (r *Router) addByScan(g *group, q *Query) bool {
+	if len(g.servers) == 0 {
+		return false
+	}
+	start := r.random.IntN(len(g.servers))
+	for i := range g.servers {
+		if r.add(g, q, g.servers[(start+i)%len(g.servers)], ReasonOnly) {
+			return true
+		}
+	}
+	return false
+}
+
+// add adds a server to the candidates unless it may not be picked, is already
+// among them or there is no room.
+func (r *Router) add(g *group, q *Query, s *server, reason Reason) bool {
+	if r.count == MaxCandidates || !s.available() || !slices.Contains(s.groups, g) ||
+		slices.Contains(q.ExcludeNames, s.Name) {
+		return false
+	}
+	for i := range r.candidates[:r.count] {
+		if r.candidates[i].server == s {
+			return false
+		}
+	}
+	r.candidates[r.count] = candidate{server: s, reason: reason}
+	r.count++
+	return true
+}
+
+func noServer(g *group, q *Query) *NoServerError {
+	e := &NoServerError{Group: g.name, Known: len(g.servers)}
+	for _, s := range g.servers {
+		switch {
+		case !s.available():
+			e.Leaving++
+		case slices.Contains(q.ExcludeNames, s.Name):
+			e.Excluded++
+		}
+	}
+	return e
+}
--- /dev/null
+++ b/pkg/routing/prefix.go
@@ -0,0 +1,60 @@
+package routing
+
+import (
+	"encoding/binary"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/monsooncrank/monsooncrank/pkg/api"
+)
+
+const (
+	// MaxPrefixes is the most leading parts of a prompt that are tracked. For
+	// a longer conversation the first ones (shared with other requests) and
+	// the last ones (shared with its own earlier turns) are kept.
+	MaxPrefixes       = 8
+	keptFirstPrefixes = 3
+	// bytesPerToken is the usual mean length of a token of running text.
+	bytesPerToken = 4
+	// tokensPerMessage covers the role and the separators of a message.
+	tokensPerMessage = 4
+)
+
+// EstimateTokens returns the estimated number of tokens of a text.
+func EstimateTokens(text string) int { return (len(text) + bytesPerToken - 1) / bytesPerToken }
+
+// ChainHash extends the hash of a prefix by a message. The first message is
+// chained to xxhash.Sum64String of the model's name. Engines that hash prefixes
+// in the same way can be matched with the prefixes of a Query.
+func ChainHash(previous uint64, m api.Message) uint64 {
+	var d xxhash.Digest
+	d.Reset()
+	var buffer [8]byte
+	binary.LittleEndian.PutUint64(buffer[:], previous)
+	_, _ = d.Write(buffer[:])
+	_, _ = d.WriteString(m.Role)
+	_, _ = d.Write([]byte{0})
+	_, _ = d.WriteString(m.Content)
+	return d.Sum64()
+}
+
+// AppendPrefixes appends the prefixes of a chat, which end at its messages, to
+// prefixes and returns them with the estimated length of the prompt.
+func AppendPrefixes(prefixes []Prefix, model string, messages []api.Message) ([]Prefix, int) {
+	hash, tokens, first := xxhash.Sum64String(model), 0, len(prefixes)
+	for _, m := range messages {
+		hash = ChainHash(hash, m)
+		tokens += tokensPerMessage + EstimateTokens(m.Content)
+		prefixes = appendBounded(prefixes, first, Prefix{Hash: hash, Tokens: tokens})
+	}
+	return prefixes, tokens
+}
+
+func appendBounded(prefixes []Prefix, first int, p Prefix) []Prefix {
+	if len(prefixes)-first < MaxPrefixes {
+		return append(prefixes, p)
+	}
+	kept := prefixes[first+keptFirstPrefixes:]
+	copy(kept, kept[1:])
+	kept[len(kept)-1] = p
+	return prefixes
+}
--- /dev/null
+++ b/pkg/routing/router_test.go
@@ -0,0 +1,137 @@
+package routing_test
+
+import (
+	"fmt"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/monsooncrank/monsooncrank/pkg/engine"
+	"github.com/monsooncrank/monsooncrank/pkg/routing"
+)
+
+var _ = Describe("Router", func() {
+	var r *routing.Router
+	chat := &routing.Query{Group: "chat", PromptTokens: 100}
+
+	BeforeEach(func() {
+		r = newRouter(routing.Options{Daemon: "d", AvailabilityZone: "zone-0"})
+		r.Update(epoch, group(servers(4)))
+	})
+
+	It("never brings a leaving server back through a lagging list", func() {
+		r.NoticeReceived(epoch, "engine-1", 1)
+		r.Update(at(time.Second), nil)
+		r.Update(at(2*time.Second), group(servers(2)))
+		for i := range 50 {
+			d, err := r.Pick(at(time.Duration(i)*time.Second), chat)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(d.Server.Name).To(Equal("engine-0"))
+		}
+	})
+
+	It("uses a restarted server again", func() {
+		r.NoticeReceived(epoch, "engine-1", 1)
+		list := servers(4)[1:2]
+		list[0].Incarnation = 2
+		r.Update(at(time.Second), group(list))
+		d, err := r.Pick(at(time.Second), chat)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(d.Server.Incarnation).To(Equal(uint64(2)))
+	})
+
+	It("says why there is no server", func() {
+		r.NoticeReceived(epoch, "engine-0", 1)
+		_, err := r.Pick(epoch, &routing.Query{Group: "chat", ExcludeNames: []string{"engine-1", "engine-2", "engine-3"}})
+		Expect(err).To(Equal(&routing.NoServerError{Group: "chat", Known: 4, Leaving: 1, Excluded: 3}))
+		_, err = r.Pick(epoch, &routing.Query{Group: "other"})
+		Expect(err).To(Equal(&routing.UnknownGroupError{Group: "other"}))
+	})
+
+	It("sends a prompt to the server that holds its prefix", func() {
+		q := &routing.Query{Group: "chat", PromptTokens: 2000, Prefixes: []routing.Prefix{{Hash: 7, Tokens: 1900}}}
+		r.CacheReported(epoch, "engine-2", []engine.CacheEvent{{Sequence: 1, PrefixHash: 7, Tokens: 1900}})
+		d, err := r.Pick(epoch, q)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(d.Server.Name).To(Equal("engine-2"))
+		Expect(d.Reason).To(Equal(routing.ReasonPrefix))
+		Expect(d.ExpectedCachedTokens).To(Equal(1900))
+		Expect(len(d.Alternatives())).To(BeNumerically(">", 1))
+	})
+
+	It("does not follow a prefix past the load bound", func() {
+		q := &routing.Query{Group: "chat", PromptTokens: 2000, Prefixes: []routing.Prefix{{Hash: 7, Tokens: 1900}}}
+		r.CacheReported(epoch, "engine-2", []engine.CacheEvent{{Sequence: 1, PrefixHash: 7, Tokens: 1900}})
+		for i := range 8 {
+			Expect(r.Started(epoch, fmt.Sprint(i), "engine-2", chat)).To(Succeed())
+		}
+		d, err := r.Pick(epoch, q)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(d.Server.Name).NotTo(Equal("engine-2"))
+	})
+
+	It("prefers a server with less load by a fresh report and less so by a stale one", func() {
+		r.Update(epoch, group(servers(2)))
+		r.LoadReported(epoch, "engine-0", engine.Load{Running: 14, MeasuredAt: epoch})
+		r.LoadReported(epoch, "engine-1", engine.Load{Running: 2, MeasuredAt: epoch})
+		gap := func(age time.Duration) float64 {
+			d, err := r.Pick(at(age), chat)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(d.Server.Name).To(Equal("engine-1"))
+			scores := map[string]float64{}
+			for _, a := range d.Alternatives() {
+				scores[a.Name] = a.Score
+			}
+			return scores["engine-0"] - scores["engine-1"]
+		}
+		Expect(gap(5 * time.Second)).To(BeNumerically("<", gap(0)/2))
+	})
+
+	It("does not count its own requests twice when a report includes them", func() {
+		for i := range 4 {
+			Expect(r.Started(epoch, fmt.Sprint(i), "engine-0", chat)).To(Succeed())
+			r.FirstToken(at(6*time.Millisecond), fmt.Sprint(i))
+		}
+		r.LoadReported(at(time.Second), "engine-0", engine.Load{Running: 4, MeasuredAt: at(500 * time.Millisecond)})
+		r.LoadReported(at(time.Second), "engine-1", engine.Load{Running: 6, MeasuredAt: at(500 * time.Millisecond)})
+		r.Update(at(time.Second), group(servers(2)))
+		d, err := r.Pick(at(time.Second), chat)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(d.Server.Name).To(Equal("engine-0"))
+	})
+
+	It("sends an isolated request where the least work is lost", func() {
+		for i := range 9 {
+			Expect(r.Started(epoch, fmt.Sprint(i), fmt.Sprintf("engine-%d", i%3), chat)).To(Succeed())
+		}
+		d, err := r.Pick(epoch, &routing.Query{Group: "chat", Isolated: true})
+		Expect(err).NotTo(HaveOccurred())
+		Expect(d.Server.Name).To(Equal("engine-3"))
+		Expect(d.Reason).To(Equal(routing.ReasonIsolated))
+	})
+
+	It("counts an attempt once", func() {
+		Expect(r.Started(epoch, "a", "engine-0", chat)).To(Succeed())
+		Expect(r.Started(epoch, "a", "engine-0", chat)).To(Equal(&routing.DuplicateAttemptError{AttemptID: "a"}))
+		r.Failed(epoch, "a")
+		r.Finished(epoch, "a", routing.Usage{})
+		Expect(r.Outstanding("engine-0")).To(BeZero())
+	})
+
+	It("chooses different subsets at different daemons", func() {
+		seen := map[string]bool{}
+		for i := range 4 {
+			r := newRouter(routing.Options{Daemon: fmt.Sprint("daemon-", i), SubsetSize: 8})
+			r.Update(epoch, group(servers(256)))
+			own := map[string]bool{}
+			for range 200 {
+				d, err := r.Pick(epoch, chat)
+				Expect(err).NotTo(HaveOccurred())
+				own[d.Server.Name], seen[d.Server.Name] = true, true
+			}
+			Expect(len(own)).To(BeNumerically("<=", 8))
+		}
+		Expect(len(seen)).To(BeNumerically(">", 16))
+	})
+})
