Add the engine client and a stand-in engine over TCP

Change: pkg/engine gets an HTTP client on net/http whose request bodies cannot be read twice, so that the transport repeats no method; a progress timeout, the attempt ID check and typed errors. pkg/standin/engine batches continuously with prefill and decode cost, a limited prefix cache, KV export and import, orders, faults and a ledger.

--- a/pkg/engine/engine.go
+++ b/pkg/engine/engine.go
@@ -1,4 +1,9 @@
 // Package engine is the client of model engines that batch continuously.
+//
+// The client uses net/http of the standard library, because fasthttp's client
+// cannot cancel a stream safely while another goroutine reads it. The transport
+// never repeats a request, follows no redirect, and closes every connection
+// whose answer was not read to its end.
 package engine
 
 import (
@@ -23,6 +28,9 @@
 	ResumeTokens []string
 	// KVHandle names an imported KV cache that replaces the prefill, if set.
 	KVHandle string
+	// FreshConnection asks for a new connection, after another one to the
+	// same engine has gone silent.
+	FreshConnection bool
 }
 
 // Event is one event of an attempt's stream.
@@ -120,6 +128,9 @@
 	Reason  string
 	// Leaving is set when the engine refuses because its Host is leaving.
 	Leaving bool
+	// InForce is the fencing number in force, where an order was refused for
+	// its old number.
+	InForce uint64
 }
 
 func (e *RefusedError) Error() string {
--- /dev/null
+++ b/pkg/engine/export_test.go
@@ -0,0 +1,8 @@
+package engine
+
+import "context"
+
+// Exchange lets the tests send a request with any method.
+func Exchange(c *HTTPClient, method, address, path string, body any) error {
+	return c.exchange(context.Background(), method, address, path, body, nil)
+}
--- /dev/null
+++ b/pkg/engine/prefix.go
@@ -0,0 +1,39 @@
+package engine
+
+import (
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/monsooncrank/monsooncrank/pkg/api"
+)
+
+// PrefixBlockTokens is the number of tokens in one block of the prefix cache.
+const PrefixBlockTokens = 16
+
+// PromptTokens splits messages into tokens the way the engines count them: the
+// role and each word of the content.
+func PromptTokens(messages []api.Message) []string {
+	var tokens []string
+	for _, m := range messages {
+		tokens = append(tokens, m.Role)
+		tokens = append(tokens, strings.Fields(m.Content)...)
+	}
+	return tokens
+}
+
+// PrefixHashes returns the hash of each whole block of tokens. Each hash covers
+// the model and all tokens up to the end of its block, so that equal hashes
+// mean equal prefixes.
+func PrefixHashes(model string, tokens []string) []uint64 {
+	digest := xxhash.New()
+	_, _ = digest.WriteString(model)
+	hashes := make([]uint64, 0, len(tokens)/PrefixBlockTokens)
+	for i, token := range tokens {
+		_, _ = digest.WriteString("\x00")
+		_, _ = digest.WriteString(token)
+		if (i+1)%PrefixBlockTokens == 0 {
+			hashes = append(hashes, digest.Sum64())
+		}
+	}
+	return hashes
+}
--- /dev/null
+++ b/pkg/standin/engine/kv.go
@@ -0,0 +1,108 @@
+package engine
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/monsooncrank/monsooncrank/pkg/engine"
+)
+
+// kvCache is an exported KV cache: the attempt, and how many context tokens it
+// covers.
+type kvCache struct {
+	Attempt string `json:"attempt"`
+	Bytes   int64  `json:"bytes"`
+	Tokens  int    `json:"tokens"`
+}
+
+// importTimeout bounds the transfer of one KV cache.
+const importTimeout = 30 * time.Second
+
+func (e *Engine) serveExport(w http.ResponseWriter, r *http.Request) {
+	var body engine.AttemptBody
+	if !readJSON(w, r, &body) {
+		return
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	s := e.byID[body.Attempt]
+	if s == nil || s.prefill > 0 || s.entry == nil {
+		writeJSON(w, http.StatusNotFound, engine.ErrorBody{Error: "attempt has no KV cache"})
+		return
+	}
+	tokens := s.context + s.next - s.first
+	cache := kvCache{Attempt: s.attempt, Bytes: int64(tokens) * e.opts.KVBytesPerToken, Tokens: tokens}
+	handle := e.opts.Name + "/" + s.attempt
+	e.exports[handle] = cache
+	writeJSON(w, http.StatusOK, engine.KVExport{Handle: handle, Bytes: cache.Bytes, Tokens: cache.Tokens})
+}
+
+// serveFetch sends an exported KV cache at the transfer rate. Only its size is
+// real: the time passes, the bytes are not sent.
+func (e *Engine) serveFetch(w http.ResponseWriter, r *http.Request) {
+	e.mu.Lock()
+	cache, ok := e.exports[r.URL.Query().Get("handle")]
+	e.mu.Unlock()
+	if !ok {
+		writeJSON(w, http.StatusNotFound, engine.ErrorBody{Error: "no such export"})
+		return
+	}
+	e.transfer.Lock()
+	defer e.transfer.Unlock()
+	if rate := e.opts.TransferBytesPerSecond; rate > 0 {
+		seconds := float64(cache.Bytes) / float64(rate)
+		if !e.sleep(time.Duration(seconds * float64(time.Second))) {
+			panic(http.ErrAbortHandler)
+		}
+	}
+	writeJSON(w, http.StatusOK, cache)
+}
+
+func (e *Engine) serveImport(w http.ResponseWriter, r *http.Request) {
+	var body engine.ImportBody
+	if !readJSON(w, r, &body) {
+		return
+	}
+	cache, err := fetchCache(r.Context(), body.Source, body.Handle)
+	if err != nil {
+		writeJSON(w, http.StatusBadGateway, engine.ErrorBody{Error: err.Error()})
+		return
+	}
+	e.mu.Lock()
+	e.imports[body.Handle] = cache
+	e.mu.Unlock()
+	w.WriteHeader(http.StatusNoContent)
+}
+
+// FetchFailedError reports a KV cache that the source engine did not send.
+type FetchFailedError struct {
+	Source string
+	Status int
+}
+
+func (e *FetchFailedError) Error() string {
+	return "KV cache not fetched from " + e.Source + ": " + http.StatusText(e.Status)
+}
+
+func fetchCache(ctx context.Context, source, handle string) (kvCache, error) {
+	ctx, cancel := context.WithTimeout(ctx, importTimeout)
+	defer cancel()
+	var cache kvCache
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+source+engine.FetchPath(handle), nil)
+	if err != nil {
+		return cache, errors.Trace(err)
+	}
+	transport := &http.Transport{DisableKeepAlives: true}
+	response, err := transport.RoundTrip(request)
+	if err != nil {
+		return cache, errors.Trace(err)
+	}
+	defer response.Body.Close()
+	if response.StatusCode != http.StatusOK {
+		return cache, &FetchFailedError{Source: source, Status: response.StatusCode}
+	}
+	return cache, errors.Trace(json.NewDecoder(response.Body).Decode(&cache))
+}
