Deliver streams across engine failures and reclaims

Change: pkg/streaming gets the Machine of one stream, the reclaim planner, and the Driver with its narrow interfaces: dispatch, resume, KV migration, a new connection after silence, cancel of every attempt left behind, drain with hand-over, re-attach and accept. The first run of the lost-event spec showed a stream that went back to the engine which loses the event until its deadline; a gap now excludes the engine.

Measured: go test -race ./pkg/streaming passes, 12 specs against two stand-in engines (death, silence, three notices, late, crossed and lost events, caller gone).

--- a/pkg/engine/client.go
+++ b/pkg/engine/client.go
@@ -90,9 +90,18 @@
 // Crossed returns how many events of other attempts were dropped.
 func (c *HTTPClient) Crossed() uint64 { return c.crossed.Load() }
 
-// Cancel implements Client.
+// Cancel implements Client. It uses a new connection, since the attempt may be
+// cancelled because a connection to the engine went silent.
 func (c *HTTPClient) Cancel(ctx context.Context, address, attemptID string) error {
-	return c.call(ctx, http.MethodPost, address, PathCancel, AttemptBody{Attempt: attemptID}, nil)
+	ctx, cancel := context.WithTimeout(ctx, c.opts.CallTimeout)
+	defer cancel()
+	return c.exchange(ctx, c.fresh, http.MethodPost, address, PathCancel, AttemptBody{Attempt: attemptID}, nil)
+}
+
+// Probe asks on a new connection whether the engine answers.
+func (c *HTTPClient) Probe(ctx context.Context, address string) error {
+	var body LoadBody
+	return c.exchange(ctx, c.fresh, http.MethodGet, address, PathLoad, nil, &body)
 }
 
 // Load implements Client.
@@ -119,7 +128,7 @@
 
 // ImportKV implements Client. The transfer takes as long as ctx allows.
 func (c *HTTPClient) ImportKV(ctx context.Context, address, source, handle string) error {
-	return c.exchange(ctx, http.MethodPost, address, PathKVImport, ImportBody{Source: source, Handle: handle}, nil)
+	return c.exchange(ctx, c.shared, http.MethodPost, address, PathKVImport, ImportBody{Source: source, Handle: handle}, nil)
 }
 
 // Order implements Client.
@@ -142,11 +151,11 @@
 func (c *HTTPClient) call(ctx context.Context, method, address, path string, body, answer any) error {
 	ctx, cancel := context.WithTimeout(ctx, c.opts.CallTimeout)
 	defer cancel()
-	return c.exchange(ctx, method, address, path, body, answer)
+	return c.exchange(ctx, c.shared, method, address, path, body, answer)
 }
 
-func (c *HTTPClient) exchange(ctx context.Context, method, address, path string, body, answer any) error {
-	response, err := c.send(ctx, c.shared, method, address, path, "", body)
+func (c *HTTPClient) exchange(ctx context.Context, transport *http.Transport, method, address, path string, body, answer any) error {
+	response, err := c.send(ctx, transport, method, address, path, "", body)
 	if err != nil {
 		return err
 	}
--- a/pkg/engine/export_test.go
+++ b/pkg/engine/export_test.go
@@ -4,5 +4,5 @@
 
 // Exchange lets the tests send a request with any method.
 func Exchange(c *HTTPClient, method, address, path string, body any) error {
-	return c.exchange(context.Background(), method, address, path, body, nil)
+	return c.exchange(context.Background(), c.shared, method, address, path, body, nil)
 }
--- a/pkg/engine/stream.go
+++ b/pkg/engine/stream.go
@@ -64,8 +64,10 @@
 	ended   bool
 }
 
+// onSilence also closes the idle connections, which may be as silent.
 func (s *httpStream) onSilence() {
 	s.silent.Store(true)
+	s.client.shared.CloseIdleConnections()
 	s.cancel(context.DeadlineExceeded)
 }
 
--- /dev/null
+++ b/pkg/streaming/attach.go
@@ -0,0 +1,167 @@
+package streaming
+
+import (
+	"context"
+	"net/http"
+
+	"github.com/monsooncrank/monsooncrank/pkg/api"
+)
+
+// Attach sends the events of a stream from an offset to sink, and those to come
+// until the stream ends. It finds streams of this daemon and of its peers. Its
+// errors are those of Chat.
+func (d *Driver) Attach(ctx context.Context, account, requestID string, from int, sink api.EventSink) error {
+	if s := d.find(account, requestID); s != nil {
+		return d.follow(ctx, s, from, sink, false)
+	}
+	return d.followPeer(ctx, FetchRequest{ClientAccount: account, RequestID: requestID, From: max(from, 0)}, sink)
+}
+
+// find returns a stream of this daemon that was not handed over.
+func (d *Driver) find(account, requestID string) *stream {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.expire()
+	s := d.streams[streamKey{account, requestID}]
+	if s == nil {
+		return nil
+	}
+	if end := s.log.read(0).end; end != nil && end.Kind == EndHandedOver {
+		return nil
+	}
+	return s
+}
+
+// follow sends the events of a stream to sink. When the caller that asked for
+// the stream goes, the stream ends.
+func (d *Driver) follow(ctx context.Context, s *stream, from int, sink api.EventSink, owner bool) error {
+	for {
+		v := s.log.read(from)
+		for _, token := range v.tokens {
+			if err := sink.Send(api.TokenEvent{Offset: from, Text: token}); err != nil {
+				return s.callerGone(err, owner)
+			}
+			from++
+		}
+		if v.end != nil {
+			return s.ending(v, from, sink)
+		}
+		select {
+		case <-v.changed:
+		case <-ctx.Done():
+			return s.callerGone(context.Cause(ctx), owner)
+		}
+	}
+}
+
+func (s *stream) callerGone(cause error, owner bool) error {
+	if owner {
+		s.post(CallerGone{})
+	}
+	return &CallerGoneError{RequestID: s.request.ID, Cause: cause}
+}
+
+// ending turns the end of a stream into the end of an answer.
+func (s *stream) ending(v view, offset int, sink api.EventSink) error {
+	switch v.end.Kind {
+	case EndFinished:
+		if err := sink.Send(api.TokenEvent{Offset: offset, FinishReason: v.finish}); err != nil {
+			return &CallerGoneError{RequestID: s.request.ID, Cause: err}
+		}
+		return nil
+	case EndHandedOver:
+		return &HandedOverError{RequestID: s.request.ID, Peer: v.end.Peer}
+	case EndCallerGone:
+		return cancelledProblem()
+	default:
+		return v.end.Problem
+	}
+}
+
+func cancelledProblem() *api.Problem {
+	return api.Unknown(api.ProblemBackendFailed, "the request was cancelled when its caller went")
+}
+
+// Fetch returns the events of a stream of this daemon for a peer. It waits up
+// to FetchWait for the next event.
+func (d *Driver) Fetch(ctx context.Context, req FetchRequest) FetchAnswer {
+	s := d.find(req.ClientAccount, req.RequestID)
+	if s == nil {
+		return FetchAnswer{}
+	}
+	timer := d.opts.Clock.NewTimer(d.opts.FetchWait)
+	defer timer.Stop()
+	for {
+		v := s.log.read(req.From)
+		if len(v.tokens) > 0 || v.end != nil {
+			return fetchAnswer(v)
+		}
+		select {
+		case <-v.changed:
+		case <-timer.C():
+			return FetchAnswer{Found: true}
+		case <-ctx.Done():
+			return FetchAnswer{Found: true}
+		}
+	}
+}
+
+func fetchAnswer(v view) FetchAnswer {
+	answer := FetchAnswer{Found: true, Tokens: v.tokens, Ended: v.end != nil}
+	if v.end == nil {
+		return answer
+	}
+	switch v.end.Kind {
+	case EndFinished:
+		answer.FinishReason = v.finish
+	case EndHandedOver:
+		return FetchAnswer{}
+	case EndCallerGone:
+		answer.Problem = cancelledProblem()
+	default:
+		answer.Problem = v.end.Problem
+	}
+	return answer
+}
+
+// followPeer sends the events of a peer's stream to sink.
+func (d *Driver) followPeer(ctx context.Context, req FetchRequest, sink api.EventSink) error {
+	for {
+		answer, err := d.fetchPeer(ctx, req)
+		if ctx.Err() != nil {
+			return &CallerGoneError{RequestID: req.RequestID, Cause: context.Cause(ctx)}
+		}
+		if err != nil || !answer.Found {
+			return &api.Problem{
+				Name: api.ProblemNotFound, Status: http.StatusNotFound, Outcome: api.OutcomeUnknown,
+				Detail: "no daemon holds the events of request " + req.RequestID,
+			}
+		}
+		for _, token := range answer.Tokens {
+			if err := sink.Send(api.TokenEvent{Offset: req.From, Text: token}); err != nil {
+				return &CallerGoneError{RequestID: req.RequestID, Cause: err}
+			}
+			req.From++
+		}
+		if answer.Ended {
+			return peerEnding(req, answer, sink)
+		}
+	}
+}
+
+func (d *Driver) fetchPeer(ctx context.Context, req FetchRequest) (FetchAnswer, error) {
+	if d.opts.Peer == nil {
+		return FetchAnswer{}, nil
+	}
+	return d.opts.Peer.Fetch(ctx, req)
+}
+
+func peerEnding(req FetchRequest, answer FetchAnswer, sink api.EventSink) error {
+	if answer.Problem != nil {
+		return answer.Problem
+	}
+	if err := sink.Send(api.TokenEvent{Offset: req.From, FinishReason: answer.FinishReason}); err != nil {
+		return &CallerGoneError{RequestID: req.RequestID, Cause: err}
+	}
+	return nil
+}
--- /dev/null
+++ b/pkg/streaming/reclaim.go
@@ -0,0 +1,125 @@
+package streaming
+
+import (
+	"context"
+	"strconv"
+	"time"
+
+	"github.com/monsooncrank/monsooncrank/coordination/membership"
+	"github.com/monsooncrank/monsooncrank/pkg/decision"
+)
+
+// noticeKept is how long after its deadline a notice still counts, so that the
+// end of an announced engine is not taken for a crash.
+const noticeKept = time.Minute
+
+// ReclaimNotice plans what becomes of the streams on a BackendServer that leaves
+// at deadline. A repeated notice plans again.
+func (d *Driver) ReclaimNotice(backendName string, deadline time.Time) {
+	now := d.opts.Clock.Now()
+	d.mu.Lock()
+	d.notices[backendName] = deadline
+	for name, at := range d.notices {
+		if now.Sub(at) > noticeKept {
+			delete(d.notices, name)
+		}
+	}
+	d.mu.Unlock()
+	streams := make(map[string]*stream)
+	var candidates []Candidate
+	for _, s := range d.active() {
+		if c, ok := s.candidate(backendName); ok {
+			c.StreamID = strconv.Itoa(len(candidates))
+			streams[c.StreamID] = s
+			candidates = append(candidates, c)
+		}
+	}
+	for _, a := range PlanReclaim(now, deadline, candidates, d.opts.Costs) {
+		streams[a.StreamID].post(d.planned(now, streams[a.StreamID], backendName, deadline, a))
+	}
+}
+
+func (d *Driver) planned(now time.Time, s *stream, backend string, deadline time.Time, a Assignment) ReclaimPlanned {
+	d.metrics.reclaims.WithLabelValues(string(a.Choice)).Inc()
+	d.opts.Recorder.Record(decision.Decision{
+		Time: now, Kind: decision.KindReclaim, RequestID: s.request.ID, Chosen: string(a.Choice),
+		Alternatives: []decision.Alternative{{Name: "lost_per_second", Score: a.LostPerSecond}}, Reason: a.Reason,
+	})
+	return ReclaimPlanned{Backend: backend, Deadline: deadline, Choice: a.Choice, At: a.At}
+}
+
+// notice returns the deadline of a BackendServer that has been announced to
+// leave.
+func (d *Driver) notice(backend string) (time.Time, bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	deadline, ok := d.notices[backend]
+	return deadline, ok
+}
+
+// candidate describes the stream to the planner if it runs on a BackendServer.
+func (s *stream) candidate(backend string) (Candidate, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.backend != backend {
+		return Candidate{}, false
+	}
+	emitted := s.log.length()
+	return Candidate{
+		ContextTokens:   s.promptTokens + emitted,
+		RemainingTokens: max(s.request.MaxTokens-emitted, 1),
+		DecodePerToken:  s.progress.perToken(),
+	}, true
+}
+
+func (p progress) perToken() time.Duration {
+	if p.count < 2 {
+		return 0
+	}
+	return max(p.last.Sub(p.first)/time.Duration(p.count-1), time.Microsecond)
+}
+
+// planAlone plans for a stream that reached an engine after its notice.
+func (s *stream) planAlone(now time.Time, backend string, deadline time.Time) Event {
+	c, _ := s.candidate(backend)
+	plan := PlanReclaim(now, deadline, []Candidate{c}, s.d.opts.Costs)
+	return s.d.planned(now, s, backend, deadline, plan[0])
+}
+
+// migrate moves the KV cache of an attempt to another engine.
+func (s *stream) migrate(m Migrate) []Event {
+	now := s.d.opts.Clock.Now()
+	source := s.attempts[m.AttemptID]
+	target, err := s.d.opts.Router.Pick(now, s.pickRequest(len(s.machine.Tokens()), m.Exclude, false))
+	if err != nil || target.Name == m.Backend || source == nil {
+		return []Event{MigrationFailed{AttemptID: m.AttemptID, Detail: "no target"}}
+	}
+	// An entry without a reader makes the target known to the next dispatch.
+	s.attempts["target/"+m.AttemptID] = &running{id: m.AttemptID, backend: target, cancel: func(error) {}}
+	ctx, cancel := context.WithTimeout(s.d.ctx, max(m.Deadline.Sub(now), 0))
+	s.migration = cancel
+	s.d.tasks.Go(func() {
+		defer cancel()
+		s.post(s.transfer(ctx, m.AttemptID, source.backend, target))
+	})
+	return nil
+}
+
+func (s *stream) transfer(ctx context.Context, attempt string, source, target membership.BackendServer) Event {
+	export, err := s.d.opts.Client.ExportKV(ctx, source.Address, attempt)
+	if err == nil {
+		err = s.d.opts.Client.ImportKV(ctx, target.Address, source.Address, export.Handle)
+	}
+	if err != nil {
+		s.d.metrics.migrations.WithLabelValues("failed").Inc()
+		return MigrationFailed{AttemptID: attempt, Detail: err.Error()}
+	}
+	s.d.metrics.migrations.WithLabelValues("done").Inc()
+	return Migrated{AttemptID: attempt, Backend: target.Name, Handle: export.Handle}
+}
+
+func (s *stream) abandonMigration() {
+	if s.migration != nil {
+		s.migration()
+	}
+}
