--- a/pkg/config/types.go
+++ b/pkg/config/types.go
@@ -18,7 +18,8 @@
 	WeightsBytes  int64  `json:"weights_bytes"`
 }
 
-// Adapter is a variant of a Model; callers name it like a model.
+// Adapter is a variant of a Model or of another Adapter; callers name it like
+// a model.
 type Adapter struct {
 	Name  string `json:"name"`
 	Model string `json:"model"`
@@ -36,7 +37,9 @@
 	Models []string `json:"models,omitempty"`
 	// MaxHosts bounds how many Hosts may be bought.
 	MaxHosts int `json:"max_hosts"`
-	// SequencesPerHost is how many requests one engine runs in a batch.
+	// SequencesPerHost is how many requests one engine runs in a batch, or how
+	// many calls one Host of a plain service takes at once. A pool of plain
+	// services that leaves it out counts for one call per Host.
 	SequencesPerHost int `json:"sequences_per_host,omitempty"`
 	// ChecksFencing says whether its BackendServers refuse an order with an
 	// old fencing number.
@@ -60,6 +63,8 @@
 	LookupPath string `json:"lookup_path,omitempty"`
 	// DeduplicatesByKey says that the service itself runs a key at most once.
 	DeduplicatesByKey bool `json:"deduplicates_by_key,omitempty"`
+	// RequiresKey refuses a once-only call that comes without a key.
+	RequiresKey bool `json:"requires_key,omitempty"`
 }
 
 // Service is a plain service.
@@ -92,6 +97,8 @@
 	LatencyTarget         string   `json:"latency_target,omitempty"`
 	// Fallback is the Route that is tried when the Pools have no server.
 	Fallback string `json:"fallback,omitempty"`
+	// Deferred marks a Route for requests that may wait.
+	Deferred bool `json:"deferred,omitempty"`
 }
 
 // LatencyTarget is met when Share of the answers keep within its times.
@@ -120,4 +127,6 @@
 	// BodyHash is the SHA-256 of the published body, in hexadecimal.
 	BodyHash string
 	Set      *Set
+
+	index *index
 }
