Decode plain strings of a configuration without encoding/json

Cause: a third of the time of parsing 10,000 objects went into decoding field names and strings that hold no escapes.

Change: string literals of printable ASCII without a backslash are copied.

--- a/pkg/config/parse.go
+++ b/pkg/config/parse.go
@@ -247,6 +247,10 @@
 
 func (d *decoder) literal(v hujson.Value, target reflect.Value, path string) {
 	literal, ok := v.Value.(hujson.Literal)
+	if text, plain := plainString(literal); plain && target.Kind() == reflect.String {
+		target.SetString(text)
+		return
+	}
 	if ok && literal.Kind() != 'n' && json.Unmarshal(literal, target.Addr().Interface()) == nil {
 		return
 	}
@@ -272,11 +276,34 @@
 
 func memberName(m *hujson.ObjectMember) string {
 	if literal, ok := m.Name.Value.(hujson.Literal); ok {
-		return literal.String()
+		return literalString(literal)
 	}
 	return ""
 }
 
+// literalString decodes a string literal. Most hold plain ASCII, which needs no
+// decoding.
+func literalString(literal hujson.Literal) string {
+	if text, ok := plainString(literal); ok {
+		return text
+	}
+	return literal.String()
+}
+
+// plainString returns the text of a string literal without escapes.
+func plainString(literal hujson.Literal) (string, bool) {
+	if len(literal) < 2 || literal[0] != '"' {
+		return "", false
+	}
+	text := literal[1 : len(literal)-1]
+	for _, b := range text {
+		if b == '\\' || b < ' ' || b > '~' {
+			return "", false
+		}
+	}
+	return string(text), true
+}
+
 // stringMember returns the first member of a name if it is a string.
 func stringMember(object *hujson.Object, name string) string {
 	for i := range object.Members {
@@ -285,7 +312,7 @@
 			continue
 		}
 		if literal, ok := m.Value.Value.(hujson.Literal); ok && literal.Kind() == '"' {
-			return literal.String()
+			return literalString(literal)
 		}
 		return ""
 	}
