Add once-only records, their group commit, and the driver of calls

Cause: a booking must run at most once although daemons, servers and the table fail at any step.

Change: idempotency.Call decides one attempt (claim, single dispatch, look-up, outcome, replay), Batcher groups claims and outcomes into transactions, and Settler ends the claims of dead owners. oncecall.Caller drives them and runs repeatable calls with retries. A proven not_run record keeps its row and is replaced by the next attempt, so that a delayed write cannot match a later claim.

--- /dev/null
+++ b/coordination/idempotency/record.go
@@ -0,0 +1,211 @@
+// Package idempotency keeps the once-only records of calls: a claim is written
+// before the first byte of a call leaves, an outcome after its answer, and a
+// claim whose owner died is settled by the holder of its range's lease.
+//
+// Call, Batcher and Settler are cores: they take the time and an event and
+// return actions. Committer is the driver of Batcher.
+//
+// A record moves from claimed to done, unknown or not_run. An unknown record
+// may still become done or not_run of the same attempt when that is proven
+// later. A not_run record frees its key: the next attempt with the same body
+// replaces it by compare-and-set on its version. The row is not deleted for
+// that, since the versions of a new row would start again and a write that was
+// delayed on its way could then match a later claim.
+package idempotency
+
+import (
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"net/url"
+	"strings"
+	"time"
+
+	"crypto/sha256"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/monsooncrank/monsooncrank/coordination/table"
+)
+
+// Ranges is the number of ranges that keys are split into. The holder of a
+// range's lease settles its claims.
+const Ranges = 64
+
+const (
+	recordPartition = "call/"
+	openPartition   = "call-open/"
+)
+
+// State is the state of a record.
+type State string
+
+// The states of a record.
+const (
+	StateClaimed State = "claimed"
+	StateDone    State = "done"
+	StateUnknown State = "unknown"
+	StateNotRun  State = "not_run"
+)
+
+// ID identifies a once-only call of a client account.
+type ID struct {
+	Account string
+	Key     string
+}
+
+// Range returns the range of the ID.
+func (id ID) Range() int { return int(xxhash.Sum64String(id.sort()) % Ranges) }
+
+// sort escapes the account, so that no two IDs share a sort key.
+func (id ID) sort() string { return url.PathEscape(id.Account) + "/" + id.Key }
+
+// RowKey returns the key of the record's row.
+func (id ID) RowKey() table.Key {
+	return table.Key{Partition: rangePartition(recordPartition, id.Range()), Sort: id.sort()}
+}
+
+// OpenKey returns the key of the row that lists the claim as open. It is
+// written with the claim and deleted with the outcome, so that settlement
+// reads open claims and not every record.
+func (id ID) OpenKey() table.Key {
+	return table.Key{Partition: OpenPartition(id.Range()), Sort: id.sort()}
+}
+
+// OpenPartition returns the partition that lists a range's open claims.
+func OpenPartition(r int) string { return rangePartition(openPartition, r) }
+
+func rangePartition(prefix string, r int) string { return fmt.Sprintf("%s%02d", prefix, r) }
+
+// ParseOpenKey returns the ID of a row listed in an OpenPartition.
+func ParseOpenKey(key table.Key) (ID, error) {
+	account, rest, ok := strings.Cut(key.Sort, "/")
+	if !ok {
+		return ID{}, &CorruptRecordError{Key: key, Reason: "no account"}
+	}
+	name, err := url.PathUnescape(account)
+	if err != nil {
+		return ID{}, &CorruptRecordError{Key: key, Reason: err.Error()}
+	}
+	return ID{Account: name, Key: rest}, nil
+}
+
+// Record is the value of a once-only call's row.
+type Record struct {
+	State     State  `json:"state"`
+	Digest    string `json:"digest"`
+	AttemptID string `json:"attempt"`
+	// Attempts counts the attempts under the key, 1 for the first.
+	Attempts int `json:"attempts"`
+	// Revision is the configuration revision that the attempt runs under.
+	Revision uint64 `json:"revision"`
+	// Daemon, Service and Call say who runs what; settlement needs them.
+	Daemon  string `json:"daemon"`
+	Service string `json:"service"`
+	Call    string `json:"call"`
+	// SettleAfterMillis is how long after the claim its owner may still act.
+	SettleAfterMillis int64 `json:"settle_after_ms"`
+	// Answer is the stored answer of a done record.
+	Answer []byte `json:"answer,omitempty"`
+	// Settled is set when a range's lease holder wrote the outcome.
+	Settled bool `json:"settled,omitempty"`
+	// FinishedUnix is the finisher's wall clock in seconds, for retention only.
+	FinishedUnix int64 `json:"finished,omitempty"`
+}
+
+// SettleAfter is how long after the claim its owner may still act.
+func (r *Record) SettleAfter() time.Duration {
+	return time.Duration(r.SettleAfterMillis) * time.Millisecond
+}
+
+// Digest returns the digest of a body together with the call that it is for.
+func Digest(service, call string, body []byte) string {
+	h := sha256.New()
+	for _, part := range []string{service, call} {
+		fmt.Fprintf(h, "%d:%s", len(part), part)
+	}
+	h.Write(body)
+	return hex.EncodeToString(h.Sum(nil))
+}
+
+// Stored is a record with its row's version.
+type Stored struct {
+	ID      ID
+	Version uint64
+	Record  Record
+}
+
+// Decode returns the record of a row.
+func Decode(id ID, item table.Item) (*Stored, error) {
+	stored := &Stored{ID: id, Version: item.Version}
+	if err := json.Unmarshal(item.Value, &stored.Record); err != nil {
+		return nil, &CorruptRecordError{Key: item.Key, Reason: err.Error()}
+	}
+	return stored, nil
+}
+
+// OpenClaim is the value of a row that lists an open claim.
+type OpenClaim struct {
+	ID                ID     `json:"-"`
+	AttemptID         string `json:"attempt"`
+	SettleAfterMillis int64  `json:"settle_after_ms"`
+}
+
+// DecodeOpen returns the claim that a row of an OpenPartition lists.
+func DecodeOpen(item table.Item) (OpenClaim, error) {
+	id, err := ParseOpenKey(item.Key)
+	if err != nil {
+		return OpenClaim{}, err
+	}
+	claim := OpenClaim{ID: id}
+	if err := json.Unmarshal(item.Value, &claim); err != nil {
+		return OpenClaim{}, &CorruptRecordError{Key: item.Key, Reason: err.Error()}
+	}
+	return claim, nil
+}
+
+// encode cannot fail: its types hold only strings, numbers and bytes.
+func encode[T Record | OpenClaim](r *T) []byte {
+	value, _ := json.Marshal(r)
+	return value
+}
+
+// ClaimWrites returns the writes of a claim. Version is 0 for the first claim
+// of a key and the version of the not_run record that a later one replaces.
+func ClaimWrites(id ID, version uint64, r *Record) []table.Write {
+	return []table.Write{
+		{Key: id.RowKey(), Version: version, Value: encode(r)},
+		{Key: id.OpenKey(), Version: 0, Value: encode(&OpenClaim{AttemptID: r.AttemptID, SettleAfterMillis: r.SettleAfterMillis})},
+	}
+}
+
+// OutcomeWrites returns the writes of an outcome over the stored record.
+func OutcomeWrites(over *Stored, r *Record) []table.Write {
+	writes := []table.Write{{Key: over.ID.RowKey(), Version: over.Version, Value: encode(r)}}
+	if over.Record.State == StateClaimed {
+		writes = append(writes, table.Write{Key: over.ID.OpenKey(), Version: 1, Delete: true})
+	}
+	return writes
+}
+
+// mayReplace reports whether an outcome of the same attempt may replace a
+// state: a claim gets any outcome, and unknown gets a proven one.
+func mayReplace(from, to State) bool {
+	switch from {
+	case StateClaimed:
+		return to != StateClaimed
+	case StateUnknown:
+		return to == StateDone || to == StateNotRun
+	default:
+		return false
+	}
+}
+
+// CorruptRecordError reports a row that does not hold a record.
+type CorruptRecordError struct {
+	Key    table.Key
+	Reason string
+}
+
+func (e *CorruptRecordError) Error() string {
+	return fmt.Sprintf("record %s is corrupt: %s", e.Key, e.Reason)
+}
--- /dev/null
+++ b/pkg/oncecall/caller_test.go
@@ -0,0 +1,280 @@
+package oncecall_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/monsooncrank/monsooncrank/coordination/idempotency"
+	"github.com/monsooncrank/monsooncrank/coordination/invariant"
+	"github.com/monsooncrank/monsooncrank/coordination/membership"
+	"github.com/monsooncrank/monsooncrank/coordination/table/memtable"
+	"github.com/monsooncrank/monsooncrank/pkg/api"
+	"github.com/monsooncrank/monsooncrank/pkg/config"
+	"github.com/monsooncrank/monsooncrank/pkg/oncecall"
+	"github.com/monsooncrank/monsooncrank/pkg/service"
+	"github.com/monsooncrank/monsooncrank/pkg/standin/plainservice"
+)
+
+// deployment is one table and the servers of one service over TCP.
+type deployment struct {
+	store    *memtable.Store
+	ledger   *plainservice.Ledger
+	servers  []*plainservice.Server
+	client   *service.HTTPClient
+	reporter *invariant.Reporter
+	calls    map[string]config.Call
+	leaving  atomic.Int32
+}
+
+func newDeployment(servers int) *deployment {
+	d := &deployment{
+		store:    memtable.New(),
+		ledger:   plainservice.NewLedger(),
+		client:   service.NewClient(service.Options{IdleTimeout: 50 * time.Millisecond}),
+		reporter: &invariant.Reporter{},
+		calls: map[string]config.Call{
+			"book":   {Path: "/book", Mode: config.CallOnceOnly, TimeoutSeconds: 0.2, LookupPath: plainservice.LookupPath},
+			"pay":    {Path: "/pay", Mode: config.CallOnceOnly, TimeoutSeconds: 0.2},
+			"hold":   {Path: "/hold", Mode: config.CallOnceOnly, TimeoutSeconds: 0.2, DeduplicatesByKey: true},
+			"slots":  {Path: "/slots", Mode: config.CallRepeatable, TimeoutSeconds: 0.2},
+			"unused": {Path: "/unused", Mode: config.CallOnceOnly},
+		},
+	}
+	for range servers {
+		server, err := plainservice.New(plainservice.Options{Ledger: d.ledger})
+		Expect(err).NotTo(HaveOccurred())
+		d.servers = append(d.servers, server)
+	}
+	DeferCleanup(func() {
+		Expect(d.reporter.Counts()).To(BeEmpty())
+		d.client.Close()
+		for _, server := range d.servers {
+			server.Close()
+		}
+	})
+	return d
+}
+
+// Call implements oncecall.Configuration.
+func (d *deployment) Call(_, call string) (config.Call, []string, bool) {
+	declared, ok := d.calls[call]
+	return declared, []string{"p"}, ok
+}
+
+// Available implements membership.Directory.
+func (d *deployment) Available(string) []membership.BackendServer {
+	var members []membership.BackendServer
+	for i, server := range d.servers {
+		members = append(members, membership.BackendServer{Name: fmt.Sprint("s", i), Pool: "p", Address: server.Address()})
+	}
+	return members
+}
+
+// ReportLeaving implements membership.Directory.
+func (d *deployment) ReportLeaving(string, uint64) { d.leaving.Add(1) }
+
+func (d *deployment) fault(fault plainservice.Fault) {
+	for _, server := range d.servers {
+		server.SetFault(func(plainservice.Call) plainservice.Fault { return fault })
+	}
+}
+
+func (d *deployment) caller(change func(*oncecall.Options)) *oncecall.Caller {
+	options := oncecall.Options{
+		Daemon: "d", Configuration: d, Directory: d, Client: d.client, Store: d.store,
+		Reporter: d.reporter, SettleInterval: 10 * time.Millisecond, SettleMargin: time.Millisecond,
+		DrainTimeout: time.Second,
+	}
+	if change != nil {
+		change(&options)
+	}
+	caller := oncecall.NewCaller(options)
+	DeferCleanup(caller.Close)
+	return caller
+}
+
+// call asks for a call on behalf of account "a" and returns what it is told.
+func call(caller *oncecall.Caller, name, key, object string) (*api.CallAnswer, *api.Problem) {
+	answer, err := caller.Call(context.Background(), &api.CallRequest{
+		Request:        api.Request{ID: "r", ClientAccount: "a", Deadline: time.Now().Add(time.Second)},
+		Service:        "booking",
+		Call:           name,
+		IdempotencyKey: key,
+		Body:           []byte(`{"object":"` + object + `"}`),
+	})
+	var problem *api.Problem
+	if err != nil {
+		Expect(errors.As(err, &problem)).To(BeTrue())
+	}
+	return answer, problem
+}
+
+type allRanges struct{}
+
+func (allRanges) HoldsRange(int) bool { return true }
+
+var _ = Describe("Caller", func() {
+	It("runs a once-only call once and replays its answer on any daemon", func() {
+		d := newDeployment(2)
+		first, problem := call(d.caller(nil), "book", "k", "seat")
+		Expect(problem).To(BeNil())
+		again, problem := call(d.caller(nil), "book", "k", "seat")
+		Expect(problem).To(BeNil())
+		Expect(again.Replayed).To(BeTrue())
+		Expect(again.Body).To(Equal(first.Body))
+		Expect(d.ledger.RunsOfObject("seat")).To(Equal(1))
+	})
+
+	It("refuses a key with another body as a conflict that did not run", func() {
+		d := newDeployment(1)
+		caller := d.caller(nil)
+		_, problem := call(caller, "book", "k", "seat")
+		Expect(problem).To(BeNil())
+		_, problem = call(caller, "book", "k", "another")
+		Expect(problem.Name).To(Equal(api.ProblemKeyConflict))
+		Expect(problem.Outcome).To(Equal(api.OutcomeNotRun))
+		Expect(d.ledger.RunsOfObject("another")).To(BeZero())
+	})
+
+	// Guards against a doubled booking by callers that send at the same time.
+	It("runs simultaneous calls with one key once", func() {
+		d := newDeployment(2)
+		callers := []*oncecall.Caller{d.caller(nil), d.caller(nil)}
+		var group sync.WaitGroup
+		bodies := make([]string, 8)
+		for i := range bodies {
+			group.Go(func() {
+				defer GinkgoRecover()
+				answer, problem := call(callers[i%2], "book", "k", "seat")
+				Expect(problem).To(BeNil())
+				bodies[i] = string(answer.Body)
+			})
+		}
+		group.Wait()
+		Expect(d.ledger.RunsOfObject("seat")).To(Equal(1))
+		Expect(bodies).To(HaveEach(bodies[0]))
+	})
+
+	DescribeTable("tells what is known after a failure",
+		func(name string, fault plainservice.Fault, outcome api.Outcome, runs int) {
+			d := newDeployment(2)
+			d.fault(fault)
+			answer, problem := call(d.caller(nil), name, "k", "seat")
+			got := api.OutcomeDone
+			if problem != nil {
+				got = problem.Outcome
+			} else {
+				Expect(string(answer.Body)).To(ContainSubstring("seat"))
+			}
+			Expect(got).To(Equal(outcome))
+			Expect(d.ledger.RunsOfObject("seat")).To(Equal(runs))
+		},
+		Entry("answer lost, look-up finds it", "book", plainservice.FaultAnswerLost, api.OutcomeDone, 1),
+		Entry("silent after running, look-up finds it", "book", plainservice.FaultSilentAfter, api.OutcomeDone, 1),
+		Entry("crossed answer, look-up finds it", "book", plainservice.FaultCrossedAnswer, api.OutcomeDone, 1),
+		Entry("half an answer, look-up finds it", "book", plainservice.FaultHalfAnswer, api.OutcomeDone, 1),
+		Entry("not run and no record", "book", plainservice.FaultCloseBefore, api.OutcomeUnknown, 0),
+		Entry("answer lost without a look-up", "pay", plainservice.FaultAnswerLost, api.OutcomeUnknown, 1),
+		Entry("crash before running", "pay", plainservice.FaultCrashBefore, api.OutcomeUnknown, 0),
+		Entry("crash after running", "pay", plainservice.FaultCrashAfter, api.OutcomeUnknown, 1),
+		Entry("definite refusal", "pay", plainservice.FaultRefuseLeaving, api.OutcomeNotRun, 0),
+	)
+
+	It("reports a leaving server and frees the key of a refused call", func() {
+		d := newDeployment(1)
+		caller := d.caller(nil)
+		d.fault(plainservice.FaultRefuseLeaving)
+		_, problem := call(caller, "pay", "k", "seat")
+		Expect(problem.Outcome).To(Equal(api.OutcomeNotRun))
+		Expect(d.leaving.Load()).To(Equal(int32(1)))
+		d.fault(plainservice.FaultNone)
+		_, problem = call(caller, "pay", "k", "seat")
+		Expect(problem).To(BeNil())
+		Expect(d.ledger.RunsOfObject("seat")).To(Equal(1))
+	})
+
+	It("refuses keyed calls at once while the table is down", func() {
+		d := newDeployment(1)
+		caller := d.caller(nil)
+		d.store.SetFault(func(memtable.Operation) memtable.Fault { return memtable.FaultUnavailable })
+		_, problem := call(caller, "book", "k", "seat")
+		Expect(problem.Name).To(Equal(api.ProblemStoreUnavailable))
+		Expect(problem.Outcome).To(Equal(api.OutcomeNotRun))
+		Expect(problem.RetryAfter).To(BeNumerically(">", 0))
+		Expect(d.ledger.Runs()).To(BeEmpty())
+		_, problem = call(caller, "hold", "k", "deposit")
+		Expect(problem).To(BeNil())
+		_, problem = call(caller, "pay", "", "keyless")
+		Expect(problem).To(BeNil())
+	})
+
+	It("passes over servers that cannot be dialled", func() {
+		d := newDeployment(3)
+		d.servers[0].Crash()
+		d.servers[1].Crash()
+		_, problem := call(d.caller(nil), "pay", "k", "seat")
+		Expect(problem).To(BeNil())
+		d.servers[2].Crash()
+		_, problem = call(d.caller(nil), "pay", "k2", "other")
+		Expect(problem.Outcome).To(Equal(api.OutcomeNotRun))
+	})
+
+	// Guards against a booking that is cut off by its caller's disconnect.
+	It("finishes a once-only call whose caller has gone and drains it on Close", func() {
+		d := newDeployment(1)
+		ctx, cancel := context.WithCancel(context.Background())
+		d.servers[0].SetFault(func(plainservice.Call) plainservice.Fault {
+			cancel()
+			return plainservice.FaultSlow
+		})
+		caller := d.caller(nil)
+		_, err := caller.Call(ctx, &api.CallRequest{
+			Request: api.Request{ClientAccount: "a", Deadline: time.Now().Add(time.Second)},
+			Service: "booking", Call: "pay", IdempotencyKey: "k", Body: []byte(`{"object":"seat"}`),
+		})
+		var problem *api.Problem
+		Expect(errors.As(err, &problem)).To(BeTrue())
+		Expect(problem.Outcome).To(Equal(api.OutcomeUnknown))
+		caller.Close()
+		Expect(d.ledger.RunsOfObject("seat")).To(Equal(1))
+		answer, again := call(d.caller(nil), "pay", "k", "seat")
+		Expect(again).To(BeNil())
+		Expect(answer.Replayed).To(BeTrue())
+		_, err = caller.Call(context.Background(), &api.CallRequest{})
+		Expect(errors.As(err, &problem)).To(BeTrue())
+		Expect(problem.Name).To(Equal(api.ProblemDraining))
+	})
+
+	// Guards against a claim that stays open after its daemon's death.
+	It("settles the claim of a dead daemon as unknown without a look-up", func() {
+		d := newDeployment(1)
+		_, problem := call(d.caller(nil), "book", "other", "seat")
+		Expect(problem).To(BeNil())
+		id := idempotency.ID{Account: "a", Key: "k"}
+		record := &idempotency.Record{
+			State: idempotency.StateClaimed, AttemptID: "dead", Service: "booking", Call: "unused",
+			Digest: idempotency.Digest("booking", "unused", []byte(`{"object":"seat"}`)),
+		}
+		Expect(d.store.Transact(context.Background(), idempotency.ClaimWrites(id, 0, record))).To(Succeed())
+		settler := d.caller(func(o *oncecall.Options) { o.Leases = allRanges{} })
+		_, problem = call(settler, "unused", "k", "seat")
+		Expect(problem.Outcome).To(Equal(api.OutcomeUnknown))
+		Expect(problem.Name).To(Equal(api.ProblemBackendFailed))
+	})
+
+	It("retries repeatable calls on other servers", func() {
+		d := newDeployment(2)
+		d.servers[0].SetFault(func(plainservice.Call) plainservice.Fault { return plainservice.FaultCloseBefore })
+		for range 5 {
+			_, problem := call(d.caller(nil), "slots", "", "day")
+			Expect(problem).To(BeNil())
+		}
+	})
+})
