--- /dev/null
+++ b/pkg/daemon/router.go
@@ -0,0 +1,105 @@
+package daemon
+
+import (
+	"sync"
+	"time"
+
+	"github.com/google/uuid"
+
+	"github.com/monsooncrank/monsooncrank/coordination/membership"
+	"github.com/monsooncrank/monsooncrank/pkg/routing"
+	"github.com/monsooncrank/monsooncrank/pkg/streaming"
+)
+
+// streamRouter lets streams choose engines by the Balancer. The Balancer counts
+// an attempt from its choice on, under an ID of its own, since a stream names
+// its attempt only afterwards.
+type streamRouter struct {
+	balancer *routing.Balancer
+
+	mu sync.Mutex
+	// picked are the Balancer's attempts that have no stream attempt yet, by
+	// request and server.
+	picked map[pickKey]string
+	// attempts maps stream attempts to the Balancer's.
+	attempts map[string]string
+}
+
+type pickKey struct{ request, server string }
+
+func newStreamRouter(balancer *routing.Balancer) *streamRouter {
+	return &streamRouter{
+		balancer: balancer,
+		picked:   make(map[pickKey]string),
+		attempts: make(map[string]string),
+	}
+}
+
+// Pick implements streaming.Router.
+func (r *streamRouter) Pick(_ time.Time, req *streaming.PickRequest) (membership.BackendServer, error) {
+	prefixes, promptTokens := routing.AppendPrefixes(nil, req.Model, req.Messages)
+	id := uuid.NewString()
+	d, err := r.balancer.Acquire(req.RequestID, id, &routing.Query{
+		Group:        groupOfRoute(req.Route),
+		Prefixes:     prefixes,
+		PromptTokens: promptTokens,
+		ResumeTokens: max(req.ContextTokens-promptTokens, 0),
+		ExcludeNames: req.Exclude,
+		Isolated:     req.Isolated,
+	})
+	if err != nil {
+		return membership.BackendServer{}, err
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	key := pickKey{req.RequestID, d.Server.Name}
+	if abandoned, ok := r.picked[key]; ok {
+		r.balancer.Failed(abandoned)
+	}
+	r.picked[key] = id
+	return d.Server, nil
+}
+
+// Started implements streaming.Router.
+func (r *streamRouter) Started(attemptID string, server membership.BackendServer, req *streaming.PickRequest, _ time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	key := pickKey{req.RequestID, server.Name}
+	if id, ok := r.picked[key]; ok {
+		delete(r.picked, key)
+		r.attempts[attemptID] = id
+	}
+}
+
+// FirstToken implements streaming.Router.
+func (r *streamRouter) FirstToken(attemptID string, _ time.Time) {
+	if id, ok := r.lookup(attemptID, false); ok {
+		r.balancer.FirstToken(id)
+	}
+}
+
+// Finished implements streaming.Router.
+func (r *streamRouter) Finished(attemptID string, usage streaming.Usage, _ time.Time) {
+	if id, ok := r.lookup(attemptID, true); ok {
+		r.balancer.Finished(id, routing.Usage{PromptTokens: usage.PromptTokens, CachedTokens: usage.CachedTokens})
+	}
+}
+
+// Failed implements streaming.Router.
+func (r *streamRouter) Failed(attemptID string, _ error, _ time.Time) {
+	if id, ok := r.lookup(attemptID, true); ok {
+		r.balancer.Failed(id)
+	}
+}
+
+func (r *streamRouter) lookup(attemptID string, ends bool) (string, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	id, ok := r.attempts[attemptID]
+	if ends {
+		delete(r.attempts, attemptID)
+	}
+	return id, ok
+}
+
+func groupOfRoute(route string) string { return "route/" + route }
--- a/pkg/gateway/chat.go
+++ b/pkg/gateway/chat.go
@@ -116,7 +116,7 @@
 func (x *exchange) whole(req *api.ChatRequest) {
 	sink := &collector{exchange: x, timer: x.newTokenTimer()}
 	if err := x.server.options.Chats.Chat(x.ctx, req, sink); err != nil {
-		x.fail(asProblem(err))
+		x.failOrReattach(err)
 		return
 	}
 	x.reply(http.StatusOK, api.OutcomeDone, completion{
--- a/pkg/gateway/deferred.go
+++ b/pkg/gateway/deferred.go
@@ -9,7 +9,10 @@
 	"github.com/monsooncrank/monsooncrank/pkg/api"
 )
 
-const requestsPath = "/v1/requests/"
+const (
+	requestsPath = "/v1/requests/"
+	eventsSuffix = "/events"
+)
 
 // statusBody is the answer of GET /v1/requests/{id}.
 type statusBody struct {
@@ -48,7 +51,7 @@
 
 // events answers GET /v1/requests/{id}/events.
 func (x *exchange) events() {
-	id := strings.TrimSuffix(strings.TrimPrefix(string(x.http.Path()), requestsPath), "/events")
+	id := strings.TrimSuffix(strings.TrimPrefix(string(x.http.Path()), requestsPath), eventsSuffix)
 	from := 0
 	if header := string(x.http.Request.Header.Peek(headerLastEventID)); header != "" {
 		last, err := strconv.Atoi(header)
--- a/pkg/gateway/exchange.go
+++ b/pkg/gateway/exchange.go
@@ -63,8 +63,8 @@
 	case strings.HasPrefix(path, "/v1/services/") && method == http.MethodPost:
 		x.endpoint = "call"
 		return (*exchange).call
-	case strings.HasPrefix(path, "/v1/requests/") && method == http.MethodGet:
-		if strings.HasSuffix(path, "/events") {
+	case strings.HasPrefix(path, requestsPath) && method == http.MethodGet:
+		if strings.HasSuffix(path, eventsSuffix) {
 			x.endpoint = "events"
 			return (*exchange).events
 		}
--- a/pkg/gateway/stream.go
+++ b/pkg/gateway/stream.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/go-json-experiment/json/jsontext"
+	"github.com/juju/errors"
 	"github.com/valyala/fasthttp"
 	"k8s.io/klog/v2"
 
@@ -31,6 +32,17 @@
 
 func (e *CallerGoneError) Error() string { return "the caller of request " + e.RequestID + " has gone" }
 
+// ReattachError reports a stream that another daemon continues: the caller
+// re-attaches at the request's events with the ID of its last event.
+type ReattachError struct{ RequestID string }
+
+func (e *ReattachError) Error() string {
+	return "request " + e.RequestID + " goes on at another daemon"
+}
+
+// location is where the rest of the answer is.
+func (e *ReattachError) location() string { return requestsPath + e.RequestID + eventsSuffix }
+
 // tokenTimer observes the time to the first token and between tokens.
 type tokenTimer struct {
 	exchange *exchange
@@ -98,7 +110,7 @@
 // answerEmpty answers a stream that ended without an event.
 func (x *exchange) answerEmpty(err error) {
 	if err != nil {
-		x.fail(asProblem(err))
+		x.failOrReattach(err)
 		return
 	}
 	x.http.SetContentType(contentTypeEvents)
@@ -106,6 +118,17 @@
 	x.end(http.StatusOK, api.OutcomeDone)
 }
 
+// failOrReattach answers a failure, or tells where the answer goes on.
+func (x *exchange) failOrReattach(err error) {
+	var reattach *ReattachError
+	if !errors.As(err, &reattach) {
+		x.fail(asProblem(err))
+		return
+	}
+	x.http.Response.Header.Set("Location", reattach.location())
+	x.reply(http.StatusAccepted, "", statusBody{ID: reattach.RequestID})
+}
+
 // eventWriter writes the events of one stream.
 type eventWriter struct {
 	exchange *exchange
@@ -220,8 +243,14 @@
 // it short.
 func (w *eventWriter) finish(out *bufio.Writer, failure error) {
 	outcome := api.OutcomeDone
+	var reattach *ReattachError
 	if failure == nil {
 		_, _ = out.WriteString("data: [DONE]\n\n")
+	} else if errors.As(failure, &reattach) {
+		outcome = ""
+		_, _ = out.WriteString("event: reattach\ndata: {\"location\":")
+		_, _ = out.Write(appendString(nil, reattach.location()))
+		_, _ = out.WriteString("}\n\n")
 	} else {
 		problem := asProblem(failure)
 		outcome = problem.Outcome
