Track the highest confirmed configuration revision

Change: coordination/revision is a pure core with typed events (head read, table failed, peer's word, round of peers, body ready) and actions (read head, ask peers, fetch body, put in force, announce, refuse lower, stop and start serving). Only an answer to a question asked after the start or pause confirms. In a table outage a round of the peers confirms the highest revision that any of them has confirmed. A pause is seen by the monotonic or the wall clock.

--- /dev/null
+++ b/coordination/revision/random_test.go
@@ -0,0 +1,260 @@
+package revision
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/monsooncrank/monsooncrank/coordination/invariant"
+	"github.com/monsooncrank/monsooncrank/coordination/randomtest"
+)
+
+const (
+	simDaemons = 4
+	simSteps   = 120
+)
+
+// simDaemon is one daemon with an oracle that follows from the answers it got.
+type simDaemon struct {
+	tracker   *Tracker
+	paused    bool
+	pending   []simAnswer
+	lastEvent time.Time
+	// since, confirmed and required say what the answers so far allow: once
+	// confirmed, nothing lower than what was known at that moment.
+	since     time.Time
+	confirmed bool
+	known     uint64
+	required  uint64
+	served    uint64
+}
+
+// simAnswer is an answer on its way: the events it brings, and those that its
+// loss brings.
+type simAnswer struct{ events, lost []Event }
+
+// sim is a table and some daemons that talk through answers in any order.
+type sim struct {
+	rt      *rapid.T
+	report  *randomtest.Report
+	now     time.Time
+	head    Revision
+	outage  bool
+	daemons []*simDaemon
+}
+
+// TestRandomRevision guards against a daemon that reverts, that serves after a
+// start or a pause without a fresh answer, or that stays behind once all faults
+// are over.
+func TestRandomRevision(t *testing.T) {
+	faults := []string{"pause", "restart", "outage", "lost answer", "peer unreachable", "racing publisher"}
+	randomtest.Check(t, faults, func(rt *rapid.T, report *randomtest.Report) {
+		s := &sim{rt: rt, report: report, now: epoch, head: one}
+		for range simDaemons {
+			d := &simDaemon{}
+			s.daemons = append(s.daemons, d)
+			s.start(d)
+		}
+		for range simSteps {
+			s.step()
+			report.Step()
+		}
+		s.heal()
+	})
+}
+
+func (s *sim) start(d *simDaemon) {
+	reporter := &invariant.Reporter{OnViolation: func(err *invariant.ViolationError) { s.rt.Fatal(err) }}
+	tracker, actions := New(s.now, Options{Reporter: reporter})
+	*d = simDaemon{tracker: tracker, lastEvent: s.now, since: s.now}
+	s.carryOut(d, actions)
+}
+
+func (s *sim) step() {
+	d := s.daemons[rapid.IntRange(0, simDaemons-1).Draw(s.rt, "daemon")]
+	switch rapid.IntRange(0, 15).Draw(s.rt, "step") {
+	case 0:
+		s.publish()
+	case 1:
+		s.outage = !s.outage
+		s.report.Fault("outage")
+	case 2, 3:
+		d.paused = !d.paused
+		s.report.Fault("pause")
+	case 4:
+		s.report.Fault("restart")
+		s.start(d)
+	case 5:
+		s.answer(d, true)
+	case 6, 7, 8:
+		s.advance(time.Duration(rapid.IntRange(1, 700).Draw(s.rt, "ms")) * time.Millisecond)
+	default:
+		s.answer(d, false)
+	}
+}
+
+// publish lets two publishers race on the same head; the first moves it.
+func (s *sim) publish() {
+	if s.outage {
+		return
+	}
+	against := s.head.Number
+	for i := range 2 {
+		if against != s.head.Number {
+			s.report.Fault("racing publisher")
+			continue
+		}
+		s.head = Revision{against + 1, fmt.Sprintf("%d by %d", against+1, i)}
+	}
+}
+
+// advance lets time pass; every daemon that is not paused ticks and polls.
+func (s *sim) advance(by time.Duration) {
+	s.now = s.now.Add(by)
+	for _, d := range s.daemons {
+		if !d.paused {
+			s.handle(d, Tick{})
+			s.readHead(d)
+		}
+	}
+}
+
+func (s *sim) answer(d *simDaemon, lose bool) {
+	if d.paused || len(d.pending) == 0 {
+		return
+	}
+	i := rapid.IntRange(0, len(d.pending)-1).Draw(s.rt, "answer")
+	a := d.pending[i]
+	d.pending = append(d.pending[:i:i], d.pending[i+1:]...)
+	events := a.events
+	if lose {
+		s.report.Fault("lost answer")
+		events = a.lost
+	}
+	for _, e := range events {
+		s.handle(d, e)
+	}
+}
+
+func (s *sim) handle(d *simDaemon, e Event) {
+	if Elapsed(d.lastEvent, s.now) > DefaultMaxPause {
+		d.confirmed, d.since = false, s.now
+	}
+	d.lastEvent = s.now
+	d.observe(e)
+	s.carryOut(d, d.tracker.Handle(s.now, e))
+	s.checkServing(d)
+}
+
+// observe updates the oracle: which answers count, and what they oblige to.
+func (d *simDaemon) observe(e Event) {
+	switch e := e.(type) {
+	case HeadRead:
+		d.known = max(d.known, e.Head.Number)
+		if !e.AskedAt.Before(d.since) {
+			d.confirm()
+		}
+	case PeerWord:
+		d.known = max(d.known, e.Revision.Number)
+	case PeersAnswered:
+		if !e.AskedAt.Before(d.since) && e.Confirmed > 0 {
+			d.confirm()
+		}
+	}
+}
+
+func (d *simDaemon) confirm() {
+	if !d.confirmed {
+		d.confirmed, d.required = true, d.known
+	}
+}
+
+func (s *sim) checkServing(d *simDaemon) {
+	r, err := d.tracker.Serving(s.now)
+	if err != nil {
+		s.report.Outcome("refused to serve")
+		return
+	}
+	s.report.Outcome("served")
+	if !d.confirmed {
+		s.rt.Fatalf("serves revision %v without a confirmation since %v", r, d.since)
+	}
+	if r.Number < d.served || r.Number > s.head.Number {
+		s.rt.Fatalf("serves revision %v after %d with the head at %v", r, d.served, s.head)
+	}
+	if r.Number < d.required {
+		s.rt.Fatalf("serves revision %v below the confirmed %d", r, d.required)
+	}
+	d.served = r.Number
+}
+
+func (s *sim) carryOut(d *simDaemon, actions []Action) {
+	for _, a := range actions {
+		switch a := a.(type) {
+		case ReadHead:
+			s.readHead(d)
+		case AskPeers:
+			s.askPeers(d)
+		case FetchBody:
+			d.expect(simAnswer{[]Event{BodyReady(a)}, []Event{BodyFailed(a)}})
+		case Announce:
+			for _, other := range s.daemons {
+				other.expect(simAnswer{events: []Event{PeerWord{"peer", a.Revision}}})
+			}
+		case RefuseLower:
+			s.report.Outcome("refused lower")
+		}
+	}
+}
+
+func (d *simDaemon) expect(a simAnswer) { d.pending = append(d.pending, a) }
+
+func (s *sim) readHead(d *simDaemon) {
+	failed := []Event{TableFailed{AskedAt: s.now}}
+	if s.outage {
+		d.expect(simAnswer{failed, failed})
+		return
+	}
+	d.expect(simAnswer{[]Event{HeadRead{Head: s.head, AskedAt: s.now}}, failed})
+}
+
+func (s *sim) askPeers(d *simDaemon) {
+	var words []Event
+	for _, other := range s.daemons {
+		if other == d || other.paused {
+			continue
+		}
+		if rapid.IntRange(0, 3).Draw(s.rt, "reachable") == 0 {
+			s.report.Fault("peer unreachable")
+			continue
+		}
+		if r, ok := other.tracker.Confirmed(s.now); ok {
+			words = append(words, PeerWord{"peer", r})
+		}
+	}
+	end := PeersAnswered{AskedAt: s.now, Confirmed: len(words)}
+	d.expect(simAnswer{append(words, end), []Event{PeersAnswered{AskedAt: s.now}}})
+}
+
+// heal ends all faults; every daemon then serves the head within 4 s.
+func (s *sim) heal() {
+	s.outage = false
+	for _, d := range s.daemons {
+		d.paused = false
+	}
+	for range 8 {
+		s.advance(500 * time.Millisecond)
+		for _, d := range s.daemons {
+			for len(d.pending) > 0 {
+				s.answer(d, false)
+			}
+		}
+	}
+	for i, d := range s.daemons {
+		if r, err := d.tracker.Serving(s.now); err != nil || r != s.head {
+			s.rt.Fatalf("daemon %d serves %v (%v) after all faults, head %v", i, r, err, s.head)
+		}
+	}
+}
--- /dev/null
+++ b/coordination/revision/revision_test.go
@@ -0,0 +1,128 @@
+package revision
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/monsooncrank/monsooncrank/coordination/invariant"
+)
+
+func TestRevision(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "revision")
+}
+
+var (
+	epoch = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	one   = Revision{1, "one"}
+	two   = Revision{2, "two"}
+)
+
+func at(seconds float64) time.Time {
+	return epoch.Add(time.Duration(seconds * float64(time.Second)))
+}
+
+// started returns a Tracker that serves revision one since second 1.
+func started() *Tracker {
+	t, _ := New(at(0), Options{})
+	t.Handle(at(1), HeadRead{Head: one, AskedAt: at(0.5)})
+	t.Handle(at(1), BodyReady{one})
+	return t
+}
+
+var _ = Describe("Tracker", func() {
+	It("serves nothing until the head is read and its body is there", func() {
+		t, first := New(at(0), Options{})
+		Expect(first).To(Equal([]Action{StopServing{StopStarted}, ReadHead{}}))
+		_, err := t.Serving(at(0))
+		Expect(err).To(MatchError(&NotConfirmedError{Reason: StopStarted}))
+		Expect(t.Handle(at(1), HeadRead{Head: one, AskedAt: at(0)})).To(Equal([]Action{Announce{one}, FetchBody{one}}))
+		_, err = t.Serving(at(1))
+		Expect(err).To(MatchError(&NotConfirmedError{Reason: StopBodyMissing, Known: one}))
+		Expect(t.Handle(at(1), BodyReady{one})).To(Equal([]Action{PutInForce{one}, StartServing{one}}))
+		Expect(t.Serving(at(1))).To(Equal(one))
+	})
+
+	// Guards against a revert through a stale read or a late announcement.
+	It("refuses a lower revision from the table and from peers", func() {
+		t := started()
+		t.Handle(at(2), PeerWord{"p", two})
+		Expect(t.Handle(at(2), BodyReady{two})).To(Equal([]Action{PutInForce{two}}))
+		Expect(t.Handle(at(2), HeadRead{Head: one, AskedAt: at(1)})).To(Equal([]Action{RefuseLower{Offered: one, Known: two}}))
+		Expect(t.Handle(at(2), PeerWord{"p", one})).To(Equal([]Action{RefuseLower{Offered: one, Known: two, Peer: "p"}}))
+		Expect(t.Handle(at(2), BodyReady{one})).To(BeEmpty())
+		Expect(t.Serving(at(2))).To(Equal(two))
+	})
+
+	// Guards against work under an old revision right after a pause, by an
+	// answer that was asked for before the pause.
+	It("serves nothing after a pause until an answer asked for after it", func() {
+		t := started()
+		_, err := t.Serving(at(4.1))
+		Expect(err).To(MatchError(&NotConfirmedError{Reason: StopPaused, Known: one}))
+		Expect(t.Handle(at(5), HeadRead{Head: one, AskedAt: at(1.5)})).To(Equal([]Action{ReadHead{}, StopServing{StopPaused}}))
+		_, ok := t.Confirmed(at(5))
+		Expect(ok).To(BeFalse())
+		Expect(t.Handle(at(6), HeadRead{Head: two, AskedAt: at(5)})).To(Equal([]Action{Announce{two}, FetchBody{two}}))
+		_, err = t.Serving(at(6))
+		Expect(err).To(MatchError(&NotConfirmedError{Reason: StopBodyMissing, Known: two}))
+		Expect(t.Handle(at(6), BodyReady{two})).To(Equal([]Action{PutInForce{two}, StartServing{two}}))
+	})
+
+	It("goes on serving through a table outage without a pause", func() {
+		t := started()
+		for s := 2.0; s < 60; s++ {
+			Expect(t.Handle(at(s), TableFailed{AskedAt: at(s)})).To(BeEmpty())
+		}
+		Expect(t.Serving(at(59))).To(Equal(one))
+	})
+
+	// Guards against a start during an outage that takes the word of a peer
+	// that has itself confirmed nothing, or of the first peer only.
+	It("takes the highest revision of its peers when it starts in an outage", func() {
+		t, _ := New(at(0), Options{})
+		Expect(t.Handle(at(1), TableFailed{AskedAt: at(0)})).To(Equal([]Action{AskPeers{}}))
+		Expect(t.Handle(at(1), TableFailed{AskedAt: at(0)})).To(BeEmpty())
+		t.Handle(at(1), PeersAnswered{AskedAt: at(1)})
+		Expect(t.Handle(at(2), TableFailed{AskedAt: at(1)})).To(Equal([]Action{AskPeers{}}))
+		t.Handle(at(2), PeerWord{"p", one})
+		t.Handle(at(2), BodyReady{one})
+		_, err := t.Serving(at(2))
+		Expect(err).To(HaveOccurred())
+		t.Handle(at(2), PeerWord{"q", two})
+		t.Handle(at(2), PeersAnswered{AskedAt: at(2), Confirmed: 2})
+		_, err = t.Serving(at(2))
+		Expect(err).To(MatchError(&NotConfirmedError{Reason: StopBodyMissing, Known: two}))
+		t.Handle(at(2), BodyReady{two})
+		Expect(t.Serving(at(2))).To(Equal(two))
+	})
+
+	It("fetches a body again after a pause and goes on to a later revision at once", func() {
+		t := started()
+		t.Handle(at(2), PeerWord{"p", two})
+		Expect(t.Handle(at(2), BodyFailed{two})).To(BeEmpty())
+		Expect(t.Lag(at(2.5))).To(Equal(500 * time.Millisecond))
+		Expect(t.Handle(at(2.25), Tick{})).To(Equal([]Action{FetchBody{two}}))
+		three := Revision{3, "three"}
+		Expect(t.Handle(at(2.3), PeerWord{"p", three})).To(Equal([]Action{Announce{three}, FetchBody{three}}))
+	})
+
+	It("reports one revision with two bodies and a body that nobody confirmed", func() {
+		reporter := &invariant.Reporter{}
+		t, _ := New(at(0), Options{Reporter: reporter})
+		t.Handle(at(1), HeadRead{Head: one, AskedAt: at(0)})
+		t.Handle(at(1), PeerWord{"p", Revision{1, "other"}})
+		Expect(t.Handle(at(1), BodyReady{two})).To(BeEmpty())
+		Expect(reporter.Counts()).To(HaveKeyWithValue(invariant.ConfigurationNotLower, uint64(2)))
+	})
+
+	It("serves nothing while nothing is published", func() {
+		t, _ := New(at(0), Options{})
+		t.Handle(at(1), HeadRead{AskedAt: at(0)})
+		_, err := t.Serving(at(1))
+		Expect(err).To(MatchError(&NotConfirmedError{Reason: StopNothingPublished}))
+	})
+})
