Add the membership core and messages between daemons

Cause: daemons have to know which daemons and BackendServers take work, and have to tell one another of leaving servers, revisions and quarantine entries without all-to-all traffic.

--- /dev/null
+++ b/coordination/membership/daemons.go
@@ -0,0 +1,142 @@
+package membership
+
+import (
+	"slices"
+	"sort"
+	"strings"
+	"time"
+)
+
+type daemon struct {
+	Member
+	rank uint8
+	// since is when the state began; for a suspect, when this daemon heard.
+	since time.Time
+}
+
+func (d *daemon) usable() bool { return d.rank == rankAlive || d.rank == rankSuspect }
+
+// overrides reports whether a state of one incarnation replaces another.
+func overrides(incarnation uint64, rank uint8, oldIncarnation uint64, oldRank uint8) bool {
+	if incarnation != oldIncarnation {
+		return incarnation > oldIncarnation
+	}
+	return rank > oldRank
+}
+
+// applyDaemon takes what a peer says about a daemon and reports whether it was
+// news.
+func (c *Core) applyDaemon(delta *Delta) bool {
+	if delta.Name == c.self.Name {
+		return c.refute(delta)
+	}
+	known := c.daemons[delta.Name]
+	rank := min(delta.Rank, rankGone)
+	if known != nil && !overrides(delta.Incarnation, rank, known.Incarnation, known.rank) {
+		return false
+	}
+	age := time.Duration(max(delta.AgeMillis, 0)) * time.Millisecond
+	if known == nil && rank == rankGone && age >= c.o.GoneRetention/2 {
+		return false
+	}
+	d := &daemon{Member: delta.member(), rank: rank, since: c.now}
+	if rank > rankSuspect {
+		d.since = c.now.Add(-age)
+	}
+	c.setDaemon(d)
+	return true
+}
+
+func (c *Core) setDaemon(d *daemon) {
+	d.Kind = KindDaemon
+	c.daemons[d.Name] = d
+	c.stale = true
+	urgent := 0
+	if d.rank == rankLeaving {
+		urgent = c.o.UrgentRounds
+	}
+	c.enqueueMember(d.Name, urgent)
+	c.act(ChangeAction{Member: d.Member, State: statesByRank[d.rank], At: c.now})
+}
+
+// refute answers a peer's wrong belief about this daemon with a higher
+// incarnation.
+func (c *Core) refute(delta *Delta) bool {
+	wrong := delta.Rank > c.selfRank && delta.Incarnation >= c.self.Incarnation
+	if !wrong && delta.Incarnation <= c.self.Incarnation {
+		return false
+	}
+	c.self.Incarnation = delta.Incarnation + 1
+	c.enqueueMember(c.self.Name, c.o.UrgentRounds)
+	return true
+}
+
+func (c *Core) suspect(name string) {
+	d := c.daemons[name]
+	if d == nil || d.rank != rankAlive {
+		return
+	}
+	c.setDaemon(&daemon{Member: d.Member, rank: rankSuspect, since: c.now})
+}
+
+// expire removes suspects that did not object, and what was kept long enough.
+func (c *Core) expire() {
+	for _, name := range c.expiredDaemons() {
+		d := c.daemons[name]
+		if d.rank == rankGone {
+			delete(c.daemons, name)
+			continue
+		}
+		c.setDaemon(&daemon{Member: d.Member, rank: rankGone, since: c.now})
+	}
+	c.expireTombstones()
+	c.expireSeen()
+}
+
+func (c *Core) expiredDaemons() []string {
+	var names []string
+	for name, d := range c.daemons {
+		age := c.now.Sub(d.since)
+		switch d.rank {
+		case rankSuspect:
+			if age >= c.o.SuspicionTimeout {
+				names = append(names, name)
+			}
+		case rankLeaving, rankGone:
+			if age >= c.o.GoneRetention {
+				names = append(names, name)
+			}
+		}
+	}
+	sort.Strings(names)
+	return names
+}
+
+// Daemons returns the daemons other than this one that are in state, by name.
+func (c *Core) Daemons(state State) []Member {
+	var found []Member
+	for _, d := range c.daemons {
+		if statesByRank[d.rank] == state {
+			found = append(found, d.Member)
+		}
+	}
+	slices.SortFunc(found, func(a, b Member) int { return strings.Compare(a.Name, b.Name) })
+	return found
+}
+
+// livePeers returns the daemons that may be talked to, by name.
+func (c *Core) livePeers() []*daemon {
+	if !c.stale {
+		return c.peers
+	}
+	c.stale = false
+	c.peers = c.peers[:0]
+	for _, d := range c.daemons {
+		if d.usable() {
+			c.peers = append(c.peers, d)
+		}
+	}
+	slices.SortFunc(c.peers, func(a, b *daemon) int { return strings.Compare(a.Name, b.Name) })
+	c.refillView()
+	return c.peers
+}
--- /dev/null
+++ b/coordination/membership/hostlist.go
@@ -0,0 +1,154 @@
+package membership
+
+import (
+	"sort"
+	"strconv"
+	"time"
+)
+
+// listState is what the core keeps between polls of the host list.
+type listState struct {
+	polledAt time.Time
+	polled   bool
+	// wanted is set when a pool has run short of candidates.
+	wanted bool
+	// last are the names and incarnations of the last list, kept only while
+	// this daemon is a poller that tells the others about changes.
+	last map[string]uint64
+}
+
+// missedPolls is how many lists in a row have to omit a BackendServer before it
+// gets no new work.
+const missedPolls = 2
+
+// pollIfDue asks for a poll. A few daemons poll often and tell the others; the
+// list of 7,000 Hosts is too large for every daemon to read every few seconds.
+func (c *Core) pollIfDue() {
+	interval, reason := c.o.SlowListInterval, "slow"
+	switch {
+	case c.isPoller():
+		interval, reason = c.o.ListInterval, "poller"
+	case c.list.wanted:
+		interval, reason = c.o.ListInterval, "pool short of candidates"
+	}
+	if c.list.polled && c.now.Sub(c.list.polledAt) < interval {
+		return
+	}
+	if !c.isPoller() {
+		c.list.last = nil
+	}
+	c.list.polled, c.list.polledAt, c.list.wanted = true, c.now, false
+	c.act(PollAction{Reason: reason})
+}
+
+// isPoller reports whether this daemon holds one of the poller slots. The slots
+// change holders at different times, so that no change between two lists is
+// missed by all.
+func (c *Core) isPoller() bool {
+	peers := c.livePeers()
+	if len(peers) < c.o.Pollers {
+		return true
+	}
+	term := c.o.PollerTerm.Milliseconds()
+	for slot := range c.o.Pollers {
+		shift := term * int64(slot) / int64(c.o.Pollers)
+		salt := "poller " + strconv.Itoa(slot) + " " + strconv.FormatInt((c.now.UnixMilli()+shift)/term, 10)
+		if c.lowest(peers, salt) {
+			return true
+		}
+	}
+	return false
+}
+
+// lowest reports whether this daemon has the lowest score among the peers.
+func (c *Core) lowest(peers []*daemon, salt string) bool {
+	mine := score(salt, c.self.Name)
+	for _, d := range peers {
+		if score(salt, d.Name) < mine {
+			return false
+		}
+	}
+	return true
+}
+
+// takeList takes a poll of the host list.
+func (c *Core) takeList(entries []ListEntry) {
+	if len(entries) == 0 {
+		return
+	}
+	current := make(map[string]uint64, len(entries))
+	for i := range entries {
+		e := &entries[i]
+		if e.Kind == KindDaemon {
+			c.addSeed(e.Address)
+			continue
+		}
+		current[e.Name] = e.Incarnation
+		if e.Leaving {
+			c.leaving(e.Name, e.Incarnation, rankLeaving, 0)
+			continue
+		}
+		c.announceAdded(e)
+		c.listed(e.Member, c.now)
+	}
+	c.dropUnlisted(current)
+	c.announceDropped(current)
+	c.list.last = nil
+	if c.isPoller() {
+		c.list.last = current
+	}
+}
+
+func (c *Core) dropUnlisted(current map[string]uint64) {
+	for _, name := range sortedNames(c.servers) {
+		s := c.servers[name]
+		if _, ok := current[name]; ok {
+			s.missed = 0
+			continue
+		}
+		s.missed++
+		if s.missed >= missedPolls {
+			c.removeServer(s)
+		}
+	}
+}
+
+// announceAdded tells the other daemons of a BackendServer that was not on the
+// last list.
+func (c *Core) announceAdded(e *ListEntry) {
+	if c.list.last == nil || c.hasLeft(e.Name, e.Incarnation) {
+		return
+	}
+	if incarnation, ok := c.list.last[e.Name]; ok && incarnation >= e.Incarnation {
+		return
+	}
+	delta := newDelta(&e.Member, rankAlive, 0)
+	c.announce(c.serverAnnouncement(&delta), 0)
+}
+
+func (c *Core) announceDropped(current map[string]uint64) {
+	for _, name := range sortedNames(c.list.last) {
+		if _, ok := current[name]; ok {
+			continue
+		}
+		delta := Delta{Name: name, Kind: KindEngine, Incarnation: c.list.last[name], Rank: rankSuspect}
+		c.announce(c.serverAnnouncement(&delta), 0)
+	}
+}
+
+// serverAnnouncement names the news so that pollers that see the same change
+// within a minute announce it once.
+func (c *Core) serverAnnouncement(d *Delta) Announcement {
+	id := "server/" + d.Name + "/" + strconv.FormatUint(d.Incarnation, 10) + "/" +
+		strconv.Itoa(int(d.Rank)) + "/" + strconv.FormatInt(c.now.Unix()/60, 10)
+	return Announcement{ID: id, Kind: AnnounceServer, Server: d}
+}
+
+func sortedNames[V any](m map[string]V) []string {
+	names := make([]string, 0, len(m))
+	for name := range m {
+		names = append(names, name)
+	}
+	sort.Strings(names)
+	return names
+}
--- /dev/null
+++ b/coordination/membership/message.go
@@ -0,0 +1,139 @@
+package membership
+
+import (
+	"time"
+)
+
+// AnnouncementKind says what an Announcement carries.
+type AnnouncementKind string
+
+// The kinds of announcements.
+const (
+	// AnnounceQuarantine carries a quarantine entry.
+	AnnounceQuarantine AnnouncementKind = "quarantine"
+	// AnnounceReclaim carries a reclaim notice.
+	AnnounceReclaim AnnouncementKind = "reclaim"
+	// AnnounceServer carries a BackendServer that the host list has added or
+	// dropped. The core consumes it.
+	AnnounceServer AnnouncementKind = "server"
+)
+
+// Delta is what one daemon tells another about one member. Field keys are small
+// integers, because deltas are most of the bytes between daemons.
+type Delta struct {
+	Name             string   `cbor:"1,keyasint"`
+	Kind             Kind     `cbor:"2,keyasint,omitempty"`
+	Address          string   `cbor:"3,keyasint,omitempty"`
+	Pool             string   `cbor:"4,keyasint,omitempty"`
+	AvailabilityZone string   `cbor:"5,keyasint,omitempty"`
+	MachineClass     string   `cbor:"6,keyasint,omitempty"`
+	Purchase         Purchase `cbor:"7,keyasint,omitempty"`
+	Incarnation      uint64   `cbor:"8,keyasint"`
+	// Rank is the position of the state in the order alive, suspect, leaving,
+	// gone.
+	Rank uint8 `cbor:"9,keyasint,omitempty"`
+	// AgeMillis is how long ago the sender learned of the state. Ages are used
+	// because the clocks of hosts are not compared.
+	AgeMillis int64 `cbor:"10,keyasint,omitempty"`
+}
+
+// Announcement is news that every daemon gets once.
+type Announcement struct {
+	ID   string           `cbor:"1,keyasint"`
+	Kind AnnouncementKind `cbor:"2,keyasint"`
+	// Hops counts the daemons that have passed the announcement on.
+	Hops    uint8  `cbor:"3,keyasint,omitempty"`
+	Server  *Delta `cbor:"4,keyasint,omitempty"`
+	Payload []byte `cbor:"5,keyasint,omitempty"`
+}
+
+// ZoneLoad is the load of the daemons of an AvailabilityZone.
+type ZoneLoad struct {
+	AvailabilityZone string `cbor:"1,keyasint"`
+	Daemons          uint32 `cbor:"2,keyasint"`
+	Running          uint64 `cbor:"3,keyasint"`
+	Waiting          uint64 `cbor:"4,keyasint"`
+	// Version is the time of the measurement in milliseconds since 1970 on
+	// the zone's reporting daemon. A higher version replaces a lower one.
+	Version int64 `cbor:"5,keyasint"`
+}
+
+// Message is a heartbeat, the reply to one, or urgent news.
+type Message struct {
+	// Sender is the sender's own state.
+	Sender        Delta          `cbor:"1,keyasint"`
+	Deltas        []Delta        `cbor:"2,keyasint,omitempty"`
+	Announcements []Announcement `cbor:"3,keyasint,omitempty"`
+	Zones         []ZoneLoad     `cbor:"4,keyasint,omitempty"`
+	Running       uint32         `cbor:"5,keyasint,omitempty"`
+	Waiting       uint32         `cbor:"6,keyasint,omitempty"`
+	// Revision and BodyHash name the highest configuration revision that the
+	// sender knows to be confirmed.
+	Revision     uint64 `cbor:"7,keyasint,omitempty"`
+	BodyHash     string `cbor:"8,keyasint,omitempty"`
+	RevisionHops uint8  `cbor:"9,keyasint,omitempty"`
+	// Digest covers the states that all daemons should agree on.
+	Digest uint64 `cbor:"10,keyasint,omitempty"`
+	// Sync asks for the states whose names follow SyncAfter.
+	Sync      bool   `cbor:"11,keyasint,omitempty"`
+	SyncAfter string `cbor:"12,keyasint,omitempty"`
+	// SyncReply marks the answer to Sync. SyncNext is where to go on; it is
+	// empty at the end.
+	SyncReply bool   `cbor:"13,keyasint,omitempty"`
+	SyncNext  string `cbor:"14,keyasint,omitempty"`
+}
+
+// Ranks of the states: a higher rank overrides a lower one of the same
+// incarnation.
+const (
+	rankAlive uint8 = iota
+	rankSuspect
+	rankLeaving
+	rankGone
+)
+
+var statesByRank = [...]State{StateAlive, StateSuspect, StateLeaving, StateGone}
+
+// State returns the state of the delta; an unknown rank counts as gone.
+func (d *Delta) State() State {
+	if int(d.Rank) >= len(statesByRank) {
+		return StateGone
+	}
+	return statesByRank[d.Rank]
+}
+
+func (d *Delta) member() Member {
+	return Member{
+		Name: d.Name, Kind: d.Kind, Address: d.Address, Pool: d.Pool,
+		AvailabilityZone: d.AvailabilityZone, MachineClass: d.MachineClass,
+		Purchase: d.Purchase, Incarnation: d.Incarnation,
+	}
+}
+
+func newDelta(m *Member, rank uint8, age time.Duration) Delta {
+	return Delta{
+		Name: m.Name, Kind: m.Kind, Address: m.Address, Pool: m.Pool,
+		AvailabilityZone: m.AvailabilityZone, MachineClass: m.MachineClass,
+		Purchase: m.Purchase, Incarnation: m.Incarnation, Rank: rank,
+		AgeMillis: max(age, 0).Milliseconds(),
+	}
+}
+
+// Upper bounds of the encoded sizes without their strings.
+const (
+	deltaOverheadBytes        = 40
+	announcementOverheadBytes = 16
+)
+
+func (d *Delta) size() int {
+	return deltaOverheadBytes + len(d.Name) + len(d.Kind) + len(d.Address) + len(d.Pool) +
+		len(d.AvailabilityZone) + len(d.MachineClass) + len(d.Purchase)
+}
+
+func (a *Announcement) size() int {
+	size := announcementOverheadBytes + len(a.ID) + len(a.Kind) + len(a.Payload)
+	if a.Server != nil {
+		size += a.Server.size()
+	}
+	return size
+}
--- /dev/null
+++ b/coordination/membership/network_test.go
@@ -0,0 +1,251 @@
+package membership
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"time"
+)
+
+// network carries the messages of cores in one process on a virtual clock. A
+// message sent at a tick arrives before the next one.
+type network struct {
+	o     Options
+	now   time.Time
+	rand  *rand.Rand
+	nodes []*node
+	byAdr map[string]*node
+	// loss is the share of lost messages, duplicate of those delivered twice,
+	// late of those delivered at a later tick.
+	loss, duplicate, late float64
+	delayed               []delivery
+	bytes                 func(*Message) int
+	sentBytes, messages   int
+	maxMessage            int
+}
+
+type node struct {
+	core   *Core
+	name   string
+	side   int
+	paused bool
+	// delivered counts announcements by ID.
+	delivered map[string]int
+	revision  uint64
+	news      int
+}
+
+type delivery struct {
+	at   time.Time
+	to   *node
+	call func()
+}
+
+var startTime = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+const testZones = 4
+
+func newNetwork(n int, seed uint64, o Options) *network {
+	w := &network{o: o.withDefaults(), now: startTime, byAdr: map[string]*node{},
+		rand: rand.New(rand.NewPCG(seed, 1))}
+	w.o.Seeds = []string{address(0), address(1), address(2)}
+	for i := range n {
+		w.add(i, 1)
+	}
+	return w
+}
+
+func address(i int) string { return fmt.Sprintf("10.0.%d.%d:7100", i/250, i%250) }
+
+func (w *network) add(i int, incarnation uint64) *node {
+	self := Member{Name: fmt.Sprintf("daemon-%03d", i), Address: address(i),
+		AvailabilityZone: fmt.Sprintf("zone-%d", i%testZones), Incarnation: incarnation}
+	n := &node{name: self.Name, delivered: map[string]int{}}
+	n.core = New(w.o, self, rand.New(rand.NewPCG(uint64(i), incarnation)), w.now)
+	if i < len(w.nodes) {
+		w.nodes[i] = n
+	} else {
+		w.nodes = append(w.nodes, n)
+	}
+	w.byAdr[self.Address] = n
+	return n
+}
+
+// step passes an event to a node and returns its reply to a heartbeat.
+func (w *network) step(n *node, e Event) *Message {
+	var reply *Message
+	for _, action := range n.core.Step(w.now, e) {
+		switch a := action.(type) {
+		case ReplyAction:
+			reply = a.Message
+		case SendAction:
+			w.send(n, a)
+		case DeliverAction:
+			n.delivered[a.Announcement.ID]++
+		case RevisionAction:
+			n.revision = a.Revision
+		case ChangeAction:
+			n.news++
+		}
+	}
+	return reply
+}
+
+func (w *network) reachable(from, to *node) bool {
+	return to != nil && !to.paused && from.side == to.side
+}
+
+func (w *network) count(m *Message) {
+	w.messages++
+	if w.bytes != nil {
+		size := w.bytes(m)
+		w.sentBytes += size
+		w.maxMessage = max(w.maxMessage, size)
+	}
+}
+
+// send carries a message. As the driver does, it asks twice before a heartbeat
+// counts as failed.
+func (w *network) send(from *node, a SendAction) {
+	w.count(a.Message)
+	attempts := 2
+	if a.Urgent {
+		attempts = 1
+	}
+	for range attempts {
+		if to := w.byAdr[a.Address]; w.reachable(from, to) && w.rand.Float64() >= w.loss {
+			w.deliver(from, to, a)
+			return
+		}
+	}
+	if !a.Urgent {
+		w.later(from, 1, func() { w.step(from, PeerFailedEvent{Name: a.Name}) })
+	}
+}
+
+func (w *network) deliver(from, to *node, a SendAction) {
+	copies := 1
+	if w.rand.Float64() < w.duplicate {
+		copies = 2
+	}
+	for range copies {
+		ticks := 0
+		if w.rand.Float64() < w.late {
+			ticks = 1 + w.rand.IntN(4)
+		}
+		w.later(to, ticks, func() {
+			reply := w.step(to, MessageEvent{Message: a.Message, Heartbeat: !a.Urgent})
+			if reply == nil || !w.reachable(to, from) || w.rand.Float64() < w.loss {
+				return
+			}
+			w.count(reply)
+			w.later(from, ticks, func() { w.step(from, MessageEvent{Message: reply}) })
+		})
+	}
+}
+
+func (w *network) later(to *node, ticks int, call func()) {
+	w.delayed = append(w.delayed, delivery{at: w.now.Add(time.Duration(ticks) * w.o.TickInterval), to: to, call: call})
+}
+
+// tick lets one tick pass for all nodes.
+func (w *network) tick() {
+	w.now = w.now.Add(w.o.TickInterval)
+	for _, n := range w.nodes {
+		if !n.paused {
+			w.step(n, TickEvent{})
+		}
+	}
+	for w.deliverDue() {
+	}
+}
+
+// deliverDue delivers what is due. Messages to a paused node wait, as they do
+// in its sockets.
+func (w *network) deliverDue() bool {
+	due := w.delayed
+	w.delayed = nil
+	any := false
+	for _, d := range due {
+		if d.at.After(w.now) || d.to.paused {
+			w.delayed = append(w.delayed, d)
+			continue
+		}
+		any = true
+		d.call()
+	}
+	return any
+}
+
+func (w *network) run(d time.Duration) {
+	for range int(d / w.o.TickInterval) {
+		w.tick()
+	}
+}
+
+// runUntil ticks until ok and returns the ticks; it gives up after limit.
+func (w *network) runUntil(limit time.Duration, ok func() bool) (int, bool) {
+	for i := range int(limit / w.o.TickInterval) {
+		if ok() {
+			return i, true
+		}
+		w.tick()
+	}
+	return 0, ok()
+}
+
+// converged reports whether all daemons know all daemons as alive and agree on
+// all states.
+func (w *network) converged() bool {
+	digest := w.nodes[0].core.computeDigest()
+	for _, n := range w.nodes {
+		if len(n.core.Daemons(StateAlive)) != len(w.nodes)-1 || n.core.computeDigest() != digest {
+			return false
+		}
+	}
+	return true
+}
+
+func (w *network) offers(n *node, s string, incarnation uint64) bool {
+	for _, pool := range n.core.Pools() {
+		for _, m := range n.core.Available(pool) {
+			if m.Name == s && m.Incarnation <= incarnation {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// anyOffers returns a daemon that would give the server new work.
+func (w *network) anyOffers(s string, incarnation uint64) string {
+	for _, n := range w.nodes {
+		if !n.paused && w.offers(n, s, incarnation) {
+			return n.name
+		}
+	}
+	return ""
+}
+
+func engineEntry(i int, incarnation uint64) ListEntry {
+	return ListEntry{Member: Member{
+		Name: fmt.Sprintf("engine-%04d", i), Kind: KindEngine, Address: fmt.Sprintf("10.1.%d.%d:8000", i/250, i%250),
+		Pool: fmt.Sprintf("pool-%d", i%testZones), AvailabilityZone: fmt.Sprintf("zone-%d", i%testZones),
+		MachineClass: "a8", Purchase: PurchaseReclaimable, Incarnation: incarnation}}
+}
+
+func engineList(n int, incarnation uint64) []ListEntry {
+	entries := make([]ListEntry, 0, n)
+	for i := range n {
+		entries = append(entries, engineEntry(i, incarnation))
+	}
+	return entries
+}
+
+// listAll gives every daemon the same host list.
+func (w *network) listAll(entries []ListEntry) {
+	for _, n := range w.nodes {
+		if !n.paused {
+			w.step(n, HostListEvent{Entries: entries})
+		}
+	}
+}
--- /dev/null
+++ b/coordination/membership/receive.go
@@ -0,0 +1,154 @@
+package membership
+
+import (
+	"sort"
+	"time"
+)
+
+// receive takes a message; a heartbeat is answered.
+func (c *Core) receive(m *Message, heartbeat bool) {
+	c.applyDaemon(&m.Sender)
+	for i := range m.Deltas {
+		c.applyDelta(&m.Deltas[i], m.SyncReply)
+	}
+	for _, a := range m.Announcements {
+		urgent := c.o.UrgentRounds
+		if a.Server != nil {
+			urgent = 0
+		}
+		c.announce(a, urgent)
+	}
+	c.takeRevision(m)
+	c.takeZones(m)
+	c.compareDigest(m)
+	if heartbeat {
+		c.act(ReplyAction{Message: c.reply(m)})
+	}
+}
+
+func (c *Core) applyDelta(delta *Delta, syncReply bool) {
+	var news bool
+	if delta.Kind == KindDaemon {
+		news = c.applyDaemon(delta)
+	} else {
+		age := time.Duration(max(delta.AgeMillis, 0)) * time.Millisecond
+		news = delta.Rank >= rankLeaving && c.leaving(delta.Name, delta.Incarnation, delta.Rank, age)
+	}
+	// A peer that is behind gets this daemon's state from the next messages.
+	if !news && syncReply && c.newerThan(delta) {
+		c.enqueueMember(delta.Name, 0)
+	}
+}
+
+func (c *Core) newerThan(delta *Delta) bool {
+	mine, ok := c.delta(delta.Name)
+	return ok && overrides(mine.Incarnation, mine.Rank, delta.Incarnation, delta.Rank)
+}
+
+func (c *Core) takeRevision(m *Message) {
+	hops := m.RevisionHops + 1
+	if m.RevisionHops >= c.o.MaxHops {
+		hops = c.o.MaxHops
+	}
+	if !c.raiseRevision(RevisionEvent{Revision: m.Revision, BodyHash: m.BodyHash}, hops) {
+		return
+	}
+	c.act(RevisionAction{Revision: m.Revision, BodyHash: m.BodyHash, Hops: hops,
+		From: m.Sender.Name, Address: m.Sender.Address})
+}
+
+func (c *Core) reply(m *Message) *Message {
+	r := c.newMessage()
+	c.correct(r, m)
+	if m.Sync {
+		c.fillSync(r, m.SyncAfter)
+		return r
+	}
+	c.fill(r, c.o.MaxHeartbeatBytes, 1, false)
+	return r
+}
+
+// correct tells the sender what this daemon believes of it, if that overrides
+// what the sender says, so that it can object.
+func (c *Core) correct(r, m *Message) {
+	if c.newerThan(&m.Sender) {
+		mine, _ := c.delta(m.Sender.Name)
+		r.Deltas = append(r.Deltas, mine)
+	}
+}
+
+// Messages with another digest before this daemon asks for the whole state,
+// part by part. Changes under way make digests differ for a few messages.
+const maxMismatches = 12
+
+func (c *Core) compareDigest(m *Message) {
+	if m.SyncReply && c.syncing {
+		c.syncAfter = m.SyncNext
+		c.syncing = m.SyncNext != ""
+		c.mismatches = 0
+		return
+	}
+	if m.Digest == c.digest {
+		c.mismatches = 0
+		return
+	}
+	c.mismatches++
+	if c.mismatches >= maxMismatches && !c.syncing {
+		c.syncing, c.syncAfter = true, ""
+	}
+}
+
+// agreed calls visit for each state that all daemons should agree on. States
+// close to the end of their retention are left out, because daemons forget them
+// at different moments.
+func (c *Core) agreed(visit func(name string, incarnation uint64, rank uint8)) {
+	visit(c.self.Name, c.self.Incarnation, c.selfRank)
+	for name, d := range c.daemons {
+		if d.rank < rankLeaving || c.now.Sub(d.since) < c.o.GoneRetention/2 {
+			visit(name, d.Incarnation, d.rank)
+		}
+	}
+	for name, t := range c.tombstones {
+		if c.now.Sub(t.at) < c.o.LeavingRetention/2 {
+			visit(name, t.incarnation, t.rank)
+		}
+	}
+}
+
+// Odd multipliers spread the bits of a state over the digest.
+const (
+	incarnationMultiplier = 0x9e3779b97f4a7c15
+	rankMultiplier        = 0xc2b2ae3d27d4eb4f
+)
+
+func (c *Core) computeDigest() uint64 {
+	var digest uint64
+	c.agreed(func(name string, incarnation uint64, rank uint8) {
+		h := score("", name) + incarnation*incarnationMultiplier + uint64(rank+1)*rankMultiplier
+		h ^= h >> 29
+		digest ^= h * incarnationMultiplier
+	})
+	return digest
+}
+
+func (c *Core) fillSync(r *Message, after string) {
+	names := make([]string, 0, len(c.daemons)+len(c.tombstones)+1)
+	c.agreed(func(name string, _ uint64, _ uint8) {
+		if name > after {
+			names = append(names, name)
+		}
+	})
+	sort.Strings(names)
+	r.SyncReply = true
+	size := 0
+	for _, name := range names {
+		delta, _ := c.delta(name)
+		size += delta.size()
+		if size > c.o.MaxUrgentBytes && r.SyncNext != "" {
+			return
+		}
+		r.Deltas = append(r.Deltas, delta)
+		r.SyncNext = name
+	}
+	r.SyncNext = ""
+}
--- /dev/null
+++ b/coordination/membership/servers.go
@@ -0,0 +1,215 @@
+package membership
+
+import (
+	"slices"
+	"sort"
+	"strings"
+	"time"
+)
+
+// server is a BackendServer that this daemon may use.
+type server struct {
+	Member
+	score uint64
+	// seenAt is when the host list last showed it, as far as known.
+	seenAt time.Time
+	missed int
+}
+
+// tombstone remembers a BackendServer that has left.
+type tombstone struct {
+	incarnation uint64
+	rank        uint8
+	at          time.Time
+}
+
+// pool holds the candidates of a pool in the order of their scores. The order
+// differs between daemons, so that each uses other BackendServers.
+type pool struct {
+	candidates []*server
+	// dropped is set when the pool had more BackendServers than are kept.
+	dropped bool
+}
+
+// reserveFactor times SubsetSize candidates are kept per pool, so that the loss
+// of half of them leaves a whole subset.
+const reserveFactor = 2
+
+// leaving records that an incarnation of a BackendServer takes no new work from
+// now on. It reports whether that was news. What was said of an earlier
+// incarnation is kept too, so that all daemons hold the same tombstones, but
+// does not touch a later one.
+func (c *Core) leaving(name string, incarnation uint64, rank uint8, age time.Duration) bool {
+	rank = min(rank, rankGone)
+	at := c.now.Add(-age)
+	known := c.servers[name]
+	old, ok := c.tombstones[name]
+	if ok && !overrides(incarnation, rank, old.incarnation, old.rank) {
+		c.mentionAgain(name, incarnation, at)
+		return false
+	}
+	if !ok && known == nil && age >= c.o.LeavingRetention/2 {
+		return false
+	}
+	member := Member{Name: name, Incarnation: incarnation}
+	if known != nil && known.Incarnation <= incarnation {
+		member = known.Member
+		c.removeServer(known)
+	}
+	c.tombstones[name] = tombstone{incarnation: incarnation, rank: rank, at: at}
+	c.limitTombstones()
+	c.enqueueMember(name, c.o.UrgentRounds)
+	c.act(ChangeAction{Member: member, State: statesByRank[rank], At: c.now})
+	return true
+}
+
+// mentionAgain keeps a tombstone for longer, because some list still shows the
+// BackendServer.
+func (c *Core) mentionAgain(name string, incarnation uint64, at time.Time) {
+	t := c.tombstones[name]
+	if incarnation == t.incarnation && at.After(t.at) {
+		t.at = at
+		c.tombstones[name] = t
+	}
+}
+
+// hasLeft reports whether this incarnation of a BackendServer, or a later one,
+// has left.
+func (c *Core) hasLeft(name string, incarnation uint64) bool {
+	t, ok := c.tombstones[name]
+	return ok && incarnation <= t.incarnation
+}
+
+// applyServer takes what the host list of some daemon showed: alive for a
+// BackendServer that is listed, suspect for one that is no longer listed.
+func (c *Core) applyServer(delta *Delta) {
+	seenAt := c.now.Add(-time.Duration(max(delta.AgeMillis, 0)) * time.Millisecond)
+	if delta.Rank == rankAlive {
+		c.listed(delta.member(), seenAt)
+		return
+	}
+	known := c.servers[delta.Name]
+	if known != nil && delta.Incarnation >= known.Incarnation && seenAt.After(known.seenAt) {
+		c.removeServer(known)
+	}
+}
+
+// listed takes a BackendServer that the host list shows as live.
+func (c *Core) listed(m Member, seenAt time.Time) {
+	if c.hasLeft(m.Name, m.Incarnation) {
+		// The list lags. The tombstone is kept for as long as it does.
+		c.mentionAgain(m.Name, c.tombstones[m.Name].incarnation, c.now)
+		return
+	}
+	if len(c.zones) > 0 && !c.zones[m.AvailabilityZone] {
+		return
+	}
+	known := c.servers[m.Name]
+	if known != nil && m.Incarnation < known.Incarnation {
+		return
+	}
+	if known != nil && known.Member == m {
+		known.missed = 0
+		if seenAt.After(known.seenAt) {
+			known.seenAt = seenAt
+		}
+		return
+	}
+	if known != nil {
+		c.removeServer(known)
+	}
+	c.addServer(&server{Member: m, score: score(c.self.Name, m.Name), seenAt: seenAt})
+}
+
+func (c *Core) addServer(s *server) {
+	p := c.pools[s.Pool]
+	if p == nil {
+		p = &pool{}
+		c.pools[s.Pool] = p
+	}
+	limit := reserveFactor * c.o.SubsetSize
+	i := sort.Search(len(p.candidates), func(i int) bool { return !lessServer(p.candidates[i], s) })
+	if i >= limit {
+		p.dropped = true
+		return
+	}
+	p.candidates = slices.Insert(p.candidates, i, s)
+	c.servers[s.Name] = s
+	if len(p.candidates) > limit {
+		last := p.candidates[limit]
+		delete(c.servers, last.Name)
+		p.candidates = slices.Delete(p.candidates, limit, limit+1)
+		p.dropped = true
+	}
+	c.dirtyPools[s.Pool] = true
+	c.act(ChangeAction{Member: s.Member, State: StateAlive, At: c.now})
+}
+
+func lessServer(a, b *server) bool {
+	if a.score != b.score {
+		return a.score < b.score
+	}
+	return a.Name < b.Name
+}
+
+func (c *Core) removeServer(s *server) {
+	delete(c.servers, s.Name)
+	p := c.pools[s.Pool]
+	p.candidates = slices.DeleteFunc(p.candidates, func(other *server) bool { return other == s })
+	c.dirtyPools[s.Pool] = true
+	if p.dropped && len(p.candidates) < c.o.SubsetSize {
+		c.list.wanted = true
+	}
+}
+
+// Available returns the BackendServers of a pool that this daemon may give new
+// work to.
+func (c *Core) Available(name string) []BackendServer {
+	p := c.pools[name]
+	if p == nil {
+		return nil
+	}
+	available := make([]BackendServer, 0, min(len(p.candidates), c.o.SubsetSize))
+	for _, s := range p.candidates[:min(len(p.candidates), c.o.SubsetSize)] {
+		available = append(available, s.Member)
+	}
+	return available
+}
+
+// Pools returns the names of the pools, in order.
+func (c *Core) Pools() []string {
+	names := make([]string, 0, len(c.pools))
+	for name := range c.pools {
+		names = append(names, name)
+	}
+	sort.Strings(names)
+	return names
+}
+
+func (c *Core) expireTombstones() {
+	for name, t := range c.tombstones {
+		if c.now.Sub(t.at) >= c.o.LeavingRetention {
+			delete(c.tombstones, name)
+		}
+	}
+}
+
+// limitTombstones drops the oldest tenth when there are too many.
+func (c *Core) limitTombstones() {
+	if len(c.tombstones) <= c.o.MaxTombstones {
+		return
+	}
+	names := make([]string, 0, len(c.tombstones))
+	for name := range c.tombstones {
+		names = append(names, name)
+	}
+	slices.SortFunc(names, func(a, b string) int {
+		if order := c.tombstones[a].at.Compare(c.tombstones[b].at); order != 0 {
+			return order
+		}
+		return strings.Compare(a, b)
+	})
+	for _, name := range names[:max(len(names)/10, 1)] {
+		delete(c.tombstones, name)
+	}
+}
--- /dev/null
+++ b/coordination/membership/spread.go
@@ -0,0 +1,192 @@
+package membership
+
+import (
+	"math/bits"
+	"slices"
+	"time"
+)
+
+// queued is a member's state or an announcement that has sends left.
+type queued struct {
+	name         string        // set for a member; the state is looked up when sent
+	announcement *Announcement // set for an announcement
+	sent         int
+	urgent       int // ticks left in which it is sent at once
+}
+
+// maxQueued bounds the queue. A zone's worth of 400 members and their news stay
+// well below it; what does not fit reaches others by digest and sync.
+const maxQueued = 8192
+
+// enqueueMember spreads the state of a member; an older entry is replaced.
+func (c *Core) enqueueMember(name string, urgent int) {
+	for _, q := range c.queue {
+		if q.announcement == nil && q.name == name {
+			q.sent, q.urgent = 0, max(q.urgent, urgent)
+			return
+		}
+	}
+	c.push(&queued{name: name, urgent: urgent})
+}
+
+func (c *Core) push(q *queued) {
+	if len(c.queue) < maxQueued {
+		c.queue = append(c.queue, q)
+	}
+}
+
+// seenRetention is how long an announcement's ID is remembered. It has to
+// exceed the time for which copies may still travel.
+const (
+	seenRetention = 10 * time.Minute
+	maxSeen       = 16384
+)
+
+// announce takes an announcement once: it delivers it and passes it on.
+func (c *Core) announce(a Announcement, urgent int) {
+	if _, ok := c.seen[a.ID]; ok || len(c.seen) >= maxSeen {
+		return
+	}
+	c.seen[a.ID] = c.now
+	if a.Server != nil {
+		c.applyServer(a.Server)
+	} else {
+		c.act(DeliverAction{Announcement: a})
+	}
+	if a.Hops >= c.o.MaxHops {
+		return
+	}
+	a.Hops++
+	c.push(&queued{announcement: &a, urgent: urgent})
+}
+
+func (c *Core) expireSeen() {
+	for id, at := range c.seen {
+		if c.now.Sub(at) >= seenRetention {
+			delete(c.seen, id)
+		}
+	}
+}
+
+func (c *Core) sendLimit() int {
+	return c.o.Retransmit * max(bits.Len(uint(len(c.daemons)+1)), 2)
+}
+
+// delta returns the current state of a member that is spread.
+func (c *Core) delta(name string) (Delta, bool) {
+	if name == c.self.Name {
+		return newDelta(&c.self, c.selfRank, 0), true
+	}
+	if d, ok := c.daemons[name]; ok {
+		return newDelta(&d.Member, d.rank, c.now.Sub(d.since)), true
+	}
+	if t, ok := c.tombstones[name]; ok {
+		return Delta{Name: name, Kind: KindEngine, Incarnation: t.incarnation, Rank: t.rank,
+			AgeMillis: c.now.Sub(t.at).Milliseconds()}, true
+	}
+	return Delta{}, false
+}
+
+// fill adds queued entries to m up to limit bytes, those sent least first, and
+// counts copies sends.
+func (c *Core) fill(m *Message, limit, copies int, urgentOnly bool) {
+	slices.SortStableFunc(c.queue, func(a, b *queued) int { return a.sent - b.sent })
+	size, sendLimit := 0, c.sendLimit()
+	for _, q := range c.queue {
+		if urgentOnly && q.urgent == 0 {
+			continue
+		}
+		added := c.appendQueued(m, q, limit-size)
+		if added == 0 {
+			continue
+		}
+		size += added
+		q.sent += copies
+		if urgentOnly {
+			q.urgent--
+		}
+	}
+	c.queue = slices.DeleteFunc(c.queue, func(q *queued) bool {
+		return q.urgent == 0 && q.sent >= sendLimit
+	})
+}
+
+func (c *Core) appendQueued(m *Message, q *queued, room int) int {
+	if q.announcement != nil {
+		size := q.announcement.size()
+		if size > room {
+			return 0
+		}
+		m.Announcements = append(m.Announcements, *q.announcement)
+		return size
+	}
+	delta, ok := c.delta(q.name)
+	if !ok {
+		q.sent, q.urgent = c.sendLimit(), 0
+		return 0
+	}
+	size := delta.size()
+	if size > room {
+		return 0
+	}
+	m.Deltas = append(m.Deltas, delta)
+	return size
+}
+
+func (c *Core) newMessage() *Message {
+	return &Message{
+		Sender:   newDelta(&c.self, c.selfRank, 0),
+		Revision: c.revision.Revision, BodyHash: c.revision.BodyHash, RevisionHops: c.revisionHops,
+		Running: c.load.Running, Waiting: c.load.Waiting, Digest: c.digest,
+	}
+}
+
+// sendUrgent sends urgent news to random peers. Each daemon repeats it for
+// UrgentRounds ticks, so that news reaches all in a few hops although each
+// daemon sends to few.
+func (c *Core) sendUrgent() {
+	urgent := c.revisionUrgent > 0
+	for _, q := range c.queue {
+		urgent = urgent || q.urgent > 0
+	}
+	if !urgent {
+		return
+	}
+	targets := c.targets(c.o.Fanout)
+	if len(targets) == 0 {
+		return
+	}
+	m := c.newMessage()
+	c.fill(m, c.o.MaxUrgentBytes, len(targets), true)
+	c.revisionUrgent = max(c.revisionUrgent-1, 0)
+	for _, d := range targets {
+		c.act(SendAction{Name: d.Name, Address: d.Address, Urgent: true, Message: m})
+	}
+}
+
+// heartbeat sends a message to Fanout random peers. One of them is also asked
+// for a part of its state while this daemon is out of step.
+func (c *Core) heartbeat() {
+	c.refreshView()
+	targets := c.targets(c.o.Fanout)
+	m := c.newMessage()
+	c.addZones(m)
+	c.fill(m, c.o.MaxHeartbeatBytes, max(len(targets), 1), false)
+	asking := m
+	if c.syncing {
+		asked := *m
+		asked.Sync, asked.SyncAfter = true, c.syncAfter
+		asking = &asked
+	}
+	for _, d := range targets {
+		c.act(SendAction{Name: d.Name, Address: d.Address, Message: asking})
+		asking = m
+	}
+	if reporter := c.zoneReporter(); reporter != nil && c.zoneReportDue() {
+		c.act(SendAction{Name: reporter.Name, Address: reporter.Address, Message: m})
+	}
+	if send, ok := c.contact(); ok {
+		send.Message = asking
+		c.act(send)
+	}
+}
--- /dev/null
+++ b/coordination/membership/view.go
@@ -0,0 +1,106 @@
+package membership
+
+import (
+	"slices"
+)
+
+// maxSeeds bounds the addresses kept from the settings and the host list.
+const maxSeeds = 1024
+
+func (c *Core) addSeed(address string) {
+	if address == "" || address == c.self.Address || len(c.seeds) >= maxSeeds {
+		return
+	}
+	if !slices.Contains(c.seeds, address) {
+		c.seeds = append(c.seeds, address)
+	}
+}
+
+// refillView keeps the members of the view that are still usable and adds
+// random ones.
+func (c *Core) refillView() {
+	kept := c.view[:0]
+	for _, old := range c.view {
+		if d := c.daemons[old.Name]; d != nil && d.usable() {
+			kept = append(kept, d)
+		}
+	}
+	c.view = kept
+	want := min(c.o.ViewSize, len(c.peers))
+	if want == len(c.peers) {
+		c.view = append(c.view[:0], c.peers...)
+		return
+	}
+	for len(c.view) < want {
+		c.addToView(c.peers[c.rand.IntN(len(c.peers))])
+	}
+}
+
+func (c *Core) addToView(d *daemon) {
+	if !slices.Contains(c.view, d) {
+		c.view = append(c.view, d)
+	}
+}
+
+// refreshView replaces one member of the view, so that over time every daemon
+// is asked by every other.
+func (c *Core) refreshView() {
+	peers := c.livePeers()
+	if c.now.Sub(c.viewAt) < c.o.ViewRefresh || len(peers) <= c.o.ViewSize {
+		return
+	}
+	c.viewAt = c.now
+	i := c.rand.IntN(len(c.view))
+	c.view = slices.Delete(c.view, i, i+1)
+	for len(c.view) < c.o.ViewSize {
+		c.addToView(peers[c.rand.IntN(len(peers))])
+	}
+}
+
+// targets returns up to n random members of the view.
+func (c *Core) targets(n int) []*daemon {
+	c.livePeers()
+	n = min(n, len(c.view))
+	for i := range n {
+		j := i + c.rand.IntN(len(c.view)-i)
+		c.view[i], c.view[j] = c.view[j], c.view[i]
+	}
+	return c.view[:n]
+}
+
+// contactEvery is how many heartbeats pass between tries to reach a daemon that
+// is gone or an address not seen yet. It heals partitions in which both sides
+// have removed each other.
+const contactEvery = 5
+
+func (c *Core) contact() (SendAction, bool) {
+	c.contacts++
+	alone := len(c.livePeers()) == 0
+	if !alone && c.contacts%contactEvery != 0 {
+		return SendAction{}, false
+	}
+	candidates := c.unreached()
+	if len(candidates) == 0 {
+		return SendAction{}, false
+	}
+	return candidates[c.rand.IntN(len(candidates))], true
+}
+
+func (c *Core) unreached() []SendAction {
+	known := make(map[string]bool, len(c.daemons))
+	var candidates []SendAction
+	for _, d := range c.daemons {
+		known[d.Address] = known[d.Address] || d.usable()
+	}
+	for _, m := range c.Daemons(StateGone) {
+		if !known[m.Address] {
+			candidates = append(candidates, SendAction{Name: m.Name, Address: m.Address})
+		}
+	}
+	for _, address := range c.seeds {
+		if !known[address] {
+			candidates = append(candidates, SendAction{Address: address})
+		}
+	}
+	return candidates
+}
--- /dev/null
+++ b/coordination/membership/zones.go
@@ -0,0 +1,121 @@
+package membership
+
+import (
+	"slices"
+	"strings"
+	"time"
+)
+
+type reportedLoad struct {
+	LoadEvent
+	at time.Time
+}
+
+type zoneState struct {
+	ZoneLoad
+	sent int
+}
+
+const (
+	// zonesPerMessage bounds the aggregates in a heartbeat.
+	zonesPerMessage = 4
+	// loadIntervals is how many zone intervals a reported load counts for.
+	loadIntervals = 3
+	// maxZones bounds the aggregates that are kept.
+	maxZones = 256
+)
+
+func (c *Core) reporterSalt() string { return "reporter " + c.self.AvailabilityZone }
+
+// zoneReporter returns the daemon that sums the loads of this daemon's zone, or
+// nil if that is this daemon.
+func (c *Core) zoneReporter() *daemon {
+	salt := c.reporterSalt()
+	var reporter *daemon
+	lowest := score(salt, c.self.Name)
+	for _, d := range c.livePeers() {
+		if d.AvailabilityZone != c.self.AvailabilityZone {
+			continue
+		}
+		if s := score(salt, d.Name); s < lowest {
+			reporter, lowest = d, s
+		}
+	}
+	return reporter
+}
+
+func (c *Core) zoneReportDue() bool {
+	if c.now.Before(c.zoneDue) {
+		return false
+	}
+	c.zoneDue = c.now.Add(c.o.ZoneInterval)
+	return true
+}
+
+// reportZone sums the loads of the zone if this daemon is its reporter.
+func (c *Core) reportZone() {
+	if c.zoneReporter() != nil || !c.zoneReportDue() {
+		return
+	}
+	sum := ZoneLoad{AvailabilityZone: c.self.AvailabilityZone, Version: c.now.UnixMilli(),
+		Daemons: 1, Running: uint64(c.load.Running), Waiting: uint64(c.load.Waiting)}
+	for name, l := range c.loads {
+		if c.now.Sub(l.at) > loadIntervals*c.o.ZoneInterval {
+			delete(c.loads, name)
+			continue
+		}
+		sum.Daemons++
+		sum.Running += uint64(l.Running)
+		sum.Waiting += uint64(l.Waiting)
+	}
+	c.takeZone(sum)
+}
+
+func (c *Core) takeZones(m *Message) {
+	if m.Sender.AvailabilityZone == c.self.AvailabilityZone && c.daemons[m.Sender.Name] != nil {
+		c.loads[m.Sender.Name] = reportedLoad{LoadEvent{m.Running, m.Waiting}, c.now}
+	}
+	for _, z := range m.Zones {
+		c.takeZone(z)
+	}
+}
+
+func (c *Core) takeZone(z ZoneLoad) {
+	known := c.zoneLoads[z.AvailabilityZone]
+	if known == nil && len(c.zoneLoads) >= maxZones {
+		return
+	}
+	if known == nil || z.Version > known.Version {
+		c.zoneLoads[z.AvailabilityZone] = &zoneState{ZoneLoad: z}
+	}
+}
+
+// addZones adds the aggregates that were sent least.
+func (c *Core) addZones(m *Message) {
+	states := make([]*zoneState, 0, len(c.zoneLoads))
+	limit := c.sendLimit()
+	for _, z := range c.zoneLoads {
+		if z.sent < limit {
+			states = append(states, z)
+		}
+	}
+	slices.SortFunc(states, func(a, b *zoneState) int {
+		if a.sent != b.sent {
+			return a.sent - b.sent
+		}
+		return strings.Compare(a.AvailabilityZone, b.AvailabilityZone)
+	})
+	for _, z := range states[:min(len(states), zonesPerMessage)] {
+		z.sent += c.o.Fanout
+		m.Zones = append(m.Zones, z.ZoneLoad)
+	}
+}
+
+// ZoneLoads returns the aggregates of all zones, by zone.
+func (c *Core) ZoneLoads() []ZoneLoad {
+	loads := make([]ZoneLoad, 0, len(c.zoneLoads))
+	for _, zone := range sortedNames(c.zoneLoads) {
+		loads = append(loads, c.zoneLoads[zone].ZoneLoad)
+	}
+	return loads
+}
