--- a/coordination/quarantine/quarantine.go
+++ b/coordination/quarantine/quarantine.go
@@ -111,6 +111,21 @@
 	return e.copy(), e.Quarantined && !before
 }
 
+// Succeeded clears a suspect whose request has run to its end: its crashes had
+// another cause, such as a Host that failed. Without it a request that many
+// callers send alike would be blamed for unrelated failures. It returns the
+// entry to spread, and false if there was nothing to clear.
+func (c *Core) Succeeded(now time.Time, fingerprint Fingerprint) (Entry, bool) {
+	e, ok := c.entries[fingerprint]
+	if !ok || e.Quarantined || len(e.Servers) == 0 {
+		return Entry{}, false
+	}
+	e.Generation++
+	e.Servers = nil
+	e.LastCrash = now
+	return e.copy(), true
+}
+
 // Merge takes in an entry from another daemon or the table and reports whether
 // it changed anything. Two daemons that saw one crash each add up.
 func (c *Core) Merge(now time.Time, other Entry) bool {
@@ -154,6 +169,15 @@
 	return e.copy(), nil
 }
 
+// Entry returns what is known about a fingerprint.
+func (c *Core) Entry(fingerprint Fingerprint) (Entry, bool) {
+	e, ok := c.entries[fingerprint]
+	if !ok {
+		return Entry{}, false
+	}
+	return e.copy(), true
+}
+
 // List returns the quarantined entries in the order of their fingerprints.
 func (c *Core) List() []Entry {
 	var list []Entry
--- a/coordination/quarantine/quarantine_test.go
+++ b/coordination/quarantine/quarantine_test.go
@@ -110,6 +110,23 @@
 	g.Expect(core.Check(now, f)).To(Equal(quarantine.VerdictRun))
 }
 
+// Guards against a popular request that is quarantined because two Hosts which
+// ran it failed for other reasons.
+func TestSuccessClearsSuspicion(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Unix(1000, 0)
+	here, there := quarantine.New(quarantine.DefaultOptions()), quarantine.New(quarantine.DefaultOptions())
+	f := quarantine.FingerprintOf("a", []byte("hi"))
+	crash, _ := here.Crashed(now, f, "engine-1")
+	there.Merge(now, crash)
+	cleared, ok := here.Succeeded(now, f)
+	g.Expect(ok).To(BeTrue())
+	there.Merge(now, cleared)
+	there.Merge(now, crash)
+	_, quarantined := there.Crashed(now, f, "engine-2")
+	g.Expect(quarantined).To(BeFalse())
+}
+
 // Guards against a request that is blamed for unrelated crashes long apart, and
 // against unbounded memory.
 func TestSuspectsAreForgotten(t *testing.T) {
