Add the measurement of routing policies on a virtual clock

Cause: changes to the routing score need a figure before and after. Change: pkg/measure runs the routing core and four baselines over a small fake engine in seven scenarios at both operators' sizes and writes tables, JSON and SVG plots; make measure and make bench run it and the benchmarks.

--- a/Makefile
+++ b/Makefile
@@ -39,3 +39,15 @@
 	@mkdir -p out
 	go test -count=1 -run FaultMatrix -v $(MODULES) >out/fault-matrix.log || (cat out/fault-matrix.log; exit 1)
 	@grep -vE '^(=== |--- | +--- |PASS|ok|\?|testing: )' out/fault-matrix.log
+
+# Arguments of the measurement, such as "--scenario reclaim --seeds 5".
+MEASURE ?=
+
+# Compares the policies on a virtual clock; tables, JSON and plots go to out/.
+measure:
+	@mkdir -p out/measure
+	MEASURE_ARGUMENTS="--out $(CURDIR)/out/measure $(MEASURE)" go test -count=1 -run TestCommand -v ./pkg/measure >out/measure.log || (cat out/measure.log; exit 1)
+	@grep -vE '^(=== |--- |PASS|ok )' out/measure.log
+
+bench:
+	go test -run NONE -bench . -benchmem -benchtime 300ms $(MODULES)
--- /dev/null
+++ b/pkg/measure/engine_test.go
@@ -0,0 +1,138 @@
+package measure
+
+import (
+	"time"
+
+	. "github.com/onsi/ginkgo/v2/dsl/core"
+	. "github.com/onsi/gomega"
+
+	"github.com/monsooncrank/monsooncrank/pkg/routing"
+)
+
+// recorder takes what an engine reports.
+type recorder struct {
+	tokens, broke int
+	finishedAt    time.Duration
+	loop          *loop
+}
+
+func (r *recorder) token(*attempt)          { r.tokens++ }
+func (r *recorder) finished(*attempt)       { r.finishedAt = r.loop.now }
+func (r *recorder) broken(*attempt)         { r.broke++ }
+func (r *recorder) prefillStarted(*attempt) {}
+
+var _ = Describe("fakeEngine", func() {
+	var l *loop
+	var r *recorder
+	var e *fakeEngine
+	newRequest := func(tokens, output int) *request {
+		prefixes := []routing.Prefix{{Hash: 1, Tokens: tokens}}
+		return &request{prefixes: prefixes, promptTokens: tokens, outputTokens: output, answer: routing.Prefix{Hash: 2, Tokens: tokens + output}}
+	}
+
+	BeforeEach(func() {
+		l = &loop{}
+		r = &recorder{loop: l}
+		e = newFakeEngine("e", defaultEngineModel, l, r)
+	})
+
+	It("takes the time of its cost model and serves a repeated prompt from its cache", func() {
+		m := defaultEngineModel
+		e.submit(&attempt{request: newRequest(512, 2)})
+		l.runUntil(time.Second)
+		prefill := 2*m.Base + 512*m.PerPrefillToken
+		Expect(r.finishedAt).To(Equal(prefill + m.Base + 2*m.PerSequence))
+		again := &attempt{request: newRequest(512, 2)}
+		e.submit(again)
+		l.runUntil(2 * time.Second)
+		Expect(again.cached).To(Equal(512))
+		Expect(r.tokens).To(Equal(4))
+		Expect(e.runningTokens).To(BeZero())
+	})
+
+	It("evicts the least recently used prefix when the memory is full", func() {
+		c := newPrefixCache(1000)
+		for hash := range uint64(3) {
+			c.store(e, []routing.Prefix{{Hash: hash, Tokens: 400}})
+		}
+		Expect(c.hit([]routing.Prefix{{Hash: 0, Tokens: 400}})).To(BeZero())
+		Expect(c.hit([]routing.Prefix{{Hash: 2, Tokens: 400}})).To(Equal(400))
+		Expect(c.events[len(c.events)-1].event.Evicted).To(BeTrue())
+	})
+
+	It("moves a stream without computing its tokens again", func() {
+		a := &attempt{request: newRequest(512, 200)}
+		e.submit(a)
+		l.runUntil(time.Second)
+		exported := time.Duration(0)
+		tokens := 512 + a.emitted
+		e.export(a, func() { exported = l.now })
+		l.runUntil(2 * time.Second)
+		Expect(exported).To(Equal(time.Second + time.Duration(tokens)*defaultEngineModel.TransferPerToken))
+		target := newFakeEngine("f", defaultEngineModel, l, r)
+		target.submit(&attempt{request: a.request, resumed: a.emitted, emitted: a.emitted, imported: true})
+		l.runUntil(10 * time.Second)
+		Expect(r.tokens).To(Equal(200))
+	})
+
+	It("breaks its attempts when it is killed", func() {
+		e.submit(&attempt{request: newRequest(512, 100)})
+		e.submit(&attempt{request: newRequest(512, 100)})
+		e.kill()
+		Expect(r.broke).To(Equal(2))
+	})
+})
+
+var _ = Describe("run", func() {
+	// A run must give the same figures each time, or rounds cannot be compared.
+	It("is deterministic for a seed and loses nothing in a reclaim", func() {
+		o, s, p := Kodiclub(), Scenarios()[3], Policies()[0]
+		o.WarmUp, o.Horizon = 5*time.Second, 30*time.Second
+		first, second := run(&o, &s, &p, 0.4, 1), run(&o, &s, &p, 0.4, 1)
+		Expect(first.again).To(Equal(second.again))
+		Expect(first.redone).To(Equal(second.redone))
+		Expect(first.inTime).To(Equal(second.inTime))
+		Expect(first.cost).To(Equal(second.cost))
+		Expect(first.lost).To(BeZero())
+		Expect(first.requests).To(BeNumerically(">", 1000))
+	})
+
+	It("counts the hours of a reclaimed host only until it stops", func() {
+		o, s, p := Kodiclub(), Scenarios()[0], Policies()[0]
+		x := &experiment{operator: &o, scenario: &s, policy: &p, model: defaultEngineModel, byName: map[string]*host{}}
+		x.startFleet()
+		before := x.cost(0, time.Hour)
+		x.hosts[0].stopped = 30 * time.Minute
+		Expect(before - x.cost(0, time.Hour)).To(BeNumerically("~", x.hosts[0].server.PricePerHour/2, 1e-9))
+	})
+})
+
+var _ = Describe("simplePlanner", func() {
+	It("finishes, migrates within its share of the link and spreads the rest", func() {
+		p := &simplePlanner{betweenTokens: 25 * time.Millisecond, transferPerToken: time.Millisecond, linkShare: 1, margin: time.Second}
+		decisions := p.plan(5*time.Second, []reclaimStream{
+			{tokens: 1000, remaining: 10}, {tokens: 3000, remaining: 1000}, {tokens: 2500, remaining: 1000}, {tokens: 2400, remaining: 1000},
+		})
+		Expect(decisions).To(HaveLen(4))
+		Expect(decisions[0].action).To(Equal(actionMigrate))
+		Expect(decisions[1].action).To(Equal(actionResume))
+		Expect(decisions[2].action).To(Equal(actionResume))
+		Expect(decisions[2].at).To(Equal(2 * time.Second))
+		Expect(decisions[3].action).To(Equal(actionFinish))
+	})
+})
+
+var _ = Describe("targets", func() {
+	summary := func(policy string, recomputed, load, cost float64) Summary {
+		return Summary{Cell: &Cell{Policy: policy, RecomputedTokens: recomputed}, TargetLoad: load, CostAtTarget: cost}
+	}
+
+	It("compares with the best baseline and shows a missed target as missed", func() {
+		own := summary(MonsooncrankPolicy, 60, 0.9, 0.9)
+		baselines := []Summary{summary("a", 100, 0.8, 1), summary("b", 200, 0, 0)}
+		Expect(recomputedTarget(own, baselines)).To(And(HaveField("Met", false), HaveField("Baseline", "a"), HaveField("Value", 0.6)))
+		Expect(costTarget(own, baselines)).To(And(HaveField("Met", false), HaveField("Baseline", "a"), HaveField("Value", 0.9)))
+		own.TargetLoad = 0
+		Expect(costTarget(own, baselines).Met).To(BeFalse())
+	})
+})
