--- a/coordination/revision/random_test.go
+++ b/coordination/revision/random_test.go
@@ -16,6 +16,9 @@
 	simSteps   = 120
 )
 
+// simAdvances are below the longest pause, as ticks are.
+var simAdvances = []time.Duration{10 * time.Millisecond, 250 * time.Millisecond, 700 * time.Millisecond, 2 * time.Second}
+
 // simDaemon is one daemon with an oracle that follows from the answers it got.
 type simDaemon struct {
 	tracker   *Tracker
@@ -49,7 +52,7 @@
 // start or a pause without a fresh answer, or that stays behind once all faults
 // are over.
 func TestRandomRevision(t *testing.T) {
-	faults := []string{"pause", "restart", "outage", "lost answer", "peer unreachable", "racing publisher"}
+	faults := []string{"pause", "long pause", "restart", "outage", "lost answer", "peer unreachable", "racing publisher"}
 	randomtest.Check(t, faults, func(rt *rapid.T, report *randomtest.Report) {
 		s := &sim{rt: rt, report: report, now: epoch, head: one}
 		for range simDaemons {
@@ -89,7 +92,7 @@
 	case 5:
 		s.answer(d, true)
 	case 6, 7, 8:
-		s.advance(time.Duration(rapid.IntRange(1, 700).Draw(s.rt, "ms")) * time.Millisecond)
+		s.advance(rapid.SampledFrom(simAdvances).Draw(s.rt, "advance"))
 	default:
 		s.answer(d, false)
 	}
@@ -140,6 +143,7 @@
 
 func (s *sim) handle(d *simDaemon, e Event) {
 	if Elapsed(d.lastEvent, s.now) > DefaultMaxPause {
+		s.report.Fault("long pause")
 		d.confirmed, d.since = false, s.now
 	}
 	d.lastEvent = s.now
