--- a/coordination/membership/daemons.go
+++ b/coordination/membership/daemons.go
@@ -7,6 +7,10 @@
 	"time"
 )
 
+// maxDaemons bounds the daemons that are known, gone ones included: several
+// times 590 and the restarts of an hour.
+const maxDaemons = 8192
+
 type daemon struct {
 	Member
 	rank uint8
@@ -27,6 +31,9 @@
 // applyDaemon takes what a peer says about a daemon and reports whether it was
 // news.
 func (c *Core) applyDaemon(delta *Delta) bool {
+	if !delta.valid() {
+		return false
+	}
 	if delta.Name == c.self.Name {
 		return c.refute(delta)
 	}
@@ -35,7 +42,10 @@
 	if known != nil && !overrides(delta.Incarnation, rank, known.Incarnation, known.rank) {
 		return false
 	}
-	age := time.Duration(max(delta.AgeMillis, 0)) * time.Millisecond
+	if known == nil && len(c.daemons) >= maxDaemons {
+		return false
+	}
+	age := delta.age()
 	if known == nil && rank == rankGone && age >= c.o.GoneRetention/2 {
 		return false
 	}
--- a/coordination/membership/message.go
+++ b/coordination/membership/message.go
@@ -1,6 +1,7 @@
 package membership
 
 import (
+	"math"
 	"time"
 )
 
@@ -102,6 +103,17 @@
 	return statesByRank[d.Rank]
 }
 
+// maxAge bounds the ages that peers state, above every retention.
+const maxAge = 30 * 24 * time.Hour
+
+func (d *Delta) age() time.Duration {
+	return time.Duration(min(max(d.AgeMillis, 0), maxAge.Milliseconds())) * time.Millisecond
+}
+
+// valid reports whether a delta can be taken. The highest incarnation could not
+// be refuted.
+func (d *Delta) valid() bool { return d.Name != "" && d.Incarnation < math.MaxUint64 }
+
 func (d *Delta) member() Member {
 	return Member{
 		Name: d.Name, Kind: d.Kind, Address: d.Address, Pool: d.Pool,
--- a/coordination/membership/receive.go
+++ b/coordination/membership/receive.go
@@ -2,7 +2,6 @@
 
 import (
 	"sort"
-	"time"
 )
 
 // receive takes a message; a heartbeat is answered.
@@ -28,11 +27,13 @@
 
 func (c *Core) applyDelta(delta *Delta, syncReply bool) {
 	var news bool
+	if !delta.valid() {
+		return
+	}
 	if delta.Kind == KindDaemon {
 		news = c.applyDaemon(delta)
 	} else {
-		age := time.Duration(max(delta.AgeMillis, 0)) * time.Millisecond
-		news = delta.Rank >= rankLeaving && c.leaving(delta.Name, delta.Incarnation, delta.Rank, age)
+		news = delta.Rank >= rankLeaving && c.leaving(delta.Name, delta.Incarnation, delta.Rank, delta.age())
 	}
 	// A peer that is behind gets this daemon's state from the next messages.
 	if !news && syncReply && c.newerThan(delta) {
--- a/coordination/membership/servers.go
+++ b/coordination/membership/servers.go
@@ -83,7 +83,10 @@
 // applyServer takes what the host list of some daemon showed: alive for a
 // BackendServer that is listed, suspect for one that is no longer listed.
 func (c *Core) applyServer(delta *Delta) {
-	seenAt := c.now.Add(-time.Duration(max(delta.AgeMillis, 0)) * time.Millisecond)
+	if !delta.valid() {
+		return
+	}
+	seenAt := c.now.Add(-delta.age())
 	if delta.Rank == rankAlive {
 		c.listed(delta.member(), seenAt)
 		return
--- a/pkg/peer/fuzz_test.go
+++ b/pkg/peer/fuzz_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"errors"
+	"math/rand/v2"
 	"testing"
+	"time"
 
 	"github.com/fxamacker/cbor/v2"
 
@@ -33,5 +35,12 @@
 		if _, err := cbor.Marshal(&m); err != nil {
 			t.Fatalf("a decoded message cannot be encoded: %v", err)
 		}
+		now := time.Unix(1000, 0)
+		core := membership.New(membership.Options{}, membership.Member{Name: "a", Incarnation: 1}, rand.New(rand.NewPCG(1, 1)), now)
+		for range 3 {
+			core.Step(now, membership.MessageEvent{Message: &m, Heartbeat: true})
+			now = now.Add(time.Second)
+			core.Step(now, membership.TickEvent{})
+		}
 	})
 }
--- /dev/null
+++ b/pkg/platform/cloud/watcher.go
@@ -0,0 +1,104 @@
+package cloud
+
+import (
+	"context"
+	"encoding/json"
+	"sync"
+	"time"
+
+	"github.com/juju/errors"
+	"k8s.io/klog/v2"
+	"k8s.io/utils/clock"
+)
+
+// WatcherOptions are the settings of a Watcher.
+type WatcherOptions struct {
+	// Interval is the time between polls.
+	Interval time.Duration
+	// Active says whether this daemon polls now; nil means always. A few of
+	// many daemons poll and tell the others.
+	Active func() bool
+	// OnNotice gets each notice once. It runs on the Watcher's goroutine.
+	OnNotice func(Notice)
+	Clock    clock.WithTicker
+}
+
+const defaultWatchInterval = 500 * time.Millisecond
+
+// Watcher polls the reclaim notices.
+type Watcher struct {
+	o      WatcherOptions
+	api    API
+	cancel context.CancelFunc
+	wg     sync.WaitGroup
+	seen   map[string]time.Time
+}
+
+// NewWatcher polls until Close.
+func NewWatcher(o WatcherOptions, api API) *Watcher {
+	if o.Interval == 0 {
+		o.Interval = defaultWatchInterval
+	}
+	if o.Clock == nil {
+		o.Clock = clock.RealClock{}
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	w := &Watcher{o: o, api: api, cancel: cancel, seen: map[string]time.Time{}}
+	ticker := o.Clock.NewTicker(o.Interval)
+	w.wg.Add(1)
+	go w.run(ctx, ticker)
+	return w
+}
+
+// Close stops polling.
+func (w *Watcher) Close() {
+	w.cancel()
+	w.wg.Wait()
+}
+
+func (w *Watcher) run(ctx context.Context, ticker clock.Ticker) {
+	defer w.wg.Done()
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C():
+			if w.o.Active == nil || w.o.Active() {
+				w.poll(ctx)
+			}
+		}
+	}
+}
+
+func (w *Watcher) poll(ctx context.Context) {
+	notices, err := w.api.Notices(ctx)
+	if err != nil {
+		klog.ErrorS(err, "poll of the reclaim notices failed")
+		return
+	}
+	current := make(map[string]time.Time, len(notices))
+	for _, n := range notices {
+		current[n.HostID] = n.ReclaimAt
+		if at, ok := w.seen[n.HostID]; ok && at.Equal(n.ReclaimAt) {
+			continue
+		}
+		w.o.OnNotice(n)
+	}
+	w.seen = current
+}
+
+// EncodeNotice returns a notice as payload of an announcement.
+func EncodeNotice(n Notice) ([]byte, error) {
+	payload, err := json.Marshal(n)
+	return payload, errors.Trace(err)
+}
+
+// DecodeNotice reads the payload of an announcement.
+func DecodeNotice(payload []byte) (Notice, error) {
+	var n Notice
+	if err := json.Unmarshal(payload, &n); err != nil {
+		return Notice{}, &InvalidAnswerError{Cause: err}
+	}
+	return n, nil
+}
