Keep the trust in a server's cache when its cache events have gaps

Cause: 5% of the events are lost, so each poll has a gap, and a factor of 0.95 a gap drove every server's cache trust to its minimum within seconds. Prefix hits then counted next to nothing. Change: gaps leave the trust alone; the cached token count of each answer corrects it, compared with the expected hit before the trust is applied. The load grid of the measurement goes up to 1.2 in steps of 0.1.

--- a/pkg/measure/report.go
+++ b/pkg/measure/report.go
@@ -9,7 +9,7 @@
 
 // loads are the shares of the capacity at which each policy is measured, and
 // tableLoad the one that the table shows.
-var loads = []float64{0.4, 0.6, 0.7, 0.8, 0.9, 1.0, 1.2}
+var loads = []float64{0.4, 0.5, 0.6, 0.7, 0.8, 0.9, 1.0, 1.1, 1.2}
 
 const tableLoad = 0.8
 
--- a/pkg/routing/attempt.go
+++ b/pkg/routing/attempt.go
@@ -19,10 +19,10 @@
 		return &DuplicateAttemptError{AttemptID: attemptID}
 	}
 	at := now.Sub(r.epoch)
-	expected := int(r.expectedHit(q, s, at))
+	expected := r.expectedHit(q, s, at)
 	a := attempt{
-		server: s, startedAt: at, backlog: s.pendingPrefill, expected: expected,
-		prefill: max(q.PromptTokens-expected, 0) + q.ResumeTokens,
+		server: s, startedAt: at, backlog: s.pendingPrefill, expected: int(expected / s.cacheTrust),
+		prefill: max(q.PromptTokens-int(expected), 0) + q.ResumeTokens,
 	}
 	a.levels = copy(a.prefixes[:], q.Prefixes)
 	r.attempts[attemptID] = a
--- a/pkg/routing/router.go
+++ b/pkg/routing/router.go
@@ -40,10 +40,11 @@
 
 // attempt is one outstanding attempt.
 type attempt struct {
-	server     *server
-	startedAt  time.Duration
-	backlog    int
-	prefill    int
+	server    *server
+	startedAt time.Duration
+	backlog   int
+	prefill   int
+	// expected is the expected hit without the server's cache trust.
 	expected   int
 	firstToken bool
 	levels     int
@@ -231,9 +232,6 @@
 		if e.Sequence <= s.lastSequence {
 			continue
 		}
-		if s.lastSequence != 0 && e.Sequence != s.lastSequence+1 {
-			s.cacheTrust = max(s.cacheTrust*gapTrust, minTrust)
-		}
 		s.lastSequence = e.Sequence
 		if e.Evicted {
 			r.prefixes.evicted(e.PrefixHash, s)
--- a/pkg/routing/server.go
+++ b/pkg/routing/server.go
@@ -9,9 +9,6 @@
 	// ownHistory is how many changes of the own outstanding count are kept
 	// to find the count at the time of a load report.
 	ownHistory = 32
-	// gapTrust multiplies the trust in a server's cached prefixes when its
-	// cache events have a gap, since evictions may be among the lost ones.
-	gapTrust = 0.95
 	// trustStep is the weight of one answer in a server's cache trust.
 	trustStep = 0.1
 	minTrust  = 0.1
