--- a/pkg/streaming/driver.go
+++ b/pkg/streaming/driver.go
@@ -16,6 +16,10 @@
 	"github.com/monsooncrank/monsooncrank/pkg/engine"
 )
 
+// DeferredPriority is added to the priority of deferred requests, so that they
+// run after all others. Lower numbers run first.
+const DeferredPriority = 1000
+
 type streamKey struct{ account, requestID string }
 
 type expiry struct {
@@ -78,6 +82,9 @@
 	if !ok {
 		return api.NotRun(api.ProblemNotFound, http.StatusNotFound, "model "+req.Model+" has no route")
 	}
+	if req.Deferred {
+		route.Priority += DeferredPriority
+	}
 	state := State{Request: *req, Priority: route.Priority, Tokens: tokens, MayHaveRun: len(tokens) > 0}
 	if state.Request.Deadline.IsZero() {
 		setDefault(&route.Timeout, defaultTimeout)
--- a/pkg/streaming/stream.go
+++ b/pkg/streaming/stream.go
@@ -96,10 +96,11 @@
 }
 
 // replaceable reports whether the request may run again under the same ID: it
-// was handed over, its caller went, or it ended with a problem.
+// was handed over, its caller went, or it ended with a problem. A deferred
+// request runs again when its answer could not be stored.
 func (s *stream) replaceable() bool {
 	end := s.log.read(0).end
-	return end != nil && end.Kind != EndFinished
+	return end != nil && (end.Kind != EndFinished || s.request.Deferred)
 }
 
 // step runs an event and the actions that it causes, which may cause events in
