--- /dev/null
+++ b/pkg/daemon/build.go
@@ -0,0 +1,176 @@
+package daemon
+
+import (
+	"math/rand/v2"
+	"net"
+
+	"github.com/google/uuid"
+	"github.com/juju/errors"
+
+	"github.com/monsooncrank/monsooncrank/coordination/idempotency"
+	"github.com/monsooncrank/monsooncrank/coordination/lease"
+	"github.com/monsooncrank/monsooncrank/coordination/membership"
+	"github.com/monsooncrank/monsooncrank/coordination/retry"
+	"github.com/monsooncrank/monsooncrank/pkg/admission"
+	"github.com/monsooncrank/monsooncrank/pkg/deferred"
+	"github.com/monsooncrank/monsooncrank/pkg/engine"
+	"github.com/monsooncrank/monsooncrank/pkg/gateway"
+	"github.com/monsooncrank/monsooncrank/pkg/oncecall"
+	"github.com/monsooncrank/monsooncrank/pkg/peer"
+	"github.com/monsooncrank/monsooncrank/pkg/routing"
+	"github.com/monsooncrank/monsooncrank/pkg/service"
+	"github.com/monsooncrank/monsooncrank/pkg/streaming"
+	"github.com/monsooncrank/monsooncrank/pkg/tlsfiles"
+)
+
+// Streams of the daemon's random sources.
+const (
+	randomMembership uint64 = iota + 1
+	randomRouting
+	randomRetry
+	randomLease
+	randomCalls
+	randomStreams
+)
+
+// buildMembership opens the peers' listener first, since the other daemons are
+// told its address.
+func (d *Daemon) buildMembership(random func(uint64) *rand.Rand) error {
+	serverTLS, clientTLS, err := d.peerTLS()
+	if err != nil {
+		return errors.Trace(err)
+	}
+	d.peers, err = peer.NewServer(peer.ServerOptions{
+		Address: d.settings.Peers.Address, TLS: serverTLS, PlatformEndsTLS: d.settings.Peers.PlatformEndsTLS,
+	}, d.peerHandlers())
+	if err != nil {
+		return errors.Trace(err)
+	}
+	d.pool = peer.NewPool(peer.PoolOptions{TLS: clientTLS})
+	self := membership.Member{
+		Name: d.settings.Name, Address: d.peers.Address(),
+		AvailabilityZone: d.settings.AvailabilityZone, Incarnation: d.incarnation,
+	}
+	core := membership.New(membership.Options{Seeds: d.settings.PeerAddresses}, self, random(randomMembership), d.clock.Now())
+	d.directory = membership.NewDirectory(core, d.clock.Now, d.invariants)
+	d.gossip = peer.NewGossip(peer.GossipOptions{
+		Clock: d.clock, Lister: d.platform.hostList, Metrics: peer.NewMetrics(d.registry),
+		Hooks: peer.Hooks{
+			OnAnnouncement: d.announced,
+			OnRevision:     d.revisionHeard,
+			OnChange:       d.memberChanged,
+		},
+	}, d.directory, d.pool)
+	return nil
+}
+
+// buildDuties builds what answers callers.
+func (d *Daemon) buildDuties(random func(uint64) *rand.Rand) error {
+	var err error
+	d.leases = lease.NewManager(lease.Options{
+		Core: lease.CoreOptions{
+			Holder: d.settings.Name + "#" + uuid.NewString(), Names: lease.RangeNames(rangeDuty),
+			Random: random(randomLease), Reporter: d.invariants,
+		},
+		Store: d.platform.table, Clock: d.clock,
+	})
+	d.committer = idempotency.NewCommitter(idempotency.CommitterOptions{Store: d.platform.table, Clock: d.clock})
+	d.controller, err = admission.NewController(admission.ControllerOptions{
+		Core: admission.DefaultOptions(), Clock: d.clock, Registry: d.registry, Recorder: d.recorder,
+	})
+	if err != nil {
+		return errors.Trace(err)
+	}
+	d.balancer = routing.NewBalancer(routing.BalancerOptions{
+		Router: routing.Options{Daemon: d.settings.Name, AvailabilityZone: d.settings.AvailabilityZone},
+		Clock:  d.clock, Random: random(randomRouting), Decisions: d.recorder,
+		Invariants: d.invariants, Registerer: d.registry,
+	})
+	d.quarantine, err = newQuarantineDuty(d.platform.table, d.spread(membership.AnnounceQuarantine), d.clock, d.recorder, d.registry)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	d.engines = engine.NewHTTPClient(engine.Options{})
+	d.services = service.NewClient(service.Options{})
+	d.buildStreams(random)
+	d.buildCalls(random)
+	d.reconciler = &reconciler{
+		configuration: d.follower, directory: d.directory, balancer: d.balancer,
+		controller: d.controller, engines: d.engines, clock: d.clock,
+	}
+	d.notices = &noticeDuty{
+		cloud: d.platform.cloud, directory: d.directory, balancer: d.balancer, streams: d.streams,
+		clock: d.clock, spread: d.spread(membership.AnnounceReclaim), known: d.reconciler.server,
+	}
+	return nil
+}
+
+func (d *Daemon) buildStreams(random func(uint64) *rand.Rand) {
+	budget := &budgets{policy: retry.NewPolicy(retry.DefaultOptions(), random(randomRetry)), clock: d.clock}
+	admits := newAdmitter(d.controller, d.clock)
+	catalog := &catalog{configuration: d.follower}
+	d.streams = streaming.NewDriver(streaming.Options{
+		Client: d.engines, Router: newStreamRouter(d.balancer), Route: catalog.streamRoute,
+		Directory: d.directory, RetryBudget: budget, Quarantine: d.quarantine, Admission: admits,
+		Peer: &streamPeers{directory: d.directory, pool: d.pool}, Clock: d.clock, Recorder: d.recorder,
+		Invariants: d.invariants, Registerer: d.registry, Seed: random(randomStreams).Uint64(),
+	})
+	d.deferred = deferred.NewDriver(deferred.Options{
+		Table: d.platform.table, Objects: d.platform.objects, Ranges: &ranges{manager: d.leases},
+		Chat: &preemptibleChats{streams: d.streams, admits: admits}, Clock: d.clock,
+		Invariants: d.invariants, Registerer: d.registry,
+	})
+}
+
+func (d *Daemon) buildCalls(random func(uint64) *rand.Rand) {
+	budget := &budgets{policy: retry.NewPolicy(retry.DefaultOptions(), random(randomRetry)), clock: d.clock}
+	d.calls = oncecall.NewCaller(oncecall.Options{
+		Daemon: d.settings.Name, Configuration: &catalog{configuration: d.follower}, Directory: d.directory,
+		Client: d.services, Store: d.platform.table, Committer: d.committer, Leases: d.leases.Duty(rangeDuty),
+		Budget: budget, Clock: d.clock, Decisions: d.recorder, Reporter: d.invariants,
+		Registerer: d.registry, Random: random(randomCalls),
+	})
+}
+
+// buildListeners opens the callers' and the operators' listeners.
+func (d *Daemon) buildListeners(func(uint64) *rand.Rand) error {
+	var err error
+	d.callers, err = gateway.NewServer(gateway.Options{
+		Chats: &chats{catalog: &catalog{configuration: d.follower}, streams: d.streams},
+		Calls: &calls{catalog: &catalog{configuration: d.follower}, caller: d.calls},
+		Deferred: &deferredRequests{
+			catalog: &catalog{configuration: d.follower}, driver: d.deferred,
+		},
+		Catalog: &catalog{configuration: d.follower}, Limits: gateway.DefaultLimits(),
+		Clock: d.clock, Registry: d.registry,
+		NewID: func() string { return newRequestID(d.settings.Name) },
+	})
+	if err != nil {
+		return errors.Trace(err)
+	}
+	if d.listeners.callers, err = d.listen(&d.settings.Callers); err != nil {
+		return errors.Trace(err)
+	}
+	d.listeners.operators, err = d.listen(&d.settings.Operators)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	return errors.Trace(d.buildOperators())
+}
+
+// listen opens a listener, with TLS if the settings name certificates.
+func (d *Daemon) listen(l *Listener) (net.Listener, error) {
+	listener, err := net.Listen("tcp", l.Address)
+	if err != nil {
+		return nil, errors.Annotatef(err, "listen on %s", l.Address)
+	}
+	if l.TLS == nil {
+		return listener, nil
+	}
+	source, err := tlsfiles.NewSource(*l.TLS, d.clock)
+	if err != nil {
+		_ = listener.Close()
+		return nil, errors.Trace(err)
+	}
+	return source.NewListener(listener), nil
+}
--- a/pkg/daemon/catalog.go
+++ b/pkg/daemon/catalog.go
@@ -38,8 +38,8 @@
 }
 
 // ChatTimeout implements gateway.Catalog.
-func (c *catalog) ChatTimeout(model string) (time.Duration, bool) {
-	route, ok := c.route(model, false)
+func (c *catalog) ChatTimeout(model string, deferred bool) (time.Duration, bool) {
+	route, ok := c.route(model, deferred)
 	if !ok {
 		return 0, false
 	}
@@ -104,20 +104,18 @@
 	return snapshot.RouteByModel(model)
 }
 
-// streamRoute returns the streaming.Options.Route of requests that wait or not.
-func (c *catalog) streamRoute(deferred bool) func(model string) (streaming.Route, bool) {
-	return func(model string) (streaming.Route, bool) {
-		route, ok := c.route(model, deferred)
-		if !ok {
-			return streaming.Route{}, false
-		}
-		return streaming.Route{
-			Name:     route.Name,
-			Pools:    route.Pools,
-			Priority: route.Priority,
-			Timeout:  seconds(route.DefaultTimeoutSeconds),
-		}, true
-	}
+// streamRoute implements streaming.Options.Route.
+func (c *catalog) streamRoute(model string) (streaming.Route, bool) {
+	route, ok := c.route(model, false)
+	if !ok {
+		return streaming.Route{}, false
+	}
+	return streaming.Route{
+		Name:     route.Name,
+		Pools:    route.Pools,
+		Priority: route.Priority,
+		Timeout:  seconds(route.DefaultTimeoutSeconds),
+	}, true
 }
 
 // mayChat checks that an account may use the Route of a model.
--- a/pkg/daemon/peers.go
+++ b/pkg/daemon/peers.go
@@ -61,7 +61,7 @@
 
 // Fetch implements streaming.Peer.
 func (p *streamPeers) Fetch(ctx context.Context, req streaming.FetchRequest) (streaming.FetchAnswer, error) {
-	payload, err := cbor.Marshal(req)
+	payload, err := cbor.Marshal(fetchArgs{Kind: fetchStream, Stream: req})
 	if err != nil {
 		return streaming.FetchAnswer{}, errors.Trace(err)
 	}
@@ -119,26 +119,3 @@
 	}
 	return membership.Member{}, false
 }
-
-// serveHandOver continues a stream of a peer.
-func serveHandOver(driver *streaming.Driver) peer.PayloadHandler {
-	return func(_ context.Context, payload []byte) ([]byte, error) {
-		var state streaming.State
-		if err := cbor.Unmarshal(payload, &state); err != nil {
-			return nil, errors.Trace(err)
-		}
-		return nil, errors.Trace(driver.Accept(state))
-	}
-}
-
-// serveFetch sends the events of a stream to a peer.
-func serveFetch(driver *streaming.Driver) peer.PayloadHandler {
-	return func(ctx context.Context, payload []byte) ([]byte, error) {
-		var req streaming.FetchRequest
-		if err := cbor.Unmarshal(payload, &req); err != nil {
-			return nil, errors.Trace(err)
-		}
-		raw, err := cbor.Marshal(driver.Fetch(ctx, req))
-		return raw, errors.Trace(err)
-	}
-}
--- a/pkg/daemon/reconcile.go
+++ b/pkg/daemon/reconcile.go
@@ -127,6 +127,22 @@
 	return servers
 }
 
+// server returns the BackendServer with a name.
+func (r *reconciler) server(name string) (membership.BackendServer, bool) {
+	snapshot, err := r.configuration.Current()
+	if err != nil {
+		return membership.BackendServer{}, false
+	}
+	for _, pool := range snapshot.Set.Pools {
+		for _, server := range r.directory.Available(pool.Name) {
+			if server.Name == name {
+				return server, true
+			}
+		}
+	}
+	return membership.BackendServer{}, false
+}
+
 func slotsOf(servers []routing.Server) int {
 	slots := 0
 	for _, s := range servers {
--- a/pkg/daemon/settings.go
+++ b/pkg/daemon/settings.go
@@ -126,7 +126,8 @@
 // check returns every problem of the settings.
 func (s *Settings) check() []string {
 	c := &settingsCheck{}
-	c.require(s.Name != "", "name is missing")
+	c.require(s.Name != "" && !strings.Contains(s.Name, requestIDSeparator),
+		"name is missing or contains %q", requestIDSeparator)
 	c.require(s.Operator != "", "operator is missing")
 	c.require(s.AvailabilityZone != "", "availability_zone is missing")
 	c.listener("callers", &s.Callers)
--- a/pkg/gateway/chat.go
+++ b/pkg/gateway/chat.go
@@ -69,7 +69,8 @@
 	if err := json.Unmarshal(x.http.PostBody(), &body); err != nil {
 		return nil, false, api.NotRun(api.ProblemBadRequest, http.StatusBadRequest, "the body is not a chat completion request: "+err.Error())
 	}
-	timeout, ok := x.server.options.Catalog.ChatTimeout(body.Model)
+	deferred := strings.Contains(string(x.http.Request.Header.Peek(headerPrefer)), preferRespondAsync)
+	timeout, ok := x.server.options.Catalog.ChatTimeout(body.Model, deferred)
 	if !ok {
 		return nil, false, api.NotRun(api.ProblemNotFound, http.StatusNotFound, "no such model")
 	}
@@ -88,7 +89,7 @@
 		Model:     body.Model,
 		Messages:  body.Messages,
 		MaxTokens: maxTokens,
-		Deferred:  strings.Contains(string(x.http.Request.Header.Peek(headerPrefer)), preferRespondAsync),
+		Deferred:  deferred,
 	}, body.Stream, nil
 }
 
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -55,7 +55,7 @@
 	// force, or a *api.Problem.
 	Authenticate(apiKey string) (account string, revision uint64, err error)
 	// ChatTimeout and CallTimeout return the default deadline of a request.
-	ChatTimeout(model string) (time.Duration, bool)
+	ChatTimeout(model string, deferred bool) (time.Duration, bool)
 	CallTimeout(service, call string) (time.Duration, bool)
 	Models(account string) []string
 }
--- a/pkg/gateway/gateway_test.go
+++ b/pkg/gateway/gateway_test.go
@@ -38,7 +38,7 @@
 	}
 	return "school", 7, nil
 }
-func (fakeCatalog) ChatTimeout(model string) (time.Duration, bool) {
+func (fakeCatalog) ChatTimeout(model string, _ bool) (time.Duration, bool) {
 	return 5 * time.Second, model == "m"
 }
 func (fakeCatalog) CallTimeout(service, call string) (time.Duration, bool) {
--- a/pkg/tlsfiles/tlsfiles.go
+++ b/pkg/tlsfiles/tlsfiles.go
@@ -6,6 +6,7 @@
 import (
 	"crypto/tls"
 	"crypto/x509"
+	"net"
 	"os"
 	"sync"
 	"time"
@@ -72,18 +73,51 @@
 	}
 }
 
+// NewListener returns a listener that serves TLS on the connections of inner.
+func (s *Source) NewListener(inner net.Listener) net.Listener {
+	return tls.NewListener(inner, s.Server())
+}
+
 // Client returns a configuration for connections to other daemons: it presents
-// the certificate and trusts the ClientCA. It must be asked for again for each
-// connection, since the CA may have been replaced.
+// the certificate, and verifies the other side's by the ClientCA. Both are the
+// newest at each handshake. Daemons are addressed by IP numbers that change with
+// every Host, so the certificate's names are not compared with the address: a
+// certificate of the CA is the proof of being a daemon.
 func (s *Source) Client() *tls.Config {
-	certificate, authorities := s.current()
 	return &tls.Config{
-		MinVersion:   tls.VersionTLS12,
-		Certificates: []tls.Certificate{*certificate},
-		RootCAs:      authorities,
+		MinVersion: tls.VersionTLS12,
+		GetClientCertificate: func(*tls.CertificateRequestInfo) (*tls.Certificate, error) {
+			certificate, _ := s.current()
+			return certificate, nil
+		},
+		InsecureSkipVerify: true, // VerifyConnection verifies the chain.
+		VerifyConnection:   s.verify,
+	}
+}
+
+// verify checks that the other side's certificate was signed by the CA.
+func (s *Source) verify(state tls.ConnectionState) error {
+	if len(state.PeerCertificates) == 0 {
+		return &NoPeerCertificateError{}
+	}
+	_, authorities := s.current()
+	intermediates := x509.NewCertPool()
+	for _, certificate := range state.PeerCertificates[1:] {
+		intermediates.AddCert(certificate)
 	}
+	_, err := state.PeerCertificates[0].Verify(x509.VerifyOptions{
+		Roots:         authorities,
+		Intermediates: intermediates,
+		KeyUsages:     []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth},
+	})
+	return errors.Trace(err)
 }
 
+// NoPeerCertificateError reports a peer that presented no certificate.
+type NoPeerCertificateError struct{}
+
+func (e *NoPeerCertificateError) Error() string { return "the peer presented no certificate" }
+
 // current reads the files again if they have changed. Files that can't be read
 // leave the state as it is, since a replacement may be half written.
 func (s *Source) current() (*tls.Certificate, *x509.CertPool) {
