--- /dev/null
+++ b/pkg/publish/record.go
@@ -0,0 +1,115 @@
+// Package publish publishes configurations and follows them.
+//
+// A Publisher stores the body in the object store under its SHA-256 and then
+// moves the table's one head row by compare-and-set. A Follower runs at every
+// daemon: it polls the head row, takes its peers' announcements and says which
+// configuration is in force.
+package publish
+
+import (
+	"encoding/json"
+	"fmt"
+	"math"
+	"time"
+
+	"github.com/monsooncrank/monsooncrank/coordination/revision"
+	"github.com/monsooncrank/monsooncrank/coordination/table"
+)
+
+// Record describes a published revision.
+type Record struct {
+	Revision uint64 `json:"revision"`
+	// BodyHash is the SHA-256 of the body, in hexadecimal.
+	BodyHash string `json:"body_hash"`
+	// PublishID tells apart publishers that move the head at the same time.
+	PublishID   string    `json:"publish_id"`
+	Publisher   string    `json:"publisher"`
+	PublishedAt time.Time `json:"published_at"`
+	Objects     int       `json:"objects"`
+}
+
+func (r Record) revision() revision.Revision {
+	return revision.Revision{Number: r.Revision, BodyHash: r.BodyHash}
+}
+
+const (
+	headPartition    = "configuration"
+	historyPartition = "configuration-history"
+	bodyPrefix       = "configuration/"
+)
+
+// headKey is the row that names the revision in force.
+var headKey = table.Key{Partition: headPartition, Sort: "head"}
+
+// historyKey is the row of one revision. Sort keys fall as revisions rise, so
+// that a query lists the newest first.
+func historyKey(revision uint64) table.Key {
+	return table.Key{Partition: historyPartition, Sort: fmt.Sprintf("%020d", math.MaxUint64-revision)}
+}
+
+// bodyKey is the object of a body.
+func bodyKey(hash string) string { return bodyPrefix + hash }
+
+func decodeRecord(item table.Item) (Record, error) {
+	var r Record
+	if err := json.Unmarshal(item.Value, &r); err != nil {
+		return Record{}, &CorruptRowError{Key: item.Key, Cause: err}
+	}
+	return r, nil
+}
+
+// CorruptRowError reports a row that holds no Record.
+type CorruptRowError struct {
+	Key   table.Key
+	Cause error
+}
+
+func (e *CorruptRowError) Error() string {
+	return fmt.Sprintf("row %s holds no configuration record: %v", e.Key, e.Cause)
+}
+
+// Unwrap returns the cause.
+func (e *CorruptRowError) Unwrap() error { return e.Cause }
+
+// ConflictError reports a publish that was checked against a revision which is
+// not the head. Nothing was published.
+type ConflictError struct {
+	Against uint64
+	// Winner is the revision that took the place after Against, or the head if
+	// Against does not exist. Its Revision is 0 if it could not be read.
+	Winner Record
+}
+
+func (e *ConflictError) Error() string {
+	if e.Winner.Revision == 0 {
+		return fmt.Sprintf("revision %d is not the head", e.Against)
+	}
+	return fmt.Sprintf("revision %d is not the head: %s published revision %d at %s (publish ID %s)", e.Against,
+		e.Winner.Publisher, e.Winner.Revision, e.Winner.PublishedAt.Format(time.RFC3339), e.Winner.PublishID)
+}
+
+// UndeterminedError reports a publish that may or may not have moved the head:
+// the answer was lost and could not be read back in time. The history shows the
+// publish ID if it did.
+type UndeterminedError struct {
+	PublishID string
+	Revision  uint64
+	Cause     error
+}
+
+func (e *UndeterminedError) Error() string {
+	return fmt.Sprintf("publish %s may have become revision %d: %v", e.PublishID, e.Revision, e.Cause)
+}
+
+// Unwrap returns the cause.
+func (e *UndeterminedError) Unwrap() error { return e.Cause }
+
+// UnknownRevisionError reports a revision that was never published.
+type UnknownRevisionError struct{ Revision uint64 }
+
+func (e *UnknownRevisionError) Error() string {
+	if e.Revision == 0 {
+		return "no configuration has been published"
+	}
+	return fmt.Sprintf("revision %d has not been published", e.Revision)
+}
