Add leases with fencing numbers

Cause: duties that one daemon must do alone need a holder that others can replace without comparing clocks of two hosts.

Change: lease.Core decides acquisition, renewal, takeover by own observation, release on drain and a fair spread; lease.Manager drives it over the table. EarliestOrder tells when orders may go to engines that ignore fencing numbers.

--- /dev/null
+++ b/coordination/lease/matrix_test.go
@@ -0,0 +1,181 @@
+package lease_test
+
+import (
+	"os"
+	"testing"
+	"time"
+
+	"github.com/monsooncrank/monsooncrank/coordination/faultmatrix"
+	"github.com/monsooncrank/monsooncrank/coordination/table/memtable"
+)
+
+const lateWrite = "late write"
+
+// matrixFaults inject one failure into the step that node 0 has reached.
+var matrixFaults = []struct {
+	name   string
+	inject func(s *simulation)
+}{
+	{"store unavailable", func(s *simulation) { s.failNext(memtable.FaultUnavailable, 3) }},
+	{"answer lost", func(s *simulation) { s.failNext(memtable.FaultAnswerLost, 1) }},
+	{"request lost", func(s *simulation) { s.failNext(memtable.FaultRequestLost, 1) }},
+	{lateWrite, func(s *simulation) { s.until(func() bool { return s.writing() }); s.delayWrite() }},
+	{"holder paused", func(s *simulation) {
+		s.resume(s.nodes[0])
+		s.nodes[0].paused = true
+		s.advance(2 * simDuration)
+	}},
+	{"holder dies", func(s *simulation) {
+		if s.nodes[0].dead {
+			s.start(s.nodes[0])
+			s.until(func() bool { return s.writing() })
+		}
+		s.kill(s.nodes[0])
+	}},
+	{"messages delayed", func(s *simulation) { s.advance(simDuration - time.Second) }},
+}
+
+// failNext fails the next operations of the table.
+func (s *simulation) failNext(fault memtable.Fault, count int) {
+	s.store.SetFault(func(memtable.Operation) memtable.Fault {
+		if count--; count < 0 {
+			return memtable.FaultNone
+		}
+		return fault
+	})
+}
+
+// delayWrite loses the answer of a write in flight, if there is one, and keeps
+// the write on its way for as long as the lease lasts.
+func (s *simulation) delayWrite() {
+	for i, m := range s.network {
+		if s.loseAnswer(i) {
+			s.network = append(s.network[:i], s.network[i+1:]...)
+			s.late = append(s.late, m)
+			return
+		}
+	}
+}
+
+// matrixSteps bring node 0 to a step.
+var matrixSteps = map[string]func(s *simulation){
+	"acquiring":  func(s *simulation) { s.until(func() bool { return s.writing() }) },
+	"held":       func(s *simulation) { s.until(func() bool { return s.holds(s.nodes[0]) }) },
+	"order sent": func(s *simulation) { s.until(func() bool { s.act(s.nodes[0]); return s.ordered > 0 }) },
+	"renewing": func(s *simulation) {
+		s.until(func() bool { return s.holds(s.nodes[0]) })
+		s.until(func() bool { return s.writing() })
+	},
+	"lapsed": func(s *simulation) {
+		s.until(func() bool { s.act(s.nodes[0]); return s.ordered > 0 })
+		s.nodes[0].paused = true
+		s.advance(simDuration)
+	},
+}
+
+func (s *simulation) holds(n *node) bool {
+	_, ok := n.core.Held(s.clock(n), s.names[0])
+	return ok
+}
+
+func (s *simulation) writing() bool {
+	for _, m := range s.network {
+		if m.write != nil {
+			return true
+		}
+	}
+	return false
+}
+
+// until carries one message or moves the time a little until a condition holds.
+func (s *simulation) until(condition func() bool) {
+	for range 10000 {
+		if condition() {
+			return
+		}
+		if len(s.network) > 0 {
+			s.carry(0)
+			continue
+		}
+		s.advance(100 * time.Millisecond)
+	}
+	s.fail("the step was not reached")
+}
+
+// runOn carries all messages for four durations while every node gives orders;
+// late writes arrive in the middle.
+func (s *simulation) runOn() {
+	for tick := range 160 {
+		for len(s.network) > 0 {
+			s.carry(0)
+		}
+		if tick == 60 {
+			s.network, s.late = append(s.network, s.late...), nil
+			s.resume(s.nodes[0])
+		}
+		for _, n := range s.nodes {
+			s.act(n)
+		}
+		s.advance(simDuration / 40)
+	}
+}
+
+// TestFaultMatrixLeases guards against two holders, overlapping orders and a
+// lease that nobody takes again, with each fault and each pair of faults.
+func TestFaultMatrixLeases(t *testing.T) {
+	faults := make(map[string][]func(*simulation))
+	var names []string
+	add := func(name string, inject ...func(*simulation)) {
+		faults[name] = inject
+		names = append(names, name)
+	}
+	for _, f := range matrixFaults {
+		add(f.name, f.inject)
+	}
+	for i, f := range matrixFaults {
+		for _, g := range matrixFaults[i:] {
+			add(f.name+", "+g.name, f.inject, g.inject)
+		}
+	}
+	matrix := &faultmatrix.Matrix{
+		Name:   "leases",
+		Faults: names,
+		Steps:  []string{"acquiring", "held", "order sent", "renewing", "lapsed"},
+		Cell: func(fault, step string) faultmatrix.Cell {
+			writes := step == "acquiring" || step == "renewing"
+			if fault == lateWrite && !writes {
+				return faultmatrix.Cell{NotFaced: "no write is in flight at this step"}
+			}
+			return faultmatrix.Cell{Run: func(t *testing.T) { runCell(t, faults[fault], step) }}
+		},
+	}
+	matrix.Run(t, os.Stdout)
+}
+
+func runCell(t *testing.T, faults []func(*simulation), step string) {
+	s := newSimulation(1, 1, 1)
+	// The second node joins once the first has started to acquire.
+	if matrixSteps[step](s); len(s.failures) == 0 {
+		s.join()
+	}
+	for _, inject := range faults {
+		inject(s)
+		if len(s.network) > 0 {
+			s.carry(0)
+		}
+	}
+	s.runOn()
+	s.settle()
+	held := 0
+	for _, n := range s.nodes {
+		if s.holds(n) {
+			held++
+		}
+	}
+	if held != 1 {
+		t.Errorf("%d nodes hold the lease in the end", held)
+	}
+	if len(s.failures) > 0 {
+		t.Errorf("%v", s.failures)
+	}
+}
--- /dev/null
+++ b/coordination/lease/observe.go
@@ -0,0 +1,224 @@
+package lease
+
+import (
+	"time"
+
+	"github.com/monsooncrank/monsooncrank/coordination/invariant"
+	"github.com/monsooncrank/monsooncrank/coordination/table"
+)
+
+// listed compares the rows with what is known.
+func (c *Core) listed(now time.Time, e Listed) []Action {
+	c.listing = false
+	if e.Failed {
+		c.scheduleList(now)
+		return nil
+	}
+	items := make(map[string]table.Item, len(e.Items))
+	for _, item := range e.Items {
+		items[item.Key.Sort] = item
+	}
+	var actions []Action
+	for _, name := range c.names {
+		actions = append(actions, c.observe(now, e.SentAt, c.leases[name], items[name])...)
+	}
+	c.scheduleList(now)
+	return actions
+}
+
+// scheduleList lists rarer while this daemon has nothing to acquire and nothing
+// in doubt, so that the cost stays low with many more daemons than leases.
+func (c *Core) scheduleList(now time.Time) {
+	base := c.options.Duration / renewalsPerLease
+	if c.wanting() {
+		c.listWait = base
+	} else {
+		c.listWait = min(2*c.listWait, maxIdleFactor*base)
+	}
+	if c.doubtful() {
+		c.listAt = now.Add(c.options.Duration / doubtfulListsPerLease)
+		return
+	}
+	jitter := 0.75 + c.options.Random.Float64()/2
+	c.listAt = now.Add(time.Duration(float64(c.listWait) * jitter))
+}
+
+// doubtfulListsPerLease is how often the rows are listed within a duration while
+// the answer of a write is lost.
+const doubtfulListsPerLease = 64
+
+func (c *Core) doubtful() bool {
+	for _, l := range c.leases {
+		if l.pending != nil && l.pending.doubtful {
+			return true
+		}
+	}
+	return false
+}
+
+func (c *Core) wanting() bool {
+	for _, l := range c.leases {
+		if l.pending != nil {
+			return true
+		}
+	}
+	return !c.draining && c.heldOrPending() < c.target() && c.target() > 1
+}
+
+// observe takes the row of a lease as read by a request sent at sentAt.
+func (c *Core) observe(now, sentAt time.Time, l *state, item table.Item) []Action {
+	row := Row{}
+	if item.Version > 0 {
+		decoded, err := decodeRow(item)
+		if err != nil {
+			// A row that cannot be read is nobody's to take.
+			l.known = false
+			return nil
+		}
+		row = decoded
+	}
+	if l.pending != nil {
+		return c.observePending(now, sentAt, l, item.Version, row)
+	}
+	if item.Version < l.version {
+		// A read that was overtaken by a newer write.
+		return nil
+	}
+	return c.see(now, l, item.Version, row)
+}
+
+// see records a version. Its time of observation starts with its first sight.
+func (c *Core) see(now time.Time, l *state, version uint64, row Row) []Action {
+	if l.known && version == l.version {
+		return nil
+	}
+	_ = c.options.Reporter.Check(row.Number >= l.row.Number, invariant.FencingNumberRises,
+		"lease %s fell from number %d to %d", l.name, l.row.Number, row.Number)
+	var actions []Action
+	if l.held {
+		// Another daemon can only have taken it if this one was silent for
+		// longer than it believes.
+		_ = c.options.Reporter.Check(false, invariant.LeaseExclusive,
+			"lease %s number %d was taken over by %s while held", l.name, l.row.Number, row.Holder)
+		l.held = false
+		actions = append(actions, Lost{Name: l.name, Number: l.row.Number, Lapsed: true})
+	}
+	l.known, l.version, l.row, l.seenAt = true, version, row, now
+	l.free = now
+	if row.Holder != "" {
+		l.free = now.Add(row.duration())
+	}
+	return actions
+}
+
+// observePending settles a write whose answer was lost. A read that was sent
+// before the write, or that a newer write has overtaken, says nothing about it.
+func (c *Core) observePending(now, sentAt time.Time, l *state, version uint64, row Row) []Action {
+	p := l.pending
+	if !p.doubtful || sentAt.Before(p.sentAt) || version < p.over {
+		return nil
+	}
+	if version == p.over {
+		return c.retry(now, l)
+	}
+	if version == p.over+1 && row == p.row {
+		return c.applied(now, l)
+	}
+	l.pending = nil
+	return c.see(now, l, version, row)
+}
+
+// retry writes again what has not applied. The earlier write may still arrive;
+// the lease is therefore counted from the first one.
+func (c *Core) retry(now time.Time, l *state) []Action {
+	p := l.pending
+	expired := !now.Before(p.sentAt.Add(c.options.Duration - c.options.Margin))
+	if p.purpose != purposeRelease && (expired || c.draining) {
+		l.pending = nil
+		return nil
+	}
+	p.doubtful = false
+	return []Action{Write{Name: l.name, Write: table.Write{Key: RowKey(l.name), Version: p.over, Value: encodeRow(p.row)}}}
+}
+
+// wrote takes the end of a write.
+func (c *Core) wrote(now time.Time, e Wrote) []Action {
+	l := c.leases[e.Name]
+	if l == nil || l.pending == nil {
+		return nil
+	}
+	switch e.Status {
+	case WriteApplied:
+		return c.applied(now, l)
+	case WriteAmbiguous, WriteRefused:
+		// After a refusal as well the row may hold the own write: an earlier
+		// try of it whose answer was lost.
+		c.doubt(now, l)
+	case WriteUnavailable:
+		c.unavailable(now, l)
+	}
+	return nil
+}
+
+// doubt keeps a write whose answer was lost until a list decides. The first list
+// is sent at once.
+func (c *Core) doubt(now time.Time, l *state) {
+	l.pending.doubtful = true
+	l.pending.doubts++
+	next := now
+	if l.pending.doubts > 1 {
+		next = now.Add(c.options.Duration / doubtfulListsPerLease)
+	}
+	c.listAt = earlier(c.listAt, next)
+}
+
+// unavailable drops a write that the table did not take, unless an earlier try
+// of it may still have applied.
+func (c *Core) unavailable(now time.Time, l *state) {
+	p := l.pending
+	if p.doubts > 0 {
+		c.doubt(now, l)
+		return
+	}
+	l.pending = nil
+	switch p.purpose {
+	case purposeRenew:
+		l.renewAt = now.Add(c.options.Duration / doubtfulListsPerLease)
+	case purposeAcquire:
+		l.tryAt = now.Add(c.options.Duration / renewalsPerLease)
+	case purposeRelease:
+		// The lease ends by itself; this daemon waits like any other.
+		l.free = now.Add(l.row.duration())
+	}
+}
+
+// applied takes over a write that the row shows.
+func (c *Core) applied(now time.Time, l *state) []Action {
+	p := l.pending
+	l.pending = nil
+	_ = c.options.Reporter.Check(p.row.Number >= l.row.Number, invariant.FencingNumberRises,
+		"lease %s fell from number %d to %d", l.name, l.row.Number, p.row.Number)
+	wasHeld := l.held
+	l.known, l.version, l.row, l.seenAt = true, p.over+1, p.row, now
+	if p.purpose == purposeRelease {
+		l.free = now
+		return nil
+	}
+	l.free = now.Add(l.row.duration())
+	deadline := p.sentAt.Add(c.options.Duration - c.options.Margin)
+	if !now.Before(deadline) {
+		return nil
+	}
+	if p.purpose == purposeRenew && !wasHeld {
+		// It lapsed meanwhile and its duties have stopped; they start again
+		// only under a new number.
+		return nil
+	}
+	l.held, l.deadline = true, deadline
+	l.renewAt = p.sentAt.Add(c.options.Duration / renewalsPerLease)
+	if p.purpose == purposeRenew {
+		return nil
+	}
+	l.earliestOrder = p.earliestOrder
+	return []Action{Acquired{Name: l.name, Number: l.row.Number, EarliestOrder: p.earliestOrder}}
+}
--- /dev/null
+++ b/coordination/lease/random_test.go
@@ -0,0 +1,108 @@
+package lease_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/monsooncrank/monsooncrank/coordination/randomtest"
+	"github.com/monsooncrank/monsooncrank/coordination/table/memtable"
+	"pgregory.net/rapid"
+)
+
+var storeFaults = map[string]memtable.Fault{
+	"store unavailable": memtable.FaultUnavailable,
+	"answer lost":       memtable.FaultAnswerLost,
+	"request lost":      memtable.FaultRequestLost,
+}
+
+// TestRandomLeases guards against two holders at one time, a falling fencing
+// number, orders that overlap with those of an earlier holder, and leases that
+// nobody or one daemon alone takes.
+func TestRandomLeases(t *testing.T) {
+	wanted := []string{"store unavailable", "answer lost", "request lost", "late write", "pause", "death", "restart"}
+	randomtest.Check(t, wanted, func(rt *rapid.T, report *randomtest.Report) {
+		nodes := rapid.IntRange(2, 4).Draw(rt, "nodes")
+		s := newSimulation(rapid.Uint64().Draw(rt, "seed"), nodes, 5)
+		for range rapid.IntRange(50, 400).Draw(rt, "steps") {
+			report.Step()
+			step(rt, s, report)
+			if len(s.failures) > 0 {
+				rt.Fatalf("%v", s.failures)
+			}
+		}
+		s.settle()
+		judgeSpread(rt, s, report)
+		if len(s.failures) > 0 {
+			rt.Fatalf("%v", s.failures)
+		}
+	})
+}
+
+func step(rt *rapid.T, s *simulation, report *randomtest.Report) {
+	n := s.nodes[rapid.IntRange(0, len(s.nodes)-1).Draw(rt, "node")]
+	switch rapid.IntRange(0, 19).Draw(rt, "step") {
+	case 0:
+		kind := rapid.SampledFrom([]string{"store unavailable", "answer lost", "request lost"}).Draw(rt, "fault")
+		left := rapid.IntRange(1, 6).Draw(rt, "count")
+		report.Fault(kind)
+		s.store.SetFault(func(memtable.Operation) memtable.Fault {
+			if left--; left < 0 {
+				return memtable.FaultNone
+			}
+			return storeFaults[kind]
+		})
+	case 1:
+		if len(s.network) > 0 && s.loseAnswer(rapid.IntRange(0, len(s.network)-1).Draw(rt, "message")) {
+			report.Fault("late write")
+		}
+	case 2:
+		if !n.dead && !n.paused {
+			n.paused = true
+			report.Fault("pause")
+		}
+	case 3, 4:
+		s.resume(n)
+	case 5:
+		if rapid.IntRange(0, 3).Draw(rt, "death") == 0 {
+			s.kill(n)
+			report.Fault("death")
+		}
+	case 6:
+		if n.dead {
+			s.start(n)
+			report.Fault("restart")
+		}
+	case 7, 8, 9, 10:
+		s.advance(time.Duration(rapid.IntRange(1, 4000).Draw(rt, "ms")) * time.Millisecond)
+	case 11, 12:
+		before := s.ordered
+		s.act(n)
+		for range s.ordered - before {
+			report.Outcome("order given")
+		}
+	default:
+		for range rapid.IntRange(1, 6).Draw(rt, "messages") {
+			if len(s.network) > 0 {
+				s.carry(rapid.IntRange(0, len(s.network)-1).Draw(rt, "message"))
+				s.check()
+			}
+		}
+	}
+}
+
+// judgeSpread expects each lease held and no node above its fair share.
+func judgeSpread(rt *rapid.T, s *simulation, report *randomtest.Report) {
+	share := (len(s.names) + len(s.nodes) - 1) / len(s.nodes)
+	held := 0
+	for _, n := range s.nodes {
+		names := n.core.HeldNames(s.clock(n))
+		held += len(names)
+		if len(names) > share {
+			rt.Fatalf("%s holds %d leases, its share is %d", n.name, len(names), share)
+		}
+	}
+	if held != len(s.names) {
+		rt.Fatalf("%d of %d leases are held after all faults have ended", held, len(s.names))
+	}
+	report.Outcome("all leases held")
+}
--- /dev/null
+++ b/coordination/lease/simulation_test.go
@@ -0,0 +1,281 @@
+package lease_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"github.com/monsooncrank/monsooncrank/coordination/invariant"
+	"github.com/monsooncrank/monsooncrank/coordination/lease"
+	"github.com/monsooncrank/monsooncrank/coordination/table"
+	"github.com/monsooncrank/monsooncrank/coordination/table/memtable"
+)
+
+const (
+	simDuration      = 10 * time.Second
+	simMargin        = 2 * time.Second
+	simOrderDeadline = 5 * time.Second
+)
+
+// message is a request to the table or its answer on the way back.
+type message struct {
+	from   *node
+	life   int
+	write  *lease.Write
+	sentAt time.Time
+	answer lease.Event
+	// orphan marks a request whose sender has already been told that its
+	// answer was lost.
+	orphan bool
+}
+
+// node is a daemon with its own clock.
+type node struct {
+	name   string
+	life   int
+	core   *lease.Core
+	offset time.Duration
+	drift  float64
+	paused bool
+	dead   bool
+	inbox  []lease.Event
+}
+
+// simulation runs nodes against one table under a global clock. Messages take
+// any time and arrive in any order.
+type simulation struct {
+	now     time.Time
+	store   *memtable.Store
+	nodes   []*node
+	network []*message
+	// late holds writes that arrive much later.
+	late     []*message
+	names    []string
+	random   *rand.Rand
+	reporter *invariant.Reporter
+	failures []string
+	// inFlight is when the last order by lease and holder reaches its deadline.
+	inFlight map[string]map[string]time.Time
+	highest  map[string]uint64
+	ordered  int
+}
+
+func newSimulation(seed uint64, nodes, names int) *simulation {
+	s := &simulation{
+		now:      time.Unix(1000, 0),
+		store:    memtable.New(),
+		random:   rand.New(rand.NewPCG(seed, 0)),
+		names:    lease.RangeNames("test")[:names],
+		inFlight: make(map[string]map[string]time.Time),
+		highest:  make(map[string]uint64),
+	}
+	s.reporter = &invariant.Reporter{OnViolation: func(v *invariant.ViolationError) { s.fail("%v", v) }}
+	for range nodes {
+		s.add()
+	}
+	for _, n := range s.nodes {
+		s.start(n)
+	}
+	return s
+}
+
+// add makes a node that is not yet started.
+func (s *simulation) add() {
+	s.nodes = append(s.nodes, &node{
+		name:   fmt.Sprint("n", len(s.nodes)),
+		offset: time.Duration(s.random.IntN(100)) * time.Hour,
+		drift:  1 + (s.random.Float64()-0.5)/50,
+	})
+}
+
+// join starts one more node, which the others learn of.
+func (s *simulation) join() {
+	s.add()
+	s.start(s.nodes[len(s.nodes)-1])
+	for _, n := range s.nodes {
+		s.deliver(n, lease.Peers{Daemons: len(s.nodes)})
+	}
+}
+
+func (s *simulation) fail(format string, args ...any) {
+	s.failures = append(s.failures, fmt.Sprintf(format, args...))
+}
+
+func (s *simulation) start(n *node) {
+	n.life++
+	n.dead, n.paused, n.inbox = false, false, nil
+	n.core = lease.NewCore(lease.CoreOptions{
+		Holder: fmt.Sprint(n.name, "#", n.life), Names: s.names, Duration: simDuration, Margin: simMargin,
+		OrderDeadline: simOrderDeadline, Random: rand.New(rand.NewPCG(s.random.Uint64(), 1)), Reporter: s.reporter,
+	})
+	s.deliver(n, lease.Peers{Daemons: len(s.nodes)})
+}
+
+// clock is the node's own clock, which shares neither origin nor rate with the
+// others.
+func (s *simulation) clock(n *node) time.Time {
+	since := s.now.Sub(time.Unix(1000, 0))
+	return time.Unix(0, 0).Add(n.offset + time.Duration(float64(since)*n.drift))
+}
+
+// deliver hands an event to a node, or keeps it while the node is paused.
+func (s *simulation) deliver(n *node, event lease.Event) {
+	if n.dead {
+		return
+	}
+	if n.paused {
+		n.inbox = append(n.inbox, event)
+		return
+	}
+	now := s.clock(n)
+	for _, action := range n.core.Handle(now, event) {
+		switch a := action.(type) {
+		case lease.Write:
+			s.network = append(s.network, &message{from: n, life: n.life, write: &a})
+		case lease.List:
+			s.network = append(s.network, &message{from: n, life: n.life, sentAt: now})
+		}
+	}
+}
+
+// advance moves the time and lets every node notice it.
+func (s *simulation) advance(d time.Duration) {
+	s.now = s.now.Add(d)
+	for _, n := range s.nodes {
+		s.deliver(n, lease.Tick{})
+	}
+	s.check()
+}
+
+// carry moves one message: a request reaches the table, an answer its node.
+func (s *simulation) carry(i int) {
+	m := s.network[i]
+	s.network = append(s.network[:i], s.network[i+1:]...)
+	if m.answer != nil {
+		if m.from.life == m.life {
+			s.deliver(m.from, m.answer)
+		}
+		return
+	}
+	answer := s.execute(m)
+	if !m.orphan {
+		s.network = append(s.network, &message{from: m.from, life: m.life, answer: answer})
+	}
+}
+
+func (s *simulation) execute(m *message) lease.Event {
+	ctx := context.Background()
+	if m.write == nil {
+		items, err := s.store.Query(ctx, lease.Partition, "", 100)
+		return lease.Listed{SentAt: m.sentAt, Items: items, Failed: err != nil}
+	}
+	return lease.Wrote{Name: m.write.Name, Status: statusOf(s.store.Transact(ctx, []table.Write{m.write.Write}))}
+}
+
+func statusOf(err error) lease.WriteStatus {
+	var failed *table.ConditionFailedError
+	var ambiguous *table.AmbiguousError
+	switch {
+	case err == nil:
+		return lease.WriteApplied
+	case errors.As(err, &failed):
+		return lease.WriteRefused
+	case errors.As(err, &ambiguous):
+		return lease.WriteAmbiguous
+	default:
+		return lease.WriteUnavailable
+	}
+}
+
+// loseAnswer tells the sender that the answer was lost while its write is still
+// on its way.
+func (s *simulation) loseAnswer(i int) bool {
+	m := s.network[i]
+	if m.write == nil || m.answer != nil || m.orphan {
+		return false
+	}
+	m.orphan = true
+	answer := lease.Wrote{Name: m.write.Name, Status: lease.WriteAmbiguous}
+	s.network = append(s.network, &message{from: m.from, life: m.life, answer: answer})
+	return true
+}
+
+func (s *simulation) kill(n *node) { n.dead = true }
+
+func (s *simulation) resume(n *node) {
+	n.paused = false
+	inbox := n.inbox
+	n.inbox = nil
+	for _, event := range inbox {
+		s.deliver(n, event)
+	}
+}
+
+// act lets a node give an order under each lease that it holds, and judges it.
+func (s *simulation) act(n *node) {
+	if n.dead || n.paused {
+		return
+	}
+	now := s.clock(n)
+	for _, name := range s.names {
+		number, ok := n.core.Held(now, name)
+		if !ok || now.Before(n.core.EarliestOrder(name)) {
+			continue
+		}
+		if number < s.highest[name] {
+			s.fail("order under %s with number %d after %d", name, number, s.highest[name])
+		}
+		s.highest[name] = number
+		s.ordered++
+		holder := fmt.Sprint(n.name, "#", n.life)
+		for other, deadline := range s.inFlight[name] {
+			// The rates of two clocks may differ by 2%.
+			if other != holder && s.now.Add(simOrderDeadline/50).Before(deadline) {
+				s.fail("order of %s under %s while one of %s is in flight for %s", holder, name, other, deadline.Sub(s.now))
+			}
+		}
+		if s.inFlight[name] == nil {
+			s.inFlight[name] = make(map[string]time.Time)
+		}
+		s.inFlight[name][holder] = s.now.Add(simOrderDeadline)
+	}
+}
+
+// check fails when two nodes believe at the same moment that they hold a lease.
+func (s *simulation) check() {
+	for _, name := range s.names {
+		holders := ""
+		count := 0
+		for _, n := range s.nodes {
+			if n.dead {
+				continue
+			}
+			if number, ok := n.core.Held(s.clock(n), name); ok {
+				count++
+				holders += fmt.Sprintf(" %s number %d", n.name, number)
+			}
+		}
+		if count > 1 {
+			s.fail("%s is held by%s", name, holders)
+		}
+	}
+}
+
+// settle heals everything and runs on until each lease can have been acquired.
+func (s *simulation) settle() {
+	s.store.SetFault(nil)
+	for _, n := range s.nodes {
+		if n.dead {
+			s.start(n)
+		}
+		s.resume(n)
+	}
+	for range 400 {
+		for len(s.network) > 0 {
+			s.carry(0)
+		}
+		s.advance(250 * time.Millisecond)
+	}
+}
