Run the whole path: callers, seven daemons and stand-ins over loopback TCP

Cause: the path from a caller to a backend server had not run as a whole. Change: the demo starts both operators' platforms, engines, booking servers and daemons, publishes the example configurations, sends traffic and judges it by the ledgers.

--- a/pkg/daemon/build.go
+++ b/pkg/daemon/build.go
@@ -155,7 +155,7 @@
 	if err != nil {
 		return errors.Trace(err)
 	}
-	return errors.Trace(d.buildOperators())
+	return nil
 }
 
 // listen opens a listener, with TLS if the settings name certificates.
--- a/pkg/daemon/daemon.go
+++ b/pkg/daemon/daemon.go
@@ -21,7 +21,6 @@
 	"github.com/monsooncrank/monsooncrank/pkg/engine"
 	"github.com/monsooncrank/monsooncrank/pkg/gateway"
 	"github.com/monsooncrank/monsooncrank/pkg/oncecall"
-	"github.com/monsooncrank/monsooncrank/pkg/operatorapi"
 	"github.com/monsooncrank/monsooncrank/pkg/peer"
 	"github.com/monsooncrank/monsooncrank/pkg/publish"
 	"github.com/monsooncrank/monsooncrank/pkg/routing"
@@ -45,6 +44,12 @@
 	Seed uint64
 }
 
+// operatorServer serves operators.
+type operatorServer interface {
+	Serve(net.Listener) error
+	Close()
+}
+
 // Daemon is one entry host's process.
 type Daemon struct {
 	settings    *Settings
@@ -77,7 +82,7 @@
 	notices    *noticeDuty
 
 	callers   *gateway.Server
-	operators *operatorapi.Server
+	operators operatorServer
 	listeners struct{ callers, operators net.Listener }
 	served    chan error
 	// built is closed when all parts exist.
--- a/pkg/daemon/run.go
+++ b/pkg/daemon/run.go
@@ -7,6 +7,9 @@
 
 	"github.com/juju/errors"
 	"k8s.io/klog/v2"
+
+	"github.com/monsooncrank/monsooncrank/coordination/membership"
+	"github.com/monsooncrank/monsooncrank/pkg/publish"
 )
 
 // Start begins to serve.
@@ -15,7 +18,9 @@
 	d.reconciler.start()
 	d.notices.start()
 	go func() { d.served <- d.callers.Serve(d.listeners.callers) }()
-	go func() { d.served <- d.operators.Serve(d.listeners.operators) }()
+	if d.operators != nil {
+		go func() { d.served <- d.operators.Serve(d.listeners.operators) }()
+	}
 	klog.InfoS("daemon started", "name", d.settings.Name, "availabilityZone", d.settings.AvailabilityZone,
 		"callers", d.CallersAddress(), "operators", d.OperatorsAddress(), "peers", d.PeersAddress())
 }
@@ -119,6 +124,19 @@
 // PeersAddress returns where other daemons are served.
 func (d *Daemon) PeersAddress() string { return d.peers.Address() }
 
+// Name returns the daemon's name.
+func (d *Daemon) Name() string { return d.settings.Name }
+
+// Available returns the BackendServers of a Pool that may receive new work.
+func (d *Daemon) Available(pool string) []membership.BackendServer {
+	return d.directory.Available(pool)
+}
+
+// Publish publishes a configuration.
+func (d *Daemon) Publish(ctx context.Context, req publish.Request) (publish.Record, error) {
+	return d.publisher.Publish(ctx, req)
+}
+
 // Revision returns the configuration revision that the daemon serves under, 0
 // for none.
 func (d *Daemon) Revision() uint64 {
--- a/pkg/daemon/settings.go
+++ b/pkg/daemon/settings.go
@@ -170,6 +170,7 @@
 	c.url(name+".endpoint", s.Endpoint)
 	c.require(s.Region != "", "%s.region is missing", name)
 	c.require(s.Name != "", "%s.name is missing", name)
+	c.require(s.AccessKey != "" && s.SecretKeyFile != "", "%s.access_key or %s.secret_key_file is missing", name, name)
 	c.require(s.TimeoutSeconds > 0, "%s.timeout_seconds must be above 0", name)
 	c.require(s.Connections > 0, "%s.connections must be above 0", name)
 }
--- a/pkg/demo/deployment.go
+++ b/pkg/demo/deployment.go
@@ -49,19 +49,14 @@
 	drainSeconds          = 5
 )
 
-// pool is one Pool of the configuration with its running servers.
-type pool struct {
-	config.Pool
-	kind membership.Kind
-}
-
 // deployment is one operator's platform, BackendServers and daemons.
 type deployment struct {
 	name  string
 	set   *config.Set
 	zones []string
 	// token is the operators' token.
-	token string
+	token      string
+	secretFile string
 
 	table    *tableserver.Server
 	objects  *objectserver.Server
@@ -120,6 +115,9 @@
 }
 
 func (d *deployment) startPlatform() error {
+	if err := d.writeSecret(); err != nil {
+		return errors.Trace(err)
+	}
 	tableListener, err := d.listen()
 	if err != nil {
 		return errors.Trace(err)
@@ -138,8 +136,8 @@
 		return errors.Trace(err)
 	}
 	d.platform = daemon.Platform{
-		Table:    service(tableListener, "monsooncrank"),
-		Objects:  service(objectListener, "monsooncrank"),
+		Table:    d.service(tableListener),
+		Objects:  d.service(objectListener),
 		HostList: d.hosts.URL(),
 		CloudAPI: d.cloudAPI.URL(),
 	}
@@ -155,11 +153,27 @@
 	return listener, nil
 }
 
-func service(listener net.Listener, name string) daemon.Service {
+// service is how daemons reach a stand-in of the platform.
+func (d *deployment) service(listener net.Listener) daemon.Service {
 	return daemon.Service{
-		Endpoint: "http://" + listener.Addr().String(), Region: "local", Name: name,
-		AccessKey: "demo", TimeoutSeconds: requestTimeoutSeconds, Connections: platformConnections,
+		Endpoint: "http://" + listener.Addr().String(), Region: "local", Name: "monsooncrank",
+		AccessKey: "stand-in", SecretKeyFile: d.secretFile,
+		TimeoutSeconds: requestTimeoutSeconds, Connections: platformConnections,
+	}
+}
+
+// writeSecret writes the file from which daemons read the platform's key.
+func (d *deployment) writeSecret() error {
+	file, err := os.CreateTemp("", "monsooncrank-secret-")
+	if err != nil {
+		return errors.Trace(err)
 	}
+	d.secretFile = file.Name()
+	_, err = file.WriteString("stand-in-secret\n")
+	if closeErr := file.Close(); err == nil {
+		err = closeErr
+	}
+	return errors.Trace(err)
 }
 
 // terms are what the cloud sells: each Pool's Hosts at its price.
@@ -331,9 +345,41 @@
 	return live
 }
 
+// awaitMembers waits until every daemon knows every BackendServer.
+func (d *deployment) awaitMembers(ctx context.Context) error {
+	for {
+		missing := ""
+		for _, one := range d.running() {
+			for _, p := range d.set.Pools {
+				if len(one.Available(p.Name)) < p.MaxHosts {
+					missing = p.Name
+				}
+			}
+		}
+		if missing == "" {
+			return nil
+		}
+		if !sleep(ctx, readyPoll) {
+			return &NoMembersError{Pool: missing}
+		}
+	}
+}
+
+// NoMembersError reports a Pool whose servers some daemon does not know.
+type NoMembersError struct{ Pool string }
+
+func (e *NoMembersError) Error() string { return "not every daemon knows the servers of " + e.Pool }
+
+// running returns the daemons that have not been stopped.
+func (d *deployment) running() []*daemon.Daemon {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return append([]*daemon.Daemon(nil), d.daemons...)
+}
+
 // close stops everything.
 func (d *deployment) close() {
-	for _, one := range d.daemons {
+	for _, one := range d.running() {
 		one.Close()
 	}
 	d.stop()
@@ -348,14 +394,5 @@
 	_ = d.cloudAPI.Close()
 	_ = d.hosts.Close()
 	d.tasks.Wait()
-}
-
-// readSet reads a configuration file.
-func readSet(file string) (*config.Set, []byte, error) {
-	raw, err := os.ReadFile(file)
-	if err != nil {
-		return nil, nil, errors.Trace(err)
-	}
-	set, err := config.Load(file)
-	return set, raw, errors.Trace(err)
+	_ = os.Remove(d.secretFile)
 }
--- a/pkg/demo/judge.go
+++ b/pkg/demo/judge.go
@@ -47,23 +47,30 @@
 
 // judge compares what callers were told with what the stand-ins ran.
 type judge struct {
-	engines       *engine.Ledger
-	services      *plainservice.Ledger
-	firstToken    *hdrhistogram.Histogram
-	betweenTokens *hdrhistogram.Histogram
+	engines  *engine.Ledger
+	services *plainservice.Ledger
+	times    *times
 	// findings describe each fault, for the report.
 	findings []string
 }
 
-func newJudge(engines *engine.Ledger, services *plainservice.Ledger) *judge {
-	return &judge{
-		engines:       engines,
-		services:      services,
+// times are the latencies that callers saw.
+type times struct {
+	firstToken    *hdrhistogram.Histogram
+	betweenTokens *hdrhistogram.Histogram
+}
+
+func newTimes() *times {
+	return &times{
 		firstToken:    hdrhistogram.New(lowestMicros, highestMicros, significantDigits),
 		betweenTokens: hdrhistogram.New(lowestMicros, highestMicros, significantDigits),
 	}
 }
 
+func newJudge(engines *engine.Ledger, services *plainservice.Ledger, times *times) *judge {
+	return &judge{engines: engines, services: services, times: times}
+}
+
 // ranRequests are the requests with at least one attempt at an engine that
 // computed something.
 func (j *judge) ranRequests() map[string]bool {
@@ -142,10 +149,10 @@
 func (j *judge) time(result *chatResult) {
 	for i, at := range result.arrivals {
 		if i == 0 {
-			_ = j.firstToken.RecordValue(at.Sub(result.sent).Microseconds())
+			_ = j.times.firstToken.RecordValue(at.Sub(result.sent).Microseconds())
 			continue
 		}
-		_ = j.betweenTokens.RecordValue(max(at.Sub(result.arrivals[i-1]).Microseconds(), lowestMicros))
+		_ = j.times.betweenTokens.RecordValue(max(at.Sub(result.arrivals[i-1]).Microseconds(), lowestMicros))
 	}
 }
 
