--- a/pkg/demo/demo_test.go
+++ b/pkg/demo/demo_test.go
@@ -12,7 +12,7 @@
 // Guards against a broken whole path: callers, daemons and stand-ins over TCP.
 func TestShortDemo(t *testing.T) {
 	_, err := demo.Run(context.Background(), demo.Options{
-		Seed: 1, Duration: 4 * time.Second, Examples: "../../examples", Out: os.Stdout,
+		Seed: 1, Duration: 8 * time.Second, Examples: "../../examples", Out: os.Stdout,
 	})
 	if err != nil {
 		t.Fatal(err)
--- a/pkg/demo/deployment.go
+++ b/pkg/demo/deployment.go
@@ -370,6 +370,21 @@
 
 func (e *NoMembersError) Error() string { return "not every daemon knows the servers of " + e.Pool }
 
+// fail kills an engine without notice; its Host is gone from the list later.
+func (d *deployment) fail(e *engine.Engine) {
+	e.Kill()
+	d.hosts.Remove(e.Name())
+}
+
+// remove takes a daemon out of the deployment.
+func (d *deployment) remove(i int) *daemon.Daemon {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	leaving := d.daemons[i]
+	d.daemons = append(append([]*daemon.Daemon(nil), d.daemons[:i]...), d.daemons[i+1:]...)
+	return leaving
+}
+
 // running returns the daemons that have not been stopped.
 func (d *deployment) running() []*daemon.Daemon {
 	d.mu.Lock()
--- a/pkg/standin/plainservice/plainservice.go
+++ b/pkg/standin/plainservice/plainservice.go
@@ -47,7 +47,7 @@
 )
 
 // LookupPath is the path of the look-up of attempts and keys.
-const LookupPath = "/lookup"
+const LookupPath = "/v1/lookup"
 
 const defaultSlowDelay = 50 * time.Millisecond
 
@@ -236,6 +236,11 @@
 		s.lookup(ctx)
 		return
 	}
+	// A look-up that is sent to a wrong path must not run as a call.
+	if !ctx.IsPost() {
+		ctx.Error("method not allowed", fasthttp.StatusMethodNotAllowed)
+		return
+	}
 	call := Call{
 		AttemptID: attemptID,
 		Key:       string(ctx.Request.Header.Peek(service.HeaderIdempotencyKey)),
