--- a/pkg/publish/publish_test.go
+++ b/pkg/publish/publish_test.go
@@ -43,7 +43,9 @@
 	publisher *Publisher
 	reporter  *invariant.Reporter
 	peers     []*localPeers
-	daemons   []*Follower
+	// mu guards daemons, which a restart changes while peers talk.
+	mu      sync.Mutex
+	daemons []*Follower
 }
 
 // hookedTable calls functions before and after each transaction.
@@ -68,17 +70,16 @@
 // localPeers connects one daemon with the others in the process.
 type localPeers struct {
 	rig  *rig
-	mu   sync.Mutex
-	self *Follower
+	self int
 	cut  atomic.Bool
 }
 
 func (p *localPeers) others() []*Follower {
-	p.mu.Lock()
-	defer p.mu.Unlock()
+	p.rig.mu.Lock()
+	defer p.rig.mu.Unlock()
 	var others []*Follower
 	for i, d := range p.rig.daemons {
-		if d != p.self && !p.cut.Load() && !p.rig.peers[i].cut.Load() {
+		if i != p.self && !p.cut.Load() && !p.rig.peers[i].cut.Load() {
 			others = append(others, d)
 		}
 	}
@@ -116,15 +117,12 @@
 	r.hooks = &hookedTable{Store: r.table}
 	r.publisher = NewPublisher(PublisherOptions{Table: r.hooks, Objects: r.objects, RetryWait: time.Microsecond,
 		OnPublished: func(rec Record) { r.daemons[0].HandleAnnouncement(rec.Revision, rec.BodyHash) }})
-	r.daemons, r.peers = make([]*Follower, 2), []*localPeers{{rig: r}, {rig: r}}
-	r.peers[0].mu.Lock()
-	r.peers[1].mu.Lock()
-	for i := range r.daemons {
-		r.daemons[i] = r.follower(r.peers[i])
-		r.peers[i].self = r.daemons[i]
+	r.daemons, r.peers = make([]*Follower, 2), []*localPeers{{rig: r, self: 0}, {rig: r, self: 1}}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for i, p := range r.peers {
+		r.daemons[i] = r.follower(p)
 	}
-	r.peers[0].mu.Unlock()
-	r.peers[1].mu.Unlock()
 	return r
 }
 
@@ -134,11 +132,9 @@
 
 func (r *rig) restart(i int) {
 	r.daemons[i].Close()
-	p := r.peers[i]
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	r.daemons[i] = r.follower(p)
-	p.self = r.daemons[i]
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.daemons[i] = r.follower(r.peers[i])
 }
 
 func (r *rig) close() {
