--- /dev/null
+++ b/coordination/idempotency/idempotency_test.go
@@ -0,0 +1,214 @@
+package idempotency_test
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"go.uber.org/goleak"
+
+	"github.com/monsooncrank/monsooncrank/coordination/idempotency"
+	"github.com/monsooncrank/monsooncrank/coordination/table"
+	"github.com/monsooncrank/monsooncrank/coordination/table/memtable"
+)
+
+func TestIdempotency(t *testing.T) {
+	defer goleak.VerifyNone(t,
+		goleak.IgnoreTopFunction("github.com/onsi/ginkgo/v2/internal/interrupt_handler.(*InterruptHandler).registerForInterrupts.func2"))
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "once-only records")
+}
+
+func put(id uint64, class idempotency.Class, rows ...string) idempotency.Submit {
+	c := idempotency.Commit{ID: id, Class: class}
+	for _, row := range rows {
+		c.Writes = append(c.Writes, table.Write{Key: table.Key{Partition: "p", Sort: row}, Value: []byte{1}})
+	}
+	return idempotency.Submit{Commit: c}
+}
+
+var _ = Describe("Batcher", func() {
+	var (
+		batcher *idempotency.Batcher
+		now     time.Time
+	)
+	BeforeEach(func() { batcher = idempotency.NewBatcher(idempotency.BatchOptions{MaxInFlight: 1}) })
+	// transactions returns the transactions among the actions of events.
+	transactions := func(events ...idempotency.BatchEvent) []idempotency.Transact {
+		var found []idempotency.Transact
+		for _, event := range events {
+			for _, action := range batcher.Handle(now, event) {
+				if t, ok := action.(idempotency.Transact); ok {
+					found = append(found, t)
+				}
+			}
+		}
+		return found
+	}
+	fill := func(class idempotency.Class, first, n int) {
+		for i := first; i < first+n; i++ {
+			transactions(put(uint64(i), class, fmt.Sprint(class, "-", i)))
+		}
+	}
+
+	// Guards against a table write per booking.
+	It("puts what waits at the same moment into one transaction of at most 100 writes", func() {
+		first := transactions(put(1, idempotency.ClassBooking, "first"))
+		Expect(first).To(HaveLen(1))
+		fill(idempotency.ClassBooking, 10, 130)
+		next := transactions(idempotency.Transacted{Batch: first[0].Batch})
+		Expect(next[0].Writes).To(HaveLen(100))
+		next = transactions(idempotency.Transacted{Batch: next[0].Batch})
+		Expect(next[0].Writes).To(HaveLen(30))
+	})
+
+	// Guards against either class waiting for as long as the other is busy.
+	DescribeTable("gives each class its share",
+		func(bookings, deferred, wantBookings, wantDeferred int) {
+			first := transactions(put(1, idempotency.ClassBooking, "first"))
+			fill(idempotency.ClassBooking, 1000, bookings)
+			fill(idempotency.ClassDeferred, 2000, deferred)
+			next := transactions(idempotency.Transacted{Batch: first[0].Batch})
+			counts := map[string]int{}
+			for _, w := range next[0].Writes {
+				counts[w.Key.Sort[:1]]++
+			}
+			Expect(counts["0"]).To(Equal(wantBookings))
+			Expect(counts["1"]).To(Equal(wantDeferred))
+		},
+		Entry("both busy", 500, 500, 80, 20),
+		Entry("few bookings", 5, 500, 5, 95),
+		Entry("little deferred work", 500, 3, 97, 3),
+	)
+
+	// Guards against one caller's conflict failing the bookings of others.
+	It("fails only the commit whose condition failed", func() {
+		first := transactions(put(1, idempotency.ClassBooking, "first"))
+		transactions(put(2, idempotency.ClassBooking, "a"), put(3, idempotency.ClassBooking, "b", "c"), put(4, idempotency.ClassBooking, "d"))
+		next := transactions(idempotency.Transacted{Batch: first[0].Batch})
+		Expect(next[0].Writes).To(HaveLen(4))
+		actions := batcher.Handle(now, idempotency.Transacted{Batch: next[0].Batch, Err: &table.ConditionFailedError{Indexes: []int{2}}})
+		Expect(actions).To(HaveLen(2))
+		Expect(actions[0]).To(Equal(idempotency.Read{Commit: 3, Key: table.Key{Partition: "p", Sort: "b"}}))
+		Expect(actions[1].(idempotency.Transact).Writes).To(HaveLen(2))
+	})
+
+	It("never writes a row twice in one transaction", func() {
+		first := transactions(put(1, idempotency.ClassBooking, "first"))
+		transactions(put(2, idempotency.ClassBooking, "a"), put(3, idempotency.ClassBooking, "a"))
+		next := transactions(idempotency.Transacted{Batch: first[0].Batch})
+		Expect(table.Validate(next[0].Writes)).To(Succeed())
+		Expect(next[0].Writes).To(HaveLen(1))
+	})
+
+	// Guards against memory that grows without bound while the table is slow.
+	It("refuses commits when its queue is full", func() {
+		batcher = idempotency.NewBatcher(idempotency.BatchOptions{MaxInFlight: 1, MaxQueued: 1})
+		transactions(put(1, idempotency.ClassBooking, "a"), put(2, idempotency.ClassBooking, "b"))
+		actions := batcher.Handle(now, put(3, idempotency.ClassBooking, "c"))
+		Expect(actions).To(Equal([]idempotency.BatchAction{
+			idempotency.Finish{Commit: 3, Result: idempotency.Result{Status: idempotency.StatusQueueFull}},
+		}))
+	})
+})
+
+var _ = Describe("Committer", func() {
+	It("commits concurrent claims and stops on Close", func() {
+		store := memtable.New()
+		committer := idempotency.NewCommitter(idempotency.CommitterOptions{Store: store})
+		var group sync.WaitGroup
+		for i := range 500 {
+			group.Go(func() {
+				defer GinkgoRecover()
+				id := idempotency.ID{Account: "a", Key: fmt.Sprint(i)}
+				result, err := committer.Commit(idempotency.ClassBooking, idempotency.ClaimWrites(id, 0, &idempotency.Record{}))
+				Expect(err).NotTo(HaveOccurred())
+				Expect(result.Status).To(Equal(idempotency.StatusApplied))
+			})
+		}
+		group.Wait()
+		committer.Close()
+		_, err := committer.Commit(idempotency.ClassBooking, nil)
+		Expect(err).To(MatchError(&idempotency.ClosedError{}))
+		Expect(store.Stats().RowsWritten).To(Equal(uint64(1000)))
+	})
+})
+
+var _ = Describe("ID", func() {
+	// Guards against two accounts that share a record.
+	It("keeps accounts and keys apart", func() {
+		one := idempotency.ID{Account: "a/b", Key: "c"}
+		two := idempotency.ID{Account: "a", Key: "b/c"}
+		Expect(one.RowKey()).NotTo(Equal(two.RowKey()))
+		parsed, err := idempotency.ParseOpenKey(one.OpenKey())
+		Expect(err).NotTo(HaveOccurred())
+		Expect(parsed).To(Equal(one))
+	})
+})
+
+// slowStore answers transactions after the latency of a table service.
+type slowStore struct{ *memtable.Store }
+
+const storeLatency = 5 * time.Millisecond
+
+func (s slowStore) Transact(ctx context.Context, writes []table.Write) error {
+	time.Sleep(storeLatency)
+	return s.Store.Transact(ctx, writes)
+}
+
+// BenchmarkClaims measures claims through group commit against a table that
+// answers after 5 ms, with 1 and with 400 callers at a time.
+func BenchmarkClaims(b *testing.B) {
+	for _, callers := range []int{1, 40, 400} {
+		b.Run(fmt.Sprint("callers=", callers), func(b *testing.B) {
+			store := slowStore{memtable.New()}
+			committer := idempotency.NewCommitter(idempotency.CommitterOptions{Store: store})
+			defer committer.Close()
+			next := make(chan int)
+			var group sync.WaitGroup
+			for range callers {
+				group.Go(func() {
+					for i := range next {
+						id := idempotency.ID{Account: "a", Key: fmt.Sprint(i)}
+						_, _ = committer.Commit(idempotency.ClassBooking, idempotency.ClaimWrites(id, 0, &idempotency.Record{}))
+					}
+				})
+			}
+			for i := range b.N {
+				next <- i
+			}
+			close(next)
+			group.Wait()
+			b.ReportMetric(float64(b.N)/b.Elapsed().Seconds(), "claims/s")
+			b.ReportMetric(float64(b.N)/float64(store.Stats().Transactions), "claims/transaction")
+		})
+	}
+}
+
+// BenchmarkBatcher measures the core's cost of one claim in full transactions.
+func BenchmarkBatcher(b *testing.B) {
+	b.ReportAllocs()
+	batcher := idempotency.NewBatcher(idempotency.BatchOptions{MaxInFlight: 1})
+	var running uint64
+	for i := range b.N {
+		id := idempotency.ID{Account: "a", Key: fmt.Sprint(i)}
+		writes := idempotency.ClaimWrites(id, 0, &idempotency.Record{})
+		event := idempotency.Submit{Commit: idempotency.Commit{ID: uint64(i), Writes: writes}}
+		for _, action := range batcher.Handle(time.Time{}, event) {
+			if t, ok := action.(idempotency.Transact); ok {
+				running = t.Batch
+			}
+		}
+		if i%50 == 0 {
+			for _, action := range batcher.Handle(time.Time{}, idempotency.Transacted{Batch: running}) {
+				if t, ok := action.(idempotency.Transact); ok {
+					running = t.Batch
+				}
+			}
+		}
+	}
+}
--- /dev/null
+++ b/coordination/idempotency/judge_test.go
@@ -0,0 +1,175 @@
+package idempotency_test
+
+import (
+	"context"
+	"fmt"
+
+	"github.com/anishathalye/porcupine"
+
+	"github.com/monsooncrank/monsooncrank/coordination/idempotency"
+)
+
+// fakeService keeps a ledger of what really ran.
+type fakeService struct {
+	deduplicates bool
+	// bars makes a look-up that finds nothing bar the attempt.
+	bars   bool
+	fault  string
+	ran    map[string]int
+	keys   map[string][]string
+	barred map[string]bool
+}
+
+func newFakeService(deduplicates, bars bool) *fakeService {
+	return &fakeService{
+		deduplicates: deduplicates, bars: bars,
+		ran: make(map[string]int), keys: make(map[string][]string), barred: make(map[string]bool),
+	}
+}
+
+func answerOf(attemptID string) []byte { return []byte("answer of " + attemptID) }
+
+// run suffers the service's fault: each lasts until it is changed.
+func (f *fakeService) run(attemptID, key string) (idempotency.DispatchKind, []byte) {
+	switch f.fault {
+	case "service unreachable":
+		return idempotency.DispatchNotSent, nil
+	case "service refuses":
+		return idempotency.DispatchRefused, nil
+	case "service dies before running":
+		return idempotency.DispatchBroken, nil
+	}
+	if f.barred[attemptID] {
+		return idempotency.DispatchRefused, nil
+	}
+	if ran := f.keys[key]; f.deduplicates && len(ran) > 0 {
+		return idempotency.DispatchAnswered, answerOf(ran[0])
+	}
+	f.ran[attemptID]++
+	f.keys[key] = append(f.keys[key], attemptID)
+	switch f.fault {
+	case "service dies after running", "answer crossed":
+		return idempotency.DispatchBroken, nil
+	}
+	return idempotency.DispatchAnswered, answerOf(attemptID)
+}
+
+func (f *fakeService) find(attemptID string) (idempotency.DispatchKind, []byte) {
+	switch {
+	case f.fault != "":
+		return idempotency.DispatchBroken, nil
+	case f.ran[attemptID] > 0:
+		return idempotency.DispatchAnswered, answerOf(attemptID)
+	case f.bars:
+		f.barred[attemptID] = true
+		return idempotency.DispatchRefused, nil
+	default:
+		return idempotency.LookupNoRecord, nil
+	}
+}
+
+// outcomeRegister is a register per key that is written at most once: every
+// caller that is told an answer is told the same one.
+var outcomeRegister = porcupine.Model{
+	Partition: func(history []porcupine.Operation) [][]porcupine.Operation {
+		byKey := make(map[string][]porcupine.Operation)
+		for _, op := range history {
+			byKey[op.Input.(string)] = append(byKey[op.Input.(string)], op)
+		}
+		var parts [][]porcupine.Operation
+		for _, part := range byKey {
+			parts = append(parts, part)
+		}
+		return parts
+	},
+	Init: func() any { return "" },
+	Step: func(state, _, output any) (bool, any) {
+		told, written := output.(idempotency.Tell), state.(string)
+		if told.Kind != idempotency.VerdictDone {
+			return true, state
+		}
+		if told.Replayed && written == "" {
+			// The writer was not told; its answer is taken from the replay.
+			return true, string(told.Answer)
+		}
+		if !told.Replayed && written != "" {
+			return false, state
+		}
+		return written == "" || written == string(told.Answer), string(told.Answer)
+	},
+}
+
+// judge compares all that callers were told with the service's ledger.
+func (s *simulation) judge() {
+	for key, attempts := range s.service.keys {
+		if len(attempts) > 1 {
+			s.fail("I4: key %s ran %d times, attempts %v", key, len(attempts), attempts)
+		}
+	}
+	for _, a := range s.attempts {
+		s.judgeAttempt(a)
+	}
+	register := outcomeRegister
+	if s.service.deduplicates {
+		// The service itself repeats an answer, which is then not marked.
+		register.Step = func(state, input, output any) (bool, any) {
+			told := output.(idempotency.Tell)
+			told.Replayed = true
+			return outcomeRegister.Step(state, input, told)
+		}
+	}
+	if !porcupine.CheckOperations(register, s.history) {
+		s.fail("the history of outcomes is not linearizable: %v", s.history)
+	}
+	for r := range idempotency.Ranges {
+		items, _ := s.store.Query(context.Background(), idempotency.OpenPartition(r), "", 100)
+		for _, item := range items {
+			s.fail("claim %s is still open", item.Key)
+		}
+	}
+}
+
+func (s *simulation) judgeAttempt(a *attempt) {
+	id, ran := a.spec.AttemptID, s.service.ran[a.spec.AttemptID]
+	switch {
+	case ran > 1:
+		s.fail("I4: attempt %s ran %d times", id, ran)
+	case a.told == nil:
+		return
+	case a.told.Kind.NotRun() && ran > 0:
+		s.fail("I3: attempt %s was told not run (verdict %d) and ran", id, a.told.Kind)
+	case a.told.Kind == idempotency.VerdictConflict && ran > 0:
+		s.fail("I3: attempt %s was told a conflict and ran", id)
+	case a.told.Kind == idempotency.VerdictDone:
+		s.judgeDone(a)
+	}
+}
+
+// judgeDone expects that exactly one attempt of the key ran and that its answer
+// was told.
+func (s *simulation) judgeDone(a *attempt) {
+	ran := s.service.keys[a.spec.ID.Key]
+	if len(ran) != 1 || string(a.told.Answer) != string(answerOf(ran[0])) {
+		s.fail("I3: attempt %s was told %q; of its key ran %v", a.spec.AttemptID, a.told.Answer, ran)
+	}
+	if !a.told.Replayed && !s.service.deduplicates && ran[0] != a.spec.AttemptID {
+		s.fail("I2: attempt %s was given the answer of %s", a.spec.AttemptID, ran[0])
+	}
+}
+
+// name makes a verdict readable in reports.
+func name(t *idempotency.Tell) string {
+	if t == nil {
+		return "caller lost its daemon"
+	}
+	names := map[idempotency.VerdictKind]string{
+		idempotency.VerdictDone: "done", idempotency.VerdictUnknown: "unknown",
+		idempotency.VerdictConflict: "conflict", idempotency.VerdictInUse: "in use",
+		idempotency.VerdictStoreUnavailable: "not run: store", idempotency.VerdictNotReached: "not run: not reached",
+		idempotency.VerdictRefused: "not run: refused", idempotency.VerdictTooLate: "not run: too late",
+	}
+	if t.Replayed {
+		return fmt.Sprint(names[t.Kind], " replayed")
+	}
+	return names[t.Kind]
+}
--- /dev/null
+++ b/coordination/idempotency/matrix_test.go
@@ -0,0 +1,190 @@
+package idempotency_test
+
+import (
+	"os"
+	"testing"
+	"time"
+
+	"github.com/monsooncrank/monsooncrank/coordination/faultmatrix"
+	"github.com/monsooncrank/monsooncrank/coordination/idempotency"
+	"github.com/monsooncrank/monsooncrank/coordination/table/memtable"
+)
+
+const (
+	reasonRan      = "the call has already run at this step"
+	reasonNoAnswer = "no request to the service is on its way at this step"
+	reasonNoWrite  = "no write is on its way at this step"
+	reasonOneOfTwo = "one of the two cannot occur at this step; the other is in its own row"
+)
+
+// matrixSteps are the steps of a once-only call, in order.
+var matrixSteps = []string{"received", "claimed", "dispatched", "running", "answered", "outcome stored", "caller told"}
+
+// matrixFault injects a failure; notFaced gives the reason for the steps at
+// which it cannot occur.
+type matrixFault struct {
+	name     string
+	inject   func(s *simulation)
+	notFaced map[string]string
+}
+
+func serviceFault(name string) matrixFault {
+	return matrixFault{name, func(s *simulation) { s.service.fault = name }, map[string]string{
+		"running": reasonRan, "answered": reasonRan, "outcome stored": reasonRan, "caller told": reasonRan,
+	}}
+}
+
+var matrixFaults = []matrixFault{
+	{"store unavailable", func(s *simulation) { s.failNext(memtable.FaultUnavailable, 3) }, nil},
+	{"answer lost after the write", func(s *simulation) { s.failNext(memtable.FaultAnswerLost, 1) }, nil},
+	{"request lost", func(s *simulation) { s.failNext(memtable.FaultRequestLost, 1) }, nil},
+	{"late write", func(s *simulation) { s.loseNamed("transact") }, map[string]string{
+		"claimed": reasonNoWrite, "dispatched": reasonNoWrite, "running": reasonNoWrite,
+		"outcome stored": reasonNoWrite, "caller told": reasonNoWrite,
+	}},
+	{"daemon dies", func(s *simulation) {
+		if s.daemons[0].dead {
+			s.start(s.daemons[0])
+			s.call(s.daemons[0], 0, "body")
+			s.runReady()
+		}
+		s.daemons[0].dead = true
+	}, nil},
+	{"daemon paused", func(s *simulation) { s.daemons[0].paused = true; s.runFor(2 * simSettleAfter) }, nil},
+	serviceFault("service unreachable"),
+	serviceFault("service refuses"),
+	serviceFault("service dies before running"),
+	serviceFault("service dies after running"),
+	serviceFault("answer crossed"),
+	{"service silent", func(s *simulation) { s.loseNamed("dispatch"); s.loseNamed("answer to dispatch") }, map[string]string{
+		"received": reasonNoAnswer, "claimed": reasonNoAnswer,
+		"answered": reasonNoAnswer, "outcome stored": reasonNoAnswer, "caller told": reasonNoAnswer,
+	}},
+	{"duplicate to another daemon", func(s *simulation) { s.call(s.daemons[1], 0, "body"); s.runFor(time.Second) }, nil},
+}
+
+// loseNamed loses a request or the answer to it.
+func (s *simulation) loseNamed(what string) {
+	i := s.find(what)
+	if i < 0 {
+		return
+	}
+	t := s.tasks[i]
+	if t.execute == nil {
+		s.tasks = append(s.tasks[:i], s.tasks[i+1:]...)
+	} else {
+		t.orphan = true
+		t.due = s.now.Add(2 * simTimeToDispatch)
+	}
+	s.later(t.daemon, t.life, 0, t.lost)
+}
+
+// reached reports whether the call has come to a step.
+func (s *simulation) reached(a *attempt, step string) bool {
+	state := s.state(a.spec.ID)
+	switch step {
+	case "received":
+		return s.find("transact") >= 0
+	case "claimed":
+		return state == idempotency.StateClaimed
+	case "dispatched":
+		return s.find("dispatch") >= 0
+	case "running":
+		return s.service.ran[a.spec.AttemptID] > 0
+	case "answered":
+		return s.service.ran[a.spec.AttemptID] > 0 && s.find("transact") >= 0
+	case "outcome stored":
+		return state == idempotency.StateDone
+	default:
+		return a.told != nil
+	}
+}
+
+func (s *simulation) state(id idempotency.ID) idempotency.State {
+	row := s.get(id.RowKey())
+	if !row.Exists {
+		return ""
+	}
+	stored, err := idempotency.Decode(id, row.Item)
+	if err != nil {
+		s.fail("%v", err)
+		return ""
+	}
+	return stored.Record.State
+}
+
+// TestFaultMatrixOnceOnlyCalls guards against a call that runs twice or is
+// misreported, with each fault and each pair of faults at each step.
+func TestFaultMatrixOnceOnlyCalls(t *testing.T) {
+	rows := make(map[string][]matrixFault)
+	var names []string
+	for _, f := range matrixFaults {
+		rows[f.name] = []matrixFault{f}
+		names = append(names, f.name)
+	}
+	for i, f := range matrixFaults {
+		for _, g := range matrixFaults[i:] {
+			pair := f.name + ", " + g.name
+			rows[pair] = []matrixFault{f, g}
+			names = append(names, pair)
+		}
+	}
+	matrix := &faultmatrix.Matrix{
+		Name:   "once-only calls",
+		Faults: names,
+		Steps:  matrixSteps,
+		Cell: func(row, step string) faultmatrix.Cell {
+			return matrixCell(rows[row], step)
+		},
+	}
+	matrix.Run(t, os.Stdout)
+}
+
+// matrixCell runs the faults of a row if all of them can occur at the step.
+func matrixCell(faults []matrixFault, step string) faultmatrix.Cell {
+	for _, f := range faults {
+		reason := f.notFaced[step]
+		switch {
+		case reason != "" && len(faults) > 1:
+			return faultmatrix.Cell{NotFaced: reasonOneOfTwo}
+		case reason != "":
+			return faultmatrix.Cell{NotFaced: reason}
+		}
+	}
+	return faultmatrix.Cell{Run: func(t *testing.T) { runCell(t, faults, step) }}
+}
+
+// runCell tries the faults with and without a look-up, and with a look-up that
+// bars what it does not find.
+func runCell(t *testing.T, faults []matrixFault, step string) {
+	for variant := range 3 {
+		s := newSimulation(1, 2, 1, variant > 0, newFakeService(false, variant == 2))
+		a := s.call(s.daemons[0], 0, "body")
+		for i := 0; !s.reached(a, step); i++ {
+			if i == 100 {
+				t.Fatalf("step %s was not reached", step)
+			}
+			s.runFirst()
+		}
+		for _, f := range faults {
+			f.inject(s)
+			s.runFirst()
+		}
+		s.runFor(time.Second)
+		s.heal()
+		finish(s)
+		if len(s.failures) > 0 {
+			t.Errorf("variant %d: %v", variant, s.failures)
+		}
+	}
+}
+
+// runFirst performs the first task that is ready.
+func (s *simulation) runFirst() {
+	for i, t := range s.tasks {
+		if s.ready(t) {
+			s.run(i)
+			return
+		}
+	}
+}
--- /dev/null
+++ b/coordination/idempotency/simulation_test.go
@@ -0,0 +1,366 @@
+package idempotency_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+
+	"github.com/monsooncrank/monsooncrank/coordination/idempotency"
+	"github.com/monsooncrank/monsooncrank/coordination/invariant"
+	"github.com/monsooncrank/monsooncrank/coordination/table"
+	"github.com/monsooncrank/monsooncrank/coordination/table/memtable"
+)
+
+const (
+	simTimeToDispatch = 2 * time.Second
+	simSettleAfter    = 5 * time.Second
+	simPatience       = 10 * time.Second
+)
+
+// task is a step that is due: a request on its way to the table or the service,
+// or an event for a daemon.
+type task struct {
+	daemon *daemon
+	life   int
+	due    time.Time
+	// execute carries a request out and returns what to do with its answer.
+	execute func() func()
+	// lost tells the sender that no answer came; the request stays on its way.
+	lost   func()
+	orphan bool
+	// event is set for an event, which only its daemon's life can take.
+	event func()
+	// what names the task.
+	what string
+}
+
+// daemon runs the real cores; its driver is the simulation.
+type daemon struct {
+	name    string
+	life    int
+	dead    bool
+	paused  bool
+	batcher *idempotency.Batcher
+	settler *idempotency.Settler
+	commits map[uint64]func(idempotency.Result)
+	nextID  uint64
+}
+
+// attempt is one call of a caller.
+type attempt struct {
+	daemon *daemon
+	spec   idempotency.Spec
+	core   *idempotency.Call
+	since  int64
+	told   *idempotency.Tell
+}
+
+type simulation struct {
+	now      time.Time
+	clock    int64
+	store    *memtable.Store
+	random   *rand.Rand
+	service  *fakeService
+	daemons  []*daemon
+	tasks    []*task
+	attempts []*attempt
+	keys     int
+	reporter *invariant.Reporter
+	failures []string
+	history  []porcupine.Operation
+	lookup   bool
+}
+
+func newSimulation(seed uint64, daemons, keys int, lookup bool, service *fakeService) *simulation {
+	s := &simulation{
+		now: time.Unix(1000, 0), store: memtable.New(), random: rand.New(rand.NewPCG(seed, 0)),
+		service: service, keys: keys, lookup: lookup,
+	}
+	s.reporter = &invariant.Reporter{OnViolation: func(v *invariant.ViolationError) { s.fail("%v", v) }}
+	for i := range daemons {
+		d := &daemon{name: fmt.Sprint("d", i)}
+		s.daemons = append(s.daemons, d)
+		s.start(d)
+	}
+	return s
+}
+
+func (s *simulation) fail(format string, args ...any) {
+	s.failures = append(s.failures, fmt.Sprintf(format, args...))
+}
+
+func (s *simulation) start(d *daemon) {
+	d.life++
+	d.dead, d.paused = false, false
+	d.batcher = idempotency.NewBatcher(idempotency.BatchOptions{})
+	d.settler = idempotency.NewSettler(idempotency.SettlerOptions{LookupPatience: simPatience})
+	d.commits = make(map[uint64]func(idempotency.Result))
+}
+
+// request puts a request on its way.
+func (s *simulation) request(d *daemon, what string, after time.Duration, execute func() func(), lost func()) {
+	s.tasks = append(s.tasks, &task{daemon: d, life: d.life, due: s.now.Add(after), execute: execute, lost: lost, what: what})
+}
+
+// later hands an event to a daemon after a delay, unless it has died by then.
+func (s *simulation) later(d *daemon, life int, after time.Duration, event func()) {
+	s.tasks = append(s.tasks, &task{daemon: d, life: life, due: s.now.Add(after), event: event, what: "event"})
+}
+
+// ready reports whether a task can run now.
+func (s *simulation) ready(t *task) bool {
+	if s.now.Before(t.due) {
+		return false
+	}
+	return t.event == nil || !t.daemon.paused || t.life != t.daemon.life
+}
+
+// run performs task i.
+func (s *simulation) run(i int) {
+	t := s.tasks[i]
+	s.tasks = append(s.tasks[:i], s.tasks[i+1:]...)
+	if t.event != nil {
+		if t.life == t.daemon.life && !t.daemon.dead {
+			t.event()
+		}
+		return
+	}
+	if reply := t.execute(); !t.orphan {
+		s.later(t.daemon, t.life, 0, reply)
+		answer := s.tasks[len(s.tasks)-1]
+		answer.what, answer.lost = "answer to "+t.what, t.lost
+	}
+}
+
+// find returns the position of the first task with a name, or -1.
+func (s *simulation) find(what string) int {
+	for i, t := range s.tasks {
+		if t.what == what {
+			return i
+		}
+	}
+	return -1
+}
+
+// lose tells the sender of a request, chosen by n, that no answer came.
+func (s *simulation) lose(n int) bool {
+	var onTheWay []*task
+	for _, t := range s.tasks {
+		if t.execute != nil && !t.orphan && t.lost != nil {
+			onTheWay = append(onTheWay, t)
+		}
+	}
+	if len(onTheWay) == 0 {
+		return false
+	}
+	t := onTheWay[n%len(onTheWay)]
+	t.orphan = true
+	// The request stays on its way for a while, or arrives with the next step.
+	t.due = s.now.Add(time.Duration(n%4) * simTimeToDispatch)
+	s.later(t.daemon, t.life, 0, t.lost)
+	return true
+}
+
+// call starts a call of a key with a body on a daemon.
+func (s *simulation) call(d *daemon, key int, body string) *attempt {
+	a := &attempt{daemon: d, spec: idempotency.Spec{
+		ID:     idempotency.ID{Account: "a", Key: s.key(key)},
+		Digest: idempotency.Digest("booking", "book", []byte(body)), AttemptID: fmt.Sprint("t", len(s.attempts)),
+		Daemon: d.name, Service: "booking", Call: "book",
+		CanLookup: s.lookup, DeduplicatesByKey: s.service.deduplicates,
+		DispatchBy: s.now.Add(simTimeToDispatch), SettleAfter: simSettleAfter,
+	}}
+	s.clock++
+	a.since = s.clock
+	a.core = idempotency.NewCall(a.spec, s.reporter)
+	s.attempts = append(s.attempts, a)
+	s.feed(a, idempotency.Started{})
+	s.later(d, d.life, simTimeToDispatch, func() { s.feed(a, idempotency.CallerExpired{}) })
+	return a
+}
+
+func (s *simulation) feed(a *attempt, event idempotency.CallEvent) {
+	for _, action := range a.core.Handle(s.now, event) {
+		s.perform(a, action)
+	}
+}
+
+func (s *simulation) perform(a *attempt, action idempotency.CallAction) {
+	d := a.daemon
+	switch act := action.(type) {
+	case idempotency.WriteRecord:
+		s.later(d, d.life, act.After, func() {
+			s.commit(d, act.Writes, func(r idempotency.Result) { s.feed(a, idempotency.Committed{Result: r}) })
+		})
+	case idempotency.ReadRecord:
+		s.request(d, "read", act.After, func() func() {
+			row := s.get(act.Key)
+			return func() { s.feed(a, row) }
+		}, nil)
+	case idempotency.Dispatch:
+		broken := func() { s.feed(a, idempotency.Dispatched{Kind: idempotency.DispatchBroken}) }
+		s.request(d, "dispatch", 0, func() func() {
+			kind, answer := s.service.run(a.spec.AttemptID, a.spec.ID.Key)
+			return func() { s.feed(a, idempotency.Dispatched{Kind: kind, Answer: answer}) }
+		}, broken)
+	case idempotency.Lookup:
+		broken := func() { s.feed(a, idempotency.LookedUp{Kind: idempotency.DispatchBroken}) }
+		s.request(d, "lookup", act.After, func() func() {
+			kind, answer := s.service.find(act.AttemptID)
+			return func() { s.feed(a, idempotency.LookedUp{Kind: kind, Answer: answer}) }
+		}, broken)
+	case idempotency.Tell:
+		s.tell(a, act)
+	}
+}
+
+// tell records the caller's answer in the history.
+func (s *simulation) tell(a *attempt, t idempotency.Tell) {
+	if a.told != nil {
+		s.fail("attempt %s is answered twice", a.spec.AttemptID)
+	}
+	a.told = &t
+	s.clock++
+	s.history = append(s.history, porcupine.Operation{
+		ClientId: len(s.history), Input: a.spec.ID.Key, Output: t, Call: a.since, Return: s.clock,
+	})
+}
+
+func (s *simulation) get(key table.Key) idempotency.RowRead {
+	item, err := s.store.Get(context.Background(), key)
+	var notFound *table.NotFoundError
+	if errors.As(err, &notFound) {
+		return idempotency.RowRead{}
+	}
+	return idempotency.RowRead{Item: item, Exists: err == nil, Failed: err != nil}
+}
+
+// commit hands writes to the daemon's group commit.
+func (s *simulation) commit(d *daemon, writes []table.Write, done func(idempotency.Result)) {
+	d.nextID++
+	d.commits[d.nextID] = done
+	s.batch(d, idempotency.Submit{Commit: idempotency.Commit{ID: d.nextID, Writes: writes}})
+}
+
+func (s *simulation) batch(d *daemon, event idempotency.BatchEvent) {
+	for _, action := range d.batcher.Handle(s.now, event) {
+		switch a := action.(type) {
+		case idempotency.Transact:
+			lost := func() { s.batch(d, idempotency.Transacted{Batch: a.Batch, Err: &table.AmbiguousError{}}) }
+			s.request(d, "transact", 0, func() func() {
+				err := s.store.Transact(context.Background(), a.Writes)
+				return func() { s.batch(d, idempotency.Transacted{Batch: a.Batch, Err: err}) }
+			}, lost)
+		case idempotency.Read:
+			s.request(d, "read", 0, func() func() {
+				item, err := s.store.Get(context.Background(), a.Key)
+				return func() { s.batch(d, idempotency.ReadBack{Commit: a.Commit, Item: item, Err: err}) }
+			}, nil)
+		case idempotency.Finish:
+			done := d.commits[a.Commit]
+			delete(d.commits, a.Commit)
+			done(a.Result)
+		}
+	}
+}
+
+// settleOpen lets a daemon list and settle open claims. Several daemons may do
+// so at once, as after a lease that lapsed while its holder was paused.
+func (s *simulation) settleOpen(d *daemon) {
+	if d.dead || d.paused {
+		return
+	}
+	for key := range s.keys {
+		r := idempotency.ID{Account: "a", Key: s.key(key)}.Range()
+		items, err := s.store.Query(context.Background(), idempotency.OpenPartition(r), "", 100)
+		if err != nil {
+			continue
+		}
+		listed := idempotency.Listed{Range: r}
+		for _, item := range items {
+			claim, err := idempotency.DecodeOpen(item)
+			if err != nil {
+				s.fail("%v", err)
+			}
+			listed.Open = append(listed.Open, claim)
+		}
+		s.settle(d, listed)
+	}
+}
+
+func (s *simulation) settle(d *daemon, event idempotency.SettleEvent) {
+	for _, action := range d.settler.Handle(s.now, event) {
+		switch a := action.(type) {
+		case idempotency.SettleReadRecord:
+			s.request(d, "read", 0, func() func() {
+				row := s.get(a.ID.RowKey())
+				return func() {
+					s.settle(d, idempotency.SettleRead{ID: a.ID, Item: row.Item, Exists: row.Exists, Failed: row.Failed})
+				}
+			}, nil)
+		case idempotency.SettleLookup:
+			s.request(d, "lookup", 0, func() func() {
+				if !s.lookup {
+					return func() { s.settle(d, idempotency.SettleLookedUp{ID: a.ID, NoLookup: true}) }
+				}
+				kind, answer := s.service.find(a.Record.AttemptID)
+				return func() { s.settle(d, idempotency.SettleLookedUp{ID: a.ID, Kind: kind, Answer: answer}) }
+			}, func() { s.settle(d, idempotency.SettleLookedUp{ID: a.ID, Kind: idempotency.DispatchBroken}) })
+		case idempotency.SettleWrite:
+			s.commit(d, a.Writes, func(r idempotency.Result) {
+				s.settle(d, idempotency.SettleCommitted{ID: a.ID, Result: r})
+			})
+		}
+	}
+}
+
+func (s *simulation) key(i int) string { return fmt.Sprint("k", i) }
+
+// failNext fails the next operations of the table.
+func (s *simulation) failNext(fault memtable.Fault, count int) {
+	s.store.SetFault(func(memtable.Operation) memtable.Fault {
+		if count--; count < 0 {
+			return memtable.FaultNone
+		}
+		return fault
+	})
+}
+
+// heal ends all faults and runs on until every claim can have been settled.
+func (s *simulation) heal() {
+	s.store.SetFault(nil)
+	s.service.fault = ""
+	for _, d := range s.daemons {
+		if d.dead {
+			s.start(d)
+		}
+		d.paused = false
+	}
+	s.runFor(2 * (simSettleAfter + simPatience))
+}
+
+// runFor performs all tasks as they come due.
+func (s *simulation) runFor(d time.Duration) {
+	for end := s.now.Add(d); s.now.Before(end); s.now = s.now.Add(250 * time.Millisecond) {
+		s.runReady()
+		for _, d := range s.daemons {
+			s.settleOpen(d)
+		}
+	}
+	s.runReady()
+}
+
+func (s *simulation) runReady() {
+	for i := 0; i < len(s.tasks); {
+		if s.ready(s.tasks[i]) {
+			s.run(i)
+			i = 0
+			continue
+		}
+		i++
+	}
+}
