Weigh a request's own prefill by the requests that it delays

Cause: in overload the differences in backlog between servers exceeded the time of one prefill, so prompts spread to servers without their prefix, and the prefills computed again lowered the capacity further. Change: the score adds half the prefill's time for each other request of the server, in place of a constant factor.

--- a/pkg/routing/options.go
+++ b/pkg/routing/options.go
@@ -21,8 +21,9 @@
 	// PrefillPerToken is the first estimate of a server's prefill time per
 	// token; observed first tokens correct it.
 	PrefillPerToken time.Duration
-	// PrefillWeight multiplies the time of the request's own prefill, since
-	// a prefill also delays the other requests of the server.
+	// PrefillWeight is the share of the request's own prefill time that is
+	// added for each other request of the server, since the prefill delays
+	// them. It keeps prefixes together the more, the fuller the servers are.
 	PrefillWeight float64
 	// FullBatch is the time added for a server whose batch is full, and in
 	// proportion for one that is partly full.
@@ -55,7 +56,7 @@
 	defaultLoadBound       = 1.25
 	defaultOtherZone       = 2 * time.Millisecond
 	defaultPrefillPerToken = 60 * time.Microsecond
-	defaultPrefillWeight   = 1.0
+	defaultPrefillWeight   = 0.5
 	defaultFullBatch       = 200 * time.Millisecond
 	defaultMeanDuration    = 5 * time.Second
 	defaultPriceWeight     = 2 * time.Millisecond
--- a/pkg/routing/score.go
+++ b/pkg/routing/score.go
@@ -7,7 +7,7 @@
 func (r *Router) score(g *group, q *Query, s *server, hit float64, at time.Duration) float64 {
 	load := r.load(g, s, at)
 	uncached := max(float64(q.PromptTokens)-hit, 0) + float64(q.ResumeTokens)
-	score := s.prefillPerToken * (r.backlog(s, at) + uncached*r.options.PrefillWeight)
+	score := s.prefillPerToken * (r.backlog(s, at) + uncached*(1+r.options.PrefillWeight*load))
 	score += r.slotWait(s, load)
 	score += r.options.FullBatch.Seconds() * load / s.sequences
 	if s.otherZone {
