Raise the load bound of prefix affinity to twice the mean

Cause: at 1.25 times the mean, ordinary variation of the load moved prefixes to further servers although the score would have kept them. Change: the default LoadBound is 2; the score balances below it.

--- a/pkg/routing/options.go
+++ b/pkg/routing/options.go
@@ -53,7 +53,7 @@
 const (
 	defaultSubsetSize      = 64
 	defaultChoices         = 2
-	defaultLoadBound       = 1.25
+	defaultLoadBound       = 2
 	defaultOtherZone       = 2 * time.Millisecond
 	defaultPrefillPerToken = 60 * time.Microsecond
 	defaultPrefillWeight   = 0.5
