--- a/cmd/monsooncrankd/main.go
+++ b/cmd/monsooncrankd/main.go
@@ -1,4 +1,61 @@
 // Command monsooncrankd is the daemon that serves callers.
 package main
 
-func main() {}
+import (
+	"context"
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"os/signal"
+	"strconv"
+	"syscall"
+
+	"github.com/alecthomas/kingpin/v2"
+	"k8s.io/klog/v2"
+	"k8s.io/utils/clock"
+
+	"github.com/monsooncrank/monsooncrank/pkg/daemon"
+)
+
+func main() {
+	app := kingpin.New("monsooncrankd", "Serves model-backed and booking requests on reclaimable hosts.\n\n"+
+		"SIGTERM and SIGINT stop it without cutting a request in progress.\n\n"+
+		"Example: monsooncrankd --settings /etc/monsooncrank/daemon.jsonc")
+	file := app.Flag("settings", "Settings in JSON with comments.").Short('s').Required().ExistingFile()
+	checkOnly := app.Flag("check", "Check the settings and exit.").Bool()
+	verbosity := app.Flag("verbosity", "Log verbosity, 0 to 9; overrides the settings.").Short('v').Default("-1").Int()
+	kingpin.MustParse(app.Parse(os.Args[1:]))
+	if err := run(*file, *checkOnly, *verbosity); err != nil {
+		fmt.Fprintln(os.Stderr, "monsooncrankd:", err)
+		os.Exit(1)
+	}
+}
+
+func run(file string, checkOnly bool, verbosity int) error {
+	settings, err := daemon.LoadSettings(file)
+	if err != nil || checkOnly {
+		return err
+	}
+	if verbosity < 0 {
+		verbosity = settings.LogVerbosity
+	}
+	if err := setVerbosity(verbosity); err != nil {
+		return err
+	}
+	defer klog.Flush()
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	d, err := daemon.New(daemon.Options{Settings: settings, Clock: clock.RealClock{}, Seed: rand.Uint64()})
+	if err != nil {
+		return err
+	}
+	return d.Run(ctx)
+}
+
+// setVerbosity sets klog's verbosity, which klog takes through its flags only.
+func setVerbosity(level int) error {
+	flags := flag.NewFlagSet("klog", flag.ContinueOnError)
+	klog.InitFlags(flags)
+	return flags.Set("v", strconv.Itoa(level))
+}
--- a/pkg/api/api.go
+++ b/pkg/api/api.go
@@ -31,6 +31,7 @@
 	ProblemBadRequest         ProblemName = "bad-request"
 	ProblemUnauthorized       ProblemName = "unauthorized"
 	ProblemNotFound           ProblemName = "not-found"
+	ProblemRequestTimeout     ProblemName = "request-timeout"
 	ProblemTooLarge           ProblemName = "too-large"
 	ProblemKeyConflict        ProblemName = "idempotency-key-conflict"
 	ProblemKeyInUse           ProblemName = "idempotency-key-in-use"
--- a/pkg/demo/client.go
+++ b/pkg/demo/client.go
@@ -100,7 +100,8 @@
 func (c *caller) chat(ctx context.Context, model string, messages []api.Message, maxTokens int) *chatResult {
 	body, _ := json.Marshal(map[string]any{"model": model, "messages": messages, "max_tokens": maxTokens, "stream": true})
 	result := &chatResult{sent: time.Now()}
-	response, err := c.request(ctx, http.MethodPost, "/v1/chat/completions", string(body), nil)
+	response, err := c.request(ctx, http.MethodPost, "/v1/chat/completions", string(body),
+		map[string]string{"Request-Timeout": timeoutHeader(chatPatience)})
 	if err != nil {
 		return result
 	}
--- a/pkg/demo/judge.go
+++ b/pkg/demo/judge.go
@@ -98,6 +98,7 @@
 	for _, d := range r.deferred {
 		counts.add(j.deferred(d))
 	}
+	j.findings = append(j.findings, r.failures...)
 	for outcome, n := range r.checks {
 		counts.add(countOutcome(api.Outcome(outcome), n))
 	}
--- a/pkg/demo/traffic.go
+++ b/pkg/demo/traffic.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"strconv"
 	"sync"
 	"time"
 
@@ -39,7 +40,10 @@
 
 	chatPatience    = 20 * time.Second
 	bookingPatience = 8 * time.Second
-	deferredPoll    = 200 * time.Millisecond
+	// answerMargin is how much earlier than a caller's patience the answer is
+	// asked for.
+	answerMargin = time.Second
+	deferredPoll = 200 * time.Millisecond
 	// resendShare of the bookings are sent twice at the same time, to two
 	// daemons, with one key.
 	resendShare = 0.15
@@ -76,6 +80,8 @@
 	bookings []*bookingRecord
 	deferred []*deferredRecord
 	checks   map[string]int
+	// failures describe checks without an answer.
+	failures []string
 }
 
 // traffic sends the requests of one operator's callers.
@@ -149,10 +155,15 @@
 	ctx, cancel := context.WithTimeout(ctx, bookingPatience)
 	defer cancel()
 	path := "/v1/services/" + t.workload.service + "/" + t.workload.check
-	r, err := t.caller(random).exchange(ctx, http.MethodPost, path, fmt.Sprintf(`{"slot":%d}`, n), nil)
+	r, err := t.caller(random).exchange(ctx, http.MethodPost, path, fmt.Sprintf(`{"slot":%d}`, n), map[string]string{
+		"Request-Timeout": timeoutHeader(bookingPatience),
+	})
 	t.records.mu.Lock()
 	defer t.records.mu.Unlock()
 	t.records.checks[outcomeOf(r, err)]++
+	if err != nil {
+		t.records.failures = append(t.records.failures, "check got no answer: "+err.Error())
+	}
 }
 
 func outcomeOf(r *reply, err error) string {
@@ -191,7 +202,9 @@
 	defer cancel()
 	path := "/v1/services/" + t.workload.service + "/" + call
 	body := fmt.Sprintf(`{"object":"%s-%d"}`, call, n)
-	r, err := from.exchange(ctx, http.MethodPost, path, body, map[string]string{"Idempotency-Key": record.key})
+	r, err := from.exchange(ctx, http.MethodPost, path, body, map[string]string{
+		"Idempotency-Key": record.key, "Request-Timeout": timeoutHeader(bookingPatience),
+	})
 	t.records.mu.Lock()
 	defer t.records.mu.Unlock()
 	record.outcomes = append(record.outcomes, outcomeOf(r, err))
@@ -200,6 +213,11 @@
 	}
 }
 
+// timeoutHeader asks for an answer before a caller's patience ends.
+func timeoutHeader(patience time.Duration) string {
+	return strconv.FormatFloat((patience - answerMargin).Seconds(), 'f', -1, 64)
+}
+
 func (t *traffic) sendDeferred(ctx context.Context, n int, random *rand.Rand) {
 	if t.workload.deferredModel == "" {
 		return
--- a/pkg/gateway/gateway_test.go
+++ b/pkg/gateway/gateway_test.go
@@ -87,10 +87,12 @@
 	BeforeEach(func() {
 		duties = &fakeDuties{}
 		var ids atomic.Int64
+		limits := gateway.DefaultLimits()
+		limits.ReadTimeout = 300 * time.Millisecond
 		var err error
 		server, err = gateway.NewServer(gateway.Options{
 			Chats: duties, Calls: duties, Deferred: duties, Catalog: fakeCatalog{},
-			Limits: gateway.DefaultLimits(), Clock: clock.RealClock{}, Registry: prometheus.NewRegistry(),
+			Limits: limits, Clock: clock.RealClock{}, Registry: prometheus.NewRegistry(),
 			NewID: func() string { return "r" + strconv.FormatInt(ids.Add(1), 10) },
 		})
 		Expect(err).NotTo(HaveOccurred())
@@ -265,6 +267,18 @@
 		Expect(readAnswer(reader)).To(ContainSubstring(`"content":"t0"`))
 	})
 
+	// Guards against an error on an unused connection that a client takes for
+	// the answer to its next request.
+	It("ends a connection on which no request arrives with 408", func() {
+		conn, err := net.Dial("tcp", address)
+		Expect(err).NotTo(HaveOccurred())
+		defer func() { _ = conn.Close() }()
+		response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(response.StatusCode).To(Equal(http.StatusRequestTimeout))
+		Expect(response.Close).To(BeTrue())
+	})
+
 	// Guards against cutting a request in progress at a planned stop.
 	It("finishes requests in progress and refuses new ones while it drains", func() {
 		release := make(chan struct{})
--- a/pkg/gateway/problem.go
+++ b/pkg/gateway/problem.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"math"
+	"net"
 	"net/http"
 	"strconv"
 	"time"
@@ -99,7 +100,12 @@
 func (s *Server) handleReadError(ctx *fasthttp.RequestCtx, err error) {
 	problem := api.NotRun(api.ProblemBadRequest, http.StatusBadRequest, "the request could not be read")
 	var small *fasthttp.ErrSmallBuffer
+	var timeout net.Error
 	switch {
+	case errors.As(err, &timeout) && timeout.Timeout():
+		// Clients take a 408 on an unused connection for the end of that
+		// connection, and any other status for the answer to a request.
+		problem = api.NotRun(api.ProblemRequestTimeout, http.StatusRequestTimeout, "the request did not arrive in time")
 	case errors.Is(err, fasthttp.ErrBodyTooLarge):
 		problem = api.NotRun(api.ProblemTooLarge, http.StatusRequestEntityTooLarge, "the body is too large")
 	case errors.As(err, &small):
