--- a/pkg/publish/publish_test.go
+++ b/pkg/publish/publish_test.go
@@ -145,7 +145,7 @@
 
 // advance lets time pass in steps that no daemon takes for a pause.
 func (r *rig) advance(g Gomega, d time.Duration) {
-	const step = 250 * time.Millisecond
+	const step = time.Second
 	for ; d > 0; d -= step {
 		r.clock.Step(step)
 		now := r.clock.Now()
@@ -302,6 +302,7 @@
 		inForce(Default, r.daemons[1], 1)
 		r.hooks.before = func() { _ = r.objects.Put(context.Background(), bodyKey(hashOf(2)), []byte("{}")) }
 		_, _ = r.publish(2, 1)
+		Eventually(r.daemons[1].Status).Should(HaveField("Known", uint64(2)))
 		r.advance(Default, 2*time.Second)
 		Expect(r.daemons[1].Status()).To(And(HaveField("Known", uint64(2)), HaveField("InForce", uint64(1)), HaveField("LagSeconds", BeNumerically(">", 1))))
 	})
