Serve the operators' interface

Cause: operators need to publish, inspect and drain over their own address with their own token.

Change: pkg/operatorapi serves the configuration, its history, status, decisions, drain, quarantine, metrics, health and readiness over fasthttp. The bearer token is compared by its hash in constant time; failures are application/problem+json with findings, winner or publish ID.

Result: go test ./pkg/operatorapi passes 7 specs.

--- /dev/null
+++ b/pkg/operatorapi/operatorapi_test.go
@@ -0,0 +1,185 @@
+package operatorapi
+
+import (
+	"context"
+	"encoding/json"
+	"os"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/valyala/fasthttp"
+	"k8s.io/klog/v2"
+
+	"github.com/monsooncrank/monsooncrank/coordination/table/memtable"
+	"github.com/monsooncrank/monsooncrank/pkg/config"
+	"github.com/monsooncrank/monsooncrank/pkg/decision"
+	"github.com/monsooncrank/monsooncrank/pkg/platform/objectstore/memstore"
+	"github.com/monsooncrank/monsooncrank/pkg/publish"
+)
+
+func TestOperatorAPI(t *testing.T) {
+	klog.SetLogger(klog.Logger{})
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "operatorapi")
+}
+
+// notReadyError is the reason of a daemon that is not ready.
+type notReadyError struct{}
+
+func (*notReadyError) Error() string { return "no configuration" }
+
+// fakeDaemon stands for the daemon's other duties.
+type fakeDaemon struct {
+	drained int
+	entries []QuarantineEntry
+	ready   error
+}
+
+func (d *fakeDaemon) Drain() { d.drained++ }
+
+func (d *fakeDaemon) List(context.Context) ([]QuarantineEntry, error) { return d.entries, nil }
+
+func (d *fakeDaemon) Release(_ context.Context, fingerprint string) error {
+	if len(d.entries) == 0 || d.entries[0].Fingerprint != fingerprint {
+		return &UnknownFingerprintError{Fingerprint: fingerprint}
+	}
+	d.entries = nil
+	return nil
+}
+
+var _ = Describe("Server", func() {
+	var (
+		server *Server
+		daemon *fakeDaemon
+		store  *memtable.Store
+		body   []byte
+	)
+	const token = "operator-token"
+
+	// call serves one request and returns its status and body.
+	call := func(bearer, method, uri string, body []byte) (int, []byte) {
+		var req fasthttp.Request
+		var ctx fasthttp.RequestCtx
+		req.Header.SetMethod(method)
+		req.SetRequestURI("http://operators" + uri)
+		if bearer != "" {
+			req.Header.Set("Authorization", bearer)
+		}
+		req.SetBody(body)
+		ctx.Init(&req, nil, nil)
+		server.Handle(&ctx)
+		return ctx.Response.StatusCode(), ctx.Response.Body()
+	}
+	problem := func(wantStatus int, wantType, method, uri string, body []byte) Problem {
+		status, answer := call("Bearer "+token, method, uri, body)
+		var p Problem
+		ExpectWithOffset(1, json.Unmarshal(answer, &p)).To(Succeed())
+		ExpectWithOffset(1, []any{status, p.Status, p.Type}).To(Equal([]any{wantStatus, wantStatus, wantType}))
+		return p
+	}
+
+	BeforeEach(func() {
+		var err error
+		body, err = os.ReadFile("../../examples/kodiclub.jsonc")
+		Expect(err).NotTo(HaveOccurred())
+		daemon = &fakeDaemon{entries: []QuarantineEntry{{Fingerprint: "f1", Crashes: 2}}}
+		store = memtable.New()
+		recorder := decision.NewRecorder(10)
+		recorder.Record(decision.Decision{RequestID: "r1", Kind: decision.KindRoute, Chosen: "engine-1", Reason: "lowest score"})
+		server = NewServer(Options{Token: token, Decisions: recorder, Drainer: daemon, Quarantine: daemon,
+			Configuration: publish.NewPublisher(publish.PublisherOptions{Table: store, Objects: memstore.New(), RetryWait: time.Microsecond}),
+			Status:        func() Status { return Status{Daemon: "daemon-1"} },
+			Metrics:       prometheus.NewRegistry(), Ready: func() error { return daemon.ready }})
+	})
+
+	// Guards against an operator endpoint that answers without the token, also
+	// when none is set.
+	It("refuses everything under /v1 without the token", func() {
+		for _, bearer := range []string{"", token, "Bearer ", "Bearer operator-toke", "Bearer " + token + "x"} {
+			status, _ := call(bearer, "POST", "/v1/drain", nil)
+			Expect(status).To(Equal(401), bearer)
+		}
+		server = NewServer(Options{Drainer: daemon})
+		status, _ := call("Bearer ", "POST", "/v1/drain", nil)
+		Expect(status).To(Equal(401))
+		Expect(daemon.drained).To(BeZero())
+	})
+
+	It("serves health, readiness and metrics without a token", func() {
+		for _, path := range []string{"/healthz", "/readyz", "/metrics"} {
+			status, _ := call("", "GET", path, nil)
+			Expect(status).To(Equal(200), path)
+		}
+		daemon.ready = &notReadyError{}
+		status, answer := call("", "GET", "/readyz", nil)
+		Expect(status).To(Equal(503))
+		Expect(string(answer)).To(Equal("no configuration\n"))
+	})
+
+	It("publishes, returns and lists configurations", func() {
+		status, answer := call("Bearer "+token, "POST", "/v1/configuration?against=0&publisher=ana", body)
+		Expect(status).To(Equal(201), string(answer))
+		status, published := call("Bearer "+token, "GET", "/v1/configuration", nil)
+		Expect(status).To(Equal(200))
+		set, err := config.Parse(config.File{Name: "published", Body: published})
+		Expect(err).NotTo(HaveOccurred())
+		Expect(set.ClientAccounts).To(HaveLen(5))
+		_, answer = call("Bearer "+token, "GET", "/v1/configuration/history", nil)
+		var history HistoryAnswer
+		Expect(json.Unmarshal(answer, &history)).To(Succeed())
+		Expect(history.Revisions[0]).To(And(HaveField("Revision", uint64(1)), HaveField("Publisher", "ana")))
+		lost := problem(409, ProblemConflict, "POST", "/v1/configuration?against=0", body)
+		Expect(lost.Winner.Publisher).To(Equal("ana"))
+	})
+
+	It("reports why a configuration is refused", func() {
+		p := problem(422, ProblemInvalid, "POST", "/v1/configuration?against=0", []byte("{\n\"objects\": [1]}"))
+		Expect(p.Findings).To(HaveLen(1))
+		Expect(p.Findings[0].Line).To(Equal(2))
+		problem(400, ProblemBadRequest, "POST", "/v1/configuration", body)
+		problem(400, ProblemBadRequest, "GET", "/v1/configuration?revision=x", nil)
+		problem(404, ProblemNotFound, "GET", "/v1/configuration?revision=7", nil)
+		problem(404, ProblemNotFound, "GET", "/v1/configuration", nil)
+	})
+
+	// Guards against a lost answer that is told as a failure.
+	It("tells an outage from a publish whose outcome is open", func() {
+		fault := memtable.FaultUnavailable
+		store.SetFault(func(op memtable.Operation) memtable.Fault {
+			if op == memtable.OperationTransact {
+				return fault
+			}
+			return memtable.FaultNone
+		})
+		problem(503, ProblemUnavailable, "POST", "/v1/configuration?against=0", body)
+		fault = memtable.FaultRequestLost
+		p := problem(504, ProblemUndetermined, "POST", "/v1/configuration?against=0&publish_id=id-1", body)
+		Expect(p.PublishID).To(Equal("id-1"))
+	})
+
+	It("explains, drains and releases", func() {
+		status, answer := call("Bearer "+token, "GET", "/v1/requests/r1/decisions", nil)
+		Expect(status).To(Equal(200))
+		Expect(string(answer)).To(ContainSubstring(`"chosen":"engine-1"`))
+		problem(404, ProblemNotFound, "GET", "/v1/requests/r2/decisions", nil)
+		status, _ = call("Bearer "+token, "POST", "/v1/drain", nil)
+		Expect([]int{status, daemon.drained}).To(Equal([]int{202, 1}))
+		problem(405, ProblemBadMethod, "GET", "/v1/drain", nil)
+		problem(404, ProblemNotFound, "DELETE", "/v1/quarantine/f2", nil)
+		status, _ = call("Bearer "+token, "DELETE", "/v1/quarantine/f1", nil)
+		Expect(status).To(Equal(204))
+		_, answer = call("Bearer "+token, "GET", "/v1/quarantine", nil)
+		Expect(string(answer)).To(Equal("{\"entries\":[]}\n"))
+		_, answer = call("Bearer "+token, "GET", "/v1/status", nil)
+		Expect(string(answer)).To(ContainSubstring(`"daemon":"daemon-1"`))
+	})
+
+	It("says which duty a daemon does not serve", func() {
+		server = NewServer(Options{Token: token})
+		problem(501, ProblemNotImplemented, "GET", "/v1/quarantine", nil)
+		problem(404, ProblemNotFound, "GET", "/v1/nothing", nil)
+	})
+})
--- /dev/null
+++ b/pkg/operatorapi/server.go
@@ -0,0 +1,134 @@
+package operatorapi
+
+import (
+	"context"
+	"crypto/sha256"
+	"crypto/subtle"
+	"net"
+	"strings"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+	"github.com/valyala/fasthttp"
+	"github.com/valyala/fasthttp/fasthttpadaptor"
+)
+
+const (
+	readTimeout     = 30 * time.Second
+	writeTimeout    = 30 * time.Second
+	idleTimeout     = 60 * time.Second
+	maxHeaderBytes  = 16 << 10
+	bearerPrefix    = "Bearer "
+	contentJSON     = "application/json"
+	contentProblem  = "application/problem+json"
+	contentText     = "text/plain; charset=utf-8"
+	headerRevision  = "Monsooncrank-Revision"
+	headerBodyHash  = "Monsooncrank-Body-Hash"
+	requestsPrefix  = "/v1/requests/"
+	decisionsSuffix = "/decisions"
+	quarantinePath  = "/v1/quarantine"
+)
+
+// Server serves the operators' interface.
+type Server struct {
+	o       Options
+	token   [sha256.Size]byte
+	metrics fasthttp.RequestHandler
+	server  *fasthttp.Server
+}
+
+// NewServer returns a Server.
+func NewServer(o Options) *Server {
+	if o.Timeout <= 0 {
+		o.Timeout = defaultTimeout
+	}
+	s := &Server{o: o, token: sha256.Sum256([]byte(o.Token))}
+	if o.Metrics != nil {
+		s.metrics = fasthttpadaptor.NewFastHTTPHandler(promhttp.HandlerFor(o.Metrics, promhttp.HandlerOpts{}))
+	}
+	s.server = &fasthttp.Server{
+		Handler: s.Handle, NoDefaultServerHeader: true, CloseOnShutdown: true,
+		ReadTimeout: readTimeout, WriteTimeout: writeTimeout, IdleTimeout: idleTimeout,
+		ReadBufferSize: maxHeaderBytes, MaxRequestBodySize: maxBodyBytes,
+	}
+	return s
+}
+
+// Serve serves connections of ln until Shutdown.
+func (s *Server) Serve(ln net.Listener) error { return s.server.Serve(ln) }
+
+// Shutdown stops accepting, waits for running requests and closes.
+func (s *Server) Shutdown(ctx context.Context) error { return s.server.ShutdownWithContext(ctx) }
+
+// Handle serves one request.
+func (s *Server) Handle(ctx *fasthttp.RequestCtx) {
+	switch path := string(ctx.Path()); {
+	case path == "/healthz":
+		text(ctx, fasthttp.StatusOK, "ok\n")
+	case path == "/readyz":
+		s.ready(ctx)
+	case path == "/metrics" && s.metrics != nil:
+		s.metrics(ctx)
+	case !strings.HasPrefix(path, "/v1/"):
+		writeProblem(ctx, notFound("no such path"))
+	case !s.authorized(ctx):
+		ctx.Response.Header.Set(fasthttp.HeaderWWWAuthenticate, "Bearer")
+		writeProblem(ctx, &Problem{Type: ProblemUnauthorized, Title: "Unauthorized", Status: fasthttp.StatusUnauthorized})
+	default:
+		s.route(ctx, path)
+	}
+}
+
+// authorized compares hashes, so that the time depends neither on the token nor
+// on its length.
+func (s *Server) authorized(ctx *fasthttp.RequestCtx) bool {
+	header := string(ctx.Request.Header.Peek(fasthttp.HeaderAuthorization))
+	token, ok := strings.CutPrefix(header, bearerPrefix)
+	given := sha256.Sum256([]byte(token))
+	equal := subtle.ConstantTimeCompare(given[:], s.token[:]) == 1
+	return ok && equal && s.o.Token != ""
+}
+
+// handler handles a request and returns the failure to report.
+type handler func(ctx context.Context, req *fasthttp.RequestCtx) error
+
+// route finds the handler by path and method.
+func (s *Server) route(ctx *fasthttp.RequestCtx, path string) {
+	handlers := s.handlers(path)
+	if handlers == nil {
+		writeProblem(ctx, notFound("no such path"))
+		return
+	}
+	handle, ok := handlers[string(ctx.Method())]
+	if !ok {
+		writeProblem(ctx, &Problem{Type: ProblemBadMethod, Title: "Method not allowed", Status: fasthttp.StatusMethodNotAllowed})
+		return
+	}
+	limited, cancel := context.WithTimeout(context.Background(), s.o.Timeout)
+	defer cancel()
+	if err := handle(limited, ctx); err != nil {
+		writeProblem(ctx, problemOf(err))
+	}
+}
+
+func (s *Server) handlers(path string) map[string]handler {
+	switch path {
+	case "/v1/configuration":
+		return map[string]handler{fasthttp.MethodGet: s.getConfiguration, fasthttp.MethodPost: s.publish}
+	case "/v1/configuration/history":
+		return map[string]handler{fasthttp.MethodGet: s.history}
+	case "/v1/status":
+		return map[string]handler{fasthttp.MethodGet: s.status}
+	case "/v1/drain":
+		return map[string]handler{fasthttp.MethodPost: s.drain}
+	case quarantinePath:
+		return map[string]handler{fasthttp.MethodGet: s.listQuarantine}
+	}
+	if fingerprint, ok := strings.CutPrefix(path, quarantinePath+"/"); ok && fingerprint != "" {
+		return map[string]handler{fasthttp.MethodDelete: s.releaseQuarantine}
+	}
+	if strings.HasPrefix(path, requestsPrefix) && strings.HasSuffix(path, decisionsSuffix) {
+		return map[string]handler{fasthttp.MethodGet: s.decisions}
+	}
+	return nil
+}
