--- a/pkg/standin/engine/conn.go
+++ b/pkg/standin/engine/conn.go
@@ -12,6 +12,8 @@
 	net.Listener
 	mu    sync.Mutex
 	conns map[*trackedConn]struct{}
+	// closed makes a connection that was accepted just before the cut end too.
+	closed bool
 }
 
 // trackedConn is a connection whose writes vanish once it is silent, as on a
@@ -36,6 +38,9 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.conns[tracked] = struct{}{}
+	if l.closed {
+		_ = conn.Close()
+	}
 	return tracked, nil
 }
 
@@ -51,6 +56,7 @@
 func (l *trackedListener) cut() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.closed = true
 	for conn := range l.conns {
 		if tcp, ok := conn.Conn.(*net.TCPConn); ok {
 			_ = tcp.SetLinger(0)
--- a/pkg/standin/engine/engine.go
+++ b/pkg/standin/engine/engine.go
@@ -7,7 +7,6 @@
 package engine
 
 import (
-	"context"
 	"fmt"
 	"net"
 	"net/http"
@@ -27,7 +26,6 @@
 	defaultKeepAlive     = 100 * time.Millisecond
 	defaultKVBytesPerTok = 128 << 10
 	readHeaderTimeout    = 5 * time.Second
-	shutdownTimeout      = 5 * time.Second
 )
 
 // Options configure an Engine. The zero value is a fast engine on a free
@@ -128,7 +126,7 @@
 		imports:  make(map[string]kvCache),
 		order:    engine.Order{Models: opts.Models},
 	}
-	e.server = &http.Server{Handler: e.handler(), ReadHeaderTimeout: readHeaderTimeout}
+	e.server = &http.Server{Handler: e.counted(e.handler()), ReadHeaderTimeout: readHeaderTimeout}
 	e.tasks.Go(func() { _ = e.server.Serve(e.listener) })
 	e.tasks.Go(e.schedule)
 	return e, nil
@@ -203,16 +201,24 @@
 // Close kills the engine and waits until all its goroutines have ended.
 func (e *Engine) Close() error {
 	e.Kill()
-	_ = e.server.Close()
-	ctx, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
-	defer cancel()
-	err := e.server.Shutdown(ctx)
+	err := e.server.Close()
 	e.tasks.Wait()
-	if err != nil {
+	if err != nil && !errors.Is(err, net.ErrClosed) {
 		return errors.Annotatef(err, "stand-in engine %s", e.opts.Name)
 	}
 	return nil
 }
 
+// begin counts a request in, so that Close waits for it; a killed engine takes
+// none.
+func (e *Engine) begin() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if !e.killed {
+		e.tasks.Add(1)
+	}
+	return !e.killed
+}
+
 // String returns the name and address.
 func (e *Engine) String() string { return fmt.Sprintf("%s (%s)", e.opts.Name, e.Address()) }
--- a/pkg/standin/engine/server.go
+++ b/pkg/standin/engine/server.go
@@ -26,6 +26,16 @@
 	return mux
 }
 
+func (e *Engine) counted(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if !e.begin() {
+			panic(http.ErrAbortHandler)
+		}
+		defer e.tasks.Done()
+		next.ServeHTTP(w, r)
+	})
+}
+
 func (e *Engine) serveChat(w http.ResponseWriter, r *http.Request) {
 	var body engine.ChatBody
 	if !readJSON(w, r, &body) {
