Serve operators from the daemon; go on taking requests until the balancer knows

Cause: callers try once, so a daemon that refuses requests as soon as it is told to stop loses those that the balancer still sends. Change: the operators' interface is wired; a drain turns readiness off, waits for balancer_seconds, then refuses and drains. The operators' token is read from a file.

--- a/pkg/daemon/build.go
+++ b/pkg/daemon/build.go
@@ -151,11 +151,10 @@
 	if d.listeners.callers, err = d.listen(&d.settings.Callers); err != nil {
 		return errors.Trace(err)
 	}
-	d.listeners.operators, err = d.listen(&d.settings.Operators)
-	if err != nil {
+	if d.listeners.operators, err = d.listen(&d.settings.Operators); err != nil {
 		return errors.Trace(err)
 	}
-	return nil
+	return errors.Trace(d.buildOperators())
 }
 
 // listen opens a listener, with TLS if the settings name certificates.
--- a/pkg/daemon/daemon.go
+++ b/pkg/daemon/daemon.go
@@ -4,6 +4,8 @@
 	"math/rand/v2"
 	"net"
 	"sync"
+	"sync/atomic"
+	"time"
 
 	"github.com/juju/errors"
 	"github.com/prometheus/client_golang/prometheus"
@@ -21,6 +23,7 @@
 	"github.com/monsooncrank/monsooncrank/pkg/engine"
 	"github.com/monsooncrank/monsooncrank/pkg/gateway"
 	"github.com/monsooncrank/monsooncrank/pkg/oncecall"
+	"github.com/monsooncrank/monsooncrank/pkg/operatorapi"
 	"github.com/monsooncrank/monsooncrank/pkg/peer"
 	"github.com/monsooncrank/monsooncrank/pkg/publish"
 	"github.com/monsooncrank/monsooncrank/pkg/routing"
@@ -44,12 +47,6 @@
 	Seed uint64
 }
 
-// operatorServer serves operators.
-type operatorServer interface {
-	Serve(net.Listener) error
-	Close()
-}
-
 // Daemon is one entry host's process.
 type Daemon struct {
 	settings    *Settings
@@ -82,7 +79,8 @@
 	notices    *noticeDuty
 
 	callers   *gateway.Server
-	operators operatorServer
+	operators *operatorapi.Server
+	startedAt time.Time
 	listeners struct{ callers, operators net.Listener }
 	served    chan error
 	// built is closed when all parts exist.
@@ -93,6 +91,7 @@
 	// drainAsked is closed when an operator has asked for a drain.
 	drainAsked chan struct{}
 	drainOnce  sync.Once
+	draining   atomic.Bool
 }
 
 // New builds a Daemon and opens its listeners; Run starts it.
@@ -108,7 +107,8 @@
 		drainAsked: make(chan struct{}),
 	}
 	// A later start has a higher incarnation, whatever Host it runs on.
-	d.incarnation = uint64(d.clock.Now().UnixMilli())
+	d.startedAt = d.clock.Now()
+	d.incarnation = uint64(d.startedAt.UnixMilli())
 	random := func(stream uint64) *rand.Rand { return rand.New(rand.NewPCG(options.Seed, stream)) }
 	for _, step := range []func(func(uint64) *rand.Rand) error{
 		d.buildBase, d.buildMembership, d.buildConfiguration, d.buildDuties, d.buildListeners,
--- a/pkg/daemon/platform.go
+++ b/pkg/daemon/platform.go
@@ -1,8 +1,6 @@
 package daemon
 
 import (
-	"os"
-	"strings"
 	"time"
 
 	"github.com/juju/errors"
@@ -61,13 +59,9 @@
 }
 
 func (s *Service) clientOptions() (awsclient.Options, error) {
-	secret := ""
-	if s.SecretKeyFile != "" {
-		raw, err := os.ReadFile(s.SecretKeyFile)
-		if err != nil {
-			return awsclient.Options{}, errors.Annotate(err, "read secret key")
-		}
-		secret = strings.TrimSpace(string(raw))
+	secret, err := readSecret(s.SecretKeyFile)
+	if err != nil {
+		return awsclient.Options{}, errors.Trace(err)
 	}
 	return awsclient.Options{
 		Endpoint:    s.Endpoint,
--- a/pkg/daemon/run.go
+++ b/pkg/daemon/run.go
@@ -18,9 +18,7 @@
 	d.reconciler.start()
 	d.notices.start()
 	go func() { d.served <- d.callers.Serve(d.listeners.callers) }()
-	if d.operators != nil {
-		go func() { d.served <- d.operators.Serve(d.listeners.operators) }()
-	}
+	go func() { d.served <- d.operators.Serve(d.listeners.operators) }()
 	klog.InfoS("daemon started", "name", d.settings.Name, "availabilityZone", d.settings.AvailabilityZone,
 		"callers", d.CallersAddress(), "operators", d.OperatorsAddress(), "peers", d.PeersAddress())
 }
@@ -49,8 +47,10 @@
 // the streams are drained first.
 func (d *Daemon) Drain(ctx context.Context) error {
 	klog.InfoS("drain begins", "name", d.settings.Name)
-	d.callers.StopAccepting()
+	d.draining.Store(true)
 	d.gossip.Leave(ctx)
+	d.awaitBalancer(ctx)
+	d.callers.StopAccepting()
 	var group sync.WaitGroup
 	results := make([]error, 2)
 	group.Go(func() { results[0] = d.streams.Drain(ctx) })
@@ -66,6 +66,16 @@
 	return errors.Trace(err)
 }
 
+// awaitBalancer goes on taking requests until the platform's balancer has seen
+// that the daemon is not ready: its callers try once, so a refusal would lose
+// them.
+func (d *Daemon) awaitBalancer(ctx context.Context) {
+	select {
+	case <-d.clock.After(seconds(d.settings.BalancerSeconds)):
+	case <-ctx.Done():
+	}
+}
+
 // Close stops the daemon. Without a Drain before it, it cuts requests in
 // progress as a crash does, but leaves no goroutine behind.
 func (d *Daemon) Close() { d.closeOnce.Do(d.close) }
@@ -98,7 +108,7 @@
 	add(d.committer != nil, func() { d.committer.Close() })
 	add(d.quarantine != nil, func() { d.quarantine.close() })
 	add(d.controller != nil, func() { d.controller.Close() })
-	add(d.operators != nil, func() { d.operators.Close() })
+	add(d.operators != nil, d.closeOperators)
 	add(d.peers != nil, func() { logError("peers", d.peers.Close()) })
 	add(d.gossip != nil, func() { d.gossip.Close() })
 	add(d.follower != nil, func() { d.follower.Close() })
@@ -147,11 +157,13 @@
 	return snapshot.Revision
 }
 
-// Ready reports whether the daemon serves callers.
-func (d *Daemon) Ready() bool {
-	_, err := d.follower.Current()
-	return err == nil
-}
+// operatorsShutdown bounds the end of the operators' listener.
+const operatorsShutdown = time.Second
 
-// shutdownTimeout bounds the end of the operators' listener.
-const shutdownTimeout = time.Second
+func (d *Daemon) closeOperators() {
+	ctx, cancel := context.WithTimeout(context.Background(), operatorsShutdown)
+	defer cancel()
+	if err := d.operators.Shutdown(ctx); err != nil {
+		klog.V(1).InfoS("operators' listener not closed in time", "error", err)
+	}
+}
--- a/pkg/daemon/settings.go
+++ b/pkg/daemon/settings.go
@@ -63,13 +63,17 @@
 	Peers            Listener `json:"peers"`
 	// PeerAddresses are daemons to contact first; others are learned.
 	PeerAddresses []string `json:"peer_addresses,omitempty"`
-	// OperatorTokenHash is the SHA-256 of the operators' token, hexadecimal.
-	OperatorTokenHash string   `json:"operator_token_hash"`
+	// OperatorTokenFile holds the operators' token, which is kept out of the
+	// settings.
+	OperatorTokenFile string   `json:"operator_token_file"`
 	Platform          Platform `json:"platform"`
 	// DrainSeconds bounds how long requests in progress may take after SIGTERM
 	// before they are handed to a peer.
 	DrainSeconds float64 `json:"drain_seconds"`
-	LogVerbosity int     `json:"log_verbosity,omitempty"`
+	// BalancerSeconds is how long the platform's balancer takes to send no new
+	// callers to a daemon that is not ready; it is part of the drain.
+	BalancerSeconds float64 `json:"balancer_seconds"`
+	LogVerbosity    int     `json:"log_verbosity,omitempty"`
 }
 
 // Drain returns the bound of a planned stop.
@@ -136,7 +140,7 @@
 	for _, address := range s.PeerAddresses {
 		c.address("peer_addresses", address)
 	}
-	c.require(isSHA256(s.OperatorTokenHash), "operator_token_hash is not a SHA-256 in hexadecimal")
+	c.require(s.OperatorTokenFile != "", "operator_token_file is missing")
 	c.service("platform.table", &s.Platform.Table)
 	c.service("platform.objects", &s.Platform.Objects)
 	c.url("platform.host_list_url", s.Platform.HostList)
@@ -144,6 +148,8 @@
 		c.url("platform.cloud_api_url", s.Platform.CloudAPI)
 	}
 	c.require(s.DrainSeconds > 0, "drain_seconds must be above 0")
+	c.require(s.BalancerSeconds >= 0 && s.BalancerSeconds < s.DrainSeconds,
+		"balancer_seconds must be at least 0 and below drain_seconds")
 	c.require(s.LogVerbosity >= 0 && s.LogVerbosity <= 9, "log_verbosity must be from 0 to 9")
 	return c.problems
 }
@@ -181,7 +187,20 @@
 		"%s: %q is not an http or https URL", name, value)
 }
 
-func isSHA256(s string) bool {
-	const hexDigits = 64
-	return len(s) == hexDigits && strings.Trim(s, "0123456789abcdef") == ""
+// EmptySecretError reports a secret file without a secret.
+type EmptySecretError struct{ File string }
+
+func (e *EmptySecretError) Error() string { return "no secret in " + e.File }
+
+// readSecret reads a file that holds one secret.
+func readSecret(file string) (string, error) {
+	raw, err := os.ReadFile(file)
+	if err != nil {
+		return "", errors.Annotate(err, "read secret")
+	}
+	secret := strings.TrimSpace(string(raw))
+	if secret == "" {
+		return "", &EmptySecretError{File: file}
+	}
+	return secret, nil
 }
--- a/pkg/demo/daemons.go
+++ b/pkg/demo/daemons.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"crypto/sha256"
-	"encoding/hex"
 	"fmt"
 	"time"
 
@@ -27,7 +25,6 @@
 }
 
 func (d *deployment) startDaemon(n int, seed uint64) error {
-	hash := sha256.Sum256([]byte(d.token))
 	settings := &daemon.Settings{
 		Name:              fmt.Sprintf("%s-%d", d.name, n+1),
 		Operator:          d.name,
@@ -35,9 +32,10 @@
 		Callers:           daemon.Listener{Address: loopback},
 		Operators:         daemon.Listener{Address: loopback},
 		Peers:             daemon.Listener{Address: loopback},
-		OperatorTokenHash: hex.EncodeToString(hash[:]),
+		OperatorTokenFile: d.tokenFile,
 		Platform:          d.platform,
 		DrainSeconds:      drainSeconds,
+		BalancerSeconds:   balancerSeconds,
 	}
 	for _, other := range d.running() {
 		settings.PeerAddresses = append(settings.PeerAddresses, other.PeersAddress())
--- a/pkg/demo/deployment.go
+++ b/pkg/demo/deployment.go
@@ -47,6 +47,7 @@
 	requestTimeoutSeconds = 0.5
 	platformConnections   = 16
 	drainSeconds          = 5
+	balancerSeconds       = 0.5
 )
 
 // deployment is one operator's platform, BackendServers and daemons.
@@ -57,6 +58,7 @@
 	// token is the operators' token.
 	token      string
 	secretFile string
+	tokenFile  string
 
 	table    *tableserver.Server
 	objects  *objectserver.Server
@@ -115,7 +117,7 @@
 }
 
 func (d *deployment) startPlatform() error {
-	if err := d.writeSecret(); err != nil {
+	if err := d.writeSecrets(); err != nil {
 		return errors.Trace(err)
 	}
 	tableListener, err := d.listen()
@@ -162,18 +164,26 @@
 	}
 }
 
-// writeSecret writes the file from which daemons read the platform's key.
-func (d *deployment) writeSecret() error {
+// writeSecrets writes the files from which daemons read their secrets.
+func (d *deployment) writeSecrets() error {
+	var err error
+	if d.secretFile, err = writeSecret("stand-in-secret"); err != nil {
+		return errors.Trace(err)
+	}
+	d.tokenFile, err = writeSecret(d.token)
+	return errors.Trace(err)
+}
+
+func writeSecret(secret string) (string, error) {
 	file, err := os.CreateTemp("", "monsooncrank-secret-")
 	if err != nil {
-		return errors.Trace(err)
+		return "", errors.Trace(err)
 	}
-	d.secretFile = file.Name()
-	_, err = file.WriteString("stand-in-secret\n")
+	_, err = file.WriteString(secret + "\n")
 	if closeErr := file.Close(); err == nil {
 		err = closeErr
 	}
-	return errors.Trace(err)
+	return file.Name(), errors.Trace(err)
 }
 
 // terms are what the cloud sells: each Pool's Hosts at its price.
@@ -410,4 +420,5 @@
 	_ = d.hosts.Close()
 	d.tasks.Wait()
 	_ = os.Remove(d.secretFile)
+	_ = os.Remove(d.tokenFile)
 }
