Add the operators' command

Cause: operators had no way to check, publish and inspect configurations or to drain a daemon and release a quarantined request.

Requests are sent once; a publish whose answer is lost is looked up by its ID.

--- /dev/null
+++ b/pkg/command/drain.go
@@ -0,0 +1,34 @@
+package command
+
+import (
+	"context"
+	"fmt"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/monsooncrank/monsooncrank/pkg/operatorapi"
+)
+
+// drainResult confirms the drain of one daemon.
+type drainResult struct {
+	Address  string `json:"address"`
+	Draining bool   `json:"draining"`
+}
+
+func registerDrain(a *App) {
+	c := a.Add("drain", "Drain one daemon: it takes no new work, finishes what runs and exits. Needs exactly one address.",
+		"monsooncrank --address 10.0.0.7:7080 drain")
+	c.Runs(func(ctx context.Context) error {
+		if len(a.addresses) != 1 {
+			return &UsageError{Reason: "drain needs exactly one address"}
+		}
+		ctx, cancel := a.Bounded(ctx)
+		defer cancel()
+		var answer operatorapi.DrainAnswer
+		if err := a.first().call(ctx, fasthttp.MethodPost, "/v1/drain", nil, &answer); err != nil {
+			return err
+		}
+		result := drainResult{Address: a.addresses[0], Draining: answer.Draining}
+		return a.Print(result, func() { fmt.Fprintf(a.Out, "%s is draining\n", result.Address) })
+	})
+}
--- /dev/null
+++ b/pkg/command/errors.go
@@ -0,0 +1,125 @@
+package command
+
+import (
+	"encoding/json"
+	"fmt"
+	"strings"
+
+	"github.com/juju/errors"
+
+	"github.com/monsooncrank/monsooncrank/pkg/config"
+	"github.com/monsooncrank/monsooncrank/pkg/operatorapi"
+)
+
+// UsageError reports a command line that makes no sense.
+type UsageError struct{ Reason string }
+
+func (e *UsageError) Error() string { return e.Reason }
+
+// UnreachableError reports a daemon that gave no answer.
+type UnreachableError struct {
+	Address string
+	// NotSent is set when the daemon cannot have received the request.
+	NotSent bool
+	Cause   error
+}
+
+func (e *UnreachableError) Error() string { return fmt.Sprintf("daemon %s: %v", e.Address, e.Cause) }
+
+// Unwrap returns the cause.
+func (e *UnreachableError) Unwrap() error { return e.Cause }
+
+// LostAnswerError reports a publish whose answer did not arrive and which could
+// not be found in the history either.
+type LostAnswerError struct {
+	PublishID string
+	Cause     error
+}
+
+func (e *LostAnswerError) Error() string {
+	return fmt.Sprintf("publish %s may have taken effect: %v; repeat it with --publish-id %s", e.PublishID, e.Cause, e.PublishID)
+}
+
+// Unwrap returns the cause.
+func (e *LostAnswerError) Unwrap() error { return e.Cause }
+
+// BadAnswerError reports an answer that is not understood.
+type BadAnswerError struct {
+	Address string
+	Status  int
+	Body    string
+}
+
+func (e *BadAnswerError) Error() string {
+	return fmt.Sprintf("daemon %s answered with status %d: %.200s", e.Address, e.Status, e.Body)
+}
+
+// PartialError reports the daemons that failed while others answered.
+type PartialError struct{ Causes []error }
+
+func (e *PartialError) Error() string {
+	parts := make([]string, 0, len(e.Causes))
+	for _, cause := range e.Causes {
+		parts = append(parts, cause.Error())
+	}
+	return strings.Join(parts, "; ")
+}
+
+// Unwrap returns the causes.
+func (e *PartialError) Unwrap() []error { return e.Causes }
+
+func exitCode(err error) int {
+	var usage *UsageError
+	var unreachable *UnreachableError
+	var lost *LostAnswerError
+	var problem *operatorapi.Problem
+	switch {
+	case errors.As(err, &usage):
+		return ExitUsage
+	case errors.As(err, &lost):
+		return ExitUndetermined
+	case errors.As(err, &problem) && problem.Type == operatorapi.ProblemConflict:
+		return ExitConflict
+	case errors.As(err, &problem) && problem.Type == operatorapi.ProblemUndetermined:
+		return ExitUndetermined
+	case errors.As(err, &unreachable):
+		return ExitUnreachable
+	}
+	return ExitFailed
+}
+
+// errorReport is an error in JSON.
+type errorReport struct {
+	Error    string           `json:"error"`
+	ExitCode int              `json:"exit_code"`
+	Findings []config.Finding `json:"findings,omitempty"`
+}
+
+// report prints an error. Findings are printed one a line without a prefix, so
+// that editors and scripts can read them.
+func (a *App) report(err error) {
+	findings := findingsOf(err)
+	if a.output == outputJSON {
+		report := errorReport{Error: errors.Cause(err).Error(), ExitCode: exitCode(err), Findings: findings}
+		_ = json.NewEncoder(a.Err).Encode(report)
+		return
+	}
+	for _, f := range findings {
+		fmt.Fprintln(a.Err, f)
+	}
+	if len(findings) == 0 {
+		fmt.Fprintf(a.Err, "monsooncrank: %v\n", err)
+	}
+}
+
+func findingsOf(err error) []config.Finding {
+	var invalid *config.InvalidError
+	var problem *operatorapi.Problem
+	switch {
+	case errors.As(err, &invalid):
+		return invalid.Findings
+	case errors.As(err, &problem):
+		return problem.Findings
+	}
+	return nil
+}
--- /dev/null
+++ b/pkg/command/explain.go
@@ -0,0 +1,70 @@
+package command
+
+import (
+	"cmp"
+	"context"
+	"fmt"
+	"net/url"
+	"slices"
+	"strings"
+
+	"github.com/monsooncrank/monsooncrank/pkg/decision"
+	"github.com/monsooncrank/monsooncrank/pkg/operatorapi"
+)
+
+func registerExplain(a *App) {
+	c := a.Add("explain", "Show which decisions were taken for a request and why. Asks the daemons at all addresses; each keeps its newest decisions.",
+		"monsooncrank explain 0198a2c4-53f0-7cc1-9b1e-6f2d1f0c7a11")
+	id := c.Arg("request", "ID of the request, as returned to the caller.").Required().String()
+	c.Runs(func(ctx context.Context) error {
+		ctx, cancel := a.Bounded(ctx)
+		defer cancel()
+		found, err := a.explain(ctx, *id)
+		if len(found.Decisions) == 0 {
+			return err
+		}
+		if printErr := a.Print(found, func() { a.printDecisions(found.Decisions) }); printErr != nil {
+			return printErr
+		}
+		return err
+	})
+}
+
+// explain collects the decisions of all daemons. A daemon that has none is no
+// failure if another has some.
+func (a *App) explain(ctx context.Context, id string) (operatorapi.DecisionsAnswer, error) {
+	all := operatorapi.DecisionsAnswer{RequestID: id}
+	var failures, missing []error
+	for _, c := range a.clients() {
+		var answer operatorapi.DecisionsAnswer
+		err := c.get(ctx, "/v1/requests/"+url.PathEscape(id)+"/decisions", &answer)
+		switch {
+		case isProblem(err, operatorapi.ProblemNotFound):
+			missing = append(missing, err)
+		case err != nil:
+			failures = append(failures, err)
+		}
+		all.Decisions = append(all.Decisions, answer.Decisions...)
+	}
+	slices.SortStableFunc(all.Decisions, func(x, y decision.Decision) int { return x.Time.Compare(y.Time) })
+	if len(all.Decisions) == 0 && len(failures) == 0 {
+		return all, missing[0]
+	}
+	return all, partial(failures)
+}
+
+func (a *App) printDecisions(decisions []decision.Decision) {
+	rows := make([][]string, 0, len(decisions))
+	for _, d := range decisions {
+		rows = append(rows, []string{formatTime(d.Time), string(d.Kind), cmp.Or(d.Chosen, "-"), alternatives(d.Alternatives), d.Reason})
+	}
+	a.Table([]string{"time", "kind", "chosen", "alternatives", "reason"}, rows)
+}
+
+func alternatives(list []decision.Alternative) string {
+	parts := make([]string, 0, len(list))
+	for _, alternative := range list {
+		parts = append(parts, fmt.Sprintf("%s=%.4g", alternative.Name, alternative.Score))
+	}
+	return cmp.Or(strings.Join(parts, " "), "-")
+}
--- /dev/null
+++ b/pkg/command/history.go
@@ -0,0 +1,33 @@
+package command
+
+import (
+	"context"
+	"strconv"
+
+	"github.com/monsooncrank/monsooncrank/pkg/operatorapi"
+)
+
+func registerHistory(a *App) {
+	c := a.Add("history", "List published revisions, newest first.", "monsooncrank history --limit 5 --output json")
+	limit := c.Flag("limit", "Number of revisions.").Default("20").Uint()
+	c.Runs(func(ctx context.Context) error {
+		ctx, cancel := a.Bounded(ctx)
+		defer cancel()
+		var answer operatorapi.HistoryAnswer
+		if err := a.first().get(ctx, "/v1/configuration/history?limit="+strconv.FormatUint(uint64(*limit), 10), &answer); err != nil {
+			return err
+		}
+		return a.Print(answer, func() {
+			a.Table([]string{"revision", "published at", "publisher", "objects", "body", "publish id"}, historyRows(answer))
+		})
+	})
+}
+
+func historyRows(answer operatorapi.HistoryAnswer) [][]string {
+	rows := make([][]string, 0, len(answer.Revisions))
+	for _, r := range answer.Revisions {
+		rows = append(rows, []string{strconv.FormatUint(r.Revision, 10), formatTime(r.PublishedAt), r.Publisher,
+			strconv.Itoa(r.Objects), shortHash(r.BodyHash), r.PublishID})
+	}
+	return rows
+}
--- /dev/null
+++ b/pkg/command/publish.go
@@ -0,0 +1,113 @@
+package command
+
+import (
+	"context"
+	"fmt"
+	"net/url"
+	"os/user"
+	"strconv"
+
+	"github.com/google/uuid"
+	"github.com/juju/errors"
+	"github.com/valyala/fasthttp"
+
+	"github.com/monsooncrank/monsooncrank/pkg/config"
+	"github.com/monsooncrank/monsooncrank/pkg/operatorapi"
+	"github.com/monsooncrank/monsooncrank/pkg/publish"
+)
+
+// publishSettings are the flags of publish.
+type publishSettings struct {
+	files   []string
+	against uint64
+	// againstSet tells revision 0 from a flag that was not given.
+	againstSet bool
+	publisher  string
+	publishID  string
+}
+
+func registerPublish(a *App) {
+	c := a.Add("publish", "Check configuration files and publish them as the next revision.",
+		"monsooncrank --address 10.0.0.7:7080 publish examples/kodiclub.jsonc --against 41")
+	s := &publishSettings{}
+	c.Arg("file", "Configuration files; together they replace the whole set.").Required().StringsVar(&s.files)
+	c.Flag("against", "Revision that the files were edited from; the publish fails if it is not the newest. The default is the newest revision.").
+		PlaceHolder("REVISION").IsSetByUser(&s.againstSet).Uint64Var(&s.against)
+	c.Flag("publisher", "Name for the history. The default is the user's name.").StringVar(&s.publisher)
+	c.Flag("publish-id", "ID of the publish, to repeat one whose answer was lost without publishing twice.").StringVar(&s.publishID)
+	c.Runs(func(ctx context.Context) error {
+		ctx, cancel := a.Bounded(ctx)
+		defer cancel()
+		record, err := a.publish(ctx, s)
+		if err != nil {
+			return err
+		}
+		return a.Print(record, func() {
+			fmt.Fprintf(a.Out, "published revision %d with %d objects, body %s\n", record.Revision, record.Objects, shortHash(record.BodyHash))
+		})
+	})
+}
+
+func (a *App) publish(ctx context.Context, s *publishSettings) (publish.Record, error) {
+	set, err := config.Load(s.files...)
+	if err != nil {
+		return publish.Record{}, err
+	}
+	body, err := config.Canonical(set)
+	if err != nil {
+		return publish.Record{}, err
+	}
+	c := a.first()
+	if !s.againstSet {
+		if s.against, err = c.newest(ctx); err != nil {
+			return publish.Record{}, err
+		}
+	}
+	if s.publishID == "" {
+		s.publishID = uuid.NewString()
+	}
+	if s.publisher == "" {
+		s.publisher = userName()
+	}
+	return c.publish(ctx, s, body)
+}
+
+// newest returns the newest revision, 0 if there is none.
+func (c *client) newest(ctx context.Context) (uint64, error) {
+	var history operatorapi.HistoryAnswer
+	if err := c.get(ctx, "/v1/configuration/history?limit=1", &history); err != nil {
+		return 0, err
+	}
+	if len(history.Revisions) == 0 {
+		return 0, nil
+	}
+	return history.Revisions[0].Revision, nil
+}
+
+// publish sends the body once. After a lost answer it looks for the publish ID
+// in the history.
+func (c *client) publish(ctx context.Context, s *publishSettings, body []byte) (publish.Record, error) {
+	query := url.Values{"against": {strconv.FormatUint(s.against, 10)}, "publisher": {s.publisher}, "publish_id": {s.publishID}}
+	var answer operatorapi.PublishAnswer
+	err := c.call(ctx, fasthttp.MethodPost, "/v1/configuration?"+query.Encode(), body, &answer)
+	var unreachable *UnreachableError
+	if !errors.As(err, &unreachable) || unreachable.NotSent {
+		return answer.Record, err
+	}
+	var history operatorapi.HistoryAnswer
+	if c.get(ctx, "/v1/configuration/history", &history) == nil {
+		for _, r := range history.Revisions {
+			if r.PublishID == s.publishID {
+				return r, nil
+			}
+		}
+	}
+	return publish.Record{}, &LostAnswerError{PublishID: s.publishID, Cause: err}
+}
+
+func userName() string {
+	if u, err := user.Current(); err == nil {
+		return u.Username
+	}
+	return "unknown"
+}
--- /dev/null
+++ b/pkg/command/quarantine.go
@@ -0,0 +1,53 @@
+package command
+
+import (
+	"context"
+	"fmt"
+	"net/url"
+	"strconv"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/monsooncrank/monsooncrank/pkg/operatorapi"
+)
+
+// releaseResult confirms the release of an entry.
+type releaseResult struct {
+	Fingerprint string `json:"fingerprint"`
+	Released    bool   `json:"released"`
+}
+
+func registerQuarantine(a *App) {
+	c := a.Add("quarantine", "List and release requests that have crashed BackendServers.", "")
+	list := c.Sub("list", "List the entries.", "monsooncrank quarantine list")
+	list.Runs(a.listQuarantine)
+	release := c.Sub("release", "Release an entry, so that the request may run again.", "monsooncrank quarantine release 5f1d7a0c42e9b836")
+	fingerprint := release.Arg("fingerprint", "Fingerprint of the entry.").Required().String()
+	release.Runs(func(ctx context.Context) error { return a.releaseQuarantine(ctx, *fingerprint) })
+}
+
+func (a *App) listQuarantine(ctx context.Context) error {
+	ctx, cancel := a.Bounded(ctx)
+	defer cancel()
+	var answer operatorapi.QuarantineAnswer
+	if err := a.first().get(ctx, "/v1/quarantine", &answer); err != nil {
+		return err
+	}
+	return a.Print(answer, func() {
+		rows := make([][]string, 0, len(answer.Entries))
+		for _, e := range answer.Entries {
+			rows = append(rows, []string{e.Fingerprint, e.ClientAccount, strconv.Itoa(e.Crashes), e.State, formatTime(e.Since)})
+		}
+		a.Table([]string{"fingerprint", "account", "crashes", "state", "since"}, rows)
+	})
+}
+
+func (a *App) releaseQuarantine(ctx context.Context, fingerprint string) error {
+	ctx, cancel := a.Bounded(ctx)
+	defer cancel()
+	if err := a.first().call(ctx, fasthttp.MethodDelete, "/v1/quarantine/"+url.PathEscape(fingerprint), nil, nil); err != nil {
+		return err
+	}
+	result := releaseResult{Fingerprint: fingerprint, Released: true}
+	return a.Print(result, func() { fmt.Fprintf(a.Out, "%s released\n", fingerprint) })
+}
--- /dev/null
+++ b/pkg/command/status.go
@@ -0,0 +1,69 @@
+package command
+
+import (
+	"context"
+	"fmt"
+	"strconv"
+
+	"github.com/monsooncrank/monsooncrank/pkg/operatorapi"
+)
+
+// statusResult is the status of each daemon that answered.
+type statusResult struct {
+	Daemons []daemonStatus `json:"daemons"`
+}
+
+type daemonStatus struct {
+	Address string `json:"address"`
+	operatorapi.Status
+}
+
+func registerStatus(a *App) {
+	c := a.Add("status", "Show the state of the daemons at all addresses. Fails if one of them does not answer.",
+		"monsooncrank --address 10.0.0.7:7080,10.0.1.7:7080 status")
+	c.Runs(func(ctx context.Context) error {
+		ctx, cancel := a.Bounded(ctx)
+		defer cancel()
+		result := statusResult{Daemons: []daemonStatus{}}
+		var failures []error
+		for _, c := range a.clients() {
+			s := daemonStatus{Address: c.address}
+			if err := c.get(ctx, "/v1/status", &s.Status); err != nil {
+				failures = append(failures, err)
+				continue
+			}
+			result.Daemons = append(result.Daemons, s)
+		}
+		if err := a.Print(result, func() { a.printStatus(result) }); err != nil {
+			return err
+		}
+		return partial(failures)
+	})
+}
+
+func (a *App) printStatus(result statusResult) {
+	rows := make([][]string, 0, len(result.Daemons))
+	for _, d := range result.Daemons {
+		rows = append(rows, []string{d.Address, d.Daemon, d.AvailabilityZone, strconv.FormatBool(d.Ready), strconv.FormatBool(d.Draining),
+			strconv.FormatUint(d.Configuration.InForce, 10), strconv.FormatUint(d.Configuration.Known, 10), strconv.FormatBool(d.Configuration.Serving)})
+	}
+	a.Table([]string{"address", "daemon", "zone", "ready", "draining", "in force", "known", "serving"}, rows)
+	for _, d := range result.Daemons {
+		for _, duty := range d.Duties {
+			if !duty.Healthy {
+				fmt.Fprintf(a.Out, "%s: %s: %s\n", d.Address, duty.Name, duty.Detail)
+			}
+		}
+	}
+}
+
+// partial returns the failures of some daemons as one error.
+func partial(failures []error) error {
+	switch len(failures) {
+	case 0:
+		return nil
+	case 1:
+		return failures[0]
+	}
+	return &PartialError{Causes: failures}
+}
