--- /dev/null
+++ b/pkg/routing/random_test.go
@@ -0,0 +1,250 @@
+package routing_test
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/monsooncrank/monsooncrank/coordination/randomtest"
+	"github.com/monsooncrank/monsooncrank/pkg/engine"
+	"github.com/monsooncrank/monsooncrank/pkg/routing"
+)
+
+// randomState is the model that a random run of the Router is checked against.
+type randomState struct {
+	t       *rapid.T
+	report  *randomtest.Report
+	router  *routing.Router
+	now     time.Time
+	servers []routing.Server
+	listed  []routing.Server
+	// leaving holds the incarnation of each server that has had a notice.
+	leaving  map[string]uint64
+	attempts map[string]string
+	next     int
+}
+
+// TestRandomRouting guards against work for leaving or excluded servers, against
+// lost or doubled outstanding counts, and against prefix affinity without a
+// bound.
+func TestRandomRouting(t *testing.T) {
+	faults := []string{"notice", "restart", "lagging list", "stale load", "event gap", "attempt failed", "ended twice"}
+	randomtest.Check(t, faults, func(rt *rapid.T, report *randomtest.Report) {
+		s := &randomState{
+			t: rt, report: report,
+			// The weights let prefixes decide, so that only the bound limits
+			// the load of a server.
+			router: newRouter(routing.Options{
+				Daemon: "d", AvailabilityZone: "zone-0", CachedPrefixes: 16,
+				PrefillPerToken: time.Second, PrefillWeight: 1e-9, FullBatch: time.Nanosecond,
+			}),
+			now: epoch, servers: servers(rapid.IntRange(1, 12).Draw(rt, "servers")),
+			leaving: make(map[string]uint64), attempts: make(map[string]string),
+		}
+		s.update()
+		rt.Repeat(map[string]func(*rapid.T){
+			"pick":   func(*rapid.T) { s.pick() },
+			"again":  func(*rapid.T) { s.pick() },
+			"end":    func(*rapid.T) { s.end() },
+			"notice": func(*rapid.T) { s.notice() },
+			"list":   func(*rapid.T) { s.changeList() },
+			"report": func(*rapid.T) { s.reportLoad() },
+			"events": func(*rapid.T) { s.reportEvents() },
+			"":       func(*rapid.T) { s.checkCounts() },
+		})
+		s.finishAll()
+	})
+}
+
+func (s *randomState) step() {
+	s.report.Step()
+	s.now = s.now.Add(time.Duration(rapid.IntRange(0, 2000).Draw(s.t, "milliseconds")) * time.Millisecond)
+}
+
+func (s *randomState) update() {
+	s.listed = slices.Clone(s.servers)
+	s.router.Update(s.now, group(s.listed))
+}
+
+func (s *randomState) server() *routing.Server {
+	return &s.servers[rapid.IntRange(0, len(s.servers)-1).Draw(s.t, "server")]
+}
+
+func (s *randomState) mayPick(server *routing.Server, excluded []string) bool {
+	incarnation, noticed := s.leaving[server.Name]
+	return (!noticed || server.Incarnation > incarnation) && !slices.Contains(excluded, server.Name)
+}
+
+// query draws one of a few conversations, so that prefixes are met again.
+func (s *randomState) query() *routing.Query {
+	conversation := uint64(rapid.IntRange(1, 6).Draw(s.t, "conversation"))
+	q := &routing.Query{
+		Group: "chat", PromptTokens: 2000, Isolated: rapid.IntRange(0, 9).Draw(s.t, "isolated") == 0,
+		Prefixes: []routing.Prefix{{Hash: 1, Tokens: 1000}, {Hash: 100 + conversation, Tokens: 1800}},
+	}
+	for range rapid.IntRange(0, 2).Draw(s.t, "exclusions") {
+		q.ExcludeNames = append(q.ExcludeNames, s.server().Name)
+	}
+	return q
+}
+
+func (s *randomState) pick() {
+	s.step()
+	q := s.query()
+	allowed := slices.ContainsFunc(s.listed, func(l routing.Server) bool { return s.mayPick(&l, q.ExcludeNames) })
+	d, err := s.router.Pick(s.now, q)
+	if err != nil {
+		if allowed {
+			s.t.Fatalf("no server although one may be picked: %v", err)
+		}
+		s.report.Outcome("no server")
+		return
+	}
+	s.report.Outcome(string(d.Reason))
+	i := slices.IndexFunc(s.listed, func(l routing.Server) bool { return l.Name == d.Server.Name })
+	if i < 0 || !s.mayPick(&routing.Server{BackendServer: d.Server}, q.ExcludeNames) {
+		s.t.Fatalf("picked %s, which is leaving, excluded (%v) or not listed", d.Server.Name, q.ExcludeNames)
+	}
+	if d.Reason == routing.ReasonPrefix || d.Reason == routing.ReasonOwner {
+		s.checkBound(d.Server.Name)
+	}
+	s.next++
+	id := fmt.Sprint(s.next)
+	if err := s.router.Started(s.now, id, d.Server.Name, q); err != nil {
+		s.t.Fatalf("start: %v", err)
+	}
+	s.attempts[id] = d.Server.Name
+	if rapid.Bool().Draw(s.t, "first token") {
+		s.router.FirstToken(s.now, id)
+	}
+}
+
+// checkBound checks the load bound of a server that was picked for a prefix
+// against the model's own counts and the load that the Router expects.
+func (s *randomState) checkBound(name string) {
+	load, mean, err := s.router.ExpectedLoad(s.now, "chat", name)
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	if own := float64(s.count(name)); load < own {
+		s.t.Fatalf("expected load %f of %s is below the own outstanding %f", load, name, own)
+	}
+	const bound = 2
+	if load >= bound*(mean+1) {
+		s.t.Fatalf("%s was picked for a prefix at load %f, mean %f", name, load, mean)
+	}
+}
+
+func (s *randomState) count(name string) int {
+	n := 0
+	for _, server := range s.attempts {
+		if server == name {
+			n++
+		}
+	}
+	return n
+}
+
+func (s *randomState) end() {
+	if len(s.attempts) == 0 {
+		return
+	}
+	s.step()
+	ids := make([]string, 0, len(s.attempts))
+	for id := range s.attempts {
+		ids = append(ids, id)
+	}
+	slices.Sort(ids)
+	id := rapid.SampledFrom(ids).Draw(s.t, "attempt")
+	delete(s.attempts, id)
+	if rapid.Bool().Draw(s.t, "fails") {
+		s.report.Fault("attempt failed")
+		s.router.Failed(s.now, id)
+	} else {
+		s.router.FirstToken(s.now, id)
+		s.router.Finished(s.now, id, routing.Usage{PromptTokens: 2000, CachedTokens: rapid.IntRange(0, 2000).Draw(s.t, "cached")})
+	}
+	if rapid.Bool().Draw(s.t, "again") {
+		s.report.Fault("ended twice")
+		s.router.Finished(s.now, id, routing.Usage{})
+	}
+}
+
+func (s *randomState) notice() {
+	s.step()
+	server := s.server()
+	s.report.Fault("notice")
+	incarnation := server.Incarnation - uint64(rapid.IntRange(0, 1).Draw(s.t, "late"))
+	s.leaving[server.Name] = max(s.leaving[server.Name], incarnation)
+	s.router.NoticeReceived(s.now, server.Name, incarnation)
+}
+
+// changeList restarts a server, drops one from the list, or shows one under its
+// earlier incarnation.
+func (s *randomState) changeList() {
+	s.step()
+	switch rapid.IntRange(0, 3).Draw(s.t, "change") {
+	case 0:
+		s.report.Fault("restart")
+		s.server().Incarnation++
+		s.update()
+	case 1:
+		i := rapid.IntRange(0, len(s.servers)-1).Draw(s.t, "dropped")
+		s.listed = slices.Delete(slices.Clone(s.servers), i, i+1)
+		s.router.Update(s.now, group(s.listed))
+	case 2:
+		s.report.Fault("lagging list")
+		s.listed = slices.Clone(s.servers)
+		server := &s.listed[rapid.IntRange(0, len(s.listed)-1).Draw(s.t, "lagging")]
+		server.Incarnation--
+		s.router.Update(s.now, group(s.listed))
+	default:
+		s.update()
+	}
+}
+
+func (s *randomState) reportLoad() {
+	s.step()
+	age := time.Duration(rapid.IntRange(0, 5000).Draw(s.t, "age")) * time.Millisecond
+	if age > time.Second {
+		s.report.Fault("stale load")
+	}
+	s.router.LoadReported(s.now, s.server().Name, engine.Load{
+		Running: rapid.IntRange(0, 40).Draw(s.t, "running"), Waiting: rapid.IntRange(0, 10).Draw(s.t, "waiting"),
+		MeasuredAt: s.now.Add(-age),
+	})
+}
+
+func (s *randomState) reportEvents() {
+	s.step()
+	name := s.server().Name
+	sequence := s.router.LastCacheSequence(name) + uint64(rapid.IntRange(0, 3).Draw(s.t, "sequence"))
+	if sequence > s.router.LastCacheSequence(name)+1 {
+		s.report.Fault("event gap")
+	}
+	s.router.CacheReported(s.now, name, []engine.CacheEvent{{
+		Sequence: sequence, PrefixHash: uint64(rapid.IntRange(100, 106).Draw(s.t, "hash")),
+		Tokens: 1800, Evicted: rapid.Bool().Draw(s.t, "evicted"),
+	}})
+}
+
+func (s *randomState) checkCounts() {
+	for i := range s.servers {
+		name := s.servers[i].Name
+		if got, want := s.router.Outstanding(name), s.count(name); got != want {
+			s.t.Fatalf("%s has %d outstanding, want %d", name, got, want)
+		}
+	}
+}
+
+// finishAll ends all attempts; every count must return to zero.
+func (s *randomState) finishAll() {
+	for id := range s.attempts {
+		delete(s.attempts, id)
+		s.router.Finished(s.now, id, routing.Usage{})
+	}
+	s.checkCounts()
+}
--- a/pkg/routing/router.go
+++ b/pkg/routing/router.go
@@ -107,6 +107,7 @@
 	}
 	if member.Incarnation < s.Incarnation {
 		// A lagging list must not bring an earlier incarnation back.
+		s.listed = true
 		return
 	}
 	if member.Incarnation > s.Incarnation {
@@ -256,6 +257,19 @@
 	return s != nil && s.available()
 }
 
+// ExpectedLoad returns the expected number of requests on a server, with the
+// mean of its group.
+func (r *Router) ExpectedLoad(now time.Time, groupName, name string) (load, mean float64, err error) {
+	g, s := r.groups[groupName], r.servers[name]
+	if g == nil {
+		return 0, 0, &UnknownGroupError{Group: groupName}
+	}
+	if s == nil {
+		return 0, 0, &UnknownServerError{Name: name}
+	}
+	return r.load(g, s, now.Sub(r.epoch)), g.meanLoad(), nil
+}
+
 // Outstanding returns the number of this daemon's outstanding attempts on a
 // server.
 func (r *Router) Outstanding(name string) int {
