Plan a reclaim again after each transfer

Cause: a stream that finished during the notice left its part of the transfer time unused, and the plan did not know what other engines have cached.

Change: the driver plans again when a transfer has ended, leaves out the streams whose KV cache is on its way, and asks a Router that implements PrefixEstimator for cached tokens. Specs cover quarantine, retry budget, admission, migration of several streams, re-attach and drain.

--- /dev/null
+++ b/pkg/streaming/duties_test.go
@@ -0,0 +1,197 @@
+package streaming_test
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/monsooncrank/monsooncrank/pkg/api"
+	standin "github.com/monsooncrank/monsooncrank/pkg/standin/engine"
+	"github.com/monsooncrank/monsooncrank/pkg/streaming"
+)
+
+// crashCounter is a quarantine: the first crash isolates, the second one
+// quarantines.
+type crashCounter struct {
+	mu      sync.Mutex
+	crashes map[string]int
+}
+
+func (q *crashCounter) verdict(fingerprint string) streaming.Verdict {
+	n := q.crashes[fingerprint]
+	return streaming.Verdict{Isolate: n == 1, Quarantined: n > 1}
+}
+
+func (q *crashCounter) Check(fingerprint string) streaming.Verdict {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.verdict(fingerprint)
+}
+
+func (q *crashCounter) ReportCrash(_ context.Context, r streaming.CrashReport) streaming.Verdict {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.crashes[r.Fingerprint]++
+	return q.verdict(r.Fingerprint)
+}
+
+func (q *crashCounter) ReportSuccess(string) {}
+
+// stingyBudget refuses the first retries.
+type stingyBudget struct {
+	mu      sync.Mutex
+	refused int
+}
+
+func (b *stingyBudget) Withdraw(string, string) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.refused++
+	return b.refused > 3
+}
+
+func (b *stingyBudget) Deposit(string, string) {}
+
+// closedAdmission refuses every request.
+type closedAdmission struct{}
+
+func (closedAdmission) Acquire(context.Context, *streaming.AdmissionRequest) (func(), error) {
+	return nil, api.NotRun(api.ProblemDeadlineUnmeetable, 503, "the queue is too long").After(time.Second)
+}
+
+var _ = Describe("the driver", func() {
+	// Guards against a request that takes one engine after another with it.
+	It("quarantines a request that crashes its engines", func() {
+		d := deploy(GinkgoTB(), standin.Options{CrashMarker: "poison"}, func(o *streaming.Options) {
+			o.Quarantine = &crashCounter{crashes: make(map[string]int)}
+		})
+		req := chatRequest("r1", 16)
+		req.Messages[0].Content += " poison"
+		err := d.driver.Chat(context.Background(), req, &sink{})
+		Expect(err).To(HaveField("Name", api.ProblemQuarantined))
+		Expect(err).To(HaveField("Outcome", api.OutcomeUnknown))
+		Expect(d.ledger.Totals().Crashes).To(Equal(2))
+		again := chatRequest("r2", 16)
+		again.Messages = req.Messages
+		err = d.driver.Chat(context.Background(), again, &sink{})
+		Expect(err).To(HaveField("Outcome", api.OutcomeNotRun), "the resend did not run")
+		Expect(d.ledger.Totals().Crashes).To(Equal(2))
+	})
+
+	// Guards against an engine that is taken for crashed when only its
+	// connection went silent or its host was reclaimed.
+	It("reports no crash for an announced end", func() {
+		crashes := &crashCounter{crashes: make(map[string]int)}
+		d := deploy(GinkgoTB(), slowEngine, func(o *streaming.Options) { o.Quarantine = crashes })
+		req := chatRequest("r1", 64)
+		out := &sink{at: 10, hook: func() { d.reclaim("a", time.Millisecond) }}
+		Expect(d.driver.Chat(context.Background(), req, out)).To(Succeed())
+		Expect(crashes.crashes).To(BeEmpty())
+	})
+
+	// Guards against an accepted stream that is lost because retries are short.
+	It("waits for the retry budget", func() {
+		budget := &stingyBudget{}
+		d := deploy(GinkgoTB(), slowEngine, func(o *streaming.Options) { o.RetryBudget = budget })
+		req := chatRequest("r1", 64)
+		out := &sink{at: 10, hook: d.engines[0].Kill}
+		Expect(d.driver.Chat(context.Background(), req, out)).To(Succeed())
+		Expect(out.text()).To(Equal(expected(req)))
+		Expect(budget.refused).To(Equal(4))
+	})
+
+	// Guards against work for a request that was refused (I3).
+	It("passes on the refusal of the admission", func() {
+		d := deploy(GinkgoTB(), standin.Options{}, func(o *streaming.Options) { o.Admission = closedAdmission{} })
+		err := d.driver.Chat(context.Background(), chatRequest("r1", 16), &sink{})
+		Expect(err).To(HaveField("Name", api.ProblemDeadlineUnmeetable))
+		Expect(d.ledger.Totals().Attempts).To(BeZero())
+	})
+
+	// Guards against a prefill that is repeated although the notice left time
+	// to move the KV cache.
+	It("moves the KV caches of several streams", func() {
+		d := deploy(GinkgoTB(), standin.Options{DecodeStep: 10 * time.Millisecond}, func(o *streaming.Options) {
+			o.Costs.TransferSetup = time.Millisecond
+		})
+		var streams sync.WaitGroup
+		ready := make(chan struct{}, 4)
+		for _, id := range []string{"r1", "r2", "r3", "r4"} {
+			streams.Go(func() {
+				defer GinkgoRecover()
+				req, out := chatRequest(id, 128), &sink{at: 5, hook: func() { ready <- struct{}{} }}
+				Expect(d.driver.Chat(context.Background(), req, out)).To(Succeed())
+				Expect(out.text()).To(Equal(expected(req)))
+			})
+		}
+		for range 4 {
+			<-ready
+		}
+		d.reclaim("a", 700*time.Millisecond)
+		streams.Wait()
+		moved := 0
+		for _, entry := range d.ledger.Entries() {
+			if entry.ImportedTokens > 0 {
+				moved++
+			}
+		}
+		Expect(moved).To(Equal(4))
+		d.expectClean(GinkgoTB())
+	})
+
+	// Guards against events that are lost between two connections of a caller.
+	It("sends the kept events to a caller that re-attaches", func() {
+		d := deploy(GinkgoTB(), standin.Options{}, func(o *streaming.Options) { o.Retention = 300 * time.Millisecond })
+		req, out := chatRequest("r1", 32), &sink{}
+		Expect(d.driver.Chat(context.Background(), req, out)).To(Succeed())
+		again := &sink{tokens: append([]string(nil), out.tokens[:9]...)}
+		Expect(d.driver.Attach(context.Background(), req.ClientAccount, "r1", 9, again)).To(Succeed())
+		Expect(again.text()).To(Equal(expected(req)))
+		Expect(again.finish).To(Equal(out.finish))
+		err := d.driver.Attach(context.Background(), "ganda", "r1", 0, &sink{})
+		Expect(err).To(HaveField("Name", api.ProblemNotFound), "another account sees nothing")
+		Eventually(func() error {
+			return d.driver.Attach(context.Background(), req.ClientAccount, "r1", 0, &sink{})
+		}).Should(HaveField("Name", api.ProblemNotFound))
+	})
+
+	// Guards against a planned stop that cuts a stream (I6).
+	It("hands streams over on a drain", func() {
+		d := deploy(GinkgoTB(), slowEngine, nil)
+		req := chatRequest("r1", 400)
+		drained := make(chan error, 1)
+		out := &sink{reattach: true, at: 20, hook: func() {
+			go func() {
+				ctx, cancel := context.WithTimeout(context.Background(), 2*handOverTime)
+				defer cancel()
+				drained <- d.driver.Drain(ctx)
+			}()
+		}}
+		err := d.driver.Chat(context.Background(), req, out)
+		Expect(err).To(BeAssignableToTypeOf(&streaming.HandedOverError{}))
+		Expect(<-drained).To(Succeed())
+		Expect(d.driver.Attach(context.Background(), req.ClientAccount, "r1", out.length(), out)).To(Succeed())
+		Expect(out.text()).To(Equal(expected(req)))
+		Expect(d.driver.Chat(context.Background(), chatRequest("r2", 8), &sink{})).To(HaveField("Name", api.ProblemDraining))
+		d.expectClean(GinkgoTB())
+	})
+
+	// Guards against a caller that cannot re-attach and is cut although its
+	// answer ends within the grace period.
+	It("lets short streams finish on a drain", func() {
+		d := deploy(GinkgoTB(), slowEngine, nil)
+		req := chatRequest("r1", 64)
+		out := &sink{at: 5, hook: func() {
+			go func() {
+				ctx, cancel := context.WithTimeout(context.Background(), testTimeout)
+				defer cancel()
+				_ = d.driver.Drain(ctx)
+			}()
+		}}
+		Expect(d.driver.Chat(context.Background(), req, out)).To(Succeed())
+		Expect(out.text()).To(Equal(expected(req)))
+	})
+})
--- a/pkg/streaming/options.go
+++ b/pkg/streaming/options.go
@@ -72,6 +72,13 @@
 	Failed(attemptID string, err error, now time.Time)
 }
 
+// PrefixEstimator is implemented by a Router that knows what engines have
+// cached. CachedTokens returns how many leading tokens of a request the best
+// engine that is not excluded is expected to hold.
+type PrefixEstimator interface {
+	CachedTokens(req *PickRequest) int
+}
+
 // Directory learns of engines that refuse work because they are leaving.
 type Directory interface {
 	ReportLeaving(name string, incarnation uint64)
--- a/pkg/streaming/reclaim.go
+++ b/pkg/streaming/reclaim.go
@@ -25,6 +25,11 @@
 		}
 	}
 	d.mu.Unlock()
+	d.plan(now, backendName, deadline)
+}
+
+// plan gives the streams on a BackendServer their part of the plan.
+func (d *Driver) plan(now time.Time, backendName string, deadline time.Time) {
 	streams := make(map[string]*stream)
 	var candidates []Candidate
 	for _, s := range d.active() {
@@ -39,13 +44,35 @@
 	}
 }
 
+// replan plans again when a transfer has ended: streams that have finished since
+// have left their part of the transfer time to others.
+func (d *Driver) replan(backendName string) {
+	now := d.opts.Clock.Now()
+	if deadline, ok := d.notice(backendName); ok && now.Before(deadline) {
+		d.plan(now, backendName, deadline)
+	}
+}
+
 func (d *Driver) planned(now time.Time, s *stream, backend string, deadline time.Time, a Assignment) ReclaimPlanned {
+	planned := ReclaimPlanned{Backend: backend, Deadline: deadline, Choice: a.Choice, At: a.At}
+	if !s.choose(a.Choice) {
+		return planned
+	}
 	d.metrics.reclaims.WithLabelValues(string(a.Choice)).Inc()
 	d.opts.Recorder.Record(decision.Decision{
 		Time: now, Kind: decision.KindReclaim, RequestID: s.request.ID, Chosen: string(a.Choice),
 		Alternatives: []decision.Alternative{{Name: "lost_per_second", Score: a.LostPerSecond}}, Reason: a.Reason,
 	})
-	return ReclaimPlanned{Backend: backend, Deadline: deadline, Choice: a.Choice, At: a.At}
+	return planned
+}
+
+// choose notes the choice for the current attempt and reports whether it is new.
+func (s *stream) choose(choice ReclaimChoice) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	changed := s.choice != choice
+	s.choice = choice
+	return changed
 }
 
 // notice returns the deadline of a BackendServer that has been announced to
@@ -60,15 +87,21 @@
 // candidate describes the stream to the planner if it runs on a BackendServer.
 func (s *stream) candidate(backend string) (Candidate, bool) {
 	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.backend != backend {
+	here, perToken := s.backend == backend && !s.moving, s.progress.perToken()
+	s.mu.Unlock()
+	if !here {
 		return Candidate{}, false
 	}
 	emitted := s.log.length()
+	cached := 0
+	if estimator, ok := s.d.opts.Router.(PrefixEstimator); ok {
+		cached = estimator.CachedTokens(s.pickRequest(emitted, []string{backend}, false))
+	}
 	return Candidate{
 		ContextTokens:   s.promptTokens + emitted,
+		CachedElsewhere: cached,
 		RemainingTokens: max(s.request.MaxTokens-emitted, 1),
-		DecodePerToken:  s.progress.perToken(),
+		DecodePerToken:  perToken,
 	}, true
 }
 
@@ -98,9 +131,13 @@
 	s.attempts["target/"+m.AttemptID] = &running{id: m.AttemptID, backend: target, cancel: func(error) {}}
 	ctx, cancel := context.WithTimeout(s.d.ctx, max(m.Deadline.Sub(now), 0))
 	s.migration = cancel
+	s.mu.Lock()
+	s.moving = true
+	s.mu.Unlock()
 	s.d.tasks.Go(func() {
 		defer cancel()
 		s.post(s.transfer(ctx, m.AttemptID, source.backend, target))
+		s.d.replan(source.backend.Name)
 	})
 	return nil
 }
--- a/pkg/streaming/stream.go
+++ b/pkg/streaming/stream.go
@@ -32,6 +32,10 @@
 	mu       sync.Mutex
 	backend  string
 	progress progress
+	// choice is the last choice on a reclaim notice; moving is set once its KV
+	// cache is on its way.
+	choice ReclaimChoice
+	moving bool
 }
 
 // progress is when the tokens of the current attempt arrived.
@@ -164,7 +168,7 @@
 func (s *stream) setBackend(name string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.backend, s.progress = name, progress{}
+	s.backend, s.progress, s.choice, s.moving = name, progress{}, "", false
 }
 
 func (s *stream) pickRequest(resumed int, exclude []string, isolated bool) *PickRequest {
