Never run two suspects of a crash on one engine

Cause: when an engine dies, all its streams become suspects; two of them on one engine would both be blamed when one crashes it, and an innocent request would be quarantined. Change: an isolated attempt excludes the engines that run another suspect. Measured: a spec that fails without the exclusion passes.

--- a/pkg/daemon/router.go
+++ b/pkg/daemon/router.go
@@ -23,6 +23,9 @@
 	picked map[pickKey]string
 	// attempts maps stream attempts to the Balancer's.
 	attempts map[string]string
+	// isolated are the servers that run a suspect of a crash, by the Balancer's
+	// attempt. Two suspects on one server would both be blamed for its death.
+	isolated map[string]string
 }
 
 type pickKey struct{ request, server string }
@@ -32,6 +35,7 @@
 		balancer: balancer,
 		picked:   make(map[pickKey]string),
 		attempts: make(map[string]string),
+		isolated: make(map[string]string),
 	}
 }
 
@@ -39,27 +43,43 @@
 func (r *streamRouter) Pick(_ time.Time, req *streaming.PickRequest) (membership.BackendServer, error) {
 	prefixes, promptTokens := routing.AppendPrefixes(nil, req.Model, req.Messages)
 	id := uuid.NewString()
+	r.mu.Lock()
+	defer r.mu.Unlock()
 	d, err := r.balancer.Acquire(req.RequestID, id, &routing.Query{
 		Group:        groupOfRoute(req.Route),
 		Prefixes:     prefixes,
 		PromptTokens: promptTokens,
 		ResumeTokens: max(req.ContextTokens-promptTokens, 0),
-		ExcludeNames: req.Exclude,
+		ExcludeNames: r.excluded(req),
 		Isolated:     req.Isolated,
 	})
 	if err != nil {
 		return membership.BackendServer{}, err
 	}
-	r.mu.Lock()
-	defer r.mu.Unlock()
 	key := pickKey{req.RequestID, d.Server.Name}
 	if abandoned, ok := r.picked[key]; ok {
 		r.balancer.Failed(abandoned)
+		delete(r.isolated, abandoned)
 	}
 	r.picked[key] = id
+	if req.Isolated {
+		r.isolated[id] = d.Server.Name
+	}
 	return d.Server, nil
 }
 
+// excluded returns the servers that a request must not run on.
+func (r *streamRouter) excluded(req *streaming.PickRequest) []string {
+	if !req.Isolated || len(r.isolated) == 0 {
+		return req.Exclude
+	}
+	names := append([]string(nil), req.Exclude...)
+	for _, server := range r.isolated {
+		names = append(names, server)
+	}
+	return names
+}
+
 // Started implements streaming.Router.
 func (r *streamRouter) Started(attemptID string, server membership.BackendServer, req *streaming.PickRequest, _ time.Time) {
 	r.mu.Lock()
@@ -98,6 +118,7 @@
 	id, ok := r.attempts[attemptID]
 	if ends {
 		delete(r.attempts, attemptID)
+		delete(r.isolated, id)
 	}
 	return id, ok
 }
--- /dev/null
+++ b/pkg/daemon/router_test.go
@@ -0,0 +1,75 @@
+package daemon
+
+import (
+	"math/rand/v2"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"k8s.io/utils/clock"
+
+	"github.com/monsooncrank/monsooncrank/coordination/membership"
+	"github.com/monsooncrank/monsooncrank/pkg/routing"
+	"github.com/monsooncrank/monsooncrank/pkg/streaming"
+)
+
+var _ = Describe("streamRouter", func() {
+	var (
+		balancer *routing.Balancer
+		router   *streamRouter
+		now      = time.Unix(1000, 0)
+	)
+
+	BeforeEach(func() {
+		balancer = routing.NewBalancer(routing.BalancerOptions{
+			Router: routing.Options{Daemon: "d"}, Clock: clock.RealClock{}, Random: rand.New(rand.NewPCG(1, 1)),
+		})
+		var servers []routing.Server
+		for _, name := range []string{"e1", "e2"} {
+			servers = append(servers, routing.Server{BackendServer: membership.BackendServer{Name: name, Incarnation: 1}})
+		}
+		balancer.Update([]routing.Group{{Name: groupOfRoute("chat"), Servers: servers}})
+		router = newStreamRouter(balancer)
+	})
+
+	start := func(attempt, request string, isolated bool) (string, error) {
+		req := &streaming.PickRequest{RequestID: request, Route: "chat", Isolated: isolated}
+		server, err := router.Pick(now, req)
+		if err == nil {
+			router.Started(attempt, server, req, now)
+		}
+		return server.Name, err
+	}
+
+	// Guards against a request that is quarantined for the crash of another
+	// suspect on the same engine.
+	It("never runs two suspects on one engine", func() {
+		first, err := start("a1", "r1", true)
+		Expect(err).NotTo(HaveOccurred())
+		second, err := start("a2", "r2", true)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(second).NotTo(Equal(first))
+		_, err = start("a3", "r3", true)
+		Expect(err).To(BeAssignableToTypeOf(&routing.NoServerError{}))
+		_, err = start("a4", "r4", false)
+		Expect(err).NotTo(HaveOccurred())
+		router.Failed("a1", nil, now)
+		third, err := start("a5", "r3", true)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(third).To(Equal(first))
+	})
+
+	// Guards against outstanding work that is counted for ever.
+	It("counts each attempt until its end, and a pick that was not started until the next", func() {
+		server, err := start("a1", "r1", false)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(balancer.Outstanding(server)).To(Equal(1))
+		router.Finished("a1", streaming.Usage{}, now)
+		Expect(balancer.Outstanding(server)).To(BeZero())
+		for range 10 {
+			_, err := router.Pick(now, &streaming.PickRequest{RequestID: "r2", Route: "chat"})
+			Expect(err).NotTo(HaveOccurred())
+		}
+		Expect(balancer.Outstanding("e1") + balancer.Outstanding("e2")).To(BeNumerically("<=", 2))
+	})
+})
