--- a/pkg/publish/random_test.go
+++ b/pkg/publish/random_test.go
@@ -10,6 +10,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/monsooncrank/monsooncrank/coordination/randomtest"
+	"github.com/monsooncrank/monsooncrank/coordination/table"
 	"github.com/monsooncrank/monsooncrank/coordination/table/memtable"
 	"github.com/monsooncrank/monsooncrank/pkg/config"
 	"github.com/monsooncrank/monsooncrank/pkg/platform/objectstore/memstore"
@@ -18,14 +19,40 @@
 // claims is what publishers were told, by publish ID.
 type claims struct{ published, refused, open map[string]bool }
 
+// lateTable keeps transactions that were lost on their way and applies them
+// later, as a network may deliver them after the sender has given up.
+type lateTable struct {
+	*memtable.Store
+	lose    bool
+	waiting [][]table.Write
+}
+
+func (l *lateTable) Transact(ctx context.Context, writes []table.Write) error {
+	l.lose = false
+	err := l.Store.Transact(ctx, writes)
+	if l.lose {
+		l.waiting = append(l.waiting, writes)
+	}
+	return err
+}
+
+func (l *lateTable) arrive(report *randomtest.Report) {
+	for _, writes := range l.waiting {
+		report.Fault("request late")
+		_ = l.Store.Transact(context.Background(), writes)
+	}
+	l.waiting = nil
+}
+
 // TestRandomPublish guards against a publish that is reported as done and is
 // not in the history, one that is reported as not done and is, and a head that
 // skips or repeats a revision, under racing publishers and lost answers.
 func TestRandomPublish(t *testing.T) {
-	faults := []string{"answer lost", "request lost", "table unavailable", "object store fault", "racing publisher", "sent again"}
+	faults := []string{"answer lost", "request lost", "request late", "table unavailable", "object store fault", "racing publisher", "sent again"}
 	randomtest.Check(t, faults, func(rt *rapid.T, report *randomtest.Report) {
 		store, objects := memtable.New(), memstore.New()
-		hooks := &hookedTable{Store: store}
+		late := &lateTable{Store: store}
+		hooks := &hookedTable{Store: late}
 		p := NewPublisher(PublisherOptions{Table: hooks, Objects: objects, RetryWait: time.Nanosecond})
 		told := claims{make(map[string]bool), make(map[string]bool), make(map[string]bool)}
 		store.SetFault(func(memtable.Operation) memtable.Fault {
@@ -33,6 +60,7 @@
 			if f != memtable.FaultNone {
 				report.Fault([]string{"", "table unavailable", "answer lost", "request lost"}[f])
 			}
+			late.lose = f == memtable.FaultRequestLost && rapid.Bool().Draw(rt, "late")
 			return f
 		})
 		objects.SetFault(func(memstore.Operation) memstore.Fault {
@@ -44,7 +72,11 @@
 		})
 		for n := range 12 {
 			publishSome(rt, report, p, hooks, told, n)
+			if rapid.Bool().Draw(rt, "arrives") {
+				late.arrive(report)
+			}
 		}
+		late.arrive(report)
 		store.SetFault(nil)
 		objects.SetFault(nil)
 		checkHistory(rt, p, told)
