--- a/pkg/streaming/machine_test.go
+++ b/pkg/streaming/machine_test.go
@@ -34,6 +34,7 @@
 	attempts  []*fakeAttempt
 	migrating string
 	handing   bool
+	handed    int
 	ends      []streaming.End
 	finished  bool
 	drops     map[streaming.DropReason]int
@@ -75,12 +76,15 @@
 		case streaming.AbandonMigration:
 			c.migrating = ""
 		case streaming.HandOver:
-			c.handing = true
+			c.handing, c.handed = true, len(a.State.Tokens)
 			if !slices.Equal(a.State.Tokens, c.got) {
 				c.fail("handed over %d tokens, the caller has %d", len(a.State.Tokens), len(c.got))
 			}
 		case streaming.End:
 			c.ends = append(c.ends, a)
+			if a.Kind == streaming.EndHandedOver && len(c.got) != c.handed {
+				c.fail("the peer has %d tokens, the caller %d", c.handed, len(c.got))
+			}
 		}
 	}
 	if len(c.ends) > 1 {
