Clear a request of crashes that it was merely present at

Cause: a demo run under the race detector lost a deferred request: it was running on two engines that other requests and the fault plan had killed, and was quarantined for it. Change: an attempt that had produced output before the crash clears the request of earlier crashes, since a crashing request crashes at the same point again.

--- a/coordination/quarantine/quarantine.go
+++ b/coordination/quarantine/quarantine.go
@@ -100,10 +100,19 @@
 
 // Crashed records that server died while it ran the request. It returns the
 // entry to spread to other daemons, and whether it became quarantined now.
-func (c *Core) Crashed(now time.Time, fingerprint Fingerprint, server string) (Entry, bool) {
+//
+// Advanced says that the attempt had produced new output before the crash. A
+// request that crashes servers does so at the same point of its answer again
+// and again, so that output clears it of its earlier crashes: it was merely
+// present at them.
+func (c *Core) Crashed(now time.Time, fingerprint Fingerprint, server string, advanced bool) (Entry, bool) {
 	e := c.entry(now, fingerprint)
 	e.LastCrash = now
 	e.Released = false
+	if advanced && !e.Quarantined && len(e.Servers) > 0 {
+		e.Generation++
+		e.Servers = nil
+	}
 	e.Servers = union(e.Servers, []string{server})
 	before := e.Quarantined
 	e.Quarantined = e.Quarantined || len(e.Servers) >= c.options.Crashes
--- a/coordination/quarantine/quarantine_test.go
+++ b/coordination/quarantine/quarantine_test.go
@@ -45,7 +45,7 @@
 				}
 				crashes++
 				report.Fault("crash")
-				e, _ := core.Crashed(now, fingerprint, fmt.Sprintf("engine-%d", crashes))
+				e, _ := core.Crashed(now, fingerprint, fmt.Sprintf("engine-%d", crashes), false)
 				sent = append(sent, e)
 				key := [2]uint64{uint64(daemon), e.Generation}
 				if own[key]++; own[key] > 2 {
@@ -92,15 +92,15 @@
 	core := quarantine.New(quarantine.DefaultOptions())
 	f := quarantine.FingerprintOf("a", []byte("body"))
 	g.Expect(core.Check(now, f)).To(Equal(quarantine.VerdictRun))
-	_, quarantined := core.Crashed(now, f, "engine-1#1")
+	_, quarantined := core.Crashed(now, f, "engine-1#1", false)
 	g.Expect(quarantined).To(BeFalse())
 	g.Expect(core.Check(now, f)).To(Equal(quarantine.VerdictIsolate))
 
 	// Several attempts on one engine that died once are one crash.
-	_, quarantined = core.Crashed(now, f, "engine-1#1")
+	_, quarantined = core.Crashed(now, f, "engine-1#1", false)
 	g.Expect(quarantined).To(BeFalse())
 
-	_, quarantined = core.Crashed(now, f, "engine-2#1")
+	_, quarantined = core.Crashed(now, f, "engine-2#1", false)
 	g.Expect(quarantined).To(BeTrue())
 	g.Expect(core.Check(now.Add(24*time.Hour), f)).To(Equal(quarantine.VerdictRefuse))
 	g.Expect(core.List()).To(HaveLen(1))
@@ -110,6 +110,26 @@
 	g.Expect(core.Check(now, f)).To(Equal(quarantine.VerdictRun))
 }
 
+// Guards against an innocent request that is quarantined because it was present
+// at the crashes of others, while one that crashes servers in the middle of its
+// answer is still found: its next attempt goes no further.
+func TestOutputClearsEarlierCrashes(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Unix(1000, 0)
+	here, there := quarantine.New(quarantine.DefaultOptions()), quarantine.New(quarantine.DefaultOptions())
+	innocent, culprit := quarantine.FingerprintOf("a", []byte("brief")), quarantine.FingerprintOf("a", []byte("crash"))
+	for _, server := range []string{"engine-1", "engine-2", "engine-3"} {
+		e, quarantined := here.Crashed(now, innocent, server, true)
+		g.Expect(quarantined).To(BeFalse())
+		there.Merge(now, e)
+	}
+	g.Expect(there.Check(now, innocent)).To(Equal(quarantine.VerdictIsolate))
+	_, quarantined := here.Crashed(now, culprit, "engine-1", true)
+	g.Expect(quarantined).To(BeFalse())
+	_, quarantined = here.Crashed(now, culprit, "engine-2", false)
+	g.Expect(quarantined).To(BeTrue())
+}
+
 // Guards against a popular request that is quarantined because two Hosts which
 // ran it failed for other reasons.
 func TestSuccessClearsSuspicion(t *testing.T) {
@@ -117,13 +137,13 @@
 	now := time.Unix(1000, 0)
 	here, there := quarantine.New(quarantine.DefaultOptions()), quarantine.New(quarantine.DefaultOptions())
 	f := quarantine.FingerprintOf("a", []byte("hi"))
-	crash, _ := here.Crashed(now, f, "engine-1")
+	crash, _ := here.Crashed(now, f, "engine-1", false)
 	there.Merge(now, crash)
 	cleared, ok := here.Succeeded(now, f)
 	g.Expect(ok).To(BeTrue())
 	there.Merge(now, cleared)
 	there.Merge(now, crash)
-	_, quarantined := there.Crashed(now, f, "engine-2")
+	_, quarantined := there.Crashed(now, f, "engine-2", false)
 	g.Expect(quarantined).To(BeFalse())
 }
 
@@ -135,14 +155,14 @@
 	core := quarantine.New(options)
 	now := time.Unix(1000, 0)
 	f := quarantine.FingerprintOf("a", []byte("body"))
-	core.Crashed(now, f, "engine-1")
+	core.Crashed(now, f, "engine-1", false)
 	now = now.Add(2 * time.Minute)
 	g.Expect(core.Check(now, f)).To(Equal(quarantine.VerdictRun))
-	_, quarantined := core.Crashed(now, f, "engine-2")
+	_, quarantined := core.Crashed(now, f, "engine-2", false)
 	g.Expect(quarantined).To(BeFalse())
-	core.Crashed(now, f, "engine-3")
+	core.Crashed(now, f, "engine-3", false)
 	for i := range 10 {
-		core.Crashed(now.Add(time.Second), quarantine.FingerprintOf("b", []byte{byte(i)}), "engine-4")
+		core.Crashed(now.Add(time.Second), quarantine.FingerprintOf("b", []byte{byte(i)}), "engine-4", false)
 	}
 	g.Expect(core.Check(now, f)).To(Equal(quarantine.VerdictRefuse), "a quarantined request outlives suspects")
 }
--- a/pkg/daemon/quarantine.go
+++ b/pkg/daemon/quarantine.go
@@ -26,6 +26,9 @@
 	// daemons.
 	quarantineStoreTries = 5
 	quarantineInterval   = 30 * time.Second
+	// advancedTokens is the output after which an attempt counts as having gone
+	// further than the one before. One token may be that at which it crashes.
+	advancedTokens = 2
 )
 
 // spreader announces news to all daemons.
@@ -139,7 +142,8 @@
 	server := fmt.Sprintf("%s#%d", report.Backend.Name, report.Backend.Incarnation)
 	q.mu.Lock()
 	now := q.clock.Now()
-	entry, quarantined := q.core.Crashed(now, quarantine.Fingerprint(report.Fingerprint), server)
+	advanced := report.TokensReceived >= advancedTokens
+	entry, quarantined := q.core.Crashed(now, quarantine.Fingerprint(report.Fingerprint), server, advanced)
 	verdict := verdictOf(q.core.Check(now, entry.Fingerprint))
 	q.size.Set(float64(len(q.core.List())))
 	q.mu.Unlock()
