Let reported load differences shrink faster

Cause: with reports that lag by half a second or more and requests of a few seconds, a difference that was reported 5 s ago says little. Change: LoadMemory is 2 s in place of 5 s.

--- a/pkg/routing/options.go
+++ b/pkg/routing/options.go
@@ -56,7 +56,7 @@
 	defaultFullBatch       = 200 * time.Millisecond
 	defaultMeanDuration    = 5 * time.Second
 	defaultPriceWeight     = 2 * time.Millisecond
-	defaultLoadMemory      = 5 * time.Second
+	defaultLoadMemory      = 2 * time.Second
 	defaultCacheHalfLife   = 5 * time.Minute
 	defaultCachedPrefixes  = 1 << 16
 	defaultSequences       = 32
