--- a/pkg/routing/pick.go
+++ b/pkg/routing/pick.go
@@ -43,7 +43,7 @@
 	} else {
 		r.addHolders(g, q, at)
 		r.addOwner(g, q, at)
-		r.addSamples(g, q, r.options.Choices, ReasonLoad)
+		r.addSamples(g, q, r.sampled(), ReasonLoad)
 	}
 	if r.count == 0 && !r.addByScan(g, q) {
 		return Decision{}, noServer(g, q)
@@ -51,6 +51,11 @@
 	return r.best(g, q, at), nil
 }
 
+// sampled returns how many servers are sampled besides the candidates found by
+// their prefix: each of those takes the place of one sample, but one is always
+// drawn.
+func (r *Router) sampled() int { return max(r.options.Choices-r.count, 1) }
+
 func (r *Router) best(g *group, q *Query, at time.Duration) Decision {
 	mean := g.meanOthers()
 	bestIndex := 0
