--- a/pkg/routing/options.go
+++ b/pkg/routing/options.go
@@ -11,7 +11,8 @@
 	AvailabilityZone string
 	// SubsetSize is how many servers of a group this daemon samples from.
 	SubsetSize int
-	// Choices is how many servers are sampled for each decision.
+	// Choices is how many servers are sampled for each decision. Candidates
+	// found by their prefix take the place of all samples but one.
 	Choices int
 	// LoadBound is how far the load of a server that is picked for a prefix
 	// may exceed the group's mean, as a factor.
@@ -42,10 +43,6 @@
 	CacheHalfLife time.Duration
 	// CachedPrefixes bounds the number of prefixes that are tracked.
 	CachedPrefixes int
-	// OwnerTrust is the expected share of a prefix that its owner on the
-	// ring holds when this daemon knows nothing about it: other daemons send
-	// the same prefix there.
-	OwnerTrust float64
 	// Sequences is the batch size of a server that does not state its own.
 	Sequences int
 }
@@ -56,14 +53,13 @@
 	defaultLoadBound       = 2
 	defaultOtherZone       = 2 * time.Millisecond
 	defaultPrefillPerToken = 60 * time.Microsecond
-	defaultPrefillWeight   = 0.5
+	defaultPrefillWeight   = 1
 	defaultFullBatch       = 200 * time.Millisecond
 	defaultMeanDuration    = 5 * time.Second
 	defaultPriceWeight     = 2 * time.Millisecond
-	defaultLoadMemory      = 5 * time.Second
+	defaultLoadMemory      = 2 * time.Second
 	defaultCacheHalfLife   = 5 * time.Minute
 	defaultCachedPrefixes  = 1 << 16
-	defaultOwnerTrust      = 0.5
 	defaultSequences       = 32
 )
 
@@ -80,7 +76,6 @@
 	setDefault(&o.LoadMemory, defaultLoadMemory)
 	setDefault(&o.CacheHalfLife, defaultCacheHalfLife)
 	setDefault(&o.CachedPrefixes, defaultCachedPrefixes)
-	setDefault(&o.OwnerTrust, defaultOwnerTrust)
 	setDefault(&o.Sequences, defaultSequences)
 	o.Choices = min(o.Choices, maxSampled)
 	return o
