Measure saved partial answers and copies at a peer

Cause: sections 7.3 and 7.4 leave the interval of saved partial answers and the copies of running streams at a peer to measurement.

Partial answers are saved every 10 s. Copies at a peer are dropped.

--- a/pkg/deferred/deferred.go
+++ b/pkg/deferred/deferred.go
@@ -27,7 +27,7 @@
 const (
 	// defaultSaveInterval is set by the measurement in
 	// docs/measurements-streaming.md.
-	defaultSaveInterval   = 5 * time.Second
+	defaultSaveInterval   = 10 * time.Second
 	defaultPollInterval   = time.Second
 	defaultRetention      = 24 * time.Hour
 	defaultAttemptTimeout = 10 * time.Minute
--- /dev/null
+++ b/pkg/streaming/measure_test.go
@@ -0,0 +1,89 @@
+package streaming_test
+
+import (
+	"math/rand/v2"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/monsooncrank/monsooncrank/pkg/streaming"
+)
+
+// The load of one daemon of the size in section 4 of the design page: 89,000
+// requests and 26 million tokens a second over 590 daemons, 37 ms per token.
+const (
+	requestsPerDaemon = 89000.0 / 590
+	tokensPerAnswer   = 26_000_000 / 89_000
+	perToken          = 37 * time.Millisecond
+	promptWords       = 800
+	wordBytes         = 6
+)
+
+// delta is one copy of what is new of a stream.
+type delta struct {
+	RequestID string   `cbor:"request_id"`
+	From      int      `cbor:"from"`
+	Tokens    []string `cbor:"tokens"`
+}
+
+// BenchmarkPeerCopies measures copies of running streams at a peer: the bytes
+// that a daemon sends, and the tokens recomputed when a daemon dies, with the
+// peer resuming every stream from its last copy. Interval 0 makes no copies:
+// callers ask again and everything is computed again.
+func BenchmarkPeerCopies(b *testing.B) {
+	for _, interval := range []time.Duration{0, 500 * time.Millisecond, time.Second, 2 * time.Second, 5 * time.Second} {
+		b.Run(interval.String(), func(b *testing.B) {
+			r := rand.New(rand.NewPCG(1, 0))
+			bytes, again, prefilled := 0, 0, 0
+			for b.Loop() {
+				bytes += copiedBytes(b, interval)
+				offset := r.IntN(int(tokensPerAnswer))
+				again += regenerated(interval, offset)
+				prefilled += promptWords + offset - regenerated(interval, offset)
+			}
+			running := requestsPerDaemon * tokensPerAnswer * perToken.Seconds()
+			b.ReportMetric(float64(bytes)/float64(b.N)*requestsPerDaemon/1000, "KB/s-per-daemon")
+			b.ReportMetric(float64(again)/float64(b.N)*running, "decoded-again/death")
+			b.ReportMetric(float64(prefilled)/float64(b.N)*running, "prefilled-again/death")
+		})
+	}
+}
+
+// copiedBytes encodes the copies of one answer.
+func copiedBytes(b *testing.B, interval time.Duration) int {
+	if interval == 0 {
+		return 0
+	}
+	req := chatRequest("0f0e9c1c-6a2f-4f4e-9d5e-0d2c7a8b9c10", int(tokensPerAnswer))
+	req.Messages[0].Content = strings.Repeat("plants ", promptWords)
+	sum := size(b, streaming.State{Request: *req})
+	step := max(int(interval/perToken), 1)
+	for from := 0; from < int(tokensPerAnswer); from += step {
+		d := delta{RequestID: req.ID, From: from}
+		for range min(step, int(tokensPerAnswer)-from) {
+			d.Tokens = append(d.Tokens, strings.Repeat("x", wordBytes))
+		}
+		sum += size(b, d)
+	}
+	return sum
+}
+
+func size(b *testing.B, value any) int {
+	data, err := cbor.Marshal(value)
+	if err != nil {
+		b.Fatal(err)
+	}
+	return len(data)
+}
+
+// regenerated returns the tokens decoded again for a stream that had come to an
+// offset: those after the last copy. The prompt and the copied tokens are
+// prefilled again in any case.
+func regenerated(interval time.Duration, offset int) int {
+	if interval == 0 {
+		return offset
+	}
+	return offset % max(int(interval/perToken), 1)
+}
--- a/pkg/streaming/reclaim.go
+++ b/pkg/streaming/reclaim.go
@@ -18,6 +18,9 @@
 func (d *Driver) ReclaimNotice(backendName string, deadline time.Time) {
 	now := d.opts.Clock.Now()
 	d.mu.Lock()
+	if _, known := d.notices[backendName]; !known && !d.closed {
+		d.tasks.Go(func() { d.planUntilDeadline(backendName) })
+	}
 	d.notices[backendName] = deadline
 	for name, at := range d.notices {
 		if now.Sub(at) > noticeKept {
@@ -44,6 +47,27 @@
 	}
 }
 
+// planInterval is the time between two plans for a notice. The speed of a stream
+// that has just started is hardly known, so that the first plan may be wrong.
+const planInterval = 250 * time.Millisecond
+
+func (d *Driver) planUntilDeadline(backendName string) {
+	ticker := d.opts.Clock.NewTicker(planInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ticker.C():
+		case <-d.ctx.Done():
+			return
+		}
+		deadline, ok := d.notice(backendName)
+		if !ok || !d.opts.Clock.Now().Before(deadline) {
+			return
+		}
+		d.replan(backendName)
+	}
+}
+
 // replan plans again when a transfer has ended: streams that have finished since
 // have left their part of the transfer time to others.
 func (d *Driver) replan(backendName string) {
@@ -87,7 +111,7 @@
 // candidate describes the stream to the planner if it runs on a BackendServer.
 func (s *stream) candidate(backend string) (Candidate, bool) {
 	s.mu.Lock()
-	here, perToken := s.backend == backend && !s.moving, s.progress.perToken()
+	here, perToken, count := s.backend == backend && !s.moving, s.progress.perToken(), s.progress.count
 	s.mu.Unlock()
 	if !here {
 		return Candidate{}, false
@@ -101,10 +125,24 @@
 		ContextTokens:   s.promptTokens + emitted,
 		CachedElsewhere: cached,
 		RemainingTokens: max(s.request.MaxTokens-emitted, 1),
-		DecodePerToken:  perToken,
+		DecodePerToken:  max(perToken, minDecode(count)),
 	}, true
 }
 
+// A few tokens may arrive together after a wait and look faster than they are.
+const (
+	fewTokens   = 8
+	usualDecode = 37 * time.Millisecond
+)
+
+// minDecode is the least time per token to expect after count tokens.
+func minDecode(count int) time.Duration {
+	if count < fewTokens {
+		return usualDecode
+	}
+	return 0
+}
+
 func (p progress) perToken() time.Duration {
 	if p.count < 2 {
 		return 0
