Never dispatch to an engine that has been announced to leave

Cause: after a silent connection the stream asked the same engine again although a reclaim notice for it had arrived (I5), and a notice blocked the name of a restarted engine until the next notice of any engine.

A request without a limit counts as 4,096 tokens long, not as about to end.

--- a/pkg/streaming/drain.go
+++ b/pkg/streaming/drain.go
@@ -60,7 +60,7 @@
 	if perToken == 0 {
 		return 1<<63 - 1
 	}
-	return time.Duration(max(s.request.MaxTokens-s.log.length(), 0)) * perToken
+	return time.Duration(max(s.maxTokens()-s.log.length(), 0)) * perToken
 }
 
 // handOver gives the stream to a peer.
--- a/pkg/streaming/driver_test.go
+++ b/pkg/streaming/driver_test.go
@@ -105,4 +105,18 @@
 		Expect(out.text()).To(Equal(expected(req)))
 		Expect(d.router.leaving["a"]).To(BeTrue())
 	})
+
+	// Guards against new work for an engine that has been announced to leave,
+	// after its connection went silent (I5).
+	It("does not ask a leaving engine on a new connection", func() {
+		d := deployWith(GinkgoTB(), progressTimeout, slowEngine, nil)
+		req := chatRequest("r1", 96)
+		out := &sink{at: 20, hook: func() {
+			d.engines[0].Silence()
+			d.reclaim("a", time.Minute)
+		}}
+		Expect(d.driver.Chat(context.Background(), req, out)).To(Succeed())
+		Expect(out.text()).To(Equal(expected(req)))
+		Expect(d.ledger.Totals().Refused).To(BeZero())
+	})
 })
--- a/pkg/streaming/reclaim.go
+++ b/pkg/streaming/reclaim.go
@@ -18,15 +18,15 @@
 func (d *Driver) ReclaimNotice(backendName string, deadline time.Time) {
 	now := d.opts.Clock.Now()
 	d.mu.Lock()
-	if _, known := d.notices[backendName]; !known && !d.closed {
-		d.tasks.Go(func() { d.planUntilDeadline(backendName) })
-	}
-	d.notices[backendName] = deadline
 	for name, at := range d.notices {
 		if now.Sub(at) > noticeKept {
 			delete(d.notices, name)
 		}
 	}
+	if !now.Before(d.notices[backendName]) && !d.closed {
+		d.tasks.Go(func() { d.planUntilDeadline(backendName) })
+	}
+	d.notices[backendName] = deadline
 	d.mu.Unlock()
 	d.plan(now, backendName, deadline)
 }
@@ -79,7 +79,7 @@
 
 func (d *Driver) planned(now time.Time, s *stream, backend string, deadline time.Time, a Assignment) ReclaimPlanned {
 	planned := ReclaimPlanned{Backend: backend, Deadline: deadline, Choice: a.Choice, At: a.At}
-	if !s.choose(a.Choice) {
+	if !s.note(a.Choice) {
 		return planned
 	}
 	d.metrics.reclaims.WithLabelValues(string(a.Choice)).Inc()
@@ -90,8 +90,8 @@
 	return planned
 }
 
-// choose notes the choice for the current attempt and reports whether it is new.
-func (s *stream) choose(choice ReclaimChoice) bool {
+// note keeps the choice for the current attempt and reports whether it is new.
+func (s *stream) note(choice ReclaimChoice) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	changed := s.choice != choice
@@ -105,7 +105,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	deadline, ok := d.notices[backend]
-	return deadline, ok
+	return deadline, ok && d.opts.Clock.Now().Sub(deadline) <= noticeKept
 }
 
 // candidate describes the stream to the planner if it runs on a BackendServer.
@@ -124,7 +124,7 @@
 	return Candidate{
 		ContextTokens:   s.promptTokens + emitted,
 		CachedElsewhere: cached,
-		RemainingTokens: max(s.request.MaxTokens-emitted, 1),
+		RemainingTokens: max(s.maxTokens()-emitted, 1),
 		DecodePerToken:  max(perToken, minDecode(count)),
 	}, true
 }
@@ -150,6 +150,17 @@
 	return max(p.last.Sub(p.first)/time.Duration(p.count-1), time.Microsecond)
 }
 
+// unlimitedTokens is taken as the length of an answer whose request sets no
+// limit.
+const unlimitedTokens = 4096
+
+func (s *stream) maxTokens() int {
+	if s.request.MaxTokens > 0 {
+		return s.request.MaxTokens
+	}
+	return unlimitedTokens
+}
+
 // planAlone plans for a stream that reached an engine after its notice.
 func (s *stream) planAlone(now time.Time, backend string, deadline time.Time) Event {
 	c, _ := s.candidate(backend)
--- a/pkg/streaming/stream.go
+++ b/pkg/streaming/stream.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -179,7 +180,7 @@
 	return &PickRequest{
 		RequestID: s.request.ID, ClientAccount: s.request.ClientAccount, Model: s.request.Model,
 		Route: s.route.Name, Pools: s.route.Pools, Messages: s.request.Messages,
-		ContextTokens: s.promptTokens + resumed, RemainingTokens: max(s.request.MaxTokens-resumed, 0),
+		ContextTokens: s.promptTokens + resumed, RemainingTokens: max(s.maxTokens()-resumed, 0),
 		Exclude: exclude, Isolated: isolated, Priority: s.route.Priority, Deadline: s.request.Deadline,
 	}
 }
@@ -188,12 +189,9 @@
 func (s *stream) dispatch(d Dispatch) []Event {
 	now := s.d.opts.Clock.Now()
 	pick := s.pickRequest(len(d.Resume), d.Exclude, d.Isolated)
-	backend, ok := s.known(d.Backend)
+	backend, ok := s.choose(now, &d, pick)
 	if !ok {
-		var err error
-		if backend, err = s.d.opts.Router.Pick(now, pick); err != nil {
-			return []Event{NothingAvailable{AttemptID: d.AttemptID}}
-		}
+		return []Event{NothingAvailable{AttemptID: d.AttemptID}}
 	}
 	if d.Retry && !s.d.opts.RetryBudget.Withdraw(s.request.ClientAccount, backend.Pool) {
 		return []Event{RetryDenied{AttemptID: d.AttemptID}}
@@ -215,6 +213,27 @@
 	return events
 }
 
+// choose returns the engine that the machine asks for, or one that routing
+// picks. It never returns one that has been announced to leave (I5).
+func (s *stream) choose(now time.Time, d *Dispatch, pick *PickRequest) (membership.BackendServer, bool) {
+	if backend, ok := s.known(d.Backend); ok {
+		if _, leaving := s.d.notice(backend.Name); !leaving {
+			return backend, true
+		}
+	}
+	d.KVHandle = ""
+	for {
+		backend, err := s.d.opts.Router.Pick(now, pick)
+		if err != nil || slices.Contains(pick.Exclude, backend.Name) {
+			return backend, false
+		}
+		if _, leaving := s.d.notice(backend.Name); !leaving {
+			return backend, true
+		}
+		pick.Exclude = append(slices.Clone(pick.Exclude), backend.Name)
+	}
+}
+
 // known returns an engine that an earlier attempt or migration has used.
 func (s *stream) known(name string) (membership.BackendServer, bool) {
 	for _, a := range s.attempts {
