--- a/pkg/streaming/reclaim.go
+++ b/pkg/streaming/reclaim.go
@@ -18,12 +18,15 @@
 func (d *Driver) ReclaimNotice(backendName string, deadline time.Time) {
 	now := d.opts.Clock.Now()
 	d.mu.Lock()
-	d.notices[backendName] = deadline
 	for name, at := range d.notices {
 		if now.Sub(at) > noticeKept {
 			delete(d.notices, name)
 		}
 	}
+	if !now.Before(d.notices[backendName]) && !d.closed {
+		d.tasks.Go(func() { d.planUntilDeadline(backendName) })
+	}
+	d.notices[backendName] = deadline
 	d.mu.Unlock()
 	d.plan(now, backendName, deadline)
 }
@@ -44,6 +47,27 @@
 	}
 }
 
+// planInterval is the time between two plans for a notice. The speed of a stream
+// that has just started is hardly known, so that the first plan may be wrong.
+const planInterval = 250 * time.Millisecond
+
+func (d *Driver) planUntilDeadline(backendName string) {
+	ticker := d.opts.Clock.NewTicker(planInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ticker.C():
+		case <-d.ctx.Done():
+			return
+		}
+		deadline, ok := d.notice(backendName)
+		if !ok || !d.opts.Clock.Now().Before(deadline) {
+			return
+		}
+		d.replan(backendName)
+	}
+}
+
 // replan plans again when a transfer has ended: streams that have finished since
 // have left their part of the transfer time to others.
 func (d *Driver) replan(backendName string) {
@@ -55,7 +79,7 @@
 
 func (d *Driver) planned(now time.Time, s *stream, backend string, deadline time.Time, a Assignment) ReclaimPlanned {
 	planned := ReclaimPlanned{Backend: backend, Deadline: deadline, Choice: a.Choice, At: a.At}
-	if !s.choose(a.Choice) {
+	if !s.note(a.Choice) {
 		return planned
 	}
 	d.metrics.reclaims.WithLabelValues(string(a.Choice)).Inc()
@@ -66,8 +90,8 @@
 	return planned
 }
 
-// choose notes the choice for the current attempt and reports whether it is new.
-func (s *stream) choose(choice ReclaimChoice) bool {
+// note keeps the choice for the current attempt and reports whether it is new.
+func (s *stream) note(choice ReclaimChoice) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	changed := s.choice != choice
@@ -81,13 +105,13 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	deadline, ok := d.notices[backend]
-	return deadline, ok
+	return deadline, ok && d.opts.Clock.Now().Sub(deadline) <= noticeKept
 }
 
 // candidate describes the stream to the planner if it runs on a BackendServer.
 func (s *stream) candidate(backend string) (Candidate, bool) {
 	s.mu.Lock()
-	here, perToken := s.backend == backend && !s.moving, s.progress.perToken()
+	here, perToken, count := s.backend == backend && !s.moving, s.progress.perToken(), s.progress.count
 	s.mu.Unlock()
 	if !here {
 		return Candidate{}, false
@@ -100,11 +124,25 @@
 	return Candidate{
 		ContextTokens:   s.promptTokens + emitted,
 		CachedElsewhere: cached,
-		RemainingTokens: max(s.request.MaxTokens-emitted, 1),
-		DecodePerToken:  perToken,
+		RemainingTokens: max(s.maxTokens()-emitted, 1),
+		DecodePerToken:  max(perToken, minDecode(count)),
 	}, true
 }
 
+// A few tokens may arrive together after a wait and look faster than they are.
+const (
+	fewTokens   = 8
+	usualDecode = 37 * time.Millisecond
+)
+
+// minDecode is the least time per token to expect after count tokens.
+func minDecode(count int) time.Duration {
+	if count < fewTokens {
+		return usualDecode
+	}
+	return 0
+}
+
 func (p progress) perToken() time.Duration {
 	if p.count < 2 {
 		return 0
@@ -112,6 +150,17 @@
 	return max(p.last.Sub(p.first)/time.Duration(p.count-1), time.Microsecond)
 }
 
+// unlimitedTokens is taken as the length of an answer whose request sets no
+// limit.
+const unlimitedTokens = 4096
+
+func (s *stream) maxTokens() int {
+	if s.request.MaxTokens > 0 {
+		return s.request.MaxTokens
+	}
+	return unlimitedTokens
+}
+
 // planAlone plans for a stream that reached an engine after its notice.
 func (s *stream) planAlone(now time.Time, backend string, deadline time.Time) Event {
 	c, _ := s.candidate(backend)
