--- a/pkg/config/config_test.go
+++ b/pkg/config/config_test.go
@@ -27,10 +27,46 @@
 {"kind": "Pool", "name": "p", "availability_zone": "z", "machine_class": "c", "purchase": "on_demand", "price_per_hour": 1, "models": ["m"], "max_hosts": 2, "sequences_per_host": 4, "checks_fencing": true},
 {"kind": "Pool", "name": "s", "availability_zone": "z", "machine_class": "c", "purchase": "on_demand", "price_per_hour": 1, "max_hosts": 2, "checks_fencing": true},
 {"kind": "Service", "name": "b", "pools": ["s"], "calls": [{"name": "c", "path": "/c", "mode": "once_only", "timeout_seconds": 1}]},
-{"kind": "ClientAccount", "name": "k", "key_hashes": ["` + testKeyHash + `"], "weight": 1, "max_in_flight": 10, "requests_per_second": 1},
+{"kind": "ClientAccount", "name": "k", "key_hashes": ["` + testKeyHash + `"], "weight": 1, "max_in_flight": 10, "requests_per_second": 1, "routes": ["r"], "services": ["b"]},
 {"kind": "Route", "name": "r", "model": "a", "pools": ["p"], "priority": 0, "default_timeout_seconds": 1, "latency_target": "fast"}, // chat
 ]}`
 
+// mistake is one change of valid and the finding that it must give.
+type mistake struct {
+	what, old, changed string
+	line               int
+	object             string
+	rule               Rule
+	reason             string
+}
+
+var mistakes = []mistake{
+	{"syntax", `"share": 0.95}`, `"share": 0.95`, 3, "file", RuleSyntax, "invalid character"},
+	{"unknown field", `"share"`, `"shares"`, 2, `LatencyTarget "fast"`, RuleUnknownField, `"shares"`},
+	{"unknown field of a call", `"mode": "once_only"`, `"mode": "once_only", "modus": 1`, 7, `Service "b"`, RuleUnknownField, `"calls[0].modus"`},
+	{"unknown field of a file", `{"objects"`, `{"version": 1, "objects"`, 1, "file", RuleUnknownField, "version"},
+	{"unknown kind", `"Adapter"`, `"Adaptor"`, 4, `Adaptor "a"`, RuleUnknownKind, "Adaptor"},
+	{"field twice", `"priority": 0`, `"priority": 0, "priority": 1`, 9, `Route "r"`, RuleDuplicateField, "priority"},
+	{"wrong type", `"context_tokens": 100`, `"context_tokens": 1.5`, 3, `Model "m"`, RuleWrongType, "whole number"},
+	{"null", `"weight": 1`, `"weight": null`, 8, `ClientAccount "k"`, RuleWrongType, "a number"},
+	{"missing field", `"context_tokens": 100, `, ``, 3, `Model "m"`, RuleBadValue, "context_tokens"},
+	{"bad name", `"name": "k"`, `"name": "k/1"`, 8, `ClientAccount "k/1"`, RuleBadName, "must match"},
+	{"duplicate name", `{"kind": "Adapter"`, `{"kind": "Adapter", "name": "m", "model": "m"}, {"kind": "Adapter"`, 4, `Adapter "m"`, RuleDuplicateName, `Model "m" at f:3`},
+	{"duplicate call", `"timeout_seconds": 1}`, `"timeout_seconds": 1}, {"name": "c", "path": "/c", "mode": "repeatable", "timeout_seconds": 1}`, 7, `Service "b"`, RuleDuplicateName, `call "c"`},
+	{"dangling reference", `"pools": ["p"]`, `"pools": ["p", "q"]`, 9, `Route "r"`, RuleDanglingReference, `Pool "q"`},
+	{"fallback cycle", `"latency_target": "fast"`, `"latency_target": "fast", "fallback": "r"`, 9, `Route "r"`, RuleCycle, "r -> r"},
+	{"adapter cycle", `"model": "m"}`, `"model": "a"}`, 4, `Adapter "a"`, RuleCycle, "a -> a"},
+	{"account above its pools", `"max_in_flight": 10`, `"max_in_flight": 11`, 8, `ClientAccount "k"`, RuleUnmeetableLimit, "10 requests"},
+	{"timeout below first token", `"default_timeout_seconds": 1`, `"default_timeout_seconds": 0.8`, 9, `Route "r"`, RuleUnmeetableLimit, "0.86"},
+	{"share above 1", `"share": 0.95`, `"share": 95`, 2, `LatencyTarget "fast"`, RuleBadValue, "at most 1"},
+	{"negative weight", `"weight": 1`, `"weight": -1`, 8, `ClientAccount "k"`, RuleBadValue, "above 0"},
+	{"bad key hash", testKeyHash, `abc`, 8, `ClientAccount "k"`, RuleBadKeyHash, "hexadecimal"},
+	{"dangling model of a pool", `"models": ["m"]`, `"models": ["n"]`, 5, `Pool "p"`, RuleDanglingReference, `"n"`},
+	{"route of an unserved model", `"model": "a", "pools"`, `"model": "m2", "pools"`, 9, `Route "r"`, RuleDanglingReference, `"m2"`},
+	{"service on engines", `"pools": ["s"]`, `"pools": ["p"]`, 7, `Service "b"`, RuleBadValue, "engines"},
+	{"bad purchase", `"on_demand", "price_per_hour": 1, "models"`, `"spot", "price_per_hour": 1, "models"`, 5, `Pool "p"`, RuleBadValue, "reclaimable"},
+}
+
 func findings(files ...File) []Finding {
 	_, err := Parse(files...)
 	if err == nil {
@@ -48,42 +84,15 @@
 
 	// Guards against a rule that is not checked, reported at another place, or
 	// reported more than once.
-	DescribeTable("reports one mistake as one line",
-		func(old, changed string, line int, object string, rule Rule, reason string) {
-			Expect(strings.Count(valid, old)).To(Equal(1), "text to replace")
-			got := findings(File{"f", []byte(strings.Replace(valid, old, changed, 1))})
+	for _, m := range mistakes {
+		It("reports as one line: "+m.what, func() {
+			Expect(strings.Count(valid, m.old)).To(Equal(1), "text to replace")
+			got := findings(File{"f", []byte(strings.Replace(valid, m.old, m.changed, 1))})
 			Expect(got).To(HaveLen(1), "%v", got)
-			Expect(got[0].File).To(Equal("f"))
-			Expect(got[0].Line).To(Equal(line))
-			Expect(got[0].Object).To(Equal(object))
-			Expect(got[0].Rule).To(Equal(rule))
-			Expect(got[0].Reason).To(ContainSubstring(reason))
-		},
-		Entry("syntax", `"share": 0.95}`, `"share": 0.95`, 3, "file", RuleSyntax, "invalid character"),
-		Entry("unknown field", `"share"`, `"shares"`, 2, `LatencyTarget "fast"`, RuleUnknownField, `"shares"`),
-		Entry("unknown field of a call", `"mode": "once_only"`, `"mode": "once_only", "modus": 1`, 7, `Service "b"`, RuleUnknownField, `"calls[0].modus"`),
-		Entry("unknown field of a file", `{"objects"`, `{"version": 1, "objects"`, 1, "file", RuleUnknownField, "version"),
-		Entry("unknown kind", `"Adapter"`, `"Adaptor"`, 4, `Adaptor "a"`, RuleUnknownKind, "Adaptor"),
-		Entry("field twice", `"priority": 0`, `"priority": 0, "priority": 1`, 9, `Route "r"`, RuleDuplicateField, "priority"),
-		Entry("wrong type", `"context_tokens": 100`, `"context_tokens": 1.5`, 3, `Model "m"`, RuleWrongType, "whole number"),
-		Entry("null", `"weight": 1`, `"weight": null`, 8, `ClientAccount "k"`, RuleWrongType, "a number"),
-		Entry("missing field", `"context_tokens": 100, `, ``, 3, `Model "m"`, RuleBadValue, "context_tokens"),
-		Entry("bad name", `"name": "k"`, `"name": "k/1"`, 8, `ClientAccount "k/1"`, RuleBadName, "must match"),
-		Entry("duplicate name", `{"kind": "Adapter"`, `{"kind": "Adapter", "name": "m", "model": "m"}, {"kind": "Adapter"`, 4, `Adapter "m"`, RuleDuplicateName, `Model "m" at f:3`),
-		Entry("duplicate call", `"timeout_seconds": 1}`, `"timeout_seconds": 1}, {"name": "c", "path": "/c", "mode": "repeatable", "timeout_seconds": 1}`, 7, `Service "b"`, RuleDuplicateName, `call "c"`),
-		Entry("dangling reference", `"pools": ["p"]`, `"pools": ["p", "q"]`, 9, `Route "r"`, RuleDanglingReference, `Pool "q"`),
-		Entry("fallback cycle", `"latency_target": "fast"`, `"latency_target": "fast", "fallback": "r"`, 9, `Route "r"`, RuleCycle, "r -> r"),
-		Entry("adapter cycle", `"model": "m"}`, `"model": "a"}`, 4, `Adapter "a"`, RuleCycle, "a -> a"),
-		Entry("account above its pools", `"max_in_flight": 10`, `"max_in_flight": 11`, 8, `ClientAccount "k"`, RuleUnmeetableLimit, "10 requests"),
-		Entry("timeout below first token", `"default_timeout_seconds": 1`, `"default_timeout_seconds": 0.8`, 9, `Route "r"`, RuleUnmeetableLimit, "0.86"),
-		Entry("share above 1", `"share": 0.95`, `"share": 95`, 2, `LatencyTarget "fast"`, RuleBadValue, "at most 1"),
-		Entry("negative weight", `"weight": 1`, `"weight": -1`, 8, `ClientAccount "k"`, RuleBadValue, "above 0"),
-		Entry("bad key hash", testKeyHash, `abc`, 8, `ClientAccount "k"`, RuleBadKeyHash, "hexadecimal"),
-		Entry("model not served", `"models": ["m"]`, `"models": ["n"]`, 5, `Pool "p"`, RuleDanglingReference, `"n"`),
-		Entry("route of an unserved model", `"model": "a", "pools"`, `"model": "m2", "pools"`, 9, `Route "r"`, RuleDanglingReference, `"m2"`),
-		Entry("service on engines", `"pools": ["s"]`, `"pools": ["p"]`, 7, `Service "b"`, RuleBadValue, "engines"),
-		Entry("bad purchase", `"on_demand", "price_per_hour": 1, "models"`, `"spot", "price_per_hour": 1, "models"`, 5, `Pool "p"`, RuleBadValue, "reclaimable"),
-	)
+			Expect(got[0]).To(And(HaveField("File", "f"), HaveField("Line", m.line), HaveField("Object", m.object), HaveField("Rule", m.rule)))
+			Expect(got[0].Reason).To(ContainSubstring(m.reason))
+		})
+	}
 
 	It("reports a pool that does not serve the route's model", func() {
 		other := `{"kind": "Model", "name": "n", "context_tokens": 1, "weights_bytes": 1},` + "\n"
--- /dev/null
+++ b/pkg/config/random_test.go
@@ -0,0 +1,60 @@
+package config
+
+import (
+	"errors"
+	"fmt"
+	"regexp"
+	"strings"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"github.com/monsooncrank/monsooncrank/coordination/randomtest"
+)
+
+const randomFiles = 6
+
+var ownNames = regexp.MustCompile(`"(m|a|p|s|b|k|r|fast)"`)
+
+// TestRandomMistakes guards against a mistake that hides another one or is
+// reported again at the objects that refer to it: files with names of their own
+// get at most one mistake each, and each mistake gives one finding at its place.
+func TestRandomMistakes(t *testing.T) {
+	kinds := make([]string, 0, len(mistakes))
+	for _, m := range mistakes {
+		kinds = append(kinds, m.what)
+	}
+	randomtest.Check(t, kinds, func(rt *rapid.T, report *randomtest.Report) {
+		var files []File
+		var want []string
+		for i := range randomFiles {
+			name, text := fmt.Sprintf("f%d", i), valid
+			if rapid.Bool().Draw(rt, "mistaken") {
+				m := mistakes[rapid.IntRange(0, len(mistakes)-1).Draw(rt, "mistake")]
+				text = strings.Replace(text, m.old, m.changed, 1)
+				want = append(want, fmt.Sprintf("%s:%d %s", name, m.line, m.rule))
+				report.Fault(m.what)
+			}
+			files = append(files, File{name, renamed(text, i)})
+			report.Step()
+		}
+		_, err := Parse(files...)
+		var invalid *InvalidError
+		var got []string
+		if errors.As(err, &invalid) {
+			for _, f := range invalid.Findings {
+				got = append(got, fmt.Sprintf("%s:%d %s", f.File, f.Line, f.Rule))
+			}
+		}
+		if strings.Join(got, "\n") != strings.Join(want, "\n") {
+			rt.Fatalf("got %v, want %v:\n%v", got, want, err)
+		}
+		report.Outcome(fmt.Sprintf("%d findings", len(want)))
+	})
+}
+
+// renamed gives the objects of a file their own names and key hashes.
+func renamed(text string, i int) []byte {
+	text = ownNames.ReplaceAllString(text, fmt.Sprintf(`"${1}-%d"`, i))
+	return []byte(strings.Replace(text, testKeyHash, fmt.Sprintf("%064x", i), 1))
+}
