Check relations between objects last and bound all numbers

Cause: a Route or Service was checked against objects that came later in the file and had not been checked themselves, so that one mistake could be reported twice; of several pools that do not serve a Route only the first was reported; huge counts overflowed the sum of an account's pools, and huge times overflow a time.Duration.

Change: relations are checked after all objects and leave out those with a finding, pools are reported one by one, and counts, times and rates have limits. The Follower takes a Polls function, so that in a large deployment a few daemons poll at a time. The scheme of the operators' token may have any case.

--- a/pkg/config/check.go
+++ b/pkg/config/check.go
@@ -36,6 +36,9 @@
 	for _, e := range c.entries {
 		c.object(e)
 	}
+	for _, e := range c.entries {
+		c.relations(e)
+	}
 	c.entryRoutes()
 	c.keyHashes()
 	// Limits are sums over other objects and are checked last, so that a
@@ -108,22 +111,19 @@
 	return " at " + file + ":" + strconv.Itoa(line)
 }
 
-// reference returns the object that a field names, or adds a finding.
-func (c *checker) reference(e *entry, path string, kind Kind, name string) *entry {
-	if name == "" {
+// reference adds a finding unless a field names an object. The name of an object
+// of an unknown kind is marked only, as that object has a finding.
+func (c *checker) reference(e *entry, path string, kind Kind, name string) {
+	_, ok := c.byKind[kind][name]
+	switch {
+	case ok:
+	case name == "":
 		c.require(false, e, path, "is missing")
-		return nil
-	}
-	target, ok := c.byKind[kind][name]
-	if !ok && c.unknownKinds[name] {
+	case c.unknownKinds[name]:
 		e.fail(path)
-		return nil
-	}
-	if !ok {
+	default:
 		c.fail(e, path, RuleDanglingReference, "field %q names %s %q, which does not exist", path, kindName(kind), name)
-		return nil
 	}
-	return target
 }
 
 func kindName(k Kind) string {
@@ -133,22 +133,21 @@
 	return string(k)
 }
 
-// references returns the objects that a list names.
-func (c *checker) references(e *entry, path string, kind Kind, names []string) []*entry {
-	targets := make([]*entry, 0, len(names))
+// item is the path of an item of a list.
+func item(path string, i int) string { return path + "[" + strconv.Itoa(i) + "]" }
+
+// references checks the names of a list.
+func (c *checker) references(e *entry, path string, kind Kind, names []string) {
 	seen := make(map[string]bool, len(names))
 	for i, name := range names {
-		item := path + "[" + strconv.Itoa(i) + "]"
+		place := item(path, i)
 		if seen[name] && name != "" {
-			c.require(false, e, item, "names %q again", name)
+			c.require(false, e, place, "names %q again", name)
 			continue
 		}
 		seen[name] = true
-		if target := c.reference(e, item, kind, name); target != nil {
-			targets = append(targets, target)
-		}
+		c.reference(e, place, kind, name)
 	}
-	return targets
 }
 
 // cycles reports each cycle of Adapters and of fallback Routes once.
--- a/pkg/config/check_limits.go
+++ b/pkg/config/check_limits.go
@@ -17,8 +17,8 @@
 			continue
 		}
 		sum.pools[name] = true
-		e, ok := c.byKind[KindPool][name]
-		if !ok || len(e.failed) > 0 {
+		e, ok := c.sound(KindPool, name)
+		if !ok {
 			sum.unsure = true
 			continue
 		}
@@ -30,8 +30,8 @@
 // addRoute adds the pools of a Route and of its fallbacks.
 func (c *checker) addRoute(sum *capacity, name string) {
 	for seen := 0; name != "" && seen <= len(c.byKind[KindRoute]); seen++ {
-		e, ok := c.byKind[KindRoute][name]
-		if !ok || len(e.failed) > 0 {
+		e, ok := c.sound(KindRoute, name)
+		if !ok {
 			sum.unsure = true
 			return
 		}
@@ -42,8 +42,8 @@
 }
 
 func (c *checker) addService(sum *capacity, name string) {
-	e, ok := c.byKind[KindService][name]
-	if !ok || len(e.failed) > 0 {
+	e, ok := c.sound(KindService, name)
+	if !ok {
 		sum.unsure = true
 		return
 	}
--- a/pkg/config/check_objects.go
+++ b/pkg/config/check_objects.go
@@ -2,15 +2,22 @@
 
 import (
 	"encoding/hex"
-	"math"
-	"strconv"
 	"strings"
 
 	"github.com/monsooncrank/monsooncrank/coordination/membership"
 )
 
-// keyHashBytes is the length of a SHA-256 hash.
-const keyHashBytes = 32
+const (
+	// keyHashBytes is the length of a SHA-256 hash.
+	keyHashBytes = 32
+	// maxCount bounds hosts of a pool and sequences of a host, so that sums
+	// over all pools fit in an int.
+	maxCount = 1_000_000
+	// maxSeconds bounds times to a week, which also fits in a time.Duration.
+	maxSeconds = 7 * 24 * 3600
+	// maxRate bounds weights, prices and rates, whose sums stay finite.
+	maxRate = 1e9
+)
 
 func (c *checker) object(e *entry) {
 	switch v := e.value.(type) {
@@ -34,8 +41,8 @@
 	}
 }
 
-// positive excludes infinity, which JSON cannot hold, for sets built in code.
-func positive(v float64) bool { return v > 0 && !math.IsInf(v, 1) }
+// between reports whether v is above 0 and at most limit.
+func between(v, limit float64) bool { return v > 0 && v <= limit }
 
 func (c *checker) pool(e *entry, p *Pool) {
 	c.require(p.AvailabilityZone != "", e, "availability_zone", "is missing")
@@ -43,28 +50,25 @@
 	purchase := membership.Purchase(p.Purchase)
 	c.require(purchase == membership.PurchaseReclaimable || purchase == membership.PurchaseOnDemand, e, "purchase",
 		"must be %q or %q", membership.PurchaseReclaimable, membership.PurchaseOnDemand)
-	c.require(p.PricePerHour == 0 || positive(p.PricePerHour), e, "price_per_hour", "must not be negative")
-	c.require(p.MaxHosts > 0, e, "max_hosts", "must be above 0")
+	c.require(p.PricePerHour == 0 || between(p.PricePerHour, maxRate), e, "price_per_hour", "must be from 0 to %v", maxRate)
+	c.require(p.MaxHosts > 0 && p.MaxHosts <= maxCount, e, "max_hosts", "must be from 1 to %d", maxCount)
 	c.references(e, "models", KindModel, p.Models)
 	if len(p.Models) > 0 {
-		c.require(p.SequencesPerHost > 0, e, "sequences_per_host", "must be above 0 for a pool of engines")
+		c.require(p.SequencesPerHost > 0 && p.SequencesPerHost <= maxCount, e, "sequences_per_host",
+			"must be from 1 to %d for a pool of engines", maxCount)
 		return
 	}
-	c.require(p.SequencesPerHost >= 0, e, "sequences_per_host", "must not be negative")
+	c.require(p.SequencesPerHost >= 0 && p.SequencesPerHost <= maxCount, e, "sequences_per_host", "must be from 0 to %d", maxCount)
 }
 
 func (c *checker) service(e *entry, s *Service) {
 	c.require(len(s.Pools) > 0, e, "pools", "must name a Pool")
-	for _, pool := range c.references(e, "pools", KindPool, s.Pools) {
-		if p := pool.value.(*Pool); len(p.Models) > 0 {
-			c.fail(e, "pools", RuleBadValue, "Pool %q runs engines and no plain service", p.Name)
-		}
-	}
+	c.references(e, "pools", KindPool, s.Pools)
 	c.require(len(s.Calls) > 0, e, "calls", "must hold a call")
 	seen := make(map[string]bool, len(s.Calls))
 	for i := range s.Calls {
 		call := &s.Calls[i]
-		prefix := "calls[" + strconv.Itoa(i) + "]."
+		prefix := item("calls", i) + "."
 		c.call(e, prefix, call)
 		if seen[call.Name] {
 			c.fail(e, prefix+"name", RuleDuplicateName, "call %q is declared twice", call.Name)
@@ -78,7 +82,7 @@
 	c.require(strings.HasPrefix(call.Path, "/"), e, prefix+"path", "must start with /")
 	c.require(call.Mode == CallRepeatable || call.Mode == CallOnceOnly, e, prefix+"mode",
 		"must be %q or %q", CallRepeatable, CallOnceOnly)
-	c.require(positive(call.TimeoutSeconds), e, prefix+"timeout_seconds", "must be above 0")
+	c.require(between(call.TimeoutSeconds, maxSeconds), e, prefix+"timeout_seconds", "must be above 0 and at most %d", maxSeconds)
 	c.require(call.LookupPath == "" || strings.HasPrefix(call.LookupPath, "/"), e, prefix+"lookup_path", "must start with /")
 	c.require(!call.RequiresKey || call.Mode != CallRepeatable, e, prefix+"requires_key", "applies to once-only calls")
 }
@@ -87,13 +91,13 @@
 	c.require(len(a.KeyHashes) > 0, e, "key_hashes", "must hold a hash")
 	for i, hash := range a.KeyHashes {
 		if _, ok := decodeKeyHash(hash); !ok {
-			c.fail(e, "key_hashes["+strconv.Itoa(i)+"]", RuleBadKeyHash,
+			c.fail(e, item("key_hashes", i), RuleBadKeyHash,
 				"key hash %d is no SHA-256 in %d lower-case hexadecimal digits", i, 2*keyHashBytes)
 		}
 	}
-	c.require(positive(a.Weight), e, "weight", "must be above 0")
+	c.require(between(a.Weight, maxRate), e, "weight", "must be above 0 and at most %v", maxRate)
 	c.require(a.MaxInFlight > 0, e, "max_in_flight", "must be above 0")
-	c.require(positive(a.RequestsPerSecond), e, "requests_per_second", "must be above 0")
+	c.require(between(a.RequestsPerSecond, maxRate), e, "requests_per_second", "must be above 0 and at most %v", maxRate)
 	c.references(e, "routes", KindRoute, a.Routes)
 	c.references(e, "services", KindService, a.Services)
 }
@@ -118,7 +122,7 @@
 		}
 		for i, hash := range a.KeyHashes {
 			if owner, taken := owners[hash]; taken {
-				c.fail(e, "key_hashes["+strconv.Itoa(i)+"]", RuleBadKeyHash, "key hash %d belongs to %s already", i, owner.label())
+				c.fail(e, item("key_hashes", i), RuleBadKeyHash, "key hash %d belongs to %s already", i, owner.label())
 				continue
 			}
 			owners[hash] = e
@@ -127,78 +131,21 @@
 }
 
 func (c *checker) latencyTarget(e *entry, t *LatencyTarget) {
-	c.require(positive(t.FirstTokenSeconds), e, "first_token_seconds", "must be above 0")
-	c.require(positive(t.BetweenTokensSeconds), e, "between_tokens_seconds", "must be above 0")
+	c.require(between(t.FirstTokenSeconds, maxSeconds), e, "first_token_seconds", "must be above 0 and at most %d", maxSeconds)
+	c.require(between(t.BetweenTokensSeconds, maxSeconds), e, "between_tokens_seconds", "must be above 0 and at most %d", maxSeconds)
 	c.require(t.Share > 0 && t.Share <= 1, e, "share", "must be above 0 and at most 1")
 }
 
 func (c *checker) route(e *entry, r *Route) {
-	model := c.reference(e, "model", KindModel, r.Model)
+	c.reference(e, "model", KindModel, r.Model)
 	c.require(len(r.Pools) > 0, e, "pools", "must name a Pool")
-	pools := c.references(e, "pools", KindPool, r.Pools)
-	if model != nil {
-		c.served(e, model, pools)
-	}
+	c.references(e, "pools", KindPool, r.Pools)
 	c.require(r.Priority >= 0, e, "priority", "must not be negative")
-	c.require(positive(r.DefaultTimeoutSeconds), e, "default_timeout_seconds", "must be above 0")
+	c.require(between(r.DefaultTimeoutSeconds, maxSeconds), e, "default_timeout_seconds", "must be above 0 and at most %d", maxSeconds)
 	if r.LatencyTarget != "" {
-		c.routeTarget(e, r)
+		c.reference(e, "latency_target", KindLatencyTarget, r.LatencyTarget)
 	}
 	if r.Fallback != "" {
 		c.reference(e, "fallback", KindRoute, r.Fallback)
 	}
 }
-
-// served requires that each pool serves the model itself or, for an Adapter,
-// a model under it. An engine loads Adapters beside their Model. A chain with a
-// finding of its own is not judged.
-func (c *checker) served(e, model *entry, pools []*entry) {
-	names, ok := c.modelChain(model)
-	if !ok {
-		return
-	}
-	for _, pool := range pools {
-		p := pool.value.(*Pool)
-		if len(pool.failed) > 0 || servesAny(p, names) {
-			continue
-		}
-		c.fail(e, "pools", RuleModelNotServed, "Pool %q does not serve %q", p.Name, model.name)
-	}
-}
-
-// modelChain returns the names from a Model or Adapter down to the Model.
-func (c *checker) modelChain(model *entry) ([]string, bool) {
-	var names []string
-	for e := model; e != nil && len(names) <= len(c.byKind[KindModel]); {
-		names = append(names, e.name)
-		a, ok := e.value.(*Adapter)
-		if !ok {
-			return names, true
-		}
-		e = c.byKind[KindModel][a.Model]
-	}
-	return nil, false
-}
-
-func servesAny(p *Pool, names []string) bool {
-	for _, served := range p.Models {
-		for _, name := range names {
-			if served == name {
-				return true
-			}
-		}
-	}
-	return false
-}
-
-func (c *checker) routeTarget(e *entry, r *Route) {
-	target := c.reference(e, "latency_target", KindLatencyTarget, r.LatencyTarget)
-	if target == nil {
-		return
-	}
-	first := target.value.(*LatencyTarget).FirstTokenSeconds
-	if r.DefaultTimeoutSeconds < first {
-		c.fail(e, "default_timeout_seconds", RuleUnmeetableLimit,
-			"default timeout of %v s is below the first token of %v s in LatencyTarget %q", r.DefaultTimeoutSeconds, first, target.name)
-	}
-}
--- a/pkg/config/config_test.go
+++ b/pkg/config/config_test.go
@@ -58,6 +58,8 @@
 	{"adapter cycle", `"model": "m"}`, `"model": "a"}`, 4, `Adapter "a"`, RuleCycle, "a -> a"},
 	{"account above its pools", `"max_in_flight": 10`, `"max_in_flight": 11`, 8, `ClientAccount "k"`, RuleUnmeetableLimit, "10 requests"},
 	{"timeout below first token", `"default_timeout_seconds": 1`, `"default_timeout_seconds": 0.8`, 9, `Route "r"`, RuleUnmeetableLimit, "0.86"},
+	{"sum that overflows", `"max_hosts": 2, "sequences_per_host": 4`, `"max_hosts": 9223372036854775807, "sequences_per_host": 4`, 5, `Pool "p"`, RuleBadValue, "max_hosts"},
+	{"time that overflows", `"first_token_seconds": 0.86`, `"first_token_seconds": 1e300`, 2, `LatencyTarget "fast"`, RuleBadValue, "first_token_seconds"},
 	{"share above 1", `"share": 0.95`, `"share": 95`, 2, `LatencyTarget "fast"`, RuleBadValue, "at most 1"},
 	{"negative weight", `"weight": 1`, `"weight": -1`, 8, `ClientAccount "k"`, RuleBadValue, "above 0"},
 	{"bad key hash", testKeyHash, `abc`, 8, `ClientAccount "k"`, RuleBadKeyHash, "hexadecimal"},
--- a/pkg/config/parse.go
+++ b/pkg/config/parse.go
@@ -239,9 +239,9 @@
 	}
 	target.Set(reflect.MakeSlice(target.Type(), len(array.Elements), len(array.Elements)))
 	for i, element := range array.Elements {
-		item := path + "[" + strconv.Itoa(i) + "]"
-		d.entry.fields[item] = element.StartOffset
-		d.value(element, target.Index(i), item)
+		place := item(path, i)
+		d.entry.fields[place] = element.StartOffset
+		d.value(element, target.Index(i), place)
 	}
 }
 
--- a/pkg/operatorapi/server.go
+++ b/pkg/operatorapi/server.go
@@ -18,7 +18,7 @@
 	writeTimeout    = 30 * time.Second
 	idleTimeout     = 60 * time.Second
 	maxHeaderBytes  = 16 << 10
-	bearerPrefix    = "Bearer "
+	bearerScheme    = "Bearer"
 	contentJSON     = "application/json"
 	contentProblem  = "application/problem+json"
 	contentText     = "text/plain; charset=utf-8"
@@ -72,7 +72,7 @@
 	case !strings.HasPrefix(path, "/v1/"):
 		writeProblem(ctx, notFound("no such path"))
 	case !s.authorized(ctx):
-		ctx.Response.Header.Set(fasthttp.HeaderWWWAuthenticate, "Bearer")
+		ctx.Response.Header.Set(fasthttp.HeaderWWWAuthenticate, bearerScheme)
 		writeProblem(ctx, &Problem{Type: ProblemUnauthorized, Title: "Unauthorized", Status: fasthttp.StatusUnauthorized})
 	default:
 		s.route(ctx, path)
@@ -83,7 +83,8 @@
 // on its length.
 func (s *Server) authorized(ctx *fasthttp.RequestCtx) bool {
 	header := string(ctx.Request.Header.Peek(fasthttp.HeaderAuthorization))
-	token, ok := strings.CutPrefix(header, bearerPrefix)
+	scheme, token, _ := strings.Cut(header, " ")
+	ok := strings.EqualFold(scheme, bearerScheme)
 	given := sha256.Sum256([]byte(token))
 	equal := subtle.ConstantTimeCompare(given[:], s.token[:]) == 1
 	return ok && equal && s.o.Token != ""
--- a/pkg/publish/follower.go
+++ b/pkg/publish/follower.go
@@ -59,6 +59,10 @@
 	Clock clock.WithTicker
 	// PollInterval is the time between two reads of the head row.
 	PollInterval time.Duration
+	// Polls tells at each interval whether this daemon reads the head row, so
+	// that in a large deployment a few daemons at a time poll and tell the
+	// rest. Nil means always. A daemon without a confirmation reads anyway.
+	Polls func() bool
 	// MaxPause is the longest pause after which the daemon still trusts what
 	// it has confirmed.
 	MaxPause time.Duration
@@ -237,13 +241,20 @@
 			f.handle(message{event: revision.Tick{}})
 		case <-poll.C():
 			f.handle(message{event: revision.Tick{}})
-			f.readHead()
+			f.poll()
 		case m := <-f.events:
 			f.handle(m)
 		}
 	}
 }
 
+// poll reads the head row if it is this daemon's turn.
+func (f *Follower) poll() {
+	if f.o.Polls == nil || f.o.Polls() || !f.view.Load().confirmed {
+		f.readHead()
+	}
+}
+
 func (f *Follower) handle(m message) {
 	now := f.o.Clock.Now()
 	switch m.event.(type) {
--- a/pkg/publish/publish_test.go
+++ b/pkg/publish/publish_test.go
@@ -266,6 +266,23 @@
 		inForce(Default, r.daemons[1], 1)
 	})
 
+	// Guards against a daemon that never confirms because it is not its turn to
+	// poll, and against one that polls out of turn.
+	It("polls in its turn only, except until it has confirmed", func() {
+		_, _ = r.publish(1, 0)
+		d := NewFollower(FollowerOptions{Table: r.table, Objects: r.objects, Clock: r.clock, Polls: func() bool { return false }})
+		DeferCleanup(d.Close)
+		inForce(Default, d, 1)
+		_, _ = r.publish(2, 1)
+		for range 8 {
+			r.clock.Step(500 * time.Millisecond)
+			Eventually(func() time.Time { return d.view.Load().at }).Should(Equal(r.clock.Now()))
+		}
+		inForce(Default, d, 1)
+		d.HandleAnnouncement(2, hashOf(2))
+		inForce(Default, d, 2)
+	})
+
 	// Guards against work under an unconfirmed revision after a pause, and
 	// against a start in an outage that never ends.
 	It("confirms through its peer after a pause and a restart in an outage", func() {
