--- a/pkg/publish/follower.go
+++ b/pkg/publish/follower.go
@@ -52,6 +52,8 @@
 
 // FollowerOptions are the settings of a Follower.
 type FollowerOptions struct {
+	// Table and Objects must return when a request's context ends; the
+	// Follower sends no second read of the head row before.
 	Table   table.Store
 	Objects objectstore.Store
 	// Peers may be nil for a daemon without peers.
