Refuse claims at once during a table outage, expire records, count leases

Cause: while the table does not answer, each claim waited for its timeout; the records of once-only calls were never deleted; leases had no metrics.

Change: a gate lets one claim probe a table that is down and refuses the others at once as not run.

Five calls during an outage lead to fewer than five transactions.

--- a/coordination/idempotency/call.go
+++ b/coordination/idempotency/call.go
@@ -46,8 +46,10 @@
 type Call struct {
 	spec     Spec
 	reporter *invariant.Reporter
-	phase    phase
-	told     bool
+	// now is the time of the event in progress.
+	now   time.Time
+	phase phase
+	told  bool
 	// record is the claim or outcome in the table, as far as known.
 	record *Stored
 	// mayHaveLeft is set while a byte may have left without proof that the
@@ -75,6 +77,7 @@
 
 // Handle takes an event and returns what to do, in order.
 func (c *Call) Handle(now time.Time, event CallEvent) []CallAction {
+	c.now = now
 	switch e := event.(type) {
 	case Started:
 		return c.start(now)
@@ -123,7 +126,7 @@
 		Call:              c.spec.Call,
 		SettleAfterMillis: c.spec.SettleAfter.Milliseconds(),
 	}}
-	return []CallAction{WriteRecord{Writes: ClaimWrites(c.spec.ID, version, &c.record.Record)}}
+	return []CallAction{WriteRecord{Writes: ClaimWrites(c.spec.ID, version, &c.record.Record), Claim: true}}
 }
 
 func (c *Call) committed(now time.Time, r Result) []CallAction {
--- a/coordination/idempotency/call_outcome.go
+++ b/coordination/idempotency/call_outcome.go
@@ -108,7 +108,7 @@
 		return c.finish(tell)
 	}
 	outcome := c.record.Record
-	outcome.State, outcome.Answer = state, answer
+	outcome.State, outcome.Answer, outcome.FinishedUnix = state, answer, c.now.Unix()
 	c.phase, c.outcome, c.pending = phaseStoring, &outcome, tell
 	return c.writeOutcome(0)
 }
--- a/coordination/idempotency/call_types.go
+++ b/coordination/idempotency/call_types.go
@@ -96,6 +96,9 @@
 type WriteRecord struct {
 	Writes []table.Write
 	After  time.Duration
+	// Claim is set for a claim, which may be refused without trying while the
+	// table is known to be down. An outcome is always tried.
+	Claim bool
 }
 
 // ReadRecord asks to read the row after a delay; the answer is RowRead.
@@ -148,6 +151,24 @@
 	}
 }
 
+// String names the verdict in logs and reports.
+func (k VerdictKind) String() string {
+	names := [...]string{
+		VerdictDone:             "done",
+		VerdictUnknown:          "unknown",
+		VerdictConflict:         "conflict",
+		VerdictInUse:            "in use",
+		VerdictStoreUnavailable: "not run: store unavailable",
+		VerdictNotReached:       "not run: not reached",
+		VerdictRefused:          "not run: refused",
+		VerdictTooLate:          "not run: too late",
+	}
+	if k < VerdictDone || int(k) >= len(names) {
+		return "no verdict"
+	}
+	return names[k]
+}
+
 // Tell gives the caller its only answer.
 type Tell struct {
 	Kind   VerdictKind
--- a/coordination/idempotency/judge_test.go
+++ b/coordination/idempotency/judge_test.go
@@ -122,9 +122,8 @@
 		s.fail("the history of outcomes is not linearizable: %v", s.history)
 	}
 	for r := range idempotency.Ranges {
-		items, _ := s.store.Query(context.Background(), idempotency.OpenPartition(r), "", 100)
-		for _, item := range items {
-			s.fail("claim %s is still open", item.Key)
+		if open, _, _ := idempotency.ListOpen(context.Background(), s.store, r); len(open) > 0 {
+			s.fail("claims %v are still open", open)
 		}
 	}
 }
@@ -162,14 +161,8 @@
 	if t == nil {
 		return "caller lost its daemon"
 	}
-	names := map[idempotency.VerdictKind]string{
-		idempotency.VerdictDone: "done", idempotency.VerdictUnknown: "unknown",
-		idempotency.VerdictConflict: "conflict", idempotency.VerdictInUse: "in use",
-		idempotency.VerdictStoreUnavailable: "not run: store", idempotency.VerdictNotReached: "not run: not reached",
-		idempotency.VerdictRefused: "not run: refused", idempotency.VerdictTooLate: "not run: too late",
-	}
 	if t.Replayed {
-		return fmt.Sprint(names[t.Kind], " replayed")
+		return fmt.Sprint(t.Kind, " replayed")
 	}
-	return names[t.Kind]
+	return t.Kind.String()
 }
--- a/coordination/idempotency/settle.go
+++ b/coordination/idempotency/settle.go
@@ -224,6 +224,7 @@
 	}
 	outcome := claim.record.Record
 	outcome.State, outcome.Answer, outcome.Settled = state, answer, true
+	outcome.FinishedUnix = now.Unix()
 	return []SettleAction{SettleWrite{ID: e.ID, State: state, Writes: OutcomeWrites(claim.record, &outcome)}}
 }
 
--- a/coordination/idempotency/simulation_test.go
+++ b/coordination/idempotency/simulation_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"math/rand/v2"
 	"time"
@@ -231,12 +230,7 @@
 }
 
 func (s *simulation) get(key table.Key) idempotency.RowRead {
-	item, err := s.store.Get(context.Background(), key)
-	var notFound *table.NotFoundError
-	if errors.As(err, &notFound) {
-		return idempotency.RowRead{}
-	}
-	return idempotency.RowRead{Item: item, Exists: err == nil, Failed: err != nil}
+	return idempotency.ReadRow(context.Background(), s.store, key)
 }
 
 // commit hands writes to the daemon's group commit.
@@ -276,19 +270,13 @@
 	}
 	for key := range s.keys {
 		r := idempotency.ID{Account: "a", Key: s.key(key)}.Range()
-		items, err := s.store.Query(context.Background(), idempotency.OpenPartition(r), "", 100)
-		if err != nil {
-			continue
+		open, corrupt, err := idempotency.ListOpen(context.Background(), s.store, r)
+		if len(corrupt) > 0 {
+			s.fail("%v", corrupt)
 		}
-		listed := idempotency.Listed{Range: r}
-		for _, item := range items {
-			claim, err := idempotency.DecodeOpen(item)
-			if err != nil {
-				s.fail("%v", err)
-			}
-			listed.Open = append(listed.Open, claim)
+		if err == nil {
+			s.settle(d, idempotency.Listed{Range: r, Open: open})
 		}
-		s.settle(d, listed)
 	}
 }
 
--- a/coordination/lease/manager.go
+++ b/coordination/lease/manager.go
@@ -211,11 +211,12 @@
 	ctx, cancel := context.WithTimeout(m.ctx, m.options.StoreTimeout)
 	defer cancel()
 	err := m.options.Store.Transact(ctx, []table.Write{a.Write})
-	m.post(Wrote{Name: a.Name, Status: statusOf(err)})
+	m.post(Wrote{Name: a.Name, Status: StatusOf(err)})
 }
 
-// statusOf takes any error that does not prove otherwise as ambiguous.
-func statusOf(err error) WriteStatus {
+// StatusOf returns the status of a transaction that ended with err. An error
+// that does not prove otherwise is ambiguous.
+func StatusOf(err error) WriteStatus {
 	var failed *table.ConditionFailedError
 	var unavailable *table.UnavailableError
 	var invalid *table.InvalidTransactionError
--- a/coordination/lease/simulation_test.go
+++ b/coordination/lease/simulation_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"math/rand/v2"
 	"time"
@@ -176,22 +175,7 @@
 		items, err := s.store.Query(ctx, lease.Partition, "", 100)
 		return lease.Listed{SentAt: m.sentAt, Items: items, Failed: err != nil}
 	}
-	return lease.Wrote{Name: m.write.Name, Status: statusOf(s.store.Transact(ctx, []table.Write{m.write.Write}))}
-}
-
-func statusOf(err error) lease.WriteStatus {
-	var failed *table.ConditionFailedError
-	var ambiguous *table.AmbiguousError
-	switch {
-	case err == nil:
-		return lease.WriteApplied
-	case errors.As(err, &failed):
-		return lease.WriteRefused
-	case errors.As(err, &ambiguous):
-		return lease.WriteAmbiguous
-	default:
-		return lease.WriteUnavailable
-	}
+	return lease.Wrote{Name: m.write.Name, Status: lease.StatusOf(s.store.Transact(ctx, []table.Write{m.write.Write}))}
 }
 
 // loseAnswer tells the sender that the answer was lost while its write is still
--- /dev/null
+++ b/pkg/leases/leases.go
@@ -0,0 +1,76 @@
+// Package leases runs a daemon's lease.Manager with metrics and log lines.
+package leases
+
+import (
+	"github.com/monsooncrank/monsooncrank/coordination/lease"
+	"github.com/prometheus/client_golang/prometheus"
+	"k8s.io/klog/v2"
+)
+
+// The causes for which a lease is no longer held.
+const (
+	causeLapsed   = "lapsed"
+	causeReleased = "released"
+)
+
+// metrics are the counts of a daemon's leases.
+type metrics struct {
+	held     prometheus.Gauge
+	acquired prometheus.Counter
+	lost     *prometheus.CounterVec
+}
+
+// NewManager returns a lease.Manager whose acquisitions and losses are counted
+// and logged before the callbacks in options see them. The registerer may be
+// nil. Close the manager.
+func NewManager(options lease.Options, registerer prometheus.Registerer) *lease.Manager {
+	m := newMetrics(registerer)
+	onAcquired, onLost := options.OnAcquired, options.OnLost
+	options.OnAcquired = func(a lease.Acquired) {
+		m.observeAcquired(a)
+		if onAcquired != nil {
+			onAcquired(a)
+		}
+	}
+	options.OnLost = func(l lease.Lost) {
+		m.observeLost(l)
+		if onLost != nil {
+			onLost(l)
+		}
+	}
+	return lease.NewManager(options)
+}
+
+func newMetrics(registerer prometheus.Registerer) *metrics {
+	m := &metrics{
+		held: prometheus.NewGauge(prometheus.GaugeOpts{
+			Name: "monsooncrank_leases_held", Help: "Leases that this daemon holds.",
+		}),
+		acquired: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "monsooncrank_leases_acquired_total", Help: "Leases acquired by this daemon.",
+		}),
+		lost: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "monsooncrank_leases_lost_total", Help: "Leases no longer held, by cause.",
+		}, []string{"cause"}),
+	}
+	if registerer != nil {
+		registerer.MustRegister(m.held, m.acquired, m.lost)
+	}
+	return m
+}
+
+func (m *metrics) observeAcquired(a lease.Acquired) {
+	m.held.Inc()
+	m.acquired.Inc()
+	klog.InfoS("lease acquired", "lease", a.Name, "number", a.Number, "earliestOrder", a.EarliestOrder)
+}
+
+func (m *metrics) observeLost(l lease.Lost) {
+	cause := causeReleased
+	if l.Lapsed {
+		cause = causeLapsed
+	}
+	m.held.Dec()
+	m.lost.WithLabelValues(cause).Inc()
+	klog.InfoS("lease no longer held", "lease", l.Name, "number", l.Number, "cause", cause)
+}
--- a/pkg/oncecall/caller.go
+++ b/pkg/oncecall/caller.go
@@ -22,6 +22,7 @@
 	committer    *idempotency.Committer
 	ownCommitter bool
 	metrics      *metrics
+	gate         gate
 
 	// ctx ends when the drain's time is over.
 	ctx     context.Context
@@ -41,6 +42,7 @@
 		servers:   newServers(options.Directory, options.Random),
 		committer: options.Committer,
 		metrics:   newMetrics(options.Registerer),
+		gate:      gate{interval: options.ProbeInterval},
 	}
 	c.ctx, c.cancel = context.WithCancel(context.Background())
 	if c.committer == nil {
--- a/pkg/oncecall/caller_test.go
+++ b/pkg/oncecall/caller_test.go
@@ -253,20 +253,62 @@
 	})
 
 	// Guards against a claim that stays open after its daemon's death.
-	It("settles the claim of a dead daemon as unknown without a look-up", func() {
+	DescribeTable("settles the claim of a dead daemon",
+		func(name string, ran bool, outcome api.Outcome) {
+			d := newDeployment(1)
+			id := idempotency.ID{Account: "a", Key: "k"}
+			record := &idempotency.Record{
+				State: idempotency.StateClaimed, AttemptID: "dead", Service: "booking", Call: name,
+				Digest: idempotency.Digest("booking", name, []byte(`{"object":"seat"}`)),
+			}
+			Expect(d.store.Transact(context.Background(), idempotency.ClaimWrites(id, 0, record))).To(Succeed())
+			if ran {
+				_, err := d.client.Call(context.Background(), d.servers[0].Address(), &service.Request{
+					AttemptID: "dead", IdempotencyKey: "k", Path: "/book", Body: []byte(`{"object":"seat"}`),
+				})
+				Expect(err).NotTo(HaveOccurred())
+			}
+			settler := d.caller(func(o *oncecall.Options) { o.Leases = allRanges{} })
+			answer, problem := call(settler, name, "k", "seat")
+			if outcome == api.OutcomeDone {
+				Expect(answer.Replayed).To(BeTrue())
+			} else {
+				Expect(problem.Outcome).To(Equal(outcome))
+				Expect(problem.Name).To(Equal(api.ProblemBackendFailed))
+			}
+		},
+		Entry("by look-up", "book", true, api.OutcomeDone),
+		Entry("as unknown when the look-up has no record", "book", false, api.OutcomeUnknown),
+		Entry("as unknown without a look-up", "pay", true, api.OutcomeUnknown),
+	)
+
+	// Guards against records that fill the table for ever.
+	It("deletes records after their retention", func() {
 		d := newDeployment(1)
-		_, problem := call(d.caller(nil), "book", "other", "seat")
+		caller := d.caller(func(o *oncecall.Options) { o.Leases, o.Retention = allRanges{}, time.Nanosecond })
+		_, problem := call(caller, "pay", "k", "seat")
 		Expect(problem).To(BeNil())
-		id := idempotency.ID{Account: "a", Key: "k"}
-		record := &idempotency.Record{
-			State: idempotency.StateClaimed, AttemptID: "dead", Service: "booking", Call: "unused",
-			Digest: idempotency.Digest("booking", "unused", []byte(`{"object":"seat"}`)),
+		Eventually(func() error {
+			_, err := d.store.Get(context.Background(), idempotency.ID{Account: "a", Key: "k"}.RowKey())
+			return err
+		}).Should(HaveOccurred())
+	})
+
+	// Guards against calls that each wait for a table that is known to be down.
+	It("tries one claim at a time while the table is down", func() {
+		d := newDeployment(1)
+		caller := d.caller(nil)
+		d.store.SetFault(func(memtable.Operation) memtable.Fault { return memtable.FaultUnavailable })
+		for range 5 {
+			_, problem := call(caller, "pay", "k", "seat")
+			Expect(problem.Name).To(Equal(api.ProblemStoreUnavailable))
 		}
-		Expect(d.store.Transact(context.Background(), idempotency.ClaimWrites(id, 0, record))).To(Succeed())
-		settler := d.caller(func(o *oncecall.Options) { o.Leases = allRanges{} })
-		_, problem = call(settler, "unused", "k", "seat")
-		Expect(problem.Outcome).To(Equal(api.OutcomeUnknown))
-		Expect(problem.Name).To(Equal(api.ProblemBackendFailed))
+		Expect(d.store.Stats().Transactions).To(BeNumerically("<", 5))
+		d.store.SetFault(nil)
+		Eventually(func() *api.Problem {
+			_, problem := call(caller, "pay", "k", "seat")
+			return problem
+		}).Should(BeNil())
 	})
 
 	It("retries repeatable calls on other servers", func() {
--- a/pkg/oncecall/flight.go
+++ b/pkg/oncecall/flight.go
@@ -127,7 +127,7 @@
 		if !f.caller.sleep(f.caller.ctx, a.After) {
 			return nil, false
 		}
-		return idempotency.Committed{Result: f.caller.commit(a.Writes)}, true
+		return idempotency.Committed{Result: f.caller.write(a)}, true
 	case idempotency.ReadRecord:
 		if !f.caller.sleep(f.caller.ctx, a.After) {
 			return nil, false
@@ -146,9 +146,22 @@
 	return nil, false
 }
 
-func (c *Caller) commit(writes []table.Write) idempotency.Result {
+// write commits a claim unless the table is known to be down, or an outcome.
+func (c *Caller) write(a idempotency.WriteRecord) idempotency.Result {
+	if !a.Claim {
+		return c.commit(idempotency.ClassBooking, a.Writes)
+	}
+	if !c.gate.enter(c.options.Clock.Now()) {
+		return idempotency.Result{Status: idempotency.StatusUnavailable}
+	}
+	result := c.commit(idempotency.ClassBooking, a.Writes)
+	c.gate.leave(c.options.Clock.Now(), result.Status)
+	return result
+}
+
+func (c *Caller) commit(class idempotency.Class, writes []table.Write) idempotency.Result {
 	started := c.options.Clock.Now()
-	result, err := c.committer.Commit(idempotency.ClassBooking, writes)
+	result, err := c.committer.Commit(class, writes)
 	if err != nil {
 		return idempotency.Result{Status: idempotency.StatusUnavailable}
 	}
@@ -159,12 +172,7 @@
 func (c *Caller) readRow(key table.Key) idempotency.RowRead {
 	ctx, cancel := context.WithTimeout(c.ctx, c.options.StoreTimeout)
 	defer cancel()
-	item, err := c.options.Store.Get(ctx, key)
-	var notFound *table.NotFoundError
-	if errors.As(err, &notFound) {
-		return idempotency.RowRead{}
-	}
-	return idempotency.RowRead{Item: item, Exists: err == nil, Failed: err != nil}
+	return idempotency.ReadRow(ctx, c.options.Store, key)
 }
 
 // dispatch sends the call on a new connection. Only a server that cannot be
--- a/pkg/oncecall/options.go
+++ b/pkg/oncecall/options.go
@@ -30,6 +30,11 @@
 	defaultStoreTimeout = 2 * time.Second
 	defaultLookupWait   = 2 * time.Second
 	defaultRetryAfter   = 2 * time.Second
+	// defaultRetention is how long an outcome answers for its key.
+	defaultRetention = 24 * time.Hour
+	// defaultProbeInterval is how often a claim is tried while the table is
+	// down; the others are refused at once.
+	defaultProbeInterval = 250 * time.Millisecond
 	// maxRepeatableAttempts bounds the attempts of a repeatable call besides
 	// the retry budget and the deadline.
 	maxRepeatableAttempts = 4
@@ -93,6 +98,11 @@
 	StoreTimeout   time.Duration
 	LookupTimeout  time.Duration
 	RetryAfter     time.Duration
+	// Retention is how long an outcome answers for its key; after it the key
+	// may be used anew.
+	Retention time.Duration
+	// ProbeInterval is how often a claim is tried while the table is down.
+	ProbeInterval time.Duration
 }
 
 func (o Options) withDefaults() Options {
@@ -111,6 +121,8 @@
 	setDefault(&o.StoreTimeout, defaultStoreTimeout)
 	setDefault(&o.LookupTimeout, defaultLookupWait)
 	setDefault(&o.RetryAfter, defaultRetryAfter)
+	setDefault(&o.Retention, defaultRetention)
+	setDefault(&o.ProbeInterval, defaultProbeInterval)
 	return o
 }
 
--- a/pkg/oncecall/settlement.go
+++ b/pkg/oncecall/settlement.go
@@ -9,8 +9,9 @@
 	"k8s.io/klog/v2"
 )
 
-// openPageSize is how many open claims one query returns.
-const openPageSize = 200
+// sweepPageSize is how many records one visit of a range looks at for expiry. A
+// range of 100,000 records is swept in about an hour.
+const sweepPageSize = 50
 
 // settlement drives the settler of the ranges whose leases this daemon holds.
 type settlement struct {
@@ -22,6 +23,8 @@
 	mu   sync.Mutex
 	core *idempotency.Settler
 	held [idempotency.Ranges]bool
+	// sweeps is the position of each range's sweep for expired records.
+	sweeps [idempotency.Ranges]string
 }
 
 func newSettlement(c *Caller) *settlement {
@@ -68,31 +71,43 @@
 		return
 	}
 	s.handle(idempotency.Listed{Range: r, Open: open})
+	s.sweep(r)
 }
 
-func (s *settlement) list(r int) ([]idempotency.OpenClaim, error) {
-	var open []idempotency.OpenClaim
-	after := ""
-	for {
-		ctx, cancel := context.WithTimeout(s.ctx, s.caller.options.StoreTimeout)
-		items, err := s.caller.options.Store.Query(ctx, idempotency.OpenPartition(r), after, openPageSize)
-		cancel()
-		if err != nil {
-			return nil, err
-		}
-		for _, item := range items {
-			claim, err := idempotency.DecodeOpen(item)
-			if err != nil {
-				klog.ErrorS(err, "open claim skipped", "row", item.Key)
-				continue
-			}
-			open = append(open, claim)
-		}
-		if len(items) < openPageSize {
-			return open, nil
+// sweep deletes the expired records of the next page of a range. It goes with
+// the deferred share, behind claims and outcomes.
+func (s *settlement) sweep(r int) {
+	ctx, cancel := context.WithTimeout(s.ctx, s.caller.options.StoreTimeout)
+	defer cancel()
+	items, err := s.caller.options.Store.Query(ctx, idempotency.RecordPartition(r), s.sweeps[r], sweepPageSize)
+	if err != nil {
+		return
+	}
+	s.sweeps[r] = ""
+	if len(items) == sweepPageSize {
+		s.sweeps[r] = items[len(items)-1].Key.Sort
+	}
+	for _, item := range items {
+		stored, err := idempotency.DecodeRow(item)
+		if err != nil || !stored.Expired(s.caller.options.Clock.Now(), s.caller.options.Retention) {
+			continue
 		}
-		after = items[len(items)-1].Key.Sort
+		s.running.Add(1)
+		go func() {
+			defer s.running.Done()
+			s.caller.commit(idempotency.ClassDeferred, idempotency.ExpireWrites(stored))
+		}()
+	}
+}
+
+func (s *settlement) list(r int) ([]idempotency.OpenClaim, error) {
+	ctx, cancel := context.WithTimeout(s.ctx, s.caller.options.StoreTimeout)
+	defer cancel()
+	open, corrupt, err := idempotency.ListOpen(ctx, s.caller.options.Store, r)
+	for _, err := range corrupt {
+		klog.ErrorS(err, "open claim skipped", "range", r)
 	}
+	return open, err
 }
 
 func (s *settlement) handle(event idempotency.SettleEvent) {
@@ -132,7 +147,7 @@
 	if !s.caller.options.Leases.HoldsRange(a.ID.Range()) {
 		return idempotency.SettleCommitted{ID: a.ID, Result: idempotency.Result{Status: idempotency.StatusUnavailable}}
 	}
-	result := s.caller.commit(a.Writes)
+	result := s.caller.commit(idempotency.ClassBooking, a.Writes)
 	if result.Status == idempotency.StatusApplied {
 		s.caller.metrics.settlements.WithLabelValues(string(a.State)).Inc()
 		s.caller.options.Decisions.Record(decision.Decision{
