Wake up when a lease may be taken over

Cause: a daemon took a free lease only at its next list, up to 12 s after its observation had ended.

Change: Core.NextWake counts the moment at which a wanted lease becomes free.

--- a/coordination/lease/core.go
+++ b/coordination/lease/core.go
@@ -181,17 +181,27 @@
 	if !c.listing && !(c.draining && c.Idle()) {
 		wake = earlier(wake, c.listAt)
 	}
+	wanting := !c.draining && c.heldOrPending() < c.target()
 	for _, l := range c.leases {
 		switch {
 		case l.held && l.pending == nil:
 			wake = earlier(wake, l.renewAt)
 		case l.held:
 			wake = earlier(wake, l.deadline)
+		case wanting && l.known && l.pending == nil:
+			wake = earlier(wake, later(l.free, l.tryAt))
 		}
 	}
 	return wake
 }
 
+func later(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return b
+	}
+	return a
+}
+
 func earlier(a, b time.Time) time.Time {
 	if b.Before(a) {
 		return b
