Tell a refused look-up from a statement about the attempt

Cause: a server that is leaving refuses any request with 503 and Monsooncrank-Not-Run, a look-up as well. The client took that for the proof that the attempt did not run, so a call that ran could be reported as not_run.

Change: only 410 with Monsooncrank-Not-Run answers a look-up with "did not run and will not run"; a refused look-up is a broken one. The stand-in refuses look-ups while it is leaving.

--- a/pkg/service/client.go
+++ b/pkg/service/client.go
@@ -125,7 +125,8 @@
 // Lookup implements Client. A RefusedError is the service's statement that the
 // attempt did not run and will not run; it proves more than
 // LookupUnknownError, since a request without a record may still be on its
-// way.
+// way. A server that refuses the look-up itself, such as one that is leaving,
+// states nothing about the attempt.
 func (c *HTTPClient) Lookup(ctx context.Context, address, path string, attemptID, key string) (*api.CallAnswer, error) {
 	wire := fasthttp.AcquireRequest()
 	defer fasthttp.ReleaseRequest(wire)
@@ -134,7 +135,12 @@
 	wire.SetRequestURI(path + "?" + query.Encode())
 	resp := fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseResponse(resp)
-	if err := c.exchange(ctx, address, wire, resp, attemptID, true); err != nil {
+	err := c.exchange(ctx, address, wire, resp, attemptID, true)
+	var refused *RefusedError
+	if errors.As(err, &refused) {
+		return nil, &BrokenError{Address: address, Cause: refused}
+	}
+	if err != nil {
 		return nil, err
 	}
 	return lookupAnswer(address, attemptID, resp)
@@ -150,9 +156,12 @@
 		return answer, nil
 	case http.StatusNotFound:
 		return nil, &LookupUnknownError{Address: address, AttemptID: attemptID}
-	default:
-		return nil, &BrokenError{Address: address, Cause: &StatusError{Status: resp.StatusCode()}}
+	case http.StatusGone:
+		if headerSet(resp, HeaderNotRun) {
+			return nil, &RefusedError{Address: address, Status: http.StatusGone, Reason: string(resp.Body())}
+		}
 	}
+	return nil, &BrokenError{Address: address, Cause: &StatusError{Status: resp.StatusCode()}}
 }
 
 // exchange sends the request once and reads the answer to its end.
--- a/pkg/service/client_test.go
+++ b/pkg/service/client_test.go
@@ -120,6 +120,23 @@
 		Expect(errors.As(err, &unknown)).To(BeTrue())
 	})
 
+	// Guards against a refused look-up that is taken for "the attempt did not run".
+	It("takes only a statement about the attempt for a proof", func() {
+		server.SetLeaving(true)
+		_, err := client.Lookup(ctx, server.Address(), plainservice.LookupPath, "a", "k-a")
+		var broken *service.BrokenError
+		Expect(errors.As(err, &broken)).To(BeTrue())
+		barring, err := plainservice.New(plainservice.Options{BarOnLookup: true})
+		Expect(err).NotTo(HaveOccurred())
+		defer barring.Close()
+		_, err = client.Lookup(ctx, barring.Address(), plainservice.LookupPath, "a", "k-a")
+		var refused *service.RefusedError
+		Expect(errors.As(err, &refused)).To(BeTrue())
+		_, err = client.Call(ctx, barring.Address(), &service.Request{AttemptID: "a", Path: "/book"})
+		Expect(errors.As(err, &refused)).To(BeTrue())
+		Expect(barring.Ledger().RunsOfAttempt("a")).To(BeZero())
+	})
+
 	It("reuses pooled connections and opens a new one when asked", func() {
 		listener, err := net.Listen("tcp", "127.0.0.1:0")
 		Expect(err).NotTo(HaveOccurred())
--- a/pkg/standin/plainservice/plainservice.go
+++ b/pkg/standin/plainservice/plainservice.go
@@ -146,6 +146,12 @@
 	s.leaving = leaving
 }
 
+func (s *Server) isLeaving() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.leaving
+}
+
 // Restart starts a server that has crashed or is new.
 func (s *Server) Restart() error {
 	s.mu.Lock()
@@ -350,6 +356,10 @@
 	s.mu.Lock()
 	s.lookups++
 	s.mu.Unlock()
+	if s.isLeaving() {
+		refuse(ctx, true)
+		return
+	}
 	query := ctx.QueryArgs()
 	attemptID, key := string(query.Peek("attempt")), string(query.Peek("key"))
 	run, ok := s.ledger.find(attemptID, key, s.options.BarOnLookup)
@@ -359,7 +369,8 @@
 		ctx.SetContentType("application/json")
 		ctx.SetBody(body)
 	case s.options.BarOnLookup:
-		refuse(ctx, false)
+		ctx.SetStatusCode(http.StatusGone)
+		ctx.Response.Header.Set(service.HeaderNotRun, "true")
 	default:
 		ctx.SetStatusCode(http.StatusNotFound)
 	}
