--- a/pkg/standin/plainservice/plainservice.go
+++ b/pkg/standin/plainservice/plainservice.go
@@ -87,6 +87,7 @@
 	leaving  bool
 	arrivals map[string]int
 	lookups  int
+	accepted int
 	conns    map[net.Conn]struct{}
 	listener net.Listener
 	stopped  chan struct{}
@@ -132,6 +133,13 @@
 	return s.lookups
 }
 
+// Accepted returns how many connections were accepted.
+func (s *Server) Accepted() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.accepted
+}
+
 // SetFault installs the function that decides the fault of each call.
 func (s *Server) SetFault(fault func(Call) Fault) {
 	s.mu.Lock()
@@ -146,6 +154,12 @@
 	s.leaving = leaving
 }
 
+func (s *Server) isLeaving() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.leaving
+}
+
 // Restart starts a server that has crashed or is new.
 func (s *Server) Restart() error {
 	s.mu.Lock()
@@ -210,6 +224,7 @@
 	default:
 	}
 	s.conns[conn] = struct{}{}
+	s.accepted++
 	s.served.Add(1)
 	return true
 }
@@ -355,6 +370,10 @@
 	s.mu.Lock()
 	s.lookups++
 	s.mu.Unlock()
+	if s.isLeaving() {
+		refuse(ctx, true)
+		return
+	}
 	query := ctx.QueryArgs()
 	attemptID, key := string(query.Peek("attempt")), string(query.Peek("key"))
 	run, ok := s.ledger.find(attemptID, key, s.options.BarOnLookup)
@@ -364,7 +383,8 @@
 		ctx.SetContentType("application/json")
 		ctx.SetBody(body)
 	case s.options.BarOnLookup:
-		refuse(ctx, false)
+		ctx.SetStatusCode(http.StatusGone)
+		ctx.Response.Header.Set(service.HeaderNotRun, "true")
 	default:
 		ctx.SetStatusCode(http.StatusNotFound)
 	}
