Search the ring in constant time and look prefixes up once

Change: prefixes are looked up once per decision, a candidate keeps its load, and the ring has an index by equal parts of the hash space. When the owner on the ring is a candidate already, no further server of the ring is added.

--- a/pkg/routing/attempt.go
+++ b/pkg/routing/attempt.go
@@ -19,6 +19,7 @@
 		return &DuplicateAttemptError{AttemptID: attemptID}
 	}
 	at := now.Sub(r.epoch)
+	r.lookUp(q)
 	expected := r.expectedHit(q, s, at)
 	a := attempt{
 		server: s, startedAt: at, backlog: s.pendingPrefill, expected: int(expected / s.cacheTrust),
--- a/pkg/routing/cache.go
+++ b/pkg/routing/cache.go
@@ -64,9 +64,14 @@
 	return h
 }
 
+// valid says whether the holder is a server that has not restarted since.
+func (h *holder) valid() bool {
+	return h.server != nil && h.incarnation == h.server.Incarnation
+}
+
 // belief returns the current belief that the holder has the prefix.
 func (t *prefixTable) belief(h *holder, now time.Duration) float64 {
-	if h.server == nil || h.incarnation != h.server.Incarnation {
+	if !h.valid() {
 		return 0
 	}
 	age := max(now-h.at, 0)
@@ -107,12 +112,8 @@
 	}
 }
 
-// holderOf returns the belief that s holds the prefix.
-func (t *prefixTable) holderOf(hash uint64, s *server, now time.Duration) float64 {
-	entry := t.find(hash)
-	if entry == nil {
-		return 0
-	}
+// beliefOf returns the belief that s holds the prefix of an entry.
+func (t *prefixTable) beliefOf(entry *holders, s *server, now time.Duration) float64 {
 	for i := range entry.list {
 		if entry.list[i].server == s {
 			return t.belief(&entry.list[i], now)
--- a/pkg/routing/pick.go
+++ b/pkg/routing/pick.go
@@ -25,6 +25,7 @@
 type candidate struct {
 	server *server
 	reason Reason
+	load   float64
 	hit    float64
 	score  float64
 }
@@ -38,35 +39,43 @@
 	}
 	at := now.Sub(r.epoch)
 	r.count = 0
+	r.lookUp(q)
 	if q.Isolated {
-		r.addSamples(g, q, isolatedSampled, ReasonIsolated)
+		r.addSamples(g, q, at, isolatedSampled, ReasonIsolated)
 	} else {
 		r.addHolders(g, q, at)
 		r.addOwner(g, q, at)
-		r.addSamples(g, q, r.sampled(), ReasonLoad)
+		r.addSamples(g, q, at, r.sampled(), ReasonLoad)
 	}
-	if r.count == 0 && !r.addByScan(g, q) {
+	if r.count == 0 && !r.addByScan(g, q, at) {
 		return Decision{}, noServer(g, q)
 	}
 	return r.best(g, q, at), nil
 }
 
+// lookUp finds what is known about the prefixes of the query.
+func (r *Router) lookUp(q *Query) {
+	r.levels = min(len(q.Prefixes), MaxPrefixes)
+	for i := range r.levels {
+		r.found[i] = r.prefixes.find(q.Prefixes[i].Hash)
+	}
+}
+
 // sampled returns how many servers are sampled besides the candidates found by
 // their prefix: each of those takes the place of one sample, but one is always
 // drawn.
 func (r *Router) sampled() int { return max(r.options.Choices-r.count, 1) }
 
 func (r *Router) best(g *group, q *Query, at time.Duration) Decision {
-	mean := g.meanOthers()
 	bestIndex := 0
 	d := Decision{count: r.count}
 	for i := range r.candidates[:r.count] {
 		c := &r.candidates[i]
 		if q.Isolated {
-			c.score = float64(c.server.outstanding) + c.server.othersNow(at, r.options.LoadMemory, mean)
+			c.score = c.load
 		} else {
 			c.hit = r.expectedHit(q, c.server, at)
-			c.score = r.score(g, q, c.server, c.hit, at)
+			c.score = r.score(g, q, c, at)
 		}
 		d.alternatives[i] = decision.Alternative{Name: c.server.Name, Score: c.score}
 		if c.score < r.candidates[bestIndex].score {
@@ -80,16 +89,16 @@
 
 // addHolders adds the likely holders of the longest known prefix.
 func (r *Router) addHolders(g *group, q *Query, at time.Duration) {
-	for i := len(q.Prefixes) - 1; i >= 0; i-- {
-		entry := r.prefixes.find(q.Prefixes[i].Hash)
+	for i := r.levels - 1; i >= 0; i-- {
+		entry := r.found[i]
 		if entry == nil {
 			continue
 		}
 		before := r.count
 		for j := range entry.list {
 			h := &entry.list[j]
-			if r.prefixes.belief(h, at) > 0 && r.withinBound(g, h.server, at) {
-				r.add(g, q, h.server, ReasonPrefix)
+			if h.valid() && r.add(g, q, h.server, at, ReasonPrefix) {
+				r.dropBeyondBound(g)
 			}
 		}
 		if r.count > before {
@@ -101,18 +110,28 @@
 // addOwner adds the owner of the prompt's affinity key on the ring, or the next
 // server on the ring that is within the load bound.
 func (r *Router) addOwner(g *group, q *Query, at time.Duration) {
-	if len(q.Prefixes) == 0 || len(g.ring) == 0 {
+	if len(q.Prefixes) == 0 || len(g.ring.points) == 0 {
 		return
 	}
 	start := g.ring.search(affinityKey(q))
-	for i := range min(ownerTries, len(g.ring)) {
-		s := g.ring[(start+i)%len(g.ring)].server
-		if r.withinBound(g, s, at) && r.add(g, q, s, ReasonOwner) {
+	for i := range min(ownerTries, len(g.ring.points)) {
+		s := g.ring.at(start + i)
+		if r.isCandidate(s) || (r.add(g, q, s, at, ReasonOwner) && !r.dropBeyondBound(g)) {
 			return
 		}
 	}
 }
 
+// dropBeyondBound takes the last candidate back if one more request would take
+// its server's load beyond LoadBound times the mean load of the group.
+func (r *Router) dropBeyondBound(g *group) bool {
+	if r.withinBound(g, r.candidates[r.count-1].load) {
+		return false
+	}
+	r.count--
+	return true
+}
+
 // affinityKey returns the hash that places a conversation on the ring: the
 // prefix up to its second message, which tells conversations apart whose system
 // prompt is the same.
@@ -123,14 +142,14 @@
 const affinityLevel = 1
 
 // addSamples adds up to n servers drawn from this daemon's subset.
-func (r *Router) addSamples(g *group, q *Query, n int, reason Reason) {
+func (r *Router) addSamples(g *group, q *Query, at time.Duration, n int, reason Reason) {
 	if len(g.subset) == 0 {
 		return
 	}
 	for range min(n, len(g.subset)) {
 		start := r.random.IntN(len(g.subset))
 		for i := range min(sampleTries, len(g.subset)) {
-			if r.add(g, q, g.subset[(start+i)%len(g.subset)], reason) {
+			if r.add(g, q, g.subset[(start+i)%len(g.subset)], at, reason) {
 				break
 			}
 		}
@@ -139,13 +158,13 @@
 
 // addByScan adds the first server that may be picked. It is used when samples
 // found none, as when most of the group is leaving.
-func (r *Router) addByScan(g *group, q *Query) bool {
+func (r *Router) addByScan(g *group, q *Query, at time.Duration) bool {
 	if len(g.servers) == 0 {
 		return false
 	}
 	start := r.random.IntN(len(g.servers))
 	for i := range g.servers {
-		if r.add(g, q, g.servers[(start+i)%len(g.servers)], ReasonOnly) {
+		if r.add(g, q, g.servers[(start+i)%len(g.servers)], at, ReasonOnly) {
 			return true
 		}
 	}
@@ -154,19 +173,26 @@
 
 // add adds a server to the candidates unless it may not be picked, is already
 // among them or there is no room.
-func (r *Router) add(g *group, q *Query, s *server, reason Reason) bool {
+func (r *Router) add(g *group, q *Query, s *server, at time.Duration, reason Reason) bool {
 	if r.count == MaxCandidates || !s.available() || !slices.Contains(s.groups, g) ||
 		slices.Contains(q.ExcludeNames, s.Name) {
 		return false
 	}
+	if r.isCandidate(s) {
+		return false
+	}
+	r.candidates[r.count] = candidate{server: s, reason: reason, load: r.load(g, s, at)}
+	r.count++
+	return true
+}
+
+func (r *Router) isCandidate(s *server) bool {
 	for i := range r.candidates[:r.count] {
 		if r.candidates[i].server == s {
-			return false
+			return true
 		}
 	}
-	r.candidates[r.count] = candidate{server: s, reason: reason}
-	r.count++
-	return true
+	return false
 }
 
 func noServer(g *group, q *Query) *NoServerError {
--- a/pkg/routing/ring.go
+++ b/pkg/routing/ring.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math/bits"
 	"slices"
 	"strconv"
 
@@ -19,10 +20,16 @@
 
 // ring is a consistent-hashing ring over the servers of a group. All daemons
 // build the same ring from the same names.
-type ring []ringPoint
+type ring struct {
+	points []ringPoint
+	// starts holds for each of as many equal parts of the hash space as there
+	// are points the index of the first point at or after the part's start, so
+	// that a search takes constant time.
+	starts []int32
+}
 
 func newRing(servers []*server) ring {
-	points := make(ring, 0, len(servers)*pointsPerServer)
+	points := make([]ringPoint, 0, len(servers)*pointsPerServer)
 	for _, s := range servers {
 		for i := range pointsPerServer {
 			points = append(points, ringPoint{hash: xxhash.Sum64String(s.Name + "#" + strconv.Itoa(i)), server: s})
@@ -34,22 +41,34 @@
 		}
 		return cmp.Compare(a.server.Name, b.server.Name)
 	})
-	return points
+	r := ring{points: points, starts: make([]int32, len(points))}
+	next := 0
+	for part := range r.starts {
+		for next < len(points) && r.part(points[next].hash) < part {
+			next++
+		}
+		r.starts[part] = int32(next)
+	}
+	return r
+}
+
+// part returns the part of the hash space that a hash is in.
+func (r *ring) part(hash uint64) int {
+	high, _ := bits.Mul64(hash, uint64(len(r.points)))
+	return int(high)
 }
 
 // search returns the index of the first point at or after hash.
-func (r ring) search(hash uint64) int {
-	low, high := 0, len(r)
-	for low < high {
-		middle := int(uint(low+high) >> 1)
-		if r[middle].hash < hash {
-			low = middle + 1
-		} else {
-			high = middle
-		}
+func (r *ring) search(hash uint64) int {
+	i := int(r.starts[r.part(hash)])
+	for i < len(r.points) && r.points[i].hash < hash {
+		i++
 	}
-	if low == len(r) {
+	if i == len(r.points) {
 		return 0
 	}
-	return low
+	return i
 }
+
+// at returns the server of a point, counted on around the ring.
+func (r *ring) at(i int) *server { return r.points[i%len(r.points)].server }
--- a/pkg/routing/router.go
+++ b/pkg/routing/router.go
@@ -24,8 +24,11 @@
 	meanPrefill  float64
 	meanDuration float64
 
+	// candidates and found are the scratch space of one decision.
 	candidates [MaxCandidates]candidate
 	count      int
+	found      [MaxPrefixes]*holders
+	levels     int
 }
 
 // leavingMark remembers that an incarnation of a server is leaving, even after
--- a/pkg/routing/score.go
+++ b/pkg/routing/score.go
@@ -4,9 +4,9 @@
 
 // score returns the expected time to first token in seconds, with the other
 // terms of the choice expressed as times. A lower score is better.
-func (r *Router) score(g *group, q *Query, s *server, hit float64, at time.Duration) float64 {
-	load := r.load(g, s, at)
-	uncached := max(float64(q.PromptTokens)-hit, 0) + float64(q.ResumeTokens)
+func (r *Router) score(g *group, q *Query, c *candidate, at time.Duration) float64 {
+	s, load := c.server, c.load
+	uncached := max(float64(q.PromptTokens)-c.hit, 0) + float64(q.ResumeTokens)
 	score := s.prefillPerToken * (r.backlog(s, at) + uncached*(1+r.options.PrefillWeight*load))
 	score += r.slotWait(s, load)
 	score += r.options.FullBatch.Seconds() * load / s.sequences
@@ -45,22 +45,24 @@
 	return r.meanDuration * excess / s.sequences
 }
 
-// withinBound says whether one more request keeps a server's load within
-// LoadBound times the mean load of the group.
-func (r *Router) withinBound(g *group, s *server, at time.Duration) bool {
-	return r.load(g, s, at) < r.options.LoadBound*(g.meanLoad()+1)
+// withinBound says whether one more request keeps a load within LoadBound times
+// the mean load of the group.
+func (r *Router) withinBound(g *group, load float64) bool {
+	return load < r.options.LoadBound*(g.meanLoad()+1)
 }
 
 // expectedHit returns the tokens of the prompt that a server's cache is
-// expected to serve.
+// expected to serve, by the prefixes found by lookUp.
 func (r *Router) expectedHit(q *Query, s *server, at time.Duration) float64 {
 	best := 0.0
-	for i := len(q.Prefixes) - 1; i >= 0; i-- {
+	for i := r.levels - 1; i >= 0; i-- {
 		p := &q.Prefixes[i]
 		if float64(p.Tokens)*s.cacheTrust <= best {
 			break
 		}
-		best = max(best, float64(p.Tokens)*s.cacheTrust*r.prefixes.holderOf(p.Hash, s, at))
+		if r.found[i] != nil {
+			best = max(best, float64(p.Tokens)*s.cacheTrust*r.prefixes.beliefOf(r.found[i], s, at))
+		}
 	}
 	return best
 }
