Measure half a step above the load that meets the target

Cause: with steps of 0.1 in load the cost at the latency target was known to about an eighth. A failed attempt also dropped the belief in prefixes that the server may hold from other requests, such as a shared system prompt. Change: each policy, baselines too, is measured half a step above its highest load that meets the target. Failed leaves prefixes alone.

--- a/pkg/measure/report.go
+++ b/pkg/measure/report.go
@@ -12,7 +12,10 @@
 // tableLoad the one that the table shows.
 var loads = []float64{0.4, 0.5, 0.6, 0.7, 0.8, 0.9, 1.0, 1.1, 1.2}
 
-const tableLoad = 0.8
+const (
+	tableLoad = 0.8
+	loadStep  = 0.1
+)
 
 // Summary is a policy in a scenario: its cell at 80% load, and the highest load
 // at which at least 95% of the requests are in time with the cost there.
@@ -33,6 +36,13 @@
 	Cells     []*Cell     `json:"cells"`
 }
 
+// consider takes a cell of a higher load if it meets the latency target.
+func (s *Summary) consider(c *Cell) {
+	if c.ShareInTime >= targetShare && c.Load > s.TargetLoad {
+		s.TargetLoad, s.CostAtTarget = c.Load, c.CostPerThousandInTime
+	}
+}
+
 // Options say what to measure.
 type Options struct {
 	Seeds     int
@@ -69,19 +79,34 @@
 	if o.Parallel == 0 {
 		o.Parallel = max(runtime.NumCPU()/2, 1)
 	}
+	cells, err := measureCells(jobs, &o)
+	if err != nil {
+		return nil, err
+	}
+	report := &Report{Seeds: o.Seeds, Engine: defaultEngineModel, Operators: operators, Cells: cells}
+	report.summarise()
+	if err := report.refine(jobs, &o); err != nil {
+		return nil, err
+	}
+	report.judge()
+	return report, nil
+}
+
+// measureCells runs all seeds of all jobs. Jobs with the same key are run once.
+func measureCells(jobs []job, o *Options) ([]*Cell, error) {
 	runs := make([][]*runResult, len(jobs))
 	known := make(map[string][]*runResult)
 	var group errgroup.Group
 	group.SetLimit(o.Parallel)
 	for i := range jobs {
-		if runs[i] = known[jobs[i].key()]; runs[i] != nil {
+		j := &jobs[i]
+		if runs[i] = known[j.key()]; runs[i] != nil {
 			continue
 		}
 		runs[i] = make([]*runResult, o.Seeds)
-		known[jobs[i].key()] = runs[i]
+		known[j.key()] = runs[i]
 		for seed := range o.Seeds {
 			group.Go(func() error {
-				j := &jobs[i]
 				runs[i][seed] = run(&j.operator, &j.scenario, &j.policy, j.load, uint64(seed+1))
 				return nil
 			})
@@ -90,14 +115,36 @@
 	if err := group.Wait(); err != nil {
 		return nil, err
 	}
-	report := &Report{Seeds: o.Seeds, Engine: defaultEngineModel, Operators: operators}
+	cells := make([]*Cell, len(jobs))
 	for i := range jobs {
 		j := &jobs[i]
-		report.Cells = append(report.Cells, newCell(&j.operator, &j.scenario, &j.policy, j.load, runs[i]))
+		cells[i] = newCell(&j.operator, &j.scenario, &j.policy, j.load, runs[i])
 	}
-	report.summarise()
-	report.judge()
-	return report, nil
+	return cells, nil
+}
+
+// refine measures half a step above the highest load at which each policy meets
+// the latency target.
+func (r *Report) refine(jobs []job, o *Options) error {
+	var finer []job
+	var summaries []*Summary
+	for i := range r.Summaries {
+		s := &r.Summaries[i]
+		if s.TargetLoad == 0 {
+			continue
+		}
+		j := jobs[i*len(loads)]
+		j.load = s.TargetLoad + loadStep/2
+		finer, summaries = append(finer, j), append(summaries, s)
+	}
+	cells, err := measureCells(finer, o)
+	if err != nil {
+		return err
+	}
+	for i, c := range cells {
+		summaries[i].consider(c)
+	}
+	return nil
 }
 
 // selectJobs lists the cells of the chosen operators and scenarios.
@@ -137,9 +184,7 @@
 			if c.Load == tableLoad {
 				s.Cell = c
 			}
-			if c.ShareInTime >= targetShare {
-				s.TargetLoad, s.CostAtTarget = c.Load, c.CostPerThousandInTime
-			}
+			s.consider(c)
 		}
 		r.Summaries = append(r.Summaries, s)
 	}
--- a/pkg/measure/text.go
+++ b/pkg/measure/text.go
@@ -35,7 +35,7 @@
 	c := s.Cell
 	atTarget := "none\t-"
 	if s.TargetLoad > 0 {
-		atTarget = fmt.Sprintf("%.1f\t%.4f", s.TargetLoad, s.CostAtTarget)
+		atTarget = fmt.Sprintf("%.2f\t%.4f", s.TargetLoad, s.CostAtTarget)
 	}
 	fmt.Fprintf(w, "%s\t%.4f\t(%.4f-%.4f)\t%.3f\t%.3f\t%.3f\t(%.3f-%.3f)\t%.1f\t%.0f\t%.0f\t%d\t%s\t\n",
 		c.Policy, c.CostPerThousandInTime, c.CostSpread.Least, c.CostSpread.Greatest, c.ShareInTime, c.OthersShareInTime,
--- a/pkg/routing/attempt.go
+++ b/pkg/routing/attempt.go
@@ -84,16 +84,8 @@
 }
 
 // Failed records the end of an attempt that gave no whole answer. Nothing is
-// learnt from it about speed; an unconfirmed prefix no longer counts.
-func (r *Router) Failed(now time.Time, attemptID string) {
-	a, ok := r.end(now, attemptID)
-	if !ok || a.firstToken {
-		return
-	}
-	for _, p := range a.prefixes[:a.levels] {
-		r.prefixes.evicted(p.Hash, a.server)
-	}
-}
+// learnt from it: the server may hold the prefixes from other requests.
+func (r *Router) Failed(now time.Time, attemptID string) { r.end(now, attemptID) }
 
 func (r *Router) end(now time.Time, attemptID string) (attempt, bool) {
 	a, ok := r.attempts[attemptID]
--- a/pkg/routing/types.go
+++ b/pkg/routing/types.go
@@ -37,7 +37,8 @@
 type Query struct {
 	Group string
 	// Prefixes are the leading parts of the prompt, the shortest first; see
-	// AppendPrefixes. They are empty for a call to a plain service.
+	// AppendPrefixes. They are empty, and PromptTokens is 0, for a call to a
+	// plain service and for an attempt that brings its KV cache along.
 	Prefixes []Prefix
 	// PromptTokens is the estimated length of the prompt.
 	PromptTokens int
