--- /dev/null
+++ b/pkg/engine/fuzz_test.go
@@ -0,0 +1,38 @@
+package engine
+
+import (
+	"bufio"
+	"context"
+	"strings"
+	"testing"
+	"time"
+
+	"k8s.io/utils/clock"
+)
+
+// FuzzStream guards against a panic, an endless loop or an event of another
+// attempt when an engine sends any bytes.
+func FuzzStream(f *testing.F) {
+	f.Add("data: {\"id\":\"r.1\",\"offset\":0,\"choices\":[{\"delta\":{\"content\":\"a\"}}]}\n\ndata: [DONE]\n\n")
+	f.Add(": waiting\n\nid: 4\nevent: x\ndata:{}\n\n")
+	f.Add("data: {\"choices\":[{\"finish_reason\":null}],\"usage\":{}}")
+	f.Fuzz(func(t *testing.T, body string) {
+		client := NewHTTPClient(Options{})
+		_, cancel := context.WithCancelCause(context.Background())
+		s := &httpStream{
+			client: client, attempt: "r.1", cancel: cancel, lines: bufio.NewReader(strings.NewReader(body)),
+			timer: clock.RealClock{}.AfterFunc(time.Hour, func() {}),
+		}
+		defer func() { _ = s.Close() }()
+		for range strings.Count(body, "\n") + 2 {
+			event, err := s.Next(context.Background())
+			if err != nil {
+				return
+			}
+			if event.AttemptID != "r.1" {
+				t.Fatalf("event of attempt %q", event.AttemptID)
+			}
+		}
+		t.Fatal("more events than lines")
+	})
+}
