--- a/pkg/engine/client_test.go
+++ b/pkg/engine/client_test.go
@@ -138,6 +138,27 @@
 		Expect(server.count("POST")).To(Equal(2))
 	})
 
+	// Guards against the rest of one answer in the next one: a connection whose
+	// stream was not read to its end must not be reused, one that was may be.
+	It("reuses only connections that were read to their end", func() {
+		e := start(standin.Options{DecodeStep: 2 * time.Millisecond})
+		client := newClient(time.Second)
+		begin := func(attempt string) engine.Stream {
+			s, err := client.Start(context.Background(), e.Address(), request(attempt))
+			Expect(err).NotTo(HaveOccurred())
+			_, err = s.Next(context.Background())
+			Expect(err).NotTo(HaveOccurred())
+			return s
+		}
+		Expect(begin("r.1").Close()).To(Succeed())
+		whole := begin("r.2")
+		_, _, _ = read(whole)
+		Expect(whole.Close()).To(Succeed())
+		Expect(e.Connections()).To(Equal(2))
+		Expect(begin("r.3").Close()).To(Succeed())
+		Expect(e.Connections()).To(Equal(2))
+	})
+
 	// Guards against reporting that a request may have run when it cannot have.
 	It("reports an engine that it cannot connect to as not sent", func() {
 		e := start(standin.Options{})
--- a/pkg/standin/engine/conn.go
+++ b/pkg/standin/engine/conn.go
@@ -14,6 +14,8 @@
 	conns map[*trackedConn]struct{}
 	// closed makes a connection that was accepted just before the cut end too.
 	closed bool
+	// accepted counts the connections so far.
+	accepted int
 }
 
 // trackedConn is a connection whose writes vanish once it is silent, as on a
@@ -38,6 +40,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.conns[tracked] = struct{}{}
+	l.accepted++
 	if l.closed {
 		_ = conn.Close()
 	}
--- a/pkg/standin/engine/engine.go
+++ b/pkg/standin/engine/engine.go
@@ -164,6 +164,13 @@
 // Ledger returns the ledger that the engine writes to.
 func (e *Engine) Ledger() *Ledger { return e.ledger }
 
+// Connections returns how many connections the engine has accepted.
+func (e *Engine) Connections() int {
+	e.listener.mu.Lock()
+	defer e.listener.mu.Unlock()
+	return e.listener.accepted
+}
+
 // Leave makes the engine refuse new work as leaving. What runs goes on.
 func (e *Engine) Leave() {
 	e.mu.Lock()
