Let a second hand-over replace the first after a lost answer

Cause: after the answer to a hand-over was lost the daemon went on delivering, and its second hand-over was refused because the peer had the stream already; the caller then re-attached to a copy that lacked tokens it had received (I2). The deadline in a handed-over state was a time of another host's clock.

Change: Accept replaces a stream from a peer that no caller follows by a later state of it. The state carries the time remaining.

--- a/pkg/streaming/drain.go
+++ b/pkg/streaming/drain.go
@@ -72,6 +72,7 @@
 		}
 		ctx, cancel := context.WithTimeout(s.d.ctx, s.d.opts.HandOverTime)
 		defer cancel()
+		state.Remaining = max(state.Request.Deadline.Sub(s.d.opts.Clock.Now()), time.Nanosecond)
 		peer, err := s.d.opts.Peer.HandOver(ctx, state)
 		reason := "the daemon is draining"
 		if err != nil {
@@ -89,14 +90,18 @@
 	})
 }
 
-// Accept continues a stream that a peer hands over. It succeeds at most once
-// for a request that is in progress or has finished here.
+// Accept continues a stream that a peer hands over. A second hand-over of the
+// same stream, after the answer to the first was lost, replaces the first as long
+// as no caller follows it: the peer may have delivered more tokens since.
 func (d *Driver) Accept(state State) error {
 	route, ok := d.opts.Route(state.Request.Model)
 	if !ok {
 		return &RouteMissingError{Model: state.Request.Model}
 	}
 	route.Priority = state.Priority
+	if state.Remaining > 0 {
+		state.Request.Deadline = d.opts.Clock.Now().Add(state.Remaining)
+	}
 	_, err := d.start(state, route, nil)
 	return err
 }
--- a/pkg/streaming/driver.go
+++ b/pkg/streaming/driver.go
@@ -143,7 +143,10 @@
 		return nil, drainingProblem()
 	}
 	d.expire()
-	if old := d.streams[s.key]; old != nil && !old.replaceable() {
+	old := d.streams[s.key]
+	if old != nil && s.accepted && old.supersededBy(&state) {
+		d.tasks.Go(func() { old.post(CallerGone{}) })
+	} else if old != nil && !old.replaceable() {
 		return nil, &api.Problem{
 			Name: api.ProblemKeyInUse, Status: http.StatusConflict, Outcome: api.OutcomeUnknown,
 			Detail: (&DuplicateRequestError{RequestID: state.Request.ID}).Error(),
@@ -170,6 +173,7 @@
 		promptTokens: len(engine.PromptTokens(state.Request.Messages)),
 		reattaches:   sink == nil || reattaches != nil && reattaches.CanReattach(),
 		accepted:     sink == nil,
+		startedAt:    len(state.Tokens),
 		inbox:        make(chan Event), done: make(chan struct{}),
 		log: newEventLog(state.Tokens), attempts: make(map[string]*running),
 	}
--- a/pkg/streaming/duties_test.go
+++ b/pkg/streaming/duties_test.go
@@ -176,9 +176,11 @@
 		d.expectClean(GinkgoTB())
 	})
 
-	// Guards against a planned stop that cuts a stream (I6).
-	It("hands streams over on a drain", func() {
+	// Guards against a planned stop that cuts a stream (I6), and against a stale
+	// copy at the peer after the answer to a hand-over was lost (I2).
+	DescribeTable("hands streams over on a drain", func(lost int32) {
 		d := deploy(GinkgoTB(), slowEngine, nil)
+		d.link.loseAnswers.Store(lost)
 		req := chatRequest("r1", 200)
 		drained := make(chan error, 1)
 		out := &sink{reattach: true, at: 20, hook: func() {
@@ -195,7 +197,7 @@
 		Expect(out.text()).To(Equal(expected(req)))
 		Expect(d.driver.Chat(context.Background(), chatRequest("r2", 8), &sink{})).To(HaveField("Name", api.ProblemDraining))
 		d.expectClean(GinkgoTB())
-	})
+	}, Entry("to a peer", int32(0)), Entry("again after a lost answer", int32(1)))
 
 	// Guards against a caller that cannot re-attach and is cut although its
 	// answer ends within the grace period.
--- a/pkg/streaming/events.go
+++ b/pkg/streaming/events.go
@@ -213,4 +213,7 @@
 	MayHaveRun bool `cbor:"may_have_run"`
 	// Isolated says whether the next attempt must run alone.
 	Isolated bool `cbor:"isolated"`
+	// Remaining is the time left to the deadline at a hand-over. The clocks of
+	// two hosts may differ, so that the receiver counts from its own.
+	Remaining time.Duration `cbor:"remaining"`
 }
--- a/pkg/streaming/helpers_test.go
+++ b/pkg/streaming/helpers_test.go
@@ -6,6 +6,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/monsooncrank/monsooncrank/coordination/invariant"
@@ -111,10 +112,18 @@
 }
 
 // link hands streams to another driver in the same process.
-type link struct{ to *streaming.Driver }
+type link struct {
+	to *streaming.Driver
+	// loseAnswers is how many answers to a hand-over are lost.
+	loseAnswers atomic.Int32
+}
 
 func (l *link) HandOver(_ context.Context, state streaming.State) (string, error) {
-	return "peer", l.to.Accept(state)
+	err := l.to.Accept(state)
+	if l.loseAnswers.Add(-1) >= 0 {
+		return "", fmt.Errorf("answer lost")
+	}
+	return "peer", err
 }
 
 func (l *link) Fetch(ctx context.Context, req streaming.FetchRequest) (streaming.FetchAnswer, error) {
@@ -156,6 +165,7 @@
 	client     *hookedClient
 	driver     *streaming.Driver
 	peer       *streaming.Driver
+	link       *link
 	invariants *invariant.Reporter
 }
 
@@ -205,7 +215,8 @@
 		change(&options)
 	}
 	d.peer = streaming.NewDriver(options)
-	options.Peer = &link{to: d.peer}
+	d.link = &link{to: d.peer}
+	options.Peer = d.link
 	d.driver = streaming.NewDriver(options)
 	t.Cleanup(func() { _ = d.driver.Close(); _ = d.peer.Close() })
 	return d
--- a/pkg/streaming/stream.go
+++ b/pkg/streaming/stream.go
@@ -26,7 +26,9 @@
 	promptTokens int
 	reattaches   bool
 	// accepted is set for a stream from a peer.
-	accepted  bool
+	accepted bool
+	// startedAt is the number of tokens that the stream began with.
+	startedAt int
 	followers atomic.Int32
 	inbox     chan Event
 	done      chan struct{}
@@ -112,6 +114,12 @@
 	return end != nil && (end.Kind != EndFinished || s.request.Deferred)
 }
 
+// supersededBy reports whether a stream from a peer gives way to a later state of
+// itself from the same peer.
+func (s *stream) supersededBy(state *State) bool {
+	return s.accepted && s.followers.Load() == 0 && len(state.Tokens) >= s.startedAt
+}
+
 // step runs an event and the actions that it causes, which may cause events in
 // turn.
 func (s *stream) step(ev Event) {
