Measure a reclaim over real connections

A run of the fault matrix with -race ended a stream before its fault at the step importing, since the notice left 40 ms for the transfer.

Change: BenchmarkReclaim takes the recomputed tokens from the stand-ins' ledger. The cells of the steps exporting and importing have 150 ms.

--- a/pkg/streaming/faults_test.go
+++ b/pkg/streaming/faults_test.go
@@ -61,6 +61,10 @@
 	if step == stepPrefill {
 		options.PrefillPerToken, options.PrefillChunk = 5*time.Millisecond, 1
 	}
+	if step == stepExporting || step == stepImporting {
+		// The stream outlasts the usable 150 ms of the notice.
+		options.DecodeStep = 5 * time.Millisecond
+	}
 	if step == stepQueued {
 		options.BatchSize = 1
 	}
@@ -120,7 +124,7 @@
 		} else {
 			d.client.beforeImport = inject
 		}
-		out.at, out.hook = 10, func() { d.reclaim("a", 340*time.Millisecond) }
+		out.at, out.hook = 10, func() { d.reclaim("a", 450*time.Millisecond) }
 	case stepLast:
 		out.at, out.hook = len(standin.ExpectedTokens(testModel, chatRequest("r1", maxTokens).Messages, maxTokens)), inject
 	}
--- a/pkg/streaming/measure_test.go
+++ b/pkg/streaming/measure_test.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"slices"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -139,3 +140,48 @@
 	b.ReportMetric(float64(times[len(times)/2].Microseconds()), "p50-us")
 	b.ReportMetric(float64(times[len(times)*95/100].Microseconds()), "p95-us")
 }
+
+// BenchmarkReclaim measures the tokens that engines compute again when an engine
+// with twelve streams is reclaimed, with the plan and without KV transfers.
+func BenchmarkReclaim(b *testing.B) {
+	for name, rate := range map[string]float64{"plan": defaultRate, "no transfers": 1} {
+		b.Run(name, func(b *testing.B) {
+			again, moved := 0, 0
+			for b.Loop() {
+				d := deploy(b, standin.Options{DecodeStep: 5 * time.Millisecond, BatchSize: 16, CacheTokens: 1 << 10},
+					func(o *streaming.Options) { o.Costs.TransferBytesPerSecond = rate })
+				d.reclaimBusyEngine(b)
+				again += d.ledger.Totals().RecomputedTokens
+				for _, entry := range d.ledger.Entries() {
+					moved += min(entry.ImportedTokens, 1)
+				}
+			}
+			b.ReportMetric(float64(again)/float64(b.N), "recomputed-tokens")
+			b.ReportMetric(float64(moved)/float64(b.N), "moved-streams")
+		})
+	}
+}
+
+const defaultRate = 1e9
+
+// reclaimBusyEngine gives an engine 600 ms of usable notice while it runs twelve
+// streams of up to 300 tokens, and waits for their answers.
+func (d *deployment) reclaimBusyEngine(b *testing.B) {
+	var streams sync.WaitGroup
+	ready := make(chan struct{}, 12)
+	for i := range cap(ready) {
+		streams.Go(func() {
+			req := chatRequest(fmt.Sprintf("r%d", i), 25*(i+1))
+			req.Messages[0].Content += strings.Repeat(" "+req.ID, 400)
+			out := &sink{at: 10, hook: func() { ready <- struct{}{} }}
+			if err := d.driver.Chat(context.Background(), req, out); err != nil || out.text() != expected(req) {
+				b.Errorf("request %s: %v", req.ID, err)
+			}
+		})
+	}
+	for range cap(ready) {
+		<-ready
+	}
+	d.reclaim("a", 900*time.Millisecond)
+	streams.Wait()
+}
