--- a/pkg/streaming/faults_test.go
+++ b/pkg/streaming/faults_test.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"os"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -60,6 +61,10 @@
 	if step == stepPrefill {
 		options.PrefillPerToken, options.PrefillChunk = 5*time.Millisecond, 1
 	}
+	if step == stepExporting || step == stepImporting {
+		// The stream outlasts the usable 150 ms of the notice.
+		options.DecodeStep = 5 * time.Millisecond
+	}
 	if step == stepQueued {
 		options.BatchSize = 1
 	}
@@ -69,9 +74,18 @@
 	req := chatRequest("r1", 64)
 	out := &sink{reattach: true}
 	var once sync.Once
-	inject := func() { once.Do(func() { d.inject(fault, cancel) }) }
+	var injected atomic.Bool
+	inject := func() {
+		once.Do(func() {
+			injected.Store(true)
+			d.inject(fault, cancel)
+		})
+	}
 	d.arm(t, step, req.MaxTokens, out, inject)
 	err := d.ask(ctx, req, out)
+	if !injected.Load() {
+		t.Fatalf("the stream ended before %s at %s", fault, step)
+	}
 	if _, gone := err.(*streaming.CallerGoneError); gone && fault == faultGone {
 		err = nil
 	} else if err == nil && out.text() != expected(req) {
@@ -110,7 +124,7 @@
 		} else {
 			d.client.beforeImport = inject
 		}
-		out.at, out.hook = 10, func() { d.reclaim("a", 340*time.Millisecond) }
+		out.at, out.hook = 10, func() { d.reclaim("a", 450*time.Millisecond) }
 	case stepLast:
 		out.at, out.hook = len(standin.ExpectedTokens(testModel, chatRequest("r1", maxTokens).Messages, maxTokens)), inject
 	}
