--- a/coordination/membership/core.go
+++ b/coordination/membership/core.go
@@ -21,6 +21,7 @@
 	stale    bool      // peers has to be rebuilt
 	view     []*daemon
 	viewAt   time.Time
+	turn     int // members of the view before it were targets since the shuffle
 	seeds    []string
 	contacts int
 
--- a/coordination/membership/daemons.go
+++ b/coordination/membership/daemons.go
@@ -59,8 +59,12 @@
 
 func (c *Core) setDaemon(d *daemon) {
 	d.Kind = KindDaemon
+	old := c.daemons[d.Name]
 	c.daemons[d.Name] = d
 	c.stale = true
+	if d.usable() && (old == nil || !old.usable()) {
+		c.sampleNew(d)
+	}
 	urgent := 0
 	if d.rank == rankLeaving {
 		urgent = c.o.UrgentRounds
--- a/coordination/membership/directory.go
+++ b/coordination/membership/directory.go
@@ -88,6 +88,14 @@
 	return d.core.Daemons(state)
 }
 
+// HasLeft reports whether this incarnation of a BackendServer, or a later one,
+// takes no new work.
+func (d *PoolDirectory) HasLeft(name string, incarnation uint64) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.core.hasLeft(name, incarnation)
+}
+
 // Self returns this daemon.
 func (d *PoolDirectory) Self() Member {
 	d.mu.Lock()
--- /dev/null
+++ b/coordination/membership/faultmatrix_test.go
@@ -0,0 +1,146 @@
+package membership
+
+import (
+	"os"
+	"testing"
+	"time"
+
+	"github.com/monsooncrank/monsooncrank/coordination/faultmatrix"
+)
+
+const (
+	matrixDaemons = 6
+	matrixEngine  = "engine-0000"
+)
+
+// matrixSteps are what the daemons do when the fault strikes; done says when the
+// step has succeeded at every reachable daemon.
+var matrixSteps = map[string]struct {
+	begin func(w *network)
+	done  func(w *network) bool
+}{
+	"join": {
+		begin: func(w *network) { w.add(matrixDaemons, 1) },
+		done:  func(w *network) bool { return w.agreeAmongReachable() },
+	},
+	"leaving notice": {
+		begin: func(w *network) { w.step(w.nodes[0], LeavingEvent{Name: matrixEngine, Incarnation: 1}) },
+		done:  func(w *network) bool { return w.anyOffers(matrixEngine, 1) == "" },
+	},
+	"new start": {
+		begin: func(w *network) {
+			w.step(w.nodes[0], LeavingEvent{Name: matrixEngine, Incarnation: 1})
+			for _, n := range w.nodes[:2] {
+				w.step(n, HostListEvent{Entries: engineList(4, 2)})
+			}
+		},
+		done: func(w *network) bool {
+			for _, n := range w.nodes {
+				if !n.paused && (w.offers(n, matrixEngine, 1) || !w.offers(n, matrixEngine, 2)) {
+					return false
+				}
+			}
+			return true
+		},
+	},
+	"revision": {
+		begin: func(w *network) { w.step(w.nodes[0], RevisionEvent{Revision: 4, BodyHash: "h"}) },
+		done: func(w *network) bool {
+			for _, n := range w.nodes {
+				if !n.paused && n.core.Revision().Revision != 4 {
+					return false
+				}
+			}
+			return true
+		},
+	},
+}
+
+// agreeAmongReachable reports whether all daemons that run know one another.
+func (w *network) agreeAmongReachable() bool {
+	running := 0
+	for _, n := range w.nodes {
+		if !n.paused {
+			running++
+		}
+	}
+	for _, n := range w.nodes {
+		if !n.paused && len(n.core.Daemons(StateAlive)) != running-1 {
+			return false
+		}
+	}
+	return true
+}
+
+// matrixFaults begin a fault; what they return ends it, if it can end.
+var matrixFaults = map[string]func(w *network) func(){
+	"message lost":       func(w *network) func() { w.loss = 0.3; return nil },
+	"message duplicated": func(w *network) func() { w.duplicate = 1; return nil },
+	"message reordered":  func(w *network) func() { w.late = 0.5; return nil },
+	"daemon dies":        func(w *network) func() { w.nodes[3].paused = true; return nil },
+	"daemon paused 30 s": func(w *network) func() {
+		w.nodes[3].paused = true
+		return func() { w.nodes[3].paused = false }
+	},
+	"daemon restarts": func(w *network) func() {
+		w.add(3, 7)
+		w.step(w.nodes[3], HostListEvent{Entries: engineList(4, 1)})
+		return nil
+	},
+	"partition 30 s": func(w *network) func() {
+		for i, n := range w.nodes {
+			n.side = i % 2
+		}
+		return func() {
+			for _, n := range w.nodes {
+				n.side = 0
+			}
+		}
+	},
+	"host list lags": func(w *network) func() { w.listAll(engineList(4, 1)); return nil },
+	"host list empty": func(w *network) func() {
+		w.listAll(nil)
+		return nil
+	},
+}
+
+func TestFaultMatrixMembership(t *testing.T) {
+	m := faultmatrix.Matrix{
+		Name: "membership",
+		Faults: []string{"message lost", "message duplicated", "message reordered", "daemon dies",
+			"daemon paused 30 s", "daemon restarts", "partition 30 s", "host list lags", "host list empty"},
+		Steps: []string{"join", "leaving notice", "new start", "revision"},
+		Cell: func(fault, step string) faultmatrix.Cell {
+			return faultmatrix.Cell{Run: func(t *testing.T) { runCell(t, fault, step) }}
+		},
+	}
+	m.Run(t, os.Stdout)
+}
+
+// runCell guards against a step that a fault stops for good, or that a lagging
+// list reverts.
+func runCell(t *testing.T, fault, step string) {
+	w := newNetwork(matrixDaemons, 11, Options{})
+	w.run(15 * time.Second)
+	w.listAll(engineList(4, 1))
+	w.run(2 * time.Second)
+	s := matrixSteps[step]
+	s.begin(w)
+	w.tick()
+	end := matrixFaults[fault](w)
+	w.run(30 * time.Second)
+	if end != nil {
+		end()
+	}
+	w.loss = 0
+	if _, ok := w.runUntil(time.Minute, func() bool { return s.done(w) }); !ok {
+		t.Fatalf("%s: not done a minute after %s", step, fault)
+	}
+	if step == "leaving notice" {
+		w.listAll(engineList(4, 1))
+		w.run(2 * time.Second)
+		if !s.done(w) {
+			t.Fatalf("the host list brought a leaving BackendServer back")
+		}
+	}
+}
--- a/coordination/membership/options.go
+++ b/coordination/membership/options.go
@@ -55,7 +55,7 @@
 	defaultFanout            = 4
 	defaultViewSize          = 16
 	defaultViewRefresh       = 10 * time.Second
-	defaultUrgentRounds      = 3
+	defaultUrgentRounds      = 4
 	defaultRetransmit        = 2
 	defaultHeartbeatBytes    = 8 << 10
 	defaultUrgentBytes       = 32 << 10
--- a/coordination/membership/view.go
+++ b/coordination/membership/view.go
@@ -57,15 +57,30 @@
 	}
 }
 
-// targets returns up to n random members of the view.
+// sampleNew puts a daemon that has just become usable into a full view with the
+// chance that every other daemon has. Without this, daemons that join late are
+// in few views and hear of news late.
+func (c *Core) sampleNew(d *daemon) {
+	peers := len(c.peers) + 1 // without the rebuild that a change leads to
+	if peers <= c.o.ViewSize || slices.Contains(c.view, d) || c.rand.IntN(peers) >= c.o.ViewSize {
+		return
+	}
+	c.view[c.rand.IntN(len(c.view))] = d
+}
+
+// targets returns n members of the view, or all if there are fewer. Successive
+// calls go through the whole view in a random order before they repeat one, so
+// that the ticks of urgent news reach different peers.
 func (c *Core) targets(n int) []*daemon {
 	c.livePeers()
 	n = min(n, len(c.view))
-	for i := range n {
-		j := i + c.rand.IntN(len(c.view)-i)
-		c.view[i], c.view[j] = c.view[j], c.view[i]
+	if c.turn+n > len(c.view) {
+		c.rand.Shuffle(len(c.view), func(i, j int) { c.view[i], c.view[j] = c.view[j], c.view[i] })
+		c.turn = 0
 	}
-	return c.view[:n]
+	chosen := slices.Clone(c.view[c.turn : c.turn+n])
+	c.turn += n
+	return chosen
 }
 
 // contactEvery is how many heartbeats pass between tries to reach a daemon that
--- a/pkg/peer/gossip.go
+++ b/pkg/peer/gossip.go
@@ -163,7 +163,7 @@
 }
 
 // leaveTicks is how many ticks Leave waits: the urgent rounds and one more.
-const leaveTicks = 4
+const leaveTicks = 5
 
 // step passes an event to the core and does the actions. It returns the reply to
 // a heartbeat.
