Buy Hosts and place models from the daemon that holds the lease

Cause: the buying and placing cores had no driver in the daemon. Change: leases capacity/buyer and capacity/placer; Pools are grouped by the Routes and Services that share them; the need follows the load that daemons report by gossip. A retired Host counts as idle when its engine says so, or, if nobody can ask it, after 10 minutes.

--- a/pkg/admission/controller.go
+++ b/pkg/admission/controller.go
@@ -102,6 +102,13 @@
 	c.update(func(now time.Time) []Outcome { return c.core.SetSlots(now, resource, slots) })
 }
 
+// Load returns the running and the waiting requests of all resources.
+func (c *Controller) Load() (running, waiting int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.core.Load()
+}
+
 // Acquire waits for a slot. It returns RefusedError when the request does not
 // run, or the context's error.
 func (c *Controller) Acquire(ctx context.Context, request Request) (*Slot, error) {
--- a/pkg/admission/core.go
+++ b/pkg/admission/core.go
@@ -307,6 +307,15 @@
 // Slots returns this daemon's share of the slots of a resource.
 func (c *Core) Slots(name string) int { return c.resource(name).slots }
 
+// Load returns the occupied slots and the waiting requests of all resources.
+func (c *Core) Load() (running, waiting int) {
+	for _, r := range c.resources {
+		running += r.running
+		waiting += r.waiting
+	}
+	return running, waiting
+}
+
 func (c *Core) refuseLate(now time.Time, r *resource) []Outcome {
 	var outcomes []Outcome
 	for _, e := range r.late(now) {
--- a/pkg/daemon/build.go
+++ b/pkg/daemon/build.go
@@ -31,6 +31,7 @@
 	randomLease
 	randomCalls
 	randomStreams
+	randomCapacity
 )
 
 // buildMembership opens the peers' listener first, since the other daemons are
@@ -69,7 +70,7 @@
 	var err error
 	d.leases = lease.NewManager(lease.Options{
 		Core: lease.CoreOptions{
-			Holder: d.settings.Name + "#" + uuid.NewString(), Names: lease.RangeNames(rangeDuty),
+			Holder: d.settings.Name + "#" + uuid.NewString(), Names: d.leaseNames(),
 			Random: random(randomLease), Reporter: d.invariants,
 		},
 		Store: d.platform.table, Clock: d.clock,
@@ -97,14 +98,31 @@
 	d.reconciler = &reconciler{
 		configuration: d.follower, directory: d.directory, balancer: d.balancer,
 		controller: d.controller, engines: d.engines, clock: d.clock,
+		report: func(running, waiting int) { d.gossip.SetLoad(uint32(running), uint32(waiting)) },
 	}
 	d.notices = &noticeDuty{
 		cloud: d.platform.cloud, directory: d.directory, balancer: d.balancer, streams: d.streams,
 		clock: d.clock, spread: d.spread(membership.AnnounceReclaim), known: d.reconciler.server,
 	}
+	if d.settings.Platform.BuyHosts {
+		d.capacity = newCapacityDuty(capacityOptions{
+			configuration: d.follower, directory: d.directory, engines: d.engines, cloud: d.platform.cloud,
+			leases: d.leases, clock: d.clock, recorder: d.recorder, random: random(randomCapacity),
+			retire: d.notices.retire,
+		})
+	}
 	return nil
 }
 
+// leaseNames are the leases that this daemon takes part in.
+func (d *Daemon) leaseNames() []string {
+	names := lease.RangeNames(rangeDuty)
+	if d.settings.Platform.BuyHosts {
+		names = append(names, buyerLease, placerLease)
+	}
+	return names
+}
+
 func (d *Daemon) buildStreams(random func(uint64) *rand.Rand) {
 	budget := &budgets{policy: retry.NewPolicy(retry.DefaultOptions(), random(randomRetry)), clock: d.clock}
 	admits := newAdmitter(d.controller, d.clock)
--- a/pkg/daemon/daemon.go
+++ b/pkg/daemon/daemon.go
@@ -77,6 +77,7 @@
 	calls      *oncecall.Caller
 	reconciler *reconciler
 	notices    *noticeDuty
+	capacity   *capacityDuty
 
 	callers   *gateway.Server
 	operators *operatorapi.Server
--- a/pkg/daemon/notices.go
+++ b/pkg/daemon/notices.go
@@ -108,6 +108,17 @@
 	n.spread(fmt.Sprintf("reclaim/%s/%d", server.Name, server.Incarnation), payload)
 }
 
+// retireTime is how long a Host that the system itself gives up goes on with its
+// work before it is stopped.
+const retireTime = 10 * time.Minute
+
+// retire takes a server out of use at every daemon; its work goes on.
+func (n *noticeDuty) retire(server membership.BackendServer) {
+	if n.act(server.Name, server.Incarnation, retireTime) {
+		n.tell(server, retireTime)
+	}
+}
+
 // announced acts on a notice that another daemon has spread.
 func (n *noticeDuty) announced(payload []byte) {
 	var notice reclaimNotice
--- a/pkg/daemon/reconcile.go
+++ b/pkg/daemon/reconcile.go
@@ -36,6 +36,8 @@
 	controller    *admission.Controller
 	engines       engine.Client
 	clock         clock.WithTicker
+	// report tells the other daemons this daemon's load.
+	report func(running, waiting int)
 
 	revision uint64
 	// next is the engine whose reports are read next.
@@ -90,6 +92,7 @@
 		r.controller.SetSlots(route.Name, slotsOf(servers))
 	}
 	r.balancer.Update(groups)
+	r.report(r.controller.Load())
 }
 
 // servers returns the engines of a Route's pools, or those of the first
@@ -133,8 +136,13 @@
 	if err != nil {
 		return membership.BackendServer{}, false
 	}
+	return findServer(snapshot, r.directory, name)
+}
+
+// findServer returns the BackendServer with a name that takes new work.
+func findServer(snapshot *config.Snapshot, directory membership.Directory, name string) (membership.BackendServer, bool) {
 	for _, pool := range snapshot.Set.Pools {
-		for _, server := range r.directory.Available(pool.Name) {
+		for _, server := range directory.Available(pool.Name) {
 			if server.Name == name {
 				return server, true
 			}
--- a/pkg/daemon/run.go
+++ b/pkg/daemon/run.go
@@ -99,6 +99,7 @@
 			stops = append(stops, stop)
 		}
 	}
+	add(d.capacity != nil, func() { d.capacity.close() })
 	add(d.notices != nil && d.notices.stop != nil, func() { d.notices.close() })
 	add(d.reconciler != nil && d.reconciler.stop != nil, func() { d.reconciler.close() })
 	add(d.deferred != nil, func() { logError("deferred", d.deferred.Close()) })
--- a/pkg/daemon/settings.go
+++ b/pkg/daemon/settings.go
@@ -50,6 +50,9 @@
 	HostList string  `json:"host_list_url"`
 	// CloudAPI is empty when hosts are not bought by the system.
 	CloudAPI string `json:"cloud_api_url,omitempty"`
+	// BuyHosts lets the daemons buy and stop Hosts within the Pools' limits and
+	// place models on engines.
+	BuyHosts bool `json:"buy_hosts,omitempty"`
 }
 
 // Settings are what a daemon learns at its start.
@@ -147,6 +150,7 @@
 	if s.Platform.CloudAPI != "" {
 		c.url("platform.cloud_api_url", s.Platform.CloudAPI)
 	}
+	c.require(!s.Platform.BuyHosts || s.Platform.CloudAPI != "", "platform.buy_hosts needs platform.cloud_api_url")
 	c.require(s.DrainSeconds > 0, "drain_seconds must be above 0")
 	c.require(s.BalancerSeconds >= 0 && s.BalancerSeconds < s.DrainSeconds,
 		"balancer_seconds must be at least 0 and below drain_seconds")
--- a/pkg/demo/deployment.go
+++ b/pkg/demo/deployment.go
@@ -142,6 +142,7 @@
 		Objects:  d.service(objectListener),
 		HostList: d.hosts.URL(),
 		CloudAPI: d.cloudAPI.URL(),
+		BuyHosts: true,
 	}
 	return nil
 }
