--- a/coordination/quarantine/quarantine_test.go
+++ b/coordination/quarantine/quarantine_test.go
@@ -30,7 +30,14 @@
 		// A daemon may let a request crash at most two servers between two
 		// releases that it knows of, even if it hears nothing from others.
 		own := make(map[[2]uint64]int)
-		deliver := func(core *quarantine.Core, e quarantine.Entry) { core.Merge(now, e) }
+		deliver := func(core *quarantine.Core, e quarantine.Entry) {
+			before, known := core.Entry(fingerprint)
+			changed := core.Merge(now, e)
+			if after, _ := core.Entry(fingerprint); known && e.Generation < before.Generation &&
+				(changed || len(after.Servers) != len(before.Servers) || after.Quarantined != before.Quarantined) {
+				rt.Fatalf("news from before a release changed the entry")
+			}
+		}
 		for range rapid.IntRange(1, 30).Draw(rt, "steps") {
 			report.Step()
 			now = now.Add(time.Second)
--- a/pkg/admission/admission_test.go
+++ b/pkg/admission/admission_test.go
@@ -73,8 +73,9 @@
 		for step := range rapid.IntRange(1, 80).Draw(rt, "steps") {
 			report.Step()
 			now = now.Add(time.Duration(rapid.IntRange(0, 400).Draw(rt, "ms")) * time.Millisecond)
-			switch rapid.IntRange(0, 6).Draw(rt, "event") {
-			case 0, 1, 2:
+			// Arrivals outnumber ends, so that requests wait until they are late.
+			switch rapid.IntRange(0, 9).Draw(rt, "event") {
+			case 0, 1, 2, 3, 4, 5:
 				r := admission.Request{
 					ID: fmt.Sprintf("%03d", step), Resource: "r",
 					ClientAccount: rapid.SampledFrom([]string{"a", "b"}).Draw(rt, "account"),
@@ -85,7 +86,7 @@
 				}
 				requests[r.ID] = r
 				take(core.Submit(now, r))
-			case 3, 4:
+			case 6, 7:
 				if id := pick(rt, requests); id != "" {
 					if !running[id] {
 						report.Fault("caller gone")
@@ -94,10 +95,10 @@
 					delete(running, id)
 					take(core.Finish(now, id))
 				}
-			case 5:
+			case 8:
 				report.Fault("capacity lost")
 				take(core.SetSlots(now, "r", rapid.IntRange(0, 8).Draw(rt, "slots")))
-			case 6:
+			case 9:
 				report.Fault("daemon joined")
 				take(core.SetDaemons(now, rapid.IntRange(1, 3).Draw(rt, "daemons")))
 			}
