--- a/pkg/standin/plainservice/ledger.go
+++ b/pkg/standin/plainservice/ledger.go
@@ -77,6 +77,19 @@
 	return counts
 }
 
+// AttemptsByKey returns the attempts that ran by key, in order.
+func (l *Ledger) AttemptsByKey() map[string][]string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	attempts := make(map[string][]string, len(l.byKey))
+	for key, indexes := range l.byKey {
+		for _, index := range indexes {
+			attempts[key] = append(attempts[key], l.runs[index].AttemptID)
+		}
+	}
+	return attempts
+}
+
 // record adds an execution unless the attempt was barred. With deduplicate set,
 // a key that has run returns its first execution and is not run again.
 func (l *Ledger) record(run Run, deduplicate bool) (Run, bool) {
--- a/pkg/standin/plainservice/plainservice.go
+++ b/pkg/standin/plainservice/plainservice.go
@@ -87,6 +87,7 @@
 	leaving  bool
 	arrivals map[string]int
 	lookups  int
+	accepted int
 	conns    map[net.Conn]struct{}
 	listener net.Listener
 	stopped  chan struct{}
@@ -132,6 +133,13 @@
 	return s.lookups
 }
 
+// Accepted returns how many connections were accepted.
+func (s *Server) Accepted() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.accepted
+}
+
 // SetFault installs the function that decides the fault of each call.
 func (s *Server) SetFault(fault func(Call) Fault) {
 	s.mu.Lock()
@@ -216,6 +224,7 @@
 	default:
 	}
 	s.conns[conn] = struct{}{}
+	s.accepted++
 	s.served.Add(1)
 	return true
 }
