--- a/coordination/lease/core.go
+++ b/coordination/lease/core.go
@@ -28,6 +28,10 @@
 type CoreOptions struct {
 	// Holder is unique for each start of a daemon.
 	Holder string
+	// Daemons is how many daemons share the leases at the start; 0 means 1. A
+	// daemon that takes itself for the only one takes all leases and gives them
+	// back when it learns of the others.
+	Daemons int
 	// Names are the leases that this daemon takes part in.
 	Names         []string
 	Duration      time.Duration
@@ -116,7 +120,7 @@
 		options:  options,
 		names:    names,
 		leases:   make(map[string]*state, len(names)),
-		peers:    1,
+		peers:    max(options.Daemons, 1),
 		listWait: options.Duration / renewalsPerLease,
 	}
 	for _, name := range names {
--- a/coordination/lease/manager.go
+++ b/coordination/lease/manager.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"errors"
+	"fmt"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -51,7 +53,8 @@
 	core *Core
 }
 
-// NewManager returns a Manager that starts to acquire leases; Close it.
+// NewManager returns a Manager that starts to acquire leases; Close it. Without
+// a holder or a random source it makes its own.
 func NewManager(options Options) *Manager {
 	if options.Clock == nil {
 		options.Clock = clock.RealClock{}
@@ -62,6 +65,13 @@
 	if options.DrainTimeout == 0 {
 		options.DrainTimeout = defaultDrainTimeout
 	}
+	if options.Core.Random == nil {
+		options.Core.Random = rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	}
+	if options.Core.Holder == "" {
+		// An empty holder would read as a released lease.
+		options.Core.Holder = fmt.Sprintf("%016x", rand.Uint64())
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	m := &Manager{
 		options: options,
--- a/pkg/oncecall/caller.go
+++ b/pkg/oncecall/caller.go
@@ -115,6 +115,10 @@
 	return answer, nil
 }
 
+// Committer returns the group commit of claims and outcomes, so that deferred
+// work can share its transactions. It ends with Close.
+func (c *Caller) Committer() *idempotency.Committer { return c.committer }
+
 // enter counts a call in progress unless the Caller is closing.
 func (c *Caller) enter() bool {
 	c.mu.Lock()
