Measure what a once-only call costs the daemon

Cause: the design allows the daemon 0.3 ms at p95; the cost of the claim, the dispatch and the outcome without the network was not known.

Change: BenchmarkOnceOnlyCall runs the driver over memtable and the local client of the stand-in. A compile-time check ties the ranges of a lease duty to those of the keys.

--- a/pkg/oncecall/options.go
+++ b/pkg/oncecall/options.go
@@ -11,6 +11,7 @@
 	"github.com/google/uuid"
 	"github.com/monsooncrank/monsooncrank/coordination/idempotency"
 	"github.com/monsooncrank/monsooncrank/coordination/invariant"
+	"github.com/monsooncrank/monsooncrank/coordination/lease"
 	"github.com/monsooncrank/monsooncrank/coordination/membership"
 	"github.com/monsooncrank/monsooncrank/coordination/table"
 	"github.com/monsooncrank/monsooncrank/pkg/config"
@@ -64,6 +65,12 @@
 	HoldsRange(r int) bool
 }
 
+// The ranges of a lease.Manager's duty are those of the keys.
+var (
+	_ Leases                                 = (*lease.Duty)(nil)
+	_ [lease.Ranges - idempotency.Ranges]int = [0]int{}
+)
+
 // Options configures a Caller.
 type Options struct {
 	// Daemon is the name of this daemon, written into its claims.
--- a/pkg/oncecall/random_test.go
+++ b/pkg/oncecall/random_test.go
@@ -256,3 +256,20 @@
 		rt.Fatalf("I2: stored answer %q of attempt %s", stored.Record.Answer, attempt)
 	}
 }
+
+// BenchmarkOnceOnlyCall measures what a once-only call costs the daemon besides
+// the network: the claim, the dispatch, the outcome and the log line.
+func BenchmarkOnceOnlyCall(b *testing.B) {
+	klog.LogToStderr(false)
+	klog.SetOutput(io.Discard)
+	l := newLine(&world{random: rand.New(rand.NewPCG(1, 1)), store: memtable.New(), ledger: plainservice.NewLedger()})
+	caller := oncecall.NewCaller(oncecall.Options{Configuration: settings{}, Directory: settings{}, Client: l, Store: l})
+	defer caller.Close()
+	var next atomic.Int64
+	b.ReportAllocs()
+	b.RunParallel(func(pb *testing.PB) {
+		for pb.Next() {
+			_, _ = call(caller, "book", fmt.Sprint(next.Add(1)), "seat")
+		}
+	})
+}
