--- a/coordination/idempotency/record.go
+++ b/coordination/idempotency/record.go
@@ -54,27 +54,42 @@
 }
 
 // Range returns the range of the ID.
-func (id ID) Range() int { return int(xxhash.Sum64String(id.sort()) % Ranges) }
+func (id ID) Range() int { return rangeOf(id.sort()) }
+
+func rangeOf(sort string) int { return int(xxhash.Sum64String(sort) % Ranges) }
 
 // sort escapes the account, so that no two IDs share a sort key.
 func (id ID) sort() string { return url.PathEscape(id.Account) + "/" + id.Key }
 
 // RowKey returns the key of the record's row.
 func (id ID) RowKey() table.Key {
-	return table.Key{Partition: rangePartition(recordPartition, id.Range()), Sort: id.sort()}
+	sort := id.sort()
+	return table.Key{Partition: recordPartitions[rangeOf(sort)], Sort: sort}
 }
 
 // OpenKey returns the key of the row that lists the claim as open. It is
 // written with the claim and deleted with the outcome, so that settlement
 // reads open claims and not every record.
 func (id ID) OpenKey() table.Key {
-	return table.Key{Partition: OpenPartition(id.Range()), Sort: id.sort()}
+	sort := id.sort()
+	return table.Key{Partition: openPartitions[rangeOf(sort)], Sort: sort}
 }
 
 // OpenPartition returns the partition that lists a range's open claims.
-func OpenPartition(r int) string { return rangePartition(openPartition, r) }
+func OpenPartition(r int) string { return openPartitions[r] }
+
+// The names of the partitions are made once, since each call needs several.
+var (
+	recordPartitions = partitionNames(recordPartition)
+	openPartitions   = partitionNames(openPartition)
+)
 
-func rangePartition(prefix string, r int) string { return fmt.Sprintf("%s%02d", prefix, r) }
+func partitionNames(prefix string) (names [Ranges]string) {
+	for r := range names {
+		names[r] = fmt.Sprintf("%s%02d", prefix, r)
+	}
+	return names
+}
 
 // ParseOpenKey returns the ID of a row listed in an OpenPartition.
 func ParseOpenKey(key table.Key) (ID, error) {
--- a/coordination/idempotency/retention.go
+++ b/coordination/idempotency/retention.go
@@ -7,7 +7,7 @@
 )
 
 // RecordPartition returns the partition that holds a range's records.
-func RecordPartition(r int) string { return rangePartition(recordPartition, r) }
+func RecordPartition(r int) string { return recordPartitions[r] }
 
 // DecodeRow returns the record of a row of a RecordPartition.
 func DecodeRow(item table.Item) (*Stored, error) {
