Try real pairs in the fault matrix of once-only calls

Cause: a pair was left out when one of its faults could not occur at the step, although it could occur at a later step of the same call; "late write, service silent" was not tried at all.

Change: the second fault of a pair follows at the first later step at which it can occur. faultmatrix.Rows makes the rows of single faults and pairs for both matrices.

--- a/coordination/idempotency/matrix_test.go
+++ b/coordination/idempotency/matrix_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"os"
+	"slices"
 	"testing"
 	"time"
 
@@ -14,7 +15,7 @@
 	reasonRan      = "the call has already run at this step"
 	reasonNoAnswer = "no request to the service is on its way at this step"
 	reasonNoWrite  = "no write is on its way at this step"
-	reasonOneOfTwo = "one of the two cannot occur at this step; the other is in its own row"
+	reasonPair     = "neither can occur at this step, or one of the two can occur only before it"
 )
 
 // matrixSteps are the steps of a once-only call, in order.
@@ -116,42 +117,54 @@
 // TestFaultMatrixOnceOnlyCalls guards against a call that runs twice or is
 // misreported, with each fault and each pair of faults at each step.
 func TestFaultMatrixOnceOnlyCalls(t *testing.T) {
-	rows := make(map[string][]matrixFault)
 	var names []string
 	for _, f := range matrixFaults {
-		rows[f.name] = []matrixFault{f}
 		names = append(names, f.name)
 	}
-	for i, f := range matrixFaults {
-		for _, g := range matrixFaults[i:] {
-			pair := f.name + ", " + g.name
-			rows[pair] = []matrixFault{f, g}
-			names = append(names, pair)
-		}
-	}
+	rows, positions := faultmatrix.Rows(names)
 	matrix := &faultmatrix.Matrix{
 		Name:   "once-only calls",
-		Faults: names,
+		Faults: rows,
 		Steps:  matrixSteps,
 		Cell: func(row, step string) faultmatrix.Cell {
-			return matrixCell(rows[row], step)
+			var faults []matrixFault
+			for _, i := range positions[row] {
+				faults = append(faults, matrixFaults[i])
+			}
+			return matrixCell(faults, step)
 		},
 	}
 	matrix.Run(t, os.Stdout)
 }
 
-// matrixCell runs the faults of a row if all of them can occur at the step.
+// matrixCell runs the faults of a row, first the one that can occur at the step.
+// The other follows at once or at the first later step at which it can occur.
 func matrixCell(faults []matrixFault, step string) faultmatrix.Cell {
-	for _, f := range faults {
-		reason := f.notFaced[step]
-		switch {
-		case reason != "" && len(faults) > 1:
-			return faultmatrix.Cell{NotFaced: reasonOneOfTwo}
-		case reason != "":
-			return faultmatrix.Cell{NotFaced: reason}
+	reason := faults[0].notFaced[step]
+	if reason == "" && len(faults) == 1 {
+		return faultmatrix.Cell{Run: func(t *testing.T) { runCell(t, faults, step) }}
+	}
+	if len(faults) == 1 {
+		return faultmatrix.Cell{NotFaced: reason}
+	}
+	first, second := faults[0], faults[1]
+	if reason != "" {
+		first, second = second, first
+	}
+	if first.notFaced[step] != "" || !second.facedFrom(step) {
+		return faultmatrix.Cell{NotFaced: reasonPair}
+	}
+	return faultmatrix.Cell{Run: func(t *testing.T) { runCell(t, []matrixFault{first, second}, step) }}
+}
+
+// facedFrom reports whether the fault can occur at a step or a later one.
+func (f matrixFault) facedFrom(step string) bool {
+	for _, later := range matrixSteps[slices.Index(matrixSteps, step):] {
+		if f.notFaced[later] == "" {
+			return true
 		}
 	}
-	return faultmatrix.Cell{Run: func(t *testing.T) { runCell(t, faults, step) }}
+	return false
 }
 
 // runCell tries the faults with and without a look-up, and with a look-up that
@@ -160,13 +173,13 @@
 	for variant := range 3 {
 		s := newSimulation(1, 2, 1, variant > 0, newFakeService(false, variant == 2))
 		a := s.call(s.daemons[0], 0, "body")
-		for i := 0; !s.reached(a, step); i++ {
-			if i == 100 {
-				t.Fatalf("step %s was not reached", step)
-			}
-			s.runFirst()
+		if !s.runTo(a, func(at string) bool { return at == step }) {
+			t.Fatalf("step %s was not reached", step)
 		}
 		for _, f := range faults {
+			// An earlier fault may have ended the call before the step of f; f
+			// then meets what follows it.
+			s.runTo(a, func(at string) bool { return f.notFaced[at] == "" })
 			f.inject(s)
 			s.runFirst()
 		}
@@ -179,6 +192,19 @@
 	}
 }
 
+// runTo performs tasks until the call is at one of the wanted steps.
+func (s *simulation) runTo(a *attempt, want func(string) bool) bool {
+	for range 100 {
+		for _, step := range matrixSteps {
+			if want(step) && s.reached(a, step) {
+				return true
+			}
+		}
+		s.runFirst()
+	}
+	return false
+}
+
 // runFirst performs the first task that is ready.
 func (s *simulation) runFirst() {
 	for i, t := range s.tasks {
--- a/coordination/lease/matrix_test.go
+++ b/coordination/lease/matrix_test.go
@@ -123,43 +123,34 @@
 // TestFaultMatrixLeases guards against two holders, overlapping orders and a
 // lease that nobody takes again, with each fault and each pair of faults.
 func TestFaultMatrixLeases(t *testing.T) {
-	faults := make(map[string][]func(*simulation))
 	var names []string
-	add := func(name string, inject ...func(*simulation)) {
-		faults[name] = inject
-		names = append(names, name)
-	}
 	for _, f := range matrixFaults {
-		add(f.name, f.inject)
-	}
-	for i, f := range matrixFaults {
-		for _, g := range matrixFaults[i:] {
-			add(f.name+", "+g.name, f.inject, g.inject)
-		}
+		names = append(names, f.name)
 	}
+	rows, positions := faultmatrix.Rows(names)
 	matrix := &faultmatrix.Matrix{
 		Name:   "leases",
-		Faults: names,
+		Faults: rows,
 		Steps:  []string{"acquiring", "held", "order sent", "renewing", "lapsed"},
-		Cell: func(fault, step string) faultmatrix.Cell {
+		Cell: func(row, step string) faultmatrix.Cell {
 			writes := step == "acquiring" || step == "renewing"
-			if fault == lateWrite && !writes {
+			if row == lateWrite && !writes {
 				return faultmatrix.Cell{NotFaced: "no write is in flight at this step"}
 			}
-			return faultmatrix.Cell{Run: func(t *testing.T) { runCell(t, faults[fault], step) }}
+			return faultmatrix.Cell{Run: func(t *testing.T) { runCell(t, positions[row], step) }}
 		},
 	}
 	matrix.Run(t, os.Stdout)
 }
 
-func runCell(t *testing.T, faults []func(*simulation), step string) {
+func runCell(t *testing.T, faults []int, step string) {
 	s := newSimulation(1, 1, 1)
 	// The second node joins once the first has started to acquire.
 	if matrixSteps[step](s); len(s.failures) == 0 {
 		s.join()
 	}
-	for _, inject := range faults {
-		inject(s)
+	for _, i := range faults {
+		matrixFaults[i].inject(s)
 		if len(s.network) > 0 {
 			s.carry(0)
 		}
