--- a/pkg/oncecall/caller_test.go
+++ b/pkg/oncecall/caller_test.go
@@ -123,6 +123,18 @@
 		Expect(d.Ledger.RunsOfObject("another")).To(BeZero())
 	})
 
+	// Guards against a booking that its caller cannot send again safely.
+	It("refuses a call without the key that its declaration requires", func() {
+		d := newDeployment(1)
+		declared := d.calls["book"]
+		declared.RequiresKey = true
+		d.calls["book"] = declared
+		_, problem := call(d.caller(nil), "book", "", "seat")
+		Expect(problem.Name).To(Equal(api.ProblemKeyRequired))
+		Expect(problem.Outcome).To(Equal(api.OutcomeNotRun))
+		Expect(d.Ledger.RunsOfObject("seat")).To(BeZero())
+	})
+
 	// Guards against a doubled booking by callers that send at the same time.
 	It("runs simultaneous calls with one key once", func() {
 		d := newDeployment(2)
--- a/pkg/oncecall/flight.go
+++ b/pkg/oncecall/flight.go
@@ -31,7 +31,7 @@
 
 // onceOnly runs a call that may not be repeated.
 func (c *Caller) onceOnly(ctx context.Context, req *api.CallRequest, declared config.Call, pools []string) (*api.CallAnswer, *api.Problem) {
-	if req.IdempotencyKey == "" && c.options.RequireKey {
+	if req.IdempotencyKey == "" && declared.RequiresKey {
 		return nil, api.NotRun(api.ProblemKeyRequired, http.StatusBadRequest, "the call needs an Idempotency-Key")
 	}
 	f := c.newFlight(req, declared, pools)
--- a/pkg/oncecall/options.go
+++ b/pkg/oncecall/options.go
@@ -95,8 +95,6 @@
 	Random *rand.Rand
 	// NewAttemptID makes unique attempt IDs; nil means UUIDs.
 	NewAttemptID func() string
-	// RequireKey refuses once-only calls without a key.
-	RequireKey bool
 
 	SettleInterval time.Duration
 	SettleMargin   time.Duration
