Learn the answer's prefix when an answer ends

Cause: a daemon learnt only from late cache events where the next turn of a conversation that it has just served finds its prefix. Change: Usage carries the prefix that ends with the answer.

--- a/pkg/measure/experiment.go
+++ b/pkg/measure/experiment.go
@@ -217,7 +217,9 @@
 	d := x.daemons[q.daemon]
 	delete(d.streams, a.id)
 	x.computed[q.answer.Hash] = true
-	d.policy.finished(x.now(), a.id, routing.Usage{PromptTokens: q.promptTokens, CachedTokens: a.cached})
+	d.policy.finished(x.now(), a.id, routing.Usage{
+		PromptTokens: q.promptTokens, CachedTokens: a.cached, Answer: q.answer,
+	})
 	q.done, q.ended = true, x.loop.now
 	mean := d.meanOutput[q.priority]
 	if mean == 0 {
--- a/pkg/routing/attempt.go
+++ b/pkg/routing/attempt.go
@@ -81,6 +81,9 @@
 	for _, p := range a.prefixes[:a.levels] {
 		r.prefixes.stored(at, p.Hash, a.server, 1)
 	}
+	if usage.Answer.Hash != 0 {
+		r.prefixes.stored(at, usage.Answer.Hash, a.server, 1)
+	}
 }
 
 // Failed records the end of an attempt that gave no whole answer. Nothing is
--- a/pkg/routing/types.go
+++ b/pkg/routing/types.go
@@ -91,6 +91,9 @@
 	// it that the prefix cache served.
 	PromptTokens int
 	CachedTokens int
+	// Answer is the prefix that ends with the answer, with which the next turn
+	// of the conversation begins; zero if it is not known.
+	Answer Prefix
 }
 
 // NoServerError reports that no server of a group may be picked.
