--- a/coordination/membership/core.go
+++ b/coordination/membership/core.go
@@ -47,10 +47,10 @@
 
 	list listState
 
-	digest     uint64
-	mismatches int
-	syncing    bool
-	syncAfter  string
+	digest    uint64
+	agreedAt  time.Time // when a peer last had the same digest
+	syncing   bool
+	syncAfter string
 
 	lastTick     time.Time
 	heartbeatDue time.Time
@@ -121,10 +121,10 @@
 func (c *Core) tick() {
 	c.resumeAfterPause()
 	c.lastTick = c.now
-	c.expire()
 	c.sendUrgent()
 	if !c.now.Before(c.heartbeatDue) {
 		c.heartbeatDue = c.now.Add(c.o.HeartbeatInterval)
+		c.expire()
 		c.digest = c.computeDigest()
 		c.reportZone()
 		c.heartbeat()
--- a/coordination/membership/events.go
+++ b/coordination/membership/events.go
@@ -100,8 +100,9 @@
 	At     time.Time
 }
 
-// PollAction asks the driver to poll the host list now.
-type PollAction struct{ Reason string }
+// PollAction asks the driver to poll the host list now. Poller is set for one of
+// the daemons that poll often.
+type PollAction struct{ Poller bool }
 
 func (SendAction) isAction()     {}
 func (ReplyAction) isAction()    {}
--- a/coordination/membership/hostlist.go
+++ b/coordination/membership/hostlist.go
@@ -8,8 +8,10 @@
 
 // listState is what the core keeps between polls of the host list.
 type listState struct {
-	polledAt time.Time
-	polled   bool
+	polledAt  time.Time
+	polled    bool
+	checkedAt time.Time
+	size      int // entries of the last list
 	// wanted is set when a pool has run short of candidates.
 	wanted bool
 	// last are the names and incarnations of the last list, kept only while
@@ -24,21 +26,35 @@
 // pollIfDue asks for a poll. A few daemons poll often and tell the others; the
 // list of 7,000 Hosts is too large for every daemon to read every few seconds.
 func (c *Core) pollIfDue() {
-	interval, reason := c.o.SlowListInterval, "slow"
-	switch {
-	case c.isPoller():
-		interval, reason = c.o.ListInterval, "poller"
-	case c.list.wanted:
-		interval, reason = c.o.ListInterval, "pool short of candidates"
+	since := c.now.Sub(c.list.polledAt)
+	if c.list.polled && since < c.listInterval() {
+		return
 	}
-	if c.list.polled && c.now.Sub(c.list.polledAt) < interval {
+	// The slots are looked at once per ListInterval; it takes a pass over the
+	// daemons.
+	if c.list.polled && c.now.Sub(c.list.checkedAt) < c.o.ListInterval {
 		return
 	}
-	if !c.isPoller() {
+	c.list.checkedAt = c.now
+	poller := c.isPoller()
+	if !poller {
 		c.list.last = nil
 	}
+	if c.list.polled && !poller && !c.list.wanted && since < c.o.SlowListInterval {
+		return
+	}
 	c.list.polled, c.list.polledAt, c.list.wanted = true, c.now, false
-	c.act(PollAction{Reason: reason})
+	c.act(PollAction{Poller: poller})
+}
+
+// entriesPerInterval is how many entries a poller reads per ListInterval. Longer
+// lists are read less often by each poller, to bound its bytes and processor
+// time: at 7,000 Hosts every 28 s, so that the 7 pollers together read one about
+// every 4 s.
+const entriesPerInterval = 500
+
+func (c *Core) listInterval() time.Duration {
+	return c.o.ListInterval * time.Duration(max(1, c.list.size/entriesPerInterval))
 }
 
 // isPoller reports whether this daemon holds one of the poller slots. The slots
@@ -76,6 +92,7 @@
 	if len(entries) == 0 {
 		return
 	}
+	c.list.size = len(entries)
 	current := make(map[string]uint64, len(entries))
 	for i := range entries {
 		e := &entries[i]
@@ -91,10 +108,11 @@
 		c.announceAdded(e)
 		c.listed(e.Member, c.now)
 	}
+	poller := c.isPoller()
 	c.dropUnlisted(current)
 	c.announceDropped(current)
 	c.list.last = nil
-	if c.isPoller() {
+	if poller {
 		c.list.last = current
 	}
 }
--- a/coordination/membership/receive.go
+++ b/coordination/membership/receive.go
@@ -78,23 +78,23 @@
 	}
 }
 
-// Messages with another digest before this daemon asks for the whole state,
-// part by part. Changes under way make digests differ for a few messages.
-const maxMismatches = 12
+// syncAfterIntervals is for how many heartbeat intervals the digests of all
+// peers have to differ before this daemon asks for the whole state, part by
+// part. Changes under way make digests differ for one or two.
+const syncAfterIntervals = 10
 
 func (c *Core) compareDigest(m *Message) {
 	if m.SyncReply && c.syncing {
 		c.syncAfter = m.SyncNext
 		c.syncing = m.SyncNext != ""
-		c.mismatches = 0
+		c.agreedAt = c.now
 		return
 	}
 	if m.Digest == c.digest {
-		c.mismatches = 0
+		c.agreedAt = c.now
 		return
 	}
-	c.mismatches++
-	if c.mismatches >= maxMismatches && !c.syncing {
+	if !c.syncing && c.now.Sub(c.agreedAt) >= syncAfterIntervals*c.o.HeartbeatInterval {
 		c.syncing, c.syncAfter = true, ""
 	}
 }
--- a/coordination/membership/servers.go
+++ b/coordination/membership/servers.go
@@ -80,6 +80,10 @@
 	return ok && incarnation <= t.incarnation
 }
 
+// HasLeft reports whether this incarnation of a BackendServer, or a later one,
+// takes no new work.
+func (c *Core) HasLeft(name string, incarnation uint64) bool { return c.hasLeft(name, incarnation) }
+
 // applyServer takes what the host list of some daemon showed: alive for a
 // BackendServer that is listed, suspect for one that is no longer listed.
 func (c *Core) applyServer(delta *Delta) {
