Measure a cut between regions

Cause: regions lose contact with each other for minutes several times a year, and the news of that is the largest burst between daemons.

--- a/pkg/peer/bench_test.go
+++ b/pkg/peer/bench_test.go
@@ -25,6 +25,8 @@
 	hops     int
 	revision uint64
 	round    uint64
+	// regions is how many regions cannot reach one another; 0 means none.
+	regions int
 }
 
 var benchSizes = []int{7, 64, 590}
@@ -118,6 +120,12 @@
 	if !ok {
 		return
 	}
+	if w.regions > 0 && from%w.regions != to%w.regions {
+		if !a.Urgent {
+			w.arriving = append(w.arriving, func() { w.step(from, membership.PeerFailedEvent{Name: a.Name}) })
+		}
+		return
+	}
 	frame := w.encode(a.Message)
 	w.arriving = append(w.arriving, func() {
 		reply := w.step(to, membership.MessageEvent{Message: decodeFrame(frame), Heartbeat: !a.Urgent})
