Count held Hosts once a tick in the Buyer

Cause: a tick with 7,000 Hosts, 72 Pools and a list took 34.4 ms, which is 3.4% of a core at one tick a second and above the bound of 3%: held Hosts were counted and sorted again for each group.

Change: both are done once a tick, and Hosts are sorted only when they have changed. MaxDraining counts the group's own Hosts.

--- a/pkg/capacity/buyer.go
+++ b/pkg/capacity/buyer.go
@@ -80,6 +80,10 @@
 	hosts   map[string]*heldHost
 	pending map[string]*pendingStart
 	starts  uint64
+	// sorted are the hosts by ID, and held the usable ones and undecided starts
+	// by pool; both are built once a tick.
+	sorted []*heldHost
+	held   map[string]int
 
 	actions []Action
 }
@@ -177,6 +181,7 @@
 	if !b.ready() {
 		return
 	}
+	b.sorted, b.held = b.sortedHosts(), b.countHeld()
 	b.countMarkets()
 	room := b.o.MaxStartsPerTick
 	for i := range b.groups {
@@ -332,7 +337,11 @@
 	return strings.Join(parts[:len(parts)-2], "/"), true
 }
 
+// sortedHosts returns the hosts by ID; it sorts only when they have changed.
 func (b *Buyer) sortedHosts() []*heldHost {
+	if b.sameHosts() {
+		return b.sorted
+	}
 	hosts := make([]*heldHost, 0, len(b.hosts))
 	for _, h := range b.hosts {
 		hosts = append(hosts, h)
@@ -340,3 +349,16 @@
 	sort.Slice(hosts, func(i, j int) bool { return hosts[i].ID < hosts[j].ID })
 	return hosts
 }
+
+// sameHosts reports whether sorted still has exactly the known hosts.
+func (b *Buyer) sameHosts() bool {
+	if len(b.sorted) != len(b.hosts) {
+		return false
+	}
+	for _, h := range b.sorted {
+		if b.hosts[h.ID] != h {
+			return false
+		}
+	}
+	return true
+}
--- a/pkg/capacity/reconcile.go
+++ b/pkg/capacity/reconcile.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 
 	"github.com/monsooncrank/monsooncrank/pkg/decision"
 	"github.com/monsooncrank/monsooncrank/pkg/platform/cloud"
@@ -10,7 +11,6 @@
 // choices returns the offers of a group that can be bought now. A Pool whose
 // starts were refused offers no more than what is held.
 func (b *Buyer) choices(g *Group) []choice {
-	held := b.held()
 	choices := make([]choice, 0, len(g.Offers))
 	for _, o := range g.Offers {
 		if o.UnitsPerHost <= 0 {
@@ -19,7 +19,7 @@
 		m := b.market(o.Pool)
 		limit := max(o.MaxHosts, 0)
 		if b.now.Before(m.until) {
-			limit = min(limit, held[o.Pool])
+			limit = min(limit, b.held[o.Pool])
 		}
 		choices = append(choices, choice{Offer: o, effective: m.effectivePrice(&o), limit: limit})
 	}
@@ -27,8 +27,8 @@
 	return choices
 }
 
-// held counts the usable Hosts and the undecided starts of each Pool.
-func (b *Buyer) held() map[string]int {
+// countHeld counts the usable Hosts and the undecided starts of each Pool.
+func (b *Buyer) countHeld() map[string]int {
 	held := make(map[string]int, len(b.hosts))
 	for _, h := range b.hosts {
 		if h.usable() {
@@ -47,7 +47,7 @@
 	next := makePlan(g.Need, choices)
 	d := b.desired[g.Name]
 	if d == nil {
-		d = &desiredState{counts: b.held()}
+		d = &desiredState{counts: maps.Clone(b.held)}
 		b.desired[g.Name] = d
 	}
 	old := planOf(choices, d.counts)
@@ -92,12 +92,11 @@
 	if b.now.Before(b.pausedTill) {
 		return 0
 	}
-	held := b.held()
 	started := 0
 	for _, i := range byPrice(choices) {
 		c := &choices[i]
-		for ; held[c.Pool] < min(d.counts[c.Pool], c.limit) && started < room; started++ {
-			held[c.Pool]++
+		for ; b.held[c.Pool] < min(d.counts[c.Pool], c.limit) && started < room; started++ {
+			b.held[c.Pool]++
 			b.start(g, choices, c)
 		}
 	}
@@ -128,19 +127,18 @@
 	for i := range choices {
 		numbers[choices[i].AvailabilityZone] = choices[i].zone
 	}
-	held, zones, draining := b.held(), make([]float64, len(choices)), 0
-	hosts := b.sortedHosts()
-	for _, h := range hosts {
+	zones, draining := make([]float64, len(choices)), 0
+	for _, h := range b.sorted {
 		if size, ours := units[h.pool]; ours && h.usable() && h.State == cloud.HostRunning {
 			zones[numbers[h.AvailabilityZone]] += size
 		}
-		if h.draining {
+		if _, ours := units[h.pool]; ours && h.draining {
 			draining++
 		}
 	}
-	for _, h := range hosts {
+	for _, h := range b.sorted {
 		size, ours := units[h.pool]
-		if !ours || !h.usable() || held[h.pool] <= d.counts[h.pool] || draining >= b.o.MaxDraining {
+		if !ours || !h.usable() || b.held[h.pool] <= d.counts[h.pool] || draining >= b.o.MaxDraining {
 			continue
 		}
 		if h.State == cloud.HostRunning {
@@ -152,7 +150,7 @@
 		}
 		h.draining = true
 		draining++
-		held[h.pool]--
+		b.held[h.pool]--
 		b.act(DrainAction{Host: h.Host, Reason: "group " + g.Name + " is carried without it"})
 	}
 }
@@ -160,7 +158,7 @@
 // stopIdle stops drained Hosts. The order is repeated until a list no longer
 // shows the Host.
 func (b *Buyer) stopIdle() {
-	for _, h := range b.sortedHosts() {
+	for _, h := range b.sorted {
 		if h.draining && h.idle && !b.now.Before(h.stopDue) {
 			h.stopDue = b.now.Add(2 * b.o.ListInterval)
 			b.act(StopAction{HostID: h.ID, Reason: "drained"})
