Run the tests of streams side by side

Cause: the package's tests took 14 s on a loaded machine, and the benchmark of the first token failed when it ran twice because it reused request IDs.

--- a/pkg/streaming/driver_test.go
+++ b/pkg/streaming/driver_test.go
@@ -17,10 +17,15 @@
 // ginkgoInterrupts is a goroutine of ginkgo that outlives the specs.
 const ginkgoInterrupts = "github.com/onsi/ginkgo/v2/internal/interrupt_handler.(*InterruptHandler).registerForInterrupts.func2"
 
+// TestMain guards against goroutines that outlive their drivers, in all tests.
+func TestMain(m *testing.M) {
+	goleak.VerifyTestMain(m, goleak.IgnoreAnyFunction(ginkgoInterrupts))
+}
+
 func TestStreaming(t *testing.T) {
+	t.Parallel()
 	RegisterFailHandler(Fail)
 	RunSpecs(t, "streaming")
-	goleak.VerifyNone(t, goleak.IgnoreAnyFunction(ginkgoInterrupts))
 }
 
 var slowEngine = standin.Options{DecodeStep: 3 * time.Millisecond}
--- a/pkg/streaming/measure_test.go
+++ b/pkg/streaming/measure_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
+	"github.com/google/uuid"
 
 	"github.com/monsooncrank/monsooncrank/pkg/engine"
 	standin "github.com/monsooncrank/monsooncrank/pkg/standin/engine"
@@ -133,8 +134,8 @@
 // report runs one request after the other and reports the percentiles.
 func report(b *testing.B, one func(id string) time.Duration) {
 	var times []time.Duration
-	for i := 0; b.Loop(); i++ {
-		times = append(times, one(fmt.Sprintf("%s-%d-%d", b.Name(), b.N, i)))
+	for b.Loop() {
+		times = append(times, one(uuid.NewString()))
 	}
 	slices.Sort(times)
 	b.ReportMetric(float64(times[len(times)/2].Microseconds()), "p50-us")
