--- a/pkg/streaming/driver_test.go
+++ b/pkg/streaming/driver_test.go
@@ -23,6 +23,8 @@
 }
 
 func TestStreaming(t *testing.T) {
+	// The randomised tests set flags that ginkgo reads; they run before the
+	// parallel tests.
 	t.Parallel()
 	RegisterFailHandler(Fail)
 	RunSpecs(t, "streaming")
