Sample no server when two prefix candidates are found

Cause: while servers are overloaded, a sampled cold replacement host looked idle and took prompts of every kind; it computed all of their prefixes again. Change: candidates found by their prefix take the place of all samples, so that a new host mostly gets the prefixes that it owns on the ring.

--- a/pkg/routing/options.go
+++ b/pkg/routing/options.go
@@ -12,7 +12,7 @@
 	// SubsetSize is how many servers of a group this daemon samples from.
 	SubsetSize int
 	// Choices is how many servers are sampled for each decision. Candidates
-	// found by their prefix take the place of all samples but one.
+	// found by their prefix take the place of samples.
 	Choices int
 	// LoadBound is how far the load of a server that is picked for a prefix
 	// may exceed the group's mean, as a factor.
--- a/pkg/routing/pick.go
+++ b/pkg/routing/pick.go
@@ -62,9 +62,8 @@
 }
 
 // sampled returns how many servers are sampled besides the candidates found by
-// their prefix: each of those takes the place of one sample, but one is always
-// drawn.
-func (r *Router) sampled() int { return max(r.options.Choices-r.count, 1) }
+// their prefix: each of those takes the place of one sample.
+func (r *Router) sampled() int { return max(r.options.Choices-r.count, 0) }
 
 func (r *Router) best(g *group, q *Query, at time.Duration) Decision {
 	bestIndex := 0
