Let the directory say whether this daemon polls the platform

Cause: reclaim notices, like the host list, should be polled by a few daemons and not by 590.

Change: PoolDirectory.IsPoller, for cloud.WatcherOptions.Active.

--- a/coordination/membership/directory.go
+++ b/coordination/membership/directory.go
@@ -96,6 +96,14 @@
 	return d.core.hasLeft(name, incarnation)
 }
 
+// IsPoller reports whether this daemon is one of the few that poll the platform
+// often and tell the others.
+func (d *PoolDirectory) IsPoller() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.core.isPoller()
+}
+
 // Self returns this daemon.
 func (d *PoolDirectory) Self() Member {
 	d.mu.Lock()
--- a/coordination/membership/membership_test.go
+++ b/coordination/membership/membership_test.go
@@ -71,6 +71,23 @@
 		}
 	})
 
+	It("share the polling of the host list among a few", func() {
+		w := newNetwork(60, 10, Options{})
+		_, ok := w.runUntil(30*time.Second, w.converged)
+		Expect(ok).To(BeTrue())
+		for range 5 {
+			w.now = w.now.Add(time.Minute)
+			pollers := 0
+			for _, n := range w.nodes {
+				n.core.now = w.now
+				if n.core.isPoller() {
+					pollers++
+				}
+			}
+			Expect(pollers).To(And(BeNumerically(">", 0), BeNumerically("<=", w.o.Pollers)))
+		}
+	})
+
 	It("deliver an announcement once each and a revision never lower", func() {
 		w := newNetwork(20, 6, Options{})
 		w.run(20 * time.Second)
