Send deferred requests their own way; name prefixes as engines do

Cause: deferred requests took the interactive route's priority; routing named prefixes by hashes of messages, which the engines' cache events never match; a body above the limit sometimes reset the connection before the caller had read the 413 (seen once in the gateway's specs). Change: the route is looked up with the request's kind; prefixes carry the hash of the last whole cache block at a message's end; a connection whose request was refused before it was read is read to its end before it is closed; a drain ends deferred requests before the streams they run as.

--- a/pkg/daemon/catalog.go
+++ b/pkg/daemon/catalog.go
@@ -105,8 +105,8 @@
 }
 
 // streamRoute implements streaming.Options.Route.
-func (c *catalog) streamRoute(model string) (streaming.Route, bool) {
-	route, ok := c.route(model, false)
+func (c *catalog) streamRoute(model string, deferred bool) (streaming.Route, bool) {
+	route, ok := c.route(model, deferred)
 	if !ok {
 		return streaming.Route{}, false
 	}
--- a/pkg/daemon/router.go
+++ b/pkg/daemon/router.go
@@ -7,6 +7,8 @@
 	"github.com/google/uuid"
 
 	"github.com/monsooncrank/monsooncrank/coordination/membership"
+	"github.com/monsooncrank/monsooncrank/pkg/api"
+	"github.com/monsooncrank/monsooncrank/pkg/engine"
 	"github.com/monsooncrank/monsooncrank/pkg/routing"
 	"github.com/monsooncrank/monsooncrank/pkg/streaming"
 )
@@ -41,7 +43,7 @@
 
 // Pick implements streaming.Router.
 func (r *streamRouter) Pick(_ time.Time, req *streaming.PickRequest) (membership.BackendServer, error) {
-	prefixes, promptTokens := routing.AppendPrefixes(nil, req.Model, req.Messages)
+	prefixes, promptTokens := prefixesOf(req.Model, req.Messages)
 	id := uuid.NewString()
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -68,6 +70,32 @@
 	return d.Server, nil
 }
 
+// maxPrefixes bounds the prefixes of one prompt that a decision looks up.
+const maxPrefixes = 4
+
+// prefixesOf returns the prefixes of a prompt that end with a message, by the
+// hashes with which engines name their cache's blocks, and the prompt's length.
+// Of many messages the first two, which requests share most, and the last ones
+// count.
+func prefixesOf(model string, messages []api.Message) ([]routing.Prefix, int) {
+	tokens := engine.PromptTokens(messages)
+	hashes := engine.PrefixHashes(model, tokens)
+	var prefixes []routing.Prefix
+	end := 0
+	for _, m := range messages {
+		end += len(engine.PromptTokens([]api.Message{m}))
+		blocks := end / engine.PrefixBlockTokens
+		if blocks == 0 || len(prefixes) > 0 && prefixes[len(prefixes)-1].Hash == hashes[blocks-1] {
+			continue
+		}
+		prefixes = append(prefixes, routing.Prefix{Hash: hashes[blocks-1], Tokens: blocks * engine.PrefixBlockTokens})
+	}
+	if extra := len(prefixes) - maxPrefixes; extra > 0 {
+		prefixes = append(prefixes[:maxPrefixes/2], prefixes[maxPrefixes/2+extra:]...)
+	}
+	return prefixes, len(tokens)
+}
+
 // excluded returns the servers that a request must not run on.
 func (r *streamRouter) excluded(req *streaming.PickRequest) []string {
 	if !req.Isolated || len(r.isolated) == 0 {
--- a/pkg/daemon/router_test.go
+++ b/pkg/daemon/router_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"strings"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -9,6 +10,8 @@
 	"k8s.io/utils/clock"
 
 	"github.com/monsooncrank/monsooncrank/coordination/membership"
+	"github.com/monsooncrank/monsooncrank/pkg/api"
+	"github.com/monsooncrank/monsooncrank/pkg/engine"
 	"github.com/monsooncrank/monsooncrank/pkg/routing"
 	"github.com/monsooncrank/monsooncrank/pkg/streaming"
 )
@@ -59,6 +62,19 @@
 		Expect(third).To(Equal(first))
 	})
 
+	// Guards against cache events that never match, because routing and engines
+	// name a prefix differently.
+	It("names prefixes as the engines' cache events do", func() {
+		long := strings.Repeat("word ", 40)
+		messages := []api.Message{{Role: "system", Content: long}, {Role: "user", Content: "hi"}, {Role: "assistant", Content: long}}
+		prefixes, tokens := prefixesOf("m", messages)
+		hashes := engine.PrefixHashes("m", engine.PromptTokens(messages))
+		Expect(tokens).To(Equal(84))
+		Expect(prefixes).To(Equal([]routing.Prefix{
+			{Hash: hashes[1], Tokens: 32}, {Hash: hashes[4], Tokens: 80},
+		}))
+	})
+
 	// Guards against outstanding work that is counted for ever.
 	It("counts each attempt until its end, and a pick that was not started until the next", func() {
 		server, err := start("a1", "r1", false)
--- a/pkg/daemon/run.go
+++ b/pkg/daemon/run.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"sync"
 	"time"
 
 	"github.com/juju/errors"
@@ -51,16 +50,14 @@
 	d.gossip.Leave(ctx)
 	d.awaitBalancer(ctx)
 	d.callers.StopAccepting()
-	var group sync.WaitGroup
-	results := make([]error, 2)
-	group.Go(func() { results[0] = d.streams.Drain(ctx) })
-	group.Go(func() { results[1] = d.deferred.Drain(ctx) })
-	group.Wait()
-	err := d.callers.Shutdown(ctx)
-	for _, result := range results {
-		if result != nil {
-			err = result
-		}
+	// Deferred requests save what they have and go on at another daemon; they
+	// run as streams, so they end first.
+	err := d.deferred.Drain(ctx)
+	if streamsErr := d.streams.Drain(ctx); streamsErr != nil {
+		err = streamsErr
+	}
+	if callersErr := d.callers.Shutdown(ctx); callersErr != nil {
+		err = callersErr
 	}
 	klog.InfoS("drain ended", "name", d.settings.Name, "error", err)
 	return errors.Trace(err)
--- a/pkg/deferred/integration_test.go
+++ b/pkg/deferred/integration_test.go
@@ -38,7 +38,7 @@
 		stream := func() *streaming.Driver {
 			return streaming.NewDriver(streaming.Options{
 				Client: client, Router: oneEngine{membership.BackendServer{Name: "a", Address: e.Address()}},
-				Route: func(model string) (streaming.Route, bool) { return streaming.Route{Name: model}, true },
+				Route: func(model string, _ bool) (streaming.Route, bool) { return streaming.Route{Name: model}, true },
 			})
 		}
 		w := newWorld()
--- a/pkg/gateway/conn.go
+++ b/pkg/gateway/conn.go
@@ -1,8 +1,10 @@
 package gateway
 
 import (
+	"io"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -27,6 +29,27 @@
 
 	mu      sync.Mutex
 	pending []byte
+	// lingers is set when the answer is sent before the request was read.
+	lingers atomic.Bool
+}
+
+const (
+	// lingerTimeout and lingerBytes bound what is read from a caller whose
+	// request was refused before it was read.
+	lingerTimeout = time.Second
+	lingerBytes   = 16 << 20
+)
+
+// Close implements net.Conn. If the caller is still sending, its bytes are read
+// first: a close with unread bytes resets the connection, and the caller would
+// lose the answer.
+func (c *watchConn) Close() error {
+	half, ok := c.Conn.(interface{ CloseWrite() error })
+	if c.lingers.Load() && ok && half.CloseWrite() == nil {
+		_ = c.Conn.SetReadDeadline(time.Now().Add(lingerTimeout))
+		_, _ = io.CopyN(io.Discard, c.Conn, lingerBytes)
+	}
+	return c.Conn.Close()
 }
 
 // Read implements net.Conn.
--- a/pkg/gateway/problem.go
+++ b/pkg/gateway/problem.go
@@ -113,4 +113,7 @@
 	}
 	writeProblem(ctx, problem, "")
 	ctx.SetConnectionClose()
+	if conn, ok := ctx.Conn().(*watchConn); ok {
+		conn.lingers.Store(true)
+	}
 }
--- a/pkg/gateway/stream.go
+++ b/pkg/gateway/stream.go
@@ -79,6 +79,10 @@
 	}
 }
 
+// CanReattach tells the duty that the caller can go on with the stream at
+// another daemon.
+func (c *channelSink) CanReattach() bool { return true }
+
 // stream runs produce and sends its events as server-sent events. A failure
 // before the first event is answered with its HTTP status.
 func (x *exchange) stream(model string, from int, produce func(api.EventSink) error) {
--- a/pkg/streaming/drain.go
+++ b/pkg/streaming/drain.go
@@ -94,7 +94,7 @@
 // same stream, after the answer to the first was lost, replaces the first as long
 // as no caller follows it: the peer may have delivered more tokens since.
 func (d *Driver) Accept(state State) error {
-	route, ok := d.opts.Route(state.Request.Model)
+	route, ok := d.opts.Route(state.Request.Model, state.Request.Deferred)
 	if !ok {
 		return &RouteMissingError{Model: state.Request.Model}
 	}
--- a/pkg/streaming/driver.go
+++ b/pkg/streaming/driver.go
@@ -78,7 +78,7 @@
 // Resume is Chat for a request whose first tokens are known: the answer goes on
 // after them, and sink receives only what follows.
 func (d *Driver) Resume(ctx context.Context, req *api.ChatRequest, tokens []string, sink api.EventSink) error {
-	route, ok := d.opts.Route(req.Model)
+	route, ok := d.opts.Route(req.Model, req.Deferred)
 	if !ok {
 		return api.NotRun(api.ProblemNotFound, http.StatusNotFound, "model "+req.Model+" has no route")
 	}
--- a/pkg/streaming/helpers_test.go
+++ b/pkg/streaming/helpers_test.go
@@ -211,7 +211,7 @@
 	options := streaming.Options{
 		HandOverTime: handOverTime,
 		Client:       d.client, Router: d.router, Directory: d.router, Invariants: d.invariants,
-		Route: func(model string) (streaming.Route, bool) {
+		Route: func(model string, _ bool) (streaming.Route, bool) {
 			return streaming.Route{Name: model, Timeout: testTimeout}, model == testModel
 		},
 	}
--- a/pkg/streaming/options.go
+++ b/pkg/streaming/options.go
@@ -166,8 +166,9 @@
 type Options struct {
 	Client engine.Client
 	Router Router
-	// Route looks the route of a model up in the configuration in force.
-	Route       func(model string) (Route, bool)
+	// Route looks up the route of a model's requests, which may wait or not, in
+	// the configuration in force.
+	Route       func(model string, deferred bool) (Route, bool)
 	Directory   Directory
 	RetryBudget RetryBudget
 	Quarantine  Quarantine
