--- a/pkg/admission/admission_test.go
+++ b/pkg/admission/admission_test.go
@@ -231,6 +231,26 @@
 	g.Expect(core.Slots("r")).To(Equal(100))
 }
 
+// Guards against a slot that is spent on a request which has become too late
+// while it waited.
+func TestLateRequestIsRefusedAtDispatch(t *testing.T) {
+	g := NewWithT(t)
+	core := newCore(1, map[string]float64{"a": 1})
+	submit := func(id string, deadline time.Duration) []admission.Outcome {
+		return core.Submit(epoch, admission.Request{
+			ID: id, Resource: "r", ClientAccount: "a", Expected: 500 * time.Millisecond, Deadline: epoch.Add(deadline),
+		})
+	}
+	g.Expect(submit("first", time.Minute)).To(HaveLen(1))
+	g.Expect(submit("late", 2600*time.Millisecond)).To(BeEmpty())
+	g.Expect(submit("patient", time.Minute)).To(BeEmpty())
+	outcomes := core.Finish(epoch.Add(2200*time.Millisecond), "first")
+	g.Expect(outcomes).To(HaveLen(2))
+	g.Expect(outcomes[0].ID).To(Equal("late"))
+	g.Expect(outcomes[0].Refused.Reason).To(Equal(admission.ReasonDeadline))
+	g.Expect(outcomes[1]).To(Equal(admission.Outcome{ID: "patient", Admitted: true}))
+}
+
 // Guards against deferred work that makes others wait.
 func TestDeferredWorkYields(t *testing.T) {
 	g := NewWithT(t)
