--- a/cmd/monsooncrank/main.go
+++ b/cmd/monsooncrank/main.go
@@ -15,7 +15,7 @@
 func main() {
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	code := command.Run(ctx, os.Args[1:], os.Stdout, os.Stderr,
-		demo.RegisterDemo, demo.RegisterStandin, measure.Register)
+		demo.RegisterDemo, demo.RegisterStandin, demo.RegisterLoad, measure.Register)
 	stop()
 	os.Exit(code)
 }
--- a/pkg/demo/demo.go
+++ b/pkg/demo/demo.go
@@ -101,7 +101,7 @@
 	if err != nil {
 		return nil, errors.Trace(err)
 	}
-	d, err := newDeployment(w.name, set)
+	d, err := newDeployment(w.name, set, demoCosts)
 	if err != nil {
 		return nil, errors.Trace(err)
 	}
@@ -162,8 +162,8 @@
 		report.Cost += o.deployment.cloud.Ledger().Cost
 		report.RecomputedTokens += o.deployment.engineLedger.Totals().RecomputedTokens
 	}
-	report.P95FirstTokenSeconds = quantileSeconds(judges.firstToken)
-	report.P95BetweenTokens = quantileSeconds(judges.betweenTokens)
+	report.P95FirstTokenSeconds = quantileSeconds(judges.firstToken, targetQuantile)
+	report.P95BetweenTokens = quantileSeconds(judges.betweenTokens, targetQuantile)
 	return report
 }
 
--- a/pkg/demo/deployment.go
+++ b/pkg/demo/deployment.go
@@ -33,13 +33,9 @@
 	// hostPollInterval is how soon a bought Host runs its BackendServer.
 	hostPollInterval = 100 * time.Millisecond
 
-	// Costs of the stand-in engines: tokens 6 ms apart, and a prompt of 100
-	// tokens in 5 ms.
-	engineDecodeStep      = 6 * time.Millisecond
-	enginePrefillPerToken = 50 * time.Microsecond
-	engineLoadLag         = time.Second
-	engineEventDelay      = 200 * time.Millisecond
-	engineEventGap        = 10
+	engineLoadLag    = time.Second
+	engineEventDelay = 200 * time.Millisecond
+	engineEventGap   = 10
 
 	// crashMarker in a message kills the engine that runs it.
 	crashMarker = "crash-the-engine"
@@ -54,6 +50,7 @@
 type deployment struct {
 	name  string
 	set   *config.Set
+	costs engineCosts
 	zones []string
 	// token is the operators' token.
 	token      string
@@ -82,10 +79,17 @@
 	tasks     sync.WaitGroup
 }
 
+// engineCosts are the times that the stand-in engines take.
+type engineCosts struct{ decodeStep, prefillPerToken time.Duration }
+
+// demoCosts are those of the demo: tokens 6 ms apart, and a prompt of 100 tokens
+// in 5 ms.
+var demoCosts = engineCosts{decodeStep: 6 * time.Millisecond, prefillPerToken: 50 * time.Microsecond}
+
 // newDeployment starts an operator's stand-ins.
-func newDeployment(name string, set *config.Set) (*deployment, error) {
+func newDeployment(name string, set *config.Set, costs engineCosts) (*deployment, error) {
 	d := &deployment{
-		name: name, set: set, token: "operators-token-" + name,
+		name: name, set: set, costs: costs, token: "operators-token-" + name,
 		table: tableserver.NewServer(), objects: objectserver.NewServer(),
 		engineLedger: engine.NewLedger(), serviceLedger: plainservice.NewLedger(),
 		engines: make(map[string]*engine.Engine), services: make(map[string]*plainservice.Server),
@@ -309,7 +313,7 @@
 func (d *deployment) startEngine(name string, p *config.Pool) (*engine.Engine, error) {
 	return engine.Start(engine.Options{
 		Name: name, BatchSize: p.SequencesPerHost, Ledger: d.engineLedger,
-		DecodeStep: engineDecodeStep, PrefillPerToken: enginePrefillPerToken,
+		DecodeStep: d.costs.decodeStep, PrefillPerToken: d.costs.prefillPerToken,
 		LoadLag: engineLoadLag, CacheEventDelay: engineEventDelay, CacheEventGap: engineEventGap,
 		ChecksFencing: p.ChecksFencing, CrashMarker: crashMarker,
 	})
--- a/pkg/demo/judge.go
+++ b/pkg/demo/judge.go
@@ -133,7 +133,7 @@
 	case result.problem != nil:
 		return Counts{Accepted: 1, Unknown: 1}
 	case result.finished && !result.gap && result.text() == c.expected:
-		j.time(result)
+		j.times.record(result)
 		return Counts{Accepted: 1, Answered: 1}
 	case result.finished:
 		j.find("chat " + result.requestID + " got another answer than its own")
@@ -147,13 +147,14 @@
 	}
 }
 
-func (j *judge) time(result *chatResult) {
+// record takes the latencies of a whole answer.
+func (t *times) record(result *chatResult) {
 	for i, at := range result.arrivals {
 		if i == 0 {
-			_ = j.times.firstToken.RecordValue(at.Sub(result.sent).Microseconds())
+			_ = t.firstToken.RecordValue(at.Sub(result.sent).Microseconds())
 			continue
 		}
-		_ = j.times.betweenTokens.RecordValue(max(at.Sub(result.arrivals[i-1]).Microseconds(), lowestMicros))
+		_ = t.betweenTokens.RecordValue(max(at.Sub(result.arrivals[i-1]).Microseconds(), lowestMicros))
 	}
 }
 
@@ -218,6 +219,6 @@
 
 func (j *judge) find(finding string) { j.findings = append(j.findings, finding) }
 
-func quantileSeconds(h *hdrhistogram.Histogram) float64 {
-	return (time.Duration(h.ValueAtQuantile(targetQuantile)) * time.Microsecond).Seconds()
+func quantileSeconds(h *hdrhistogram.Histogram, quantile float64) float64 {
+	return (time.Duration(h.ValueAtQuantile(quantile)) * time.Microsecond).Seconds()
 }
--- a/pkg/demo/standin.go
+++ b/pkg/demo/standin.go
@@ -35,7 +35,7 @@
 	if err != nil {
 		return errors.Trace(err)
 	}
-	d, err := newDeployment(options.Operator, set)
+	d, err := newDeployment(options.Operator, set, demoCosts)
 	if err != nil {
 		return errors.Trace(err)
 	}
