Let admission know a revision before its first caller

Cause: admission and routing learned of a revision from a ticker of 200 ms, while the gateway served under it at once. A daemon that was ready, or that had just taken up a new account, refused callers as "account is not configured" for up to 200 ms.

Change: what answers callers reads the configuration through the reconciler, which brings admission and routing in line before it returns a higher revision.

--- a/pkg/daemon/build.go
+++ b/pkg/daemon/build.go
@@ -118,7 +118,7 @@
 	d.deferred = deferred.NewDriver(deferred.Options{
 		Table: d.platform.table, Objects: d.platform.objects, Ranges: &ranges{manager: d.leases},
 		Chat: &preemptibleChats{streams: d.streams, admits: admits}, Clock: d.clock,
-		Invariants: d.invariants, Registerer: d.registry,
+		SaveInterval: d.deferredSave, Invariants: d.invariants, Registerer: d.registry,
 	})
 }
 
@@ -135,13 +135,12 @@
 // buildListeners opens the callers' and the operators' listeners.
 func (d *Daemon) buildListeners(func(uint64) *rand.Rand) error {
 	var err error
+	inForce := &catalog{configuration: d.reconciler}
 	d.callers, err = gateway.NewServer(gateway.Options{
-		Chats: &chats{catalog: &catalog{configuration: d.follower}, streams: d.streams},
-		Calls: &calls{catalog: &catalog{configuration: d.follower}, caller: d.calls},
-		Deferred: &deferredRequests{
-			catalog: &catalog{configuration: d.follower}, driver: d.deferred,
-		},
-		Catalog: &catalog{configuration: d.follower}, Limits: gateway.DefaultLimits(),
+		Chats:    &chats{catalog: inForce, streams: d.streams},
+		Calls:    &calls{catalog: inForce, caller: d.calls},
+		Deferred: &deferredRequests{catalog: inForce, driver: d.deferred},
+		Catalog:  inForce, Limits: gateway.DefaultLimits(),
 		Clock: d.clock, Registry: d.registry,
 		NewID: func() string { return newRequestID(d.settings.Name) },
 	})
--- a/pkg/daemon/daemon.go
+++ b/pkg/daemon/daemon.go
@@ -45,6 +45,9 @@
 	Clock    clock.WithTicker
 	// Seed seeds every random source of the daemon.
 	Seed uint64
+	// DeferredSaveInterval is the time between two saved partial answers of a
+	// deferred request; 0 means the measured default.
+	DeferredSaveInterval time.Duration
 }
 
 // Daemon is one entry host's process.
@@ -52,6 +55,8 @@
 	settings    *Settings
 	clock       clock.WithTicker
 	incarnation uint64
+	// deferredSave is Options.DeferredSaveInterval.
+	deferredSave time.Duration
 
 	registry   *prometheus.Registry
 	recorder   *decision.Recorder
@@ -97,14 +102,15 @@
 // New builds a Daemon and opens its listeners; Run starts it.
 func New(options Options) (*Daemon, error) {
 	d := &Daemon{
-		settings:   options.Settings,
-		clock:      options.Clock,
-		registry:   prometheus.NewRegistry(),
-		recorder:   decision.NewRecorder(keptDecisions),
-		served:     make(chan error, 2),
-		built:      make(chan struct{}),
-		closing:    make(chan struct{}),
-		drainAsked: make(chan struct{}),
+		settings:     options.Settings,
+		clock:        options.Clock,
+		deferredSave: options.DeferredSaveInterval,
+		registry:     prometheus.NewRegistry(),
+		recorder:     decision.NewRecorder(keptDecisions),
+		served:       make(chan error, 2),
+		built:        make(chan struct{}),
+		closing:      make(chan struct{}),
+		drainAsked:   make(chan struct{}),
 	}
 	// A later start has a higher incarnation, whatever Host it runs on.
 	d.startedAt = d.clock.Now()
--- a/pkg/daemon/reconcile.go
+++ b/pkg/daemon/reconcile.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"k8s.io/utils/clock"
@@ -37,7 +38,10 @@
 	engines       engine.Client
 	clock         clock.WithTicker
 
-	revision uint64
+	// mu lets one reconciliation run at a time.
+	mu sync.Mutex
+	// revision is that whose accounts admission knows.
+	revision atomic.Uint64
 	// next is the engine whose reports are read next.
 	next int
 
@@ -71,16 +75,28 @@
 	}
 }
 
+// Current implements Configuration for what answers callers. A revision that has
+// just come in force reaches routing and admission first, else they would refuse
+// the callers of an account that they do not know yet.
+func (r *reconciler) Current() (*config.Snapshot, error) {
+	snapshot, err := r.configuration.Current()
+	if err == nil && snapshot.Revision > r.revision.Load() {
+		r.reconcile()
+	}
+	return snapshot, err
+}
+
 func (r *reconciler) reconcile() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
 	snapshot, err := r.configuration.Current()
 	if err != nil {
 		return
 	}
 	// The daemon itself is not among the others.
 	r.controller.SetDaemons(len(r.directory.Daemons(membership.StateAlive)) + 1)
-	if snapshot.Revision != r.revision {
+	if snapshot.Revision != r.revision.Load() {
 		r.controller.SetAccounts(accountsOf(snapshot))
-		r.revision = snapshot.Revision
 	}
 	groups := make([]routing.Group, 0, len(snapshot.Set.Routes))
 	for i := range snapshot.Set.Routes {
@@ -90,6 +106,7 @@
 		r.controller.SetSlots(route.Name, slotsOf(servers))
 	}
 	r.balancer.Update(groups)
+	r.revision.Store(snapshot.Revision)
 }
 
 // servers returns the engines of a Route's pools, or those of the first
