End heartbeats first when a daemon closes

Cause: Close waited up to 30 s for once-only calls whose outcome it could not store, and ended heartbeats only afterwards. The other daemons counted the closing daemon among those that share the 64 ranges for that time, so nobody took its ranges over.

Change: Close ends the peers' listener and the heartbeats before the parts that wait.

--- a/pkg/daemon/run.go
+++ b/pkg/daemon/run.go
@@ -91,7 +91,9 @@
 }
 
 // stops returns what ends the parts that have been built, in order: what
-// answers callers, then what those parts use.
+// answers callers, then what those parts use. Heartbeats end early: calls in
+// progress may take half a minute, and the others must not count a daemon that
+// does no more work among those that share the ranges.
 func (d *Daemon) stops() []func() {
 	var stops []func()
 	add := func(built bool, stop func()) {
@@ -101,6 +103,8 @@
 	}
 	add(d.notices != nil && d.notices.stop != nil, func() { d.notices.close() })
 	add(d.reconciler != nil && d.reconciler.stop != nil, func() { d.reconciler.close() })
+	add(d.peers != nil, func() { logError("peers", d.peers.Close()) })
+	add(d.gossip != nil, func() { d.gossip.Close() })
 	add(d.deferred != nil, func() { logError("deferred", d.deferred.Close()) })
 	add(d.streams != nil, func() { logError("streams", d.streams.Close()) })
 	add(d.calls != nil, func() { d.calls.Close() })
@@ -109,8 +113,6 @@
 	add(d.quarantine != nil, func() { d.quarantine.close() })
 	add(d.controller != nil, func() { d.controller.Close() })
 	add(d.operators != nil, d.closeOperators)
-	add(d.peers != nil, func() { logError("peers", d.peers.Close()) })
-	add(d.gossip != nil, func() { d.gossip.Close() })
 	add(d.follower != nil, func() { d.follower.Close() })
 	add(d.pool != nil, func() { d.pool.Close() })
 	add(d.engines != nil, func() { d.engines.Close() })
