Prove recovery between whole daemons over loopback TCP

Cause: recovery was tested duty by duty; only the demo ran whole daemons.

Change: a package of specs with real daemons against the stand-ins: two unannounced deaths (claim without dispatch, dispatch without outcome, deferred request half done), a planned stop with streams, starts and a pause during a table outage, and with seven daemons a published change, leaving engines, a crashing request and its release; mutual TLS. Each daemon reaches the platform through a proxy of the test, so that a death neither releases leases nor stores outcomes.

--- /dev/null
+++ b/pkg/daemon/recoverytest/caller_test.go
@@ -0,0 +1,200 @@
+package recoverytest
+
+import (
+	"bufio"
+	"crypto/tls"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/monsooncrank/monsooncrank/pkg/api"
+)
+
+// newClient returns a client that opens a connection for each request, so that
+// none outlives a daemon.
+func newClient(secure *tls.Config) *http.Client {
+	return &http.Client{Timeout: 30 * time.Second, Transport: &http.Transport{DisableKeepAlives: true, TLSClientConfig: secure}}
+}
+
+// reply is an answer read to its end; status is 0 if none came.
+type reply struct {
+	status  int
+	header  http.Header
+	body    string
+	problem struct {
+		Type    string      `json:"type"`
+		Outcome api.Outcome `json:"outcome"`
+	}
+}
+
+func (m *member) send(method, url, token, body string, headers map[string]string) (*http.Response, error) {
+	req, err := http.NewRequest(method, url, strings.NewReader(body))
+	if err != nil {
+		return nil, err
+	}
+	req.Header.Set("Authorization", "Bearer "+token)
+	for name, value := range headers {
+		req.Header.Set(name, value)
+	}
+	return m.client.Do(req)
+}
+
+func (m *member) exchange(method, url, token, body string, headers map[string]string) *reply {
+	r := &reply{}
+	response, err := m.send(method, url, token, body, headers)
+	if err != nil {
+		return r
+	}
+	defer func() { _ = response.Body.Close() }()
+	raw, err := io.ReadAll(response.Body)
+	if err != nil {
+		return r
+	}
+	r.status, r.header, r.body = response.StatusCode, response.Header, string(raw)
+	if strings.HasPrefix(r.header.Get("Content-Type"), "application/problem+json") {
+		_ = json.Unmarshal(raw, &r.problem)
+	}
+	return r
+}
+
+func (m *member) callersURL(path string) string { return m.scheme + "://" + m.CallersAddress() + path }
+
+// get asks the operators' interface.
+func (m *member) get(path string) *reply { return m.operate(http.MethodGet, path) }
+
+func (m *member) operate(method, path string) *reply {
+	return m.exchange(method, m.scheme+"://"+m.OperatorsAddress()+path, operatorsToken, "", nil)
+}
+
+// duty returns the detail of a duty's state.
+func (m *member) duty(name string) string {
+	var status struct {
+		Duties []struct{ Name, Detail string }
+	}
+	_ = json.Unmarshal([]byte(m.get("/v1/status").body), &status)
+	for _, d := range status.Duties {
+		if d.Name == name {
+			return d.Detail
+		}
+	}
+	return ""
+}
+
+func messages(content string) []api.Message { return []api.Message{{Role: "user", Content: content}} }
+
+func chatBody(content string, maxTokens int, stream bool) string {
+	raw, _ := json.Marshal(map[string]any{
+		"model": model, "messages": messages(content), "max_tokens": maxTokens, "stream": stream,
+	})
+	return string(raw)
+}
+
+// chat asks for a whole answer.
+func (m *member) chat(content string, maxTokens int) *reply {
+	return m.exchange(http.MethodPost, m.callersURL("/v1/chat/completions"), apiKey, chatBody(content, maxTokens, false),
+		map[string]string{"Request-Timeout": "10"})
+}
+
+// text returns the text of a whole answer.
+func (r *reply) text() string {
+	var answer struct {
+		Choices []struct {
+			Message api.Message `json:"message"`
+		} `json:"choices"`
+	}
+	if json.Unmarshal([]byte(r.body), &answer) != nil || len(answer.Choices) != 1 {
+		return ""
+	}
+	return answer.Choices[0].Message.Content
+}
+
+// book calls the once-only call with a key.
+func (m *member) book(key string) *reply {
+	return m.exchange(http.MethodPost, m.callersURL("/v1/services/desk/book"), apiKey, fmt.Sprintf(`{"object":%q}`, key),
+		map[string]string{"Idempotency-Key": key, "Request-Timeout": "1"})
+}
+
+// streamed is what a caller has received of a stream.
+type streamed struct {
+	requestID string
+	tokens    []string
+	finished  bool
+	// wrong is the first event that is not the next one, or a problem.
+	wrong string
+	// moved is set when the daemon has handed the stream over.
+	moved bool
+}
+
+// open begins a stream and returns its connection.
+func (m *member) open(content string, maxTokens int) (*http.Response, error) {
+	return m.send(http.MethodPost, m.callersURL("/v1/chat/completions"), apiKey, chatBody(content, maxTokens, true),
+		map[string]string{"Request-Timeout": "25"})
+}
+
+// attach asks a daemon for the rest of a stream.
+func (m *member) attach(s *streamed) (*http.Response, error) {
+	headers := map[string]string{}
+	if len(s.tokens) > 0 {
+		headers["Last-Event-ID"] = strconv.Itoa(len(s.tokens) - 1)
+	}
+	return m.send(http.MethodGet, m.callersURL("/v1/requests/"+s.requestID+"/events"), apiKey, "", headers)
+}
+
+// follow reads one connection of a stream to its end.
+func (s *streamed) follow(response *http.Response) {
+	defer func() { _ = response.Body.Close() }()
+	if response.StatusCode != http.StatusOK {
+		raw, _ := io.ReadAll(response.Body)
+		if response.StatusCode != http.StatusAccepted {
+			s.wrong = string(raw)
+		}
+		return
+	}
+	id, kind := "", ""
+	lines := bufio.NewScanner(response.Body)
+	for lines.Scan() {
+		name, value, _ := strings.Cut(lines.Text(), ":")
+		value = strings.TrimPrefix(value, " ")
+		switch name {
+		case "id":
+			id = value
+		case "event":
+			kind = value
+		case "data":
+			s.take(id, kind, value)
+			id, kind = "", ""
+		}
+	}
+}
+
+func (s *streamed) take(id, kind, data string) {
+	switch {
+	case kind == "reattach":
+		s.moved = true
+		return
+	case kind != "":
+		s.wrong = data
+		return
+	case data == "[DONE]":
+		return
+	}
+	var chunk struct {
+		Choices []struct {
+			Delta        struct{ Content string }
+			FinishReason *string `json:"finish_reason"`
+		}
+	}
+	if json.Unmarshal([]byte(data), &chunk) != nil || len(chunk.Choices) != 1 || id != strconv.Itoa(len(s.tokens)) {
+		s.wrong = fmt.Sprintf("event %s after %d tokens: %s", id, len(s.tokens), data)
+		return
+	}
+	if chunk.Choices[0].FinishReason != nil {
+		s.finished = true
+		return
+	}
+	s.tokens = append(s.tokens, chunk.Choices[0].Delta.Content)
+}
