--- a/coordination/membership/core.go
+++ b/coordination/membership/core.go
@@ -32,6 +32,9 @@
 	servers    map[string]*server
 	tombstones map[string]tombstone
 	dirtyPools map[string]bool
+	// reclaimed are BackendServers that leave at an incarnation that is not
+	// known yet, and when that was heard.
+	reclaimed map[string]time.Time
 
 	queue []*queued
 	seen  map[string]time.Time
@@ -66,7 +69,7 @@
 		o: o.withDefaults(), rand: r, self: self, syncing: true, now: now,
 		daemons: map[string]*daemon{}, pools: map[string]*pool{}, zones: map[string]bool{},
 		servers: map[string]*server{}, tombstones: map[string]tombstone{},
-		dirtyPools: map[string]bool{}, seen: map[string]time.Time{},
+		dirtyPools: map[string]bool{}, reclaimed: map[string]time.Time{}, seen: map[string]time.Time{},
 		loads: map[string]reportedLoad{}, zoneLoads: map[string]*zoneState{},
 		lastTick: now, heartbeatDue: now, viewAt: now,
 	}
@@ -97,7 +100,7 @@
 	case HostListEvent:
 		c.takeList(e.Entries)
 	case LeavingEvent:
-		c.leaving(e.Name, e.Incarnation, rankLeaving, 0)
+		c.takeLeaving(e)
 	case AnnounceEvent:
 		c.announce(Announcement{ID: e.ID, Kind: e.Kind, Payload: e.Payload}, c.o.UrgentRounds)
 	case RevisionEvent:
--- a/coordination/membership/directory.go
+++ b/coordination/membership/directory.go
@@ -46,6 +46,15 @@
 	d.publish()
 }
 
+// ReportReclaim records that the BackendServer that runs under a name is leaving,
+// for sources that do not know its incarnation, such as reclaim notices.
+func (d *PoolDirectory) ReportReclaim(name string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.pending = append(d.pending, d.core.Step(d.now(), LeavingEvent{Name: name, Current: true})...)
+	d.publish()
+}
+
 // Step passes an event to the core and returns the actions, including those of
 // earlier calls of ReportLeaving.
 func (d *PoolDirectory) Step(event Event) []Action {
--- a/coordination/membership/events.go
+++ b/coordination/membership/events.go
@@ -33,6 +33,10 @@
 type LeavingEvent struct {
 	Name        string
 	Incarnation uint64
+	// Current is set instead of Incarnation when the source names the server
+	// without its incarnation, as a reclaim notice does: it means the one that
+	// runs now, also if this daemon learns of it only later.
+	Current bool
 }
 
 // AnnounceEvent starts the spread of news.
--- a/coordination/membership/membership_test.go
+++ b/coordination/membership/membership_test.go
@@ -143,6 +143,20 @@
 		Expect(names()).To(Equal(4), "refusals of the earlier start arrive late")
 	})
 
+	It("that are reclaimed get no work, also when the list shows them only later", func() {
+		step(HostListEvent{Entries: engineList(1, 5)})
+		step(LeavingEvent{Name: "engine-0000", Current: true})
+		step(LeavingEvent{Name: "engine-0001", Current: true})
+		step(HostListEvent{Entries: engineList(3, 5)})
+		Expect(names()).To(Equal(1))
+		later := startTime.Add(reclaimRetention + 2*time.Second)
+		c.Step(later, TickEvent{})
+		c.Step(later, HostListEvent{Entries: engineList(3, 5)})
+		Expect(names()).To(Equal(1), "the tombstone stays")
+		c.Step(later, HostListEvent{Entries: engineList(3, 6)})
+		Expect(names()).To(Equal(3), "a new start after the notice")
+	})
+
 	It("that left are remembered for as long as the list shows them", func() {
 		step(HostListEvent{Entries: engineList(1, 5)})
 		step(LeavingEvent{Name: "engine-0000", Incarnation: 5})
--- a/coordination/membership/servers.go
+++ b/coordination/membership/servers.go
@@ -63,6 +63,24 @@
 	return true
 }
 
+// reclaimRetention is how long a notice without an incarnation counts for
+// BackendServers that are learned of later. It has to exceed the lag of the host
+// list, and the time to the reclaim.
+const reclaimRetention = 15 * time.Minute
+
+func (c *Core) takeLeaving(e LeavingEvent) {
+	if !e.Current {
+		c.leaving(e.Name, e.Incarnation, rankLeaving, 0)
+		return
+	}
+	if known := c.servers[e.Name]; known != nil {
+		c.leaving(e.Name, known.Incarnation, rankLeaving, 0)
+	}
+	if len(c.reclaimed) < c.o.MaxTombstones {
+		c.reclaimed[e.Name] = c.now
+	}
+}
+
 // mentionAgain keeps a tombstone for longer, because some list still shows the
 // BackendServer.
 func (c *Core) mentionAgain(name string, incarnation uint64, at time.Time) {
@@ -108,6 +126,10 @@
 		c.mentionAgain(m.Name, c.tombstones[m.Name].incarnation, c.now)
 		return
 	}
+	if _, ok := c.reclaimed[m.Name]; ok {
+		c.leaving(m.Name, m.Incarnation, rankLeaving, 0)
+		return
+	}
 	if len(c.zones) > 0 && !c.zones[m.AvailabilityZone] {
 		return
 	}
@@ -199,6 +221,11 @@
 			delete(c.tombstones, name)
 		}
 	}
+	for name, at := range c.reclaimed {
+		if c.now.Sub(at) >= reclaimRetention {
+			delete(c.reclaimed, name)
+		}
+	}
 }
 
 // limitTombstones drops the oldest tenth when there are too many.
