--- a/pkg/daemon/notices.go
+++ b/pkg/daemon/notices.go
@@ -77,7 +77,12 @@
 	}
 }
 
+// poll reads the notices if it is this daemon's turn: the cloud's API is rate
+// limited, and the pollers tell the rest.
 func (n *noticeDuty) poll() {
+	if !n.directory.IsPoller() {
+		return
+	}
 	ctx, cancel := context.WithTimeout(n.ctx, noticeTimeout)
 	defer cancel()
 	notices, err := n.cloud.Notices(ctx)
