Put the admission core before the measured routing

Cause: the measure accepted every request, so that the flood and reclaim scenarios showed neither fair shares nor refusals.

Change: each simulated daemon of monsooncrank has an admission.Core, wired as the daemon wires it. Baselines accept everything. Refused requests have a column of their own.

--- a/pkg/measure/cell.go
+++ b/pkg/measure/cell.go
@@ -32,10 +32,12 @@
 	RecomputedTokens        float64 `json:"recomputed_tokens"`
 	RecomputedSpread        Spread  `json:"recomputed_spread"`
 	// RecomputedAfterLoss is the part that a reclaim or death caused.
-	RecomputedAfterLoss float64            `json:"recomputed_after_loss"`
-	Lost                int                `json:"lost"`
-	ReclaimActions      map[string]float64 `json:"reclaim_actions,omitempty"`
-	course              []coursePoint
+	RecomputedAfterLoss float64 `json:"recomputed_after_loss"`
+	Lost                int     `json:"lost"`
+	// Refused requests got a definite answer at once and count as not in time.
+	Refused        float64            `json:"refused"`
+	ReclaimActions map[string]float64 `json:"reclaim_actions,omitempty"`
+	course         []coursePoint
 }
 
 // spread collects one value per seed in a histogram of a fixed resolution.
@@ -86,7 +88,7 @@
 	c.PromptTokens = float64(total.prompt) / n
 	c.RecomputedTokens, c.RecomputedSpread = float64(total.again+total.redone)/n, tokens.result()
 	c.RecomputedAfterLoss = float64(total.redone) / n
-	c.Lost = total.lost
+	c.Lost, c.Refused = total.lost, float64(total.refused)/n
 	c.course = runs[0].course
 	if len(total.actions) > 0 {
 		c.ReclaimActions = make(map[string]float64)
--- a/pkg/measure/experiment.go
+++ b/pkg/measure/experiment.go
@@ -30,29 +30,29 @@
 
 // daemon is one daemon with its own policy state and its own streams.
 type daemon struct {
-	name    string
-	policy  policy
-	streams map[string]*attempt
+	name      string
+	policy    policy
+	streams   map[string]*attempt
+	admission admission
 	// meanOutput is a moving mean of output lengths by priority.
 	meanOutput map[int]float64
 }
 
 // experiment is one run of a policy in a scenario.
 type experiment struct {
-	operator  *Operator
-	scenario  *Scenario
-	policy    *Policy
-	model     engineModel
-	random    *rand.Rand
-	loop      loop
-	hosts     []*host
-	byName    map[string]*host
-	daemons   []*daemon
-	planner   reclaimPlanner
-	admission admission
-	requests  []*request
-	attempts  int
-	result    *runResult
+	operator *Operator
+	scenario *Scenario
+	policy   *Policy
+	model    engineModel
+	random   *rand.Rand
+	loop     loop
+	hosts    []*host
+	byName   map[string]*host
+	daemons  []*daemon
+	planner  reclaimPlanner
+	requests []*request
+	attempts int
+	result   *runResult
 	// computed are the prefixes that some engine has computed.
 	computed map[uint64]bool
 }
@@ -62,7 +62,7 @@
 	x := &experiment{
 		operator: o, scenario: s, policy: p, model: defaultEngineModel,
 		random: rand.New(rand.NewPCG(seed, worldStream)), byName: make(map[string]*host),
-		admission: passThrough{}, result: newRunResult(), computed: make(map[uint64]bool),
+		result: newRunResult(), computed: make(map[uint64]bool),
 	}
 	x.planner = &simplePlanner{
 		betweenTokens: nominalPerToken, transferPerToken: x.model.TransferPerToken,
@@ -76,6 +76,7 @@
 	x.startFleet()
 	x.scheduleFaults()
 	x.scheduleReports()
+	x.scheduleAdmission()
 	for _, q := range x.requests {
 		x.loop.at(q.arrival, func() { x.arrive(q) })
 	}
@@ -100,6 +101,7 @@
 		x.daemons = append(x.daemons, &daemon{
 			name: name, policy: x.policy.make(name, zoneName(i%x.operator.Zones), random),
 			streams: make(map[string]*attempt), meanOutput: make(map[int]float64),
+			admission: x.newAdmission(),
 		})
 	}
 }
@@ -155,11 +157,7 @@
 }
 
 func (x *experiment) arrive(q *request) {
-	if !x.admission.admit(x.now(), q) {
-		q.refused = true
-		return
-	}
-	x.dispatch(q, 0, false)
+	x.daemons[q.daemon].admission.submit(q)
 }
 
 // dispatch sends an attempt to the server that the daemon's policy picks. It
@@ -221,6 +219,7 @@
 		PromptTokens: q.promptTokens, CachedTokens: a.cached, Answer: q.answer,
 	})
 	q.done, q.ended = true, x.loop.now
+	d.admission.finish(q)
 	mean := d.meanOutput[q.priority]
 	if mean == 0 {
 		mean = float64(q.outputTokens)
--- a/pkg/measure/fleet.go
+++ b/pkg/measure/fleet.go
@@ -24,6 +24,9 @@
 	up      bool
 }
 
+// available says whether the host may get new work.
+func (h *host) available() bool { return h.up && !h.leaving && h.stopped < 0 }
+
 // newFleet returns a worker pool in which one host of each zone is reclaimable
 // more than on demand: of three hosts in a zone one or two are reclaimable.
 func (x *experiment) startFleet() {
@@ -72,7 +75,7 @@
 func (x *experiment) announce() {
 	var servers []routing.Server
 	for _, h := range x.hosts {
-		if h.up && !h.leaving && h.stopped < 0 {
+		if h.available() {
 			servers = append(servers, h.server)
 		}
 	}
--- a/pkg/measure/policy.go
+++ b/pkg/measure/policy.go
@@ -45,7 +45,10 @@
 	Recovery Recovery
 	// NoticeDelay is how long after a notice the daemons stop sending work.
 	NoticeDelay time.Duration
-	make        func(daemon string, zone string, random *rand.Rand) policy
+	// Admission puts the admission core before the policy; without it every
+	// request is accepted.
+	Admission bool
+	make      func(daemon string, zone string, random *rand.Rand) policy
 }
 
 const (
@@ -68,7 +71,7 @@
 			}}
 	}
 	return []Policy{
-		{Name: MonsooncrankPolicy, Recovery: RecoveryResume, NoticeDelay: noticeDelay, make: newRouterPolicy},
+		{Name: MonsooncrankPolicy, Recovery: RecoveryResume, NoticeDelay: noticeDelay, Admission: true, make: newRouterPolicy},
 		baseline("round_robin", roundRobin),
 		baseline("least_outstanding", leastOutstanding),
 		baseline("random_of_two", randomOfTwo),
--- a/pkg/measure/text.go
+++ b/pkg/measure/text.go
@@ -15,7 +15,7 @@
 	for i, s := range r.Summaries {
 		if i%len(Policies()) == 0 {
 			fmt.Fprintf(w, "\n%s, %s, %.0f%% load, %d seeds\n", s.Cell.Operator, s.Cell.Scenario, 100*tableLoad, r.Seeds)
-			fmt.Fprintln(w, "policy\tcost/1000 in time\t(least-greatest)\tin time\tothers in time\tp95 first token s\t(least-greatest)\tp95 between ms\trecomputed\tafter loss\tlost\tload at target\tcost at target\t")
+			fmt.Fprintln(w, "policy\tcost/1000 in time\t(least-greatest)\tin time\tothers in time\tp95 first token s\t(least-greatest)\tp95 between ms\trecomputed\tafter loss\trefused\tlost\tload at target\tcost at target\t")
 		}
 		writeSummary(w, &s)
 	}
@@ -37,10 +37,10 @@
 	if s.TargetLoad > 0 {
 		atTarget = fmt.Sprintf("%.2f\t%.4f", s.TargetLoad, s.CostAtTarget)
 	}
-	fmt.Fprintf(w, "%s\t%.4f\t(%.4f-%.4f)\t%.3f\t%.3f\t%.3f\t(%.3f-%.3f)\t%.1f\t%.0f\t%.0f\t%d\t%s\t\n",
+	fmt.Fprintf(w, "%s\t%.4f\t(%.4f-%.4f)\t%.3f\t%.3f\t%.3f\t(%.3f-%.3f)\t%.1f\t%.0f\t%.0f\t%.0f\t%d\t%s\t\n",
 		c.Policy, c.CostPerThousandInTime, c.CostSpread.Least, c.CostSpread.Greatest, c.ShareInTime, c.OthersShareInTime,
 		c.P95FirstTokenSeconds, c.FirstTokenSpread.Least, c.FirstTokenSpread.Greatest,
-		1000*c.P95BetweenTokensSeconds, c.RecomputedTokens, c.RecomputedAfterLoss, c.Lost, atTarget)
+		1000*c.P95BetweenTokensSeconds, c.RecomputedTokens, c.RecomputedAfterLoss, c.Refused, c.Lost, atTarget)
 }
 
 // WriteJSON writes a report as JSON.
--- a/pkg/measure/workload.go
+++ b/pkg/measure/workload.go
@@ -87,8 +87,10 @@
 	answer       routing.Prefix
 	promptTokens int
 	outputTokens int
-	priority     int
-	deadline     time.Duration
+	// maxTokens is the largest output that the caller asks for.
+	maxTokens int
+	priority  int
+	deadline  time.Duration
 
 	delivered  int
 	firstToken time.Duration
@@ -178,7 +180,7 @@
 		g.requests = append(g.requests, &request{
 			account: account, daemon: g.random.IntN(o.Daemons), arrival: at,
 			prefixes: slices.Clone(prefixes), answer: answer, promptTokens: tokens,
-			outputTokens: output, priority: k.Priority, deadline: at + o.Deadline,
+			outputTokens: output, maxTokens: k.maxTokens(), priority: k.Priority, deadline: at + o.Deadline,
 		})
 		prefixes = append(prefixes, answer)
 		at += time.Duration(output)*nominalPerToken + time.Second +
@@ -202,6 +204,11 @@
 	return max(int(math.Round(float64(k.OutputTokens)*factor)), 1)
 }
 
+// maxTokens is the largest output of a kind.
+func (k *kind) maxTokens() int {
+	return int(math.Ceil(float64(k.OutputTokens) * (1 + k.OutputSpread)))
+}
+
 func mix(a, b uint64) uint64 {
 	var buffer [16]byte
 	binary.LittleEndian.PutUint64(buffer[:], a)
