Refuse requests that cannot start by their latest start

Cause: with a deadline of 30 s the queue of an overloaded daemon grows until nearly every interactive answer misses the target for its first token.

Change: admission.Request has StartBy, a latest start beside the deadline; admission refuses by the earlier of the two, on arrival, while waiting and on dispatch. The daemon does not set it yet.

--- a/pkg/admission/admission_test.go
+++ b/pkg/admission/admission_test.go
@@ -60,6 +60,8 @@
 					rt.Fatalf("%s admitted twice", o.ID)
 				case o.Admitted && !r.Deferred && now.Add(r.Expected).After(r.Deadline):
 					rt.Fatalf("%s admitted too late", o.ID)
+				case o.Admitted && !r.Deferred && !r.StartBy.IsZero() && now.After(r.StartBy):
+					rt.Fatalf("%s admitted after its latest start", o.ID)
 				}
 				report.Outcome(fmt.Sprintf("admitted %t preempted %t", o.Admitted, o.Preempted))
 				if o.Admitted {
@@ -84,6 +86,9 @@
 					Expected:      500 * time.Millisecond,
 					Deferred:      rapid.IntRange(0, 2).Draw(rt, "deferred") == 0,
 				}
+				if rapid.Bool().Draw(rt, "starts by") {
+					r.StartBy = now.Add(time.Duration(rapid.IntRange(0, 2000).Draw(rt, "start")) * time.Millisecond)
+				}
 				requests[r.ID] = r
 				take(core.Submit(now, r))
 			case 6, 7:
@@ -274,3 +279,22 @@
 	g.Expect(err).NotTo(HaveOccurred())
 	slot.Release()
 }
+
+// Guards against a request that waits past its latest start and then makes
+// those behind it late, or is refused although it starts at once.
+func TestLatestStart(t *testing.T) {
+	g := NewWithT(t)
+	core := newCore(1, map[string]float64{"a": 1})
+	submit := func(id string, startBy time.Duration) []admission.Outcome {
+		return core.Submit(epoch, admission.Request{
+			ID: id, Resource: "r", ClientAccount: "a", Deadline: epoch.Add(time.Hour), StartBy: epoch.Add(startBy),
+		})
+	}
+	g.Expect(submit("1", 0)).To(ConsistOf(HaveField("Admitted", true)))
+	// The expected wait is the initial service time of 2 s.
+	g.Expect(submit("2", time.Second)).To(ConsistOf(HaveField("Refused.Reason", admission.ReasonDeadline)))
+	g.Expect(submit("3", 3*time.Second)).To(BeEmpty())
+	g.Expect(core.Tick(epoch.Add(3 * time.Second))).To(BeEmpty())
+	late := core.Finish(epoch.Add(3*time.Second+1), "1")
+	g.Expect(late).To(ConsistOf(And(HaveField("ID", "3"), HaveField("Refused.Reason", admission.ReasonDeadline))))
+}
--- a/pkg/admission/core.go
+++ b/pkg/admission/core.go
@@ -30,10 +30,29 @@
 	// Expected is how long the request occupies its slot at least: it must
 	// start that long before its deadline.
 	Expected time.Duration
+	// StartBy is the latest start that keeps a target for the first token; zero
+	// sets no limit. An answer that starts later is of no use to its caller
+	// and would make those behind it late as well.
+	StartBy time.Time
 	// Deferred marks a request that uses free slots only.
 	Deferred bool
 }
 
+// latestStart returns when the request must have its slot at the latest.
+func (r *Request) latestStart() time.Time {
+	latest := r.Deadline.Add(-r.Expected)
+	if !r.StartBy.IsZero() && r.StartBy.Before(latest) {
+		return r.StartBy
+	}
+	return latest
+}
+
+// late says whether a start at a time is too late. Deferred requests are never
+// late.
+func (r *Request) late(start time.Time) bool {
+	return !r.Deferred && start.After(r.latestStart())
+}
+
 // Reason says why a request was refused.
 type Reason string
 
@@ -252,8 +271,8 @@
 	}
 	if !request.Deferred {
 		wait := r.expectedWait(request, a.limits.Weight, c.options)
-		if late := now.Add(wait + request.Expected).Sub(request.Deadline); late > 0 {
-			return &RefusedError{Reason: ReasonDeadline, RetryAfter: late}
+		if start := now.Add(wait); request.late(start) {
+			return &RefusedError{Reason: ReasonDeadline, RetryAfter: start.Sub(request.latestStart())}
 		}
 	}
 	if !a.limiter.AllowN(now, 1) {
@@ -335,7 +354,7 @@
 			return outcomes
 		}
 		r.remove(e)
-		if !e.request.Deferred && now.Add(e.request.Expected).After(e.request.Deadline) {
+		if e.request.late(now) {
 			c.forget(e)
 			outcomes = append(outcomes, refuse(e.request.ID, ReasonDeadline, r.meanService(c.options))...)
 			continue
--- a/pkg/admission/resource.go
+++ b/pkg/admission/resource.go
@@ -175,7 +175,7 @@
 	var late []*entry
 	for _, q := range r.queues {
 		for _, e := range q.entries {
-			if !e.request.Deferred && now.Add(e.request.Expected).After(e.request.Deadline) {
+			if e.request.late(now) {
 				late = append(late, e)
 			}
 		}
--- a/pkg/measure/admission.go
+++ b/pkg/measure/admission.go
@@ -45,6 +45,9 @@
 	core       *core.Core
 	// perToken is the moving average of the occupancy per requested token.
 	perToken time.Duration
+	// prefill is the moving average of the time from the slot to the first
+	// token.
+	prefill  time.Duration
 	requests map[string]*request
 	admitted map[*request]time.Duration
 }
@@ -63,12 +66,20 @@
 	return g
 }
 
+// startBy keeps the target for the first token of interactive requests.
+func (g *gate) startBy(q *request) time.Time {
+	if !g.experiment.operator.Interactive {
+		return time.Time{}
+	}
+	return epoch.Add(q.arrival + firstTokenTarget - g.prefill)
+}
+
 func (g *gate) submit(q *request) {
 	id := strconv.Itoa(q.id)
 	g.requests[id] = q
 	g.apply(g.core.Submit(g.experiment.now(), core.Request{
 		ID: id, Resource: groupName, ClientAccount: strconv.Itoa(q.account), Priority: q.priority,
-		Deadline: epoch.Add(q.deadline), Expected: g.expected(q), Deferred: !g.experiment.operator.Interactive,
+		Deadline: epoch.Add(q.deadline), Expected: g.expected(q), StartBy: g.startBy(q), Deferred: !g.experiment.operator.Interactive,
 	}))
 }
 
@@ -90,6 +101,8 @@
 		g.perToken = perToken
 	}
 	g.perToken += time.Duration(occupancyWeight * float64(perToken-g.perToken))
+	prefill := q.firstToken - g.admitted[q]
+	g.prefill += time.Duration(occupancyWeight * float64(prefill-g.prefill))
 }
 
 func (g *gate) setSlots(slots int) {
