Count and log a daemon's leases

Cause: the daemon used the lease manager of the coordination module directly, so that the metrics and log lines of docs/operations/leases.md, by which operators see a takeover, were never there.

Change: the daemon builds its leases through pkg/leases.

--- a/pkg/daemon/build.go
+++ b/pkg/daemon/build.go
@@ -15,6 +15,7 @@
 	"github.com/monsooncrank/monsooncrank/pkg/deferred"
 	"github.com/monsooncrank/monsooncrank/pkg/engine"
 	"github.com/monsooncrank/monsooncrank/pkg/gateway"
+	"github.com/monsooncrank/monsooncrank/pkg/leases"
 	"github.com/monsooncrank/monsooncrank/pkg/oncecall"
 	"github.com/monsooncrank/monsooncrank/pkg/peer"
 	"github.com/monsooncrank/monsooncrank/pkg/routing"
@@ -67,13 +68,13 @@
 // buildDuties builds what answers callers.
 func (d *Daemon) buildDuties(random func(uint64) *rand.Rand) error {
 	var err error
-	d.leases = lease.NewManager(lease.Options{
+	d.leases = leases.NewManager(lease.Options{
 		Core: lease.CoreOptions{
 			Holder: d.settings.Name + "#" + uuid.NewString(), Names: lease.RangeNames(rangeDuty),
 			Random: random(randomLease), Reporter: d.invariants,
 		},
 		Store: d.platform.table, Clock: d.clock,
-	})
+	}, d.registry)
 	d.committer = idempotency.NewCommitter(idempotency.CommitterOptions{Store: d.platform.table, Clock: d.clock})
 	d.controller, err = admission.NewController(admission.ControllerOptions{
 		Core: admission.DefaultOptions(), Clock: d.clock, Registry: d.registry, Recorder: d.recorder,
--- a/pkg/daemon/recoverytest/caller_test.go
+++ b/pkg/daemon/recoverytest/caller_test.go
@@ -84,6 +84,17 @@
 	return ""
 }
 
+// metric returns the value of a metric without labels, -1 if there is none.
+func (m *member) metric(name string) int {
+	for line := range strings.Lines(m.get("/metrics").body) {
+		if value, ok := strings.CutPrefix(line, name+" "); ok {
+			n, _ := strconv.Atoi(strings.TrimSpace(value))
+			return n
+		}
+	}
+	return -1
+}
+
 func messages(content string) []api.Message { return []api.Message{{Role: "user", Content: content}} }
 
 func chatBody(content string, maxTokens int, stream bool) string {
--- a/pkg/daemon/recoverytest/death_test.go
+++ b/pkg/daemon/recoverytest/death_test.go
@@ -208,4 +208,16 @@
 		Expect(resumed).To(BeNumerically(">=", 1))
 		Expect(finished).To(Equal(1))
 	})
+
+	It("leaves no range without a holder, and shows it in the metrics", func() {
+		// Guards against ranges that nobody takes over, and against operators
+		// that cannot see it.
+		Eventually(func() int {
+			held := 0
+			for _, m := range f.running() {
+				held += m.metric("monsooncrank_leases_held")
+			}
+			return held
+		}).WithTimeout(takeover).WithPolling(100 * time.Millisecond).Should(Equal(lease.Ranges))
+	})
 })
