--- a/coordination/faultmatrix/faultmatrix.go
+++ b/coordination/faultmatrix/faultmatrix.go
@@ -14,7 +14,7 @@
 // occur at that step.
 type Cell struct {
 	Run      func(t *testing.T)
-	NotFaced string
+	NotApplicable string
 }
 
 // Matrix is a table of faults and steps.
@@ -51,12 +51,12 @@
 
 func (m *Matrix) runCell(t *testing.T, fault, step string, reasons *[]string) string {
 	cell := m.Cell(fault, step)
-	if cell.Run == nil && cell.NotFaced == "" {
+	if cell.Run == nil && cell.NotApplicable == "" {
 		t.Errorf("%s: no test and no reason for %s at %s", m.Name, fault, step)
 		return "MISSING"
 	}
 	if cell.Run == nil {
-		return fmt.Sprintf("-%d", reasonNumber(cell.NotFaced, reasons))
+		return fmt.Sprintf("-%d", reasonNumber(cell.NotApplicable, reasons))
 	}
 	if t.Run(fault+"/"+step, cell.Run) {
 		return "passed"
--- a/coordination/idempotency/matrix_test.go
+++ b/coordination/idempotency/matrix_test.go
@@ -145,14 +145,14 @@
 		return faultmatrix.Cell{Run: func(t *testing.T) { runCell(t, faults, step) }}
 	}
 	if len(faults) == 1 {
-		return faultmatrix.Cell{NotFaced: reason}
+		return faultmatrix.Cell{NotApplicable: reason}
 	}
 	first, second := faults[0], faults[1]
 	if reason != "" {
 		first, second = second, first
 	}
 	if first.notFaced[step] != "" || !second.facedFrom(step) {
-		return faultmatrix.Cell{NotFaced: reasonPair}
+		return faultmatrix.Cell{NotApplicable: reasonPair}
 	}
 	return faultmatrix.Cell{Run: func(t *testing.T) { runCell(t, []matrixFault{first, second}, step) }}
 }
--- a/coordination/lease/matrix_test.go
+++ b/coordination/lease/matrix_test.go
@@ -135,7 +135,7 @@
 		Cell: func(row, step string) faultmatrix.Cell {
 			writes := step == "acquiring" || step == "renewing"
 			if row == lateWrite && !writes {
-				return faultmatrix.Cell{NotFaced: "no write is in flight at this step"}
+				return faultmatrix.Cell{NotApplicable: "no write is in flight at this step"}
 			}
 			return faultmatrix.Cell{Run: func(t *testing.T) { runCell(t, positions[row], step) }}
 		},
--- a/pkg/deferred/random_test.go
+++ b/pkg/deferred/random_test.go
@@ -146,7 +146,7 @@
 		Steps:  []string{"accepting", "accepted", "mid-answer", "last token"},
 		Cell: func(fault, step string) faultmatrix.Cell {
 			if step == "accepting" && (fault == "daemon dies" || fault == "daemon drains" || fault == "holder paused") {
-				return faultmatrix.Cell{NotFaced: "the caller has no 202 yet, and its connection ends with the daemon"}
+				return faultmatrix.Cell{NotApplicable: "the caller has no 202 yet, and its connection ends with the daemon"}
 			}
 			return faultmatrix.Cell{Run: func(t *testing.T) { runDeferredCell(t, fault, step) }}
 		},
--- a/pkg/publish/faultmatrix_test.go
+++ b/pkg/publish/faultmatrix_test.go
@@ -63,7 +63,7 @@
 		Steps: []string{stepChecked, stepBodyStored, stepHeadMoved, stepAnnounced, stepInForce},
 		Cell: func(fault, step string) faultmatrix.Cell {
 			if fault == "request lost" && step != stepChecked && step != stepBodyStored {
-				return faultmatrix.Cell{NotFaced: "what follows is an announcement or a read, for which a lost request and a lost answer are the same"}
+				return faultmatrix.Cell{NotApplicable: "what follows is an announcement or a read, for which a lost request and a lost answer are the same"}
 			}
 			return faultmatrix.Cell{Run: func(t *testing.T) { runCell(NewWithT(t), fault, step) }}
 		},
