Use the usual words for the answers of once-only calls and deliveries

Cause: the once-only core called its answer to the caller Tell. Change: Reply, Replied; deliver and announce in admission and notices.

--- a/coordination/faultmatrix/faultmatrix.go
+++ b/coordination/faultmatrix/faultmatrix.go
@@ -13,7 +13,7 @@
 // Cell is one fault at one step: a test, or the reason why the fault cannot
 // occur at that step.
 type Cell struct {
-	Run      func(t *testing.T)
+	Run           func(t *testing.T)
 	NotApplicable string
 }
 
--- a/coordination/idempotency/call.go
+++ b/coordination/idempotency/call.go
@@ -47,9 +47,9 @@
 	spec     Spec
 	reporter *invariant.Reporter
 	// now is the time of the event in progress.
-	now   time.Time
-	phase phase
-	told  bool
+	now     time.Time
+	phase   phase
+	replied bool
 	// record is the claim or outcome in the table, as far as known.
 	record *Stored
 	// mayHaveLeft is set while a byte may have left without proof that the
@@ -67,7 +67,7 @@
 	storeDelay time.Duration
 	// outcome is what is to be stored, and pending what to tell with it.
 	outcome *Record
-	pending Tell
+	pending Reply
 }
 
 // NewCall returns the core of an attempt. The reporter may be nil.
@@ -96,14 +96,14 @@
 }
 
 // Told reports whether the caller has its answer.
-func (c *Call) Told() bool { return c.told }
+func (c *Call) Replied() bool { return c.replied }
 
 // Ended reports whether the call needs nothing more.
 func (c *Call) Ended() bool { return c.phase == phaseEnded }
 
 func (c *Call) start(now time.Time) []CallAction {
-	if c.told {
-		return c.finish(Tell{})
+	if c.replied {
+		return c.finish(Reply{})
 	}
 	if c.spec.Keyless {
 		return c.dispatch(now)
@@ -158,14 +158,14 @@
 func (c *Call) claimFound(now time.Time, r Result) []CallAction {
 	c.claimDoubtful = c.claimDoubtful || r.Lost
 	if !r.Exists || (r.Lost && r.Item.Version == c.record.Version) {
-		if c.claimTries >= maxClaimTries || c.told {
+		if c.claimTries >= maxClaimTries || c.replied {
 			return c.claimFailed(now)
 		}
 		return c.claim(c.record.Version, c.record.Record.Attempts-1)
 	}
 	found, err := Decode(c.spec.ID, r.Item)
 	if err != nil {
-		return c.finish(Tell{Kind: VerdictStoreUnavailable})
+		return c.finish(Reply{Kind: VerdictStoreUnavailable})
 	}
 	return c.meet(now, found)
 }
@@ -176,16 +176,16 @@
 		return c.meetOwn(now, found)
 	}
 	if found.Record.Digest != c.spec.Digest {
-		return c.finish(Tell{Kind: VerdictConflict})
+		return c.finish(Reply{Kind: VerdictConflict})
 	}
 	switch found.Record.State {
 	case StateDone:
-		return c.finish(Tell{Kind: VerdictDone, Answer: found.Record.Answer, Replayed: true})
+		return c.finish(Reply{Kind: VerdictDone, Answer: found.Record.Answer, Replayed: true})
 	case StateUnknown:
 		return c.meetUnknown(found)
 	case StateNotRun:
-		if c.told {
-			return c.finish(Tell{})
+		if c.replied {
+			return c.finish(Reply{})
 		}
 		return c.claim(found.Version, found.Record.Attempts)
 	default:
@@ -201,7 +201,7 @@
 	case StateClaimed:
 		return c.dispatch(now)
 	case StateDone:
-		return c.finish(Tell{Kind: VerdictDone, Answer: found.Record.Answer, Replayed: true})
+		return c.finish(Reply{Kind: VerdictDone, Answer: found.Record.Answer, Replayed: true})
 	default:
 		// It was settled without having been dispatched, so that it can be
 		// proven as not run by this daemon.
@@ -211,8 +211,8 @@
 
 // meetUnknown asks the service about an earlier attempt where it can tell.
 func (c *Call) meetUnknown(found *Stored) []CallAction {
-	if !c.spec.CanLookup || c.told {
-		return c.finish(Tell{Kind: VerdictUnknown, Replayed: true})
+	if !c.spec.CanLookup || c.replied {
+		return c.finish(Reply{Kind: VerdictUnknown, Replayed: true})
 	}
 	c.phase, c.record, c.lookupOnly = phaseLookingUp, found, true
 	return []CallAction{Lookup{AttemptID: found.Record.AttemptID}}
@@ -221,8 +221,8 @@
 // waitForOther reads the row again later: the other attempt stores its outcome
 // or is settled.
 func (c *Call) waitForOther() []CallAction {
-	if c.told {
-		return c.finish(Tell{})
+	if c.replied {
+		return c.finish(Reply{})
 	}
 	c.phase = phaseWaiting
 	after := c.wait
@@ -232,14 +232,14 @@
 
 // claimFailed refuses the call: it was not dispatched and will not be.
 func (c *Call) claimFailed(now time.Time) []CallAction {
-	if c.spec.DeduplicatesByKey && !c.told {
+	if c.spec.DeduplicatesByKey && !c.replied {
 		c.record = nil
 		return c.dispatch(now)
 	}
 	if !c.claimDoubtful {
-		return c.finish(Tell{Kind: VerdictStoreUnavailable})
+		return c.finish(Reply{Kind: VerdictStoreUnavailable})
 	}
-	return append(c.tell(Tell{Kind: VerdictStoreUnavailable}), c.readBack()...)
+	return append(c.reply(Reply{Kind: VerdictStoreUnavailable}), c.readBack()...)
 }
 
 // readBack looks for a claim that may have applied unseen, to free its key.
@@ -258,8 +258,8 @@
 	if c.phase != phaseWaiting {
 		return nil
 	}
-	if c.told {
-		return c.finish(Tell{})
+	if c.replied {
+		return c.finish(Reply{})
 	}
 	if e.Failed {
 		return c.waitForOther()
@@ -269,7 +269,7 @@
 	}
 	found, err := Decode(c.spec.ID, e.Item)
 	if err != nil {
-		return c.finish(Tell{Kind: VerdictStoreUnavailable})
+		return c.finish(Reply{Kind: VerdictStoreUnavailable})
 	}
 	return c.meet(now, found)
 }
@@ -281,45 +281,45 @@
 		return c.readBack()
 	}
 	if e.Failed || !e.Exists {
-		return c.finish(Tell{})
+		return c.finish(Reply{})
 	}
 	found, err := Decode(c.spec.ID, e.Item)
 	if err != nil || found.Record.AttemptID != c.spec.AttemptID || !mayReplace(found.Record.State, StateNotRun) {
-		return c.finish(Tell{})
+		return c.finish(Reply{})
 	}
 	c.record = found
 	return c.notRun(VerdictStoreUnavailable)
 }
 
 func (c *Call) callerExpired() []CallAction {
-	if c.told || c.phase == phaseEnded {
+	if c.replied || c.phase == phaseEnded {
 		return nil
 	}
 	switch c.phase {
 	case phaseNew, phaseClaiming, phaseReadingBack:
-		return c.tell(Tell{Kind: VerdictTooLate})
+		return c.reply(Reply{Kind: VerdictTooLate})
 	case phaseWaiting:
-		return c.tell(Tell{Kind: VerdictInUse})
+		return c.reply(Reply{Kind: VerdictInUse})
 	case phaseStoring:
-		return c.tell(c.pending)
+		return c.reply(c.pending)
 	default:
-		return c.tell(Tell{Kind: VerdictUnknown})
+		return c.reply(Reply{Kind: VerdictUnknown})
 	}
 }
 
 // tell answers the caller unless it has its answer.
-func (c *Call) tell(t Tell) []CallAction {
-	if c.told {
+func (c *Call) reply(t Reply) []CallAction {
+	if c.replied {
 		return nil
 	}
-	c.told = true
+	c.replied = true
 	_ = c.reporter.Check(!t.Kind.NotRun() || !c.mayHaveLeft, invariant.NotRunIsTrue,
 		"attempt %s may have run and is reported as not run", c.spec.AttemptID)
 	return []CallAction{t}
 }
 
 // finish answers the caller unless it has its answer, and ends the call.
-func (c *Call) finish(t Tell) []CallAction {
+func (c *Call) finish(t Reply) []CallAction {
 	c.phase = phaseEnded
-	return append(c.tell(t), End{})
+	return append(c.reply(t), End{})
 }
--- a/coordination/idempotency/call_outcome.go
+++ b/coordination/idempotency/call_outcome.go
@@ -9,16 +9,16 @@
 // dispatch sends the call unless its time has passed or the caller has already
 // been told that it did not run.
 func (c *Call) dispatch(now time.Time) []CallAction {
-	if c.told || !now.Before(c.spec.DispatchBy) {
+	if c.replied || !now.Before(c.spec.DispatchBy) {
 		return c.notRun(VerdictTooLate)
 	}
 	claimed := c.record != nil && c.record.Record.State == StateClaimed
 	exempt := c.spec.Keyless || c.spec.DeduplicatesByKey
 	if c.reporter.Check(claimed || exempt, invariant.AtMostOnce, "attempt %s is dispatched without a claim", c.spec.AttemptID) != nil {
-		return c.finish(Tell{Kind: VerdictStoreUnavailable})
+		return c.finish(Reply{Kind: VerdictStoreUnavailable})
 	}
 	if c.reporter.Check(c.dispatches == 0, invariant.AtMostOnce, "attempt %s is dispatched again", c.spec.AttemptID) != nil {
-		return c.finish(Tell{Kind: VerdictUnknown})
+		return c.finish(Reply{Kind: VerdictUnknown})
 	}
 	c.dispatches++
 	c.mayHaveLeft = true
@@ -48,7 +48,7 @@
 // a repeat.
 func (c *Call) broken() []CallAction {
 	if !c.spec.CanLookup || c.lookups >= maxLookups {
-		return c.store(StateUnknown, nil, Tell{Kind: VerdictUnknown})
+		return c.store(StateUnknown, nil, Reply{Kind: VerdictUnknown})
 	}
 	after := time.Duration(0)
 	if c.lookups > 0 {
@@ -83,33 +83,33 @@
 func (c *Call) lookedUpOther(e LookedUp) []CallAction {
 	switch e.Kind {
 	case DispatchAnswered:
-		return c.store(StateDone, e.Answer, Tell{Kind: VerdictDone, Answer: e.Answer, Replayed: true})
+		return c.store(StateDone, e.Answer, Reply{Kind: VerdictDone, Answer: e.Answer, Replayed: true})
 	case DispatchRefused:
 		return c.notRun(VerdictRefused)
 	default:
-		return c.finish(Tell{Kind: VerdictUnknown, Replayed: true})
+		return c.finish(Reply{Kind: VerdictUnknown, Replayed: true})
 	}
 }
 
 func (c *Call) done(answer []byte) []CallAction {
-	return c.store(StateDone, answer, Tell{Kind: VerdictDone, Answer: answer})
+	return c.store(StateDone, answer, Reply{Kind: VerdictDone, Answer: answer})
 }
 
 // notRun stores and tells that the attempt did not run, which is proven: it was
 // not dispatched, no byte has left, or the service said so.
 func (c *Call) notRun(kind VerdictKind) []CallAction {
-	return c.store(StateNotRun, nil, Tell{Kind: kind})
+	return c.store(StateNotRun, nil, Reply{Kind: kind})
 }
 
 // store writes the outcome before the caller is told, so that a caller that
 // asks again elsewhere cannot see less than it was told.
-func (c *Call) store(state State, answer []byte, tell Tell) []CallAction {
+func (c *Call) store(state State, answer []byte, reply Reply) []CallAction {
 	if c.record == nil || c.spec.Keyless || !mayReplace(c.record.Record.State, state) {
-		return c.finish(tell)
+		return c.finish(reply)
 	}
 	outcome := c.record.Record
 	outcome.State, outcome.Answer, outcome.FinishedUnix = state, answer, c.now.Unix()
-	c.phase, c.outcome, c.pending = phaseStoring, &outcome, tell
+	c.phase, c.outcome, c.pending = phaseStoring, &outcome, reply
 	return c.writeOutcome(0)
 }
 
@@ -138,7 +138,7 @@
 func (c *Call) storeLater() []CallAction {
 	after := c.storeDelay
 	c.storeDelay = min(2*c.storeDelay, maxStoreDelay)
-	return append(c.tell(c.pending), c.writeOutcome(after)...)
+	return append(c.reply(c.pending), c.writeOutcome(after)...)
 }
 
 // outcomeFound looks at the row when the outcome's condition failed or its
@@ -156,11 +156,11 @@
 		"attempt %s ran and is stored as not run", found.Record.AttemptID)
 	switch found.Record.State {
 	case StateDone:
-		return c.finish(Tell{Kind: VerdictDone, Answer: found.Record.Answer, Replayed: c.pending.Replayed})
+		return c.finish(Reply{Kind: VerdictDone, Answer: found.Record.Answer, Replayed: c.pending.Replayed})
 	case StateNotRun:
 		if c.outcome.State == StateUnknown {
 			c.mayHaveLeft = false
-			return c.finish(Tell{Kind: VerdictRefused})
+			return c.finish(Reply{Kind: VerdictRefused})
 		}
 	}
 	return c.finish(c.pending)
--- a/coordination/idempotency/call_types.go
+++ b/coordination/idempotency/call_types.go
@@ -169,8 +169,8 @@
 	return names[k]
 }
 
-// Tell gives the caller its only answer.
-type Tell struct {
+// Reply gives the caller its only answer.
+type Reply struct {
 	Kind   VerdictKind
 	Answer []byte
 	// Replayed is set when an earlier call stored the answer.
@@ -184,5 +184,5 @@
 func (ReadRecord) callAction()  {}
 func (Dispatch) callAction()    {}
 func (Lookup) callAction()      {}
-func (Tell) callAction()        {}
+func (Reply) callAction()       {}
 func (End) callAction()         {}
--- a/coordination/idempotency/judge_test.go
+++ b/coordination/idempotency/judge_test.go
@@ -84,18 +84,18 @@
 	},
 	Init: func() any { return "" },
 	Step: func(state, _, output any) (bool, any) {
-		told, written := output.(idempotency.Tell), state.(string)
-		if told.Kind != idempotency.VerdictDone {
+		replied, written := output.(idempotency.Reply), state.(string)
+		if replied.Kind != idempotency.VerdictDone {
 			return true, state
 		}
-		if told.Replayed && written == "" {
+		if replied.Replayed && written == "" {
 			// The writer was not told; its answer is taken from the replay.
-			return true, string(told.Answer)
+			return true, string(replied.Answer)
 		}
-		if !told.Replayed && written != "" {
+		if !replied.Replayed && written != "" {
 			return false, state
 		}
-		return written == "" || written == string(told.Answer), string(told.Answer)
+		return written == "" || written == string(replied.Answer), string(replied.Answer)
 	},
 }
 
@@ -113,9 +113,9 @@
 	if s.service.deduplicates {
 		// The service itself repeats an answer, which is then not marked.
 		register.Step = func(state, input, output any) (bool, any) {
-			told := output.(idempotency.Tell)
-			told.Replayed = true
-			return outcomeRegister.Step(state, input, told)
+			replied := output.(idempotency.Reply)
+			replied.Replayed = true
+			return outcomeRegister.Step(state, input, replied)
 		}
 	}
 	if !porcupine.CheckOperations(register, s.history) {
@@ -133,13 +133,13 @@
 	switch {
 	case ran > 1:
 		s.fail("I4: attempt %s ran %d times", id, ran)
-	case a.told == nil:
+	case a.replied == nil:
 		return
-	case a.told.Kind.NotRun() && ran > 0:
-		s.fail("I3: attempt %s was told not run (verdict %d) and ran", id, a.told.Kind)
-	case a.told.Kind == idempotency.VerdictConflict && ran > 0:
+	case a.replied.Kind.NotRun() && ran > 0:
+		s.fail("I3: attempt %s was told not run (verdict %d) and ran", id, a.replied.Kind)
+	case a.replied.Kind == idempotency.VerdictConflict && ran > 0:
 		s.fail("I3: attempt %s was told a conflict and ran", id)
-	case a.told.Kind == idempotency.VerdictDone:
+	case a.replied.Kind == idempotency.VerdictDone:
 		s.judgeDone(a)
 	}
 }
@@ -148,16 +148,16 @@
 // was told.
 func (s *simulation) judgeDone(a *attempt) {
 	ran := s.service.keys[a.spec.ID.Key]
-	if len(ran) != 1 || string(a.told.Answer) != string(answerOf(ran[0])) {
-		s.fail("I3: attempt %s was told %q; of its key ran %v", a.spec.AttemptID, a.told.Answer, ran)
+	if len(ran) != 1 || string(a.replied.Answer) != string(answerOf(ran[0])) {
+		s.fail("I3: attempt %s was told %q; of its key ran %v", a.spec.AttemptID, a.replied.Answer, ran)
 	}
-	if !a.told.Replayed && !s.service.deduplicates && ran[0] != a.spec.AttemptID {
+	if !a.replied.Replayed && !s.service.deduplicates && ran[0] != a.spec.AttemptID {
 		s.fail("I2: attempt %s was given the answer of %s", a.spec.AttemptID, ran[0])
 	}
 }
 
 // name makes a verdict readable in reports.
-func name(t *idempotency.Tell) string {
+func name(t *idempotency.Reply) string {
 	if t == nil {
 		return "caller lost its daemon"
 	}
--- a/coordination/idempotency/matrix_test.go
+++ b/coordination/idempotency/matrix_test.go
@@ -97,7 +97,7 @@
 	case "outcome stored":
 		return state == idempotency.StateDone
 	default:
-		return a.told != nil
+		return a.replied != nil
 	}
 }
 
--- a/coordination/idempotency/random_test.go
+++ b/coordination/idempotency/random_test.go
@@ -41,7 +41,7 @@
 		s.heal()
 		finish(s)
 		for _, a := range s.attempts {
-			report.Outcome(name(a.told))
+			report.Outcome(name(a.replied))
 		}
 		if len(s.failures) > 0 {
 			rt.Fatalf("%v", s.failures)
--- a/coordination/idempotency/simulation_test.go
+++ b/coordination/idempotency/simulation_test.go
@@ -51,11 +51,11 @@
 
 // attempt is one call of a caller.
 type attempt struct {
-	daemon *daemon
-	spec   idempotency.Spec
-	core   *idempotency.Call
-	since  int64
-	told   *idempotency.Tell
+	daemon  *daemon
+	spec    idempotency.Spec
+	core    *idempotency.Call
+	since   int64
+	replied *idempotency.Reply
 }
 
 type simulation struct {
@@ -212,17 +212,17 @@
 			kind, answer := s.service.find(act.AttemptID)
 			return func() { s.feed(a, idempotency.LookedUp{Kind: kind, Answer: answer}) }
 		}, broken)
-	case idempotency.Tell:
-		s.tell(a, act)
+	case idempotency.Reply:
+		s.reply(a, act)
 	}
 }
 
 // tell records the caller's answer in the history.
-func (s *simulation) tell(a *attempt, t idempotency.Tell) {
-	if a.told != nil {
+func (s *simulation) reply(a *attempt, t idempotency.Reply) {
+	if a.replied != nil {
 		s.fail("attempt %s is answered twice", a.spec.AttemptID)
 	}
-	a.told = &t
+	a.replied = &t
 	s.clock++
 	s.history = append(s.history, porcupine.Operation{
 		ClientId: len(s.history), Input: a.spec.ID.Key, Output: t, Call: a.since, Return: s.clock,
--- a/pkg/admission/controller.go
+++ b/pkg/admission/controller.go
@@ -155,11 +155,11 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for _, o := range event(c.clock.Now()) {
-		c.tell(o)
+		c.deliver(o)
 	}
 }
 
-func (c *Controller) tell(o Outcome) {
+func (c *Controller) deliver(o Outcome) {
 	w, ok := c.waiters[o.ID]
 	if !ok {
 		return
--- a/pkg/daemon/notices.go
+++ b/pkg/daemon/notices.go
@@ -97,12 +97,12 @@
 		}
 		remaining := notice.ReclaimAt.Sub(n.clock.Now())
 		if n.act(server.Name, server.Incarnation, remaining) {
-			n.tell(server, remaining)
+			n.announce(server, remaining)
 		}
 	}
 }
 
-func (n *noticeDuty) tell(server membership.BackendServer, remaining time.Duration) {
+func (n *noticeDuty) announce(server membership.BackendServer, remaining time.Duration) {
 	payload, err := json.Marshal(reclaimNotice{
 		Name: server.Name, Incarnation: server.Incarnation, RemainingMillis: remaining.Milliseconds(),
 	})
@@ -120,7 +120,7 @@
 // retire takes a server out of use at every daemon; its work goes on.
 func (n *noticeDuty) retire(server membership.BackendServer) {
 	if n.act(server.Name, server.Incarnation, retireTime) {
-		n.tell(server, retireTime)
+		n.announce(server, retireTime)
 	}
 }
 
--- a/pkg/oncecall/flight.go
+++ b/pkg/oncecall/flight.go
@@ -23,7 +23,7 @@
 	declared config.Call
 	pools    []string
 	spec     idempotency.Spec
-	told     chan idempotency.Tell
+	replied  chan idempotency.Reply
 
 	mu   sync.Mutex
 	core *idempotency.Call
@@ -64,26 +64,26 @@
 		declared: declared,
 		pools:    pools,
 		spec:     spec,
-		told:     make(chan idempotency.Tell, 1),
+		replied:  make(chan idempotency.Reply, 1),
 		core:     idempotency.NewCall(spec, c.options.Reporter),
 	}
 }
 
 // wait returns what the caller is told: the flight's verdict, or what is known
 // when its deadline passes or it goes.
-func (f *flight) wait(ctx context.Context) idempotency.Tell {
+func (f *flight) wait(ctx context.Context) idempotency.Reply {
 	clock := f.caller.options.Clock
 	timer := clock.NewTimer(max(f.req.Deadline.Sub(clock.Now()), 0))
 	defer timer.Stop()
 	select {
-	case tell := <-f.told:
-		return tell
+	case reply := <-f.replied:
+		return reply
 	case <-timer.C():
 	case <-ctx.Done():
 	case <-f.caller.ctx.Done():
 	}
 	f.handle(idempotency.CallerExpired{})
-	return <-f.told
+	return <-f.replied
 }
 
 // run performs actions one after another until the core ends.
@@ -110,8 +110,8 @@
 	var next idempotency.CallAction
 	for _, action := range f.core.Handle(f.caller.options.Clock.Now(), event) {
 		switch a := action.(type) {
-		case idempotency.Tell:
-			f.told <- a
+		case idempotency.Reply:
+			f.replied <- a
 		case idempotency.End:
 		default:
 			next = a
@@ -263,7 +263,7 @@
 }
 
 // verdict turns what the core tells into an answer or a problem.
-func (c *Caller) verdict(t idempotency.Tell) (*api.CallAnswer, *api.Problem) {
+func (c *Caller) verdict(t idempotency.Reply) (*api.CallAnswer, *api.Problem) {
 	if t.Kind == idempotency.VerdictDone {
 		answer, err := decodeAnswer(t.Answer)
 		if err != nil {
@@ -275,7 +275,7 @@
 	return nil, c.problem(t)
 }
 
-func (c *Caller) problem(t idempotency.Tell) *api.Problem {
+func (c *Caller) problem(t idempotency.Reply) *api.Problem {
 	const unavailable = http.StatusServiceUnavailable
 	switch t.Kind {
 	case idempotency.VerdictConflict:
--- a/pkg/oncecall/random_test.go
+++ b/pkg/oncecall/random_test.go
@@ -105,7 +105,7 @@
 func (s settings) ReportLeaving(string, uint64) {}
 
 // told is what a caller was told.
-type told struct {
+type replied struct {
 	key     string
 	outcome api.Outcome
 	answer  string
@@ -176,7 +176,7 @@
 		Request:        api.Request{ClientAccount: "a", Deadline: time.Now().Add(20 * time.Millisecond)},
 		IdempotencyKey: key,
 	})
-	output := told{key: key, outcome: api.OutcomeDone}
+	output := replied{key: key, outcome: api.OutcomeDone}
 	var problem *api.Problem
 	if errors.As(err, &problem) {
 		output.outcome = problem.Outcome
@@ -203,7 +203,7 @@
 	}
 	ranTold := make(map[string]bool)
 	for _, op := range history {
-		ranTold[op.Input.(string)] = ranTold[op.Input.(string)] || op.Output.(told).outcome != api.OutcomeNotRun
+		ranTold[op.Input.(string)] = ranTold[op.Input.(string)] || op.Output.(replied).outcome != api.OutcomeNotRun
 	}
 	ran := w.ledger.AttemptsByKey()
 	for key, attempts := range ran {
@@ -227,7 +227,7 @@
 	register := porcupine.Model{
 		Init: func() any { return map[string]string{} },
 		Step: func(state, _, output any) (bool, any) {
-			t, answers := output.(told), state.(map[string]string)
+			t, answers := output.(replied), state.(map[string]string)
 			if t.outcome != api.OutcomeDone {
 				return true, state
 			}
