Admit what can start at once whatever the time to first token

Change: the measure's latest start is never before the arrival, so that a request which finds a free slot is admitted.

--- a/pkg/measure/admission.go
+++ b/pkg/measure/admission.go
@@ -71,7 +71,9 @@
 	if !g.experiment.operator.Interactive {
 		return time.Time{}
 	}
-	return epoch.Add(q.arrival + firstTokenTarget - g.prefill)
+	// A request that starts at once is admitted however long prefills took:
+	// without new observations the average would stay high for ever.
+	return epoch.Add(q.arrival + max(firstTokenTarget-g.prefill, 0))
 }
 
 func (g *gate) submit(q *request) {
