--- a/pkg/measure/workload.go
+++ b/pkg/measure/workload.go
@@ -26,18 +26,20 @@
 // Operator is one user's deployment and workload at the size of section 1 of
 // the design page.
 type Operator struct {
-	Name           string        `json:"name"`
-	Daemons        int           `json:"daemons"`
-	Zones          int           `json:"zones"`
-	WorkersPerZone int           `json:"workers_per_zone"`
-	AccountShares  []float64     `json:"account_shares"`
-	SystemTokens   int           `json:"system_tokens"`
-	Documents      int           `json:"documents_per_account"`
-	DocumentTokens int           `json:"document_tokens"`
-	DocumentSkew   float64       `json:"document_skew"`
-	Turns          int           `json:"max_turns"`
-	ThinkTime      time.Duration `json:"think_time_nanoseconds"`
-	Kinds          []kind        `json:"kinds"`
+	Name           string `json:"name"`
+	Daemons        int    `json:"daemons"`
+	Zones          int    `json:"zones"`
+	WorkersPerZone int    `json:"workers_per_zone"`
+	// SequencesPerHost is the pool's setting, from which daemons take slots.
+	SequencesPerHost int           `json:"sequences_per_host"`
+	AccountShares    []float64     `json:"account_shares"`
+	SystemTokens     int           `json:"system_tokens"`
+	Documents        int           `json:"documents_per_account"`
+	DocumentTokens   int           `json:"document_tokens"`
+	DocumentSkew     float64       `json:"document_skew"`
+	Turns            int           `json:"max_turns"`
+	ThinkTime        time.Duration `json:"think_time_nanoseconds"`
+	Kinds            []kind        `json:"kinds"`
 	// Deadline is when the whole answer must be there. Interactive requests
 	// are in time only if they also keep the latency target.
 	Deadline    time.Duration `json:"deadline_nanoseconds"`
@@ -50,7 +52,7 @@
 // prompt per account and a club's description, then the conversation.
 func Kodiclub() Operator {
 	return Operator{
-		Name: "kodiclub", Daemons: 7, Zones: 4, WorkersPerZone: 3,
+		Name: "kodiclub", Daemons: 7, Zones: 4, WorkersPerZone: 3, SequencesPerHost: 38,
 		AccountShares: []float64{0.35, 0.3, 0.2, 0.1, 0.05},
 		SystemTokens:  1200, Documents: 60, DocumentTokens: 800, DocumentSkew: 1.2,
 		Turns: 4, ThinkTime: 8 * time.Second,
@@ -64,7 +66,7 @@
 // style guide per account and a client's profile.
 func Ganda() Operator {
 	return Operator{
-		Name: "ganda", Daemons: 7, Zones: 4, WorkersPerZone: 3,
+		Name: "ganda", Daemons: 7, Zones: 4, WorkersPerZone: 3, SequencesPerHost: 48,
 		AccountShares: []float64{0.35, 0.3, 0.2, 0.1, 0.05},
 		SystemTokens:  2500, Documents: 200, DocumentTokens: 1500, DocumentSkew: 1.1,
 		Turns: 3, ThinkTime: 30 * time.Second,
