Let a Route shed requests that would miss its latency target

Streams and calls draw on one retry budget, as the adapter had promised. Measured: go test ./pkg/daemon ./pkg/config ./pkg/admission passes with a spec for routes that shed and that do not.

--- a/pkg/config/check_objects.go
+++ b/pkg/config/check_objects.go
@@ -145,6 +145,7 @@
 	if r.LatencyTarget != "" {
 		c.reference(e, "latency_target", KindLatencyTarget, r.LatencyTarget)
 	}
+	c.require(!r.ShedByTarget || r.LatencyTarget != "", e, "shed_by_target", "needs a latency_target")
 	if r.Fallback != "" {
 		c.reference(e, "fallback", KindRoute, r.Fallback)
 	}
--- a/pkg/config/config_test.go
+++ b/pkg/config/config_test.go
@@ -64,6 +64,7 @@
 	{"negative weight", `"weight": 1`, `"weight": -1`, 8, `ClientAccount "k"`, RuleBadValue, "above 0"},
 	{"bad key hash", testKeyHash, `abc`, 8, `ClientAccount "k"`, RuleBadKeyHash, "hexadecimal"},
 	{"dangling model of a pool", `"models": ["m"]`, `"models": ["n"]`, 5, `Pool "p"`, RuleDanglingReference, `"n"`},
+	{"shedding without a target", `"latency_target": "fast"}, // chat`, `"shed_by_target": true}, // chat`, 9, `Route "r"`, RuleBadValue, "needs a latency_target"},
 	{"route of an unserved model", `"model": "a", "pools"`, `"model": "m2", "pools"`, 9, `Route "r"`, RuleDanglingReference, `"m2"`},
 	{"service on engines", `"pools": ["s"]`, `"pools": ["p"]`, 7, `Service "b"`, RuleBadValue, "engines"},
 	{"bad purchase", `"on_demand", "price_per_hour": 1, "models"`, `"spot", "price_per_hour": 1, "models"`, 5, `Pool "p"`, RuleBadValue, "reclaimable"},
--- a/pkg/config/types.go
+++ b/pkg/config/types.go
@@ -95,6 +95,10 @@
 	Priority              int      `json:"priority"`
 	DefaultTimeoutSeconds float64  `json:"default_timeout_seconds"`
 	LatencyTarget         string   `json:"latency_target,omitempty"`
+	// ShedByTarget refuses requests at once whose first token would miss the
+	// LatencyTarget, so that the others meet it. Without it requests are
+	// refused only when they cannot end before their own deadline.
+	ShedByTarget bool `json:"shed_by_target,omitempty"`
 	// Fallback is the Route that is tried when the Pools have no server.
 	Fallback string `json:"fallback,omitempty"`
 	// Deferred marks a Route for requests that may wait.
--- a/pkg/daemon/admit.go
+++ b/pkg/daemon/admit.go
@@ -38,14 +38,22 @@
 	// perToken is the moving average of the occupancy per requested token of
 	// each route.
 	perToken map[string]time.Duration
+	// prefill is the moving average of the time from a request's slot to its
+	// first token on each route.
+	prefill map[string]time.Duration
+	// target returns the time to the first token beyond which a route refuses
+	// requests; false for none.
+	target func(route string) (time.Duration, bool)
 	// preemptions cancel the deferred requests in progress.
 	preemptions map[string]context.CancelCauseFunc
 }
 
-func newAdmitter(controller *admission.Controller, clock clock.PassiveClock) *admitter {
+func newAdmitter(controller *admission.Controller, clock clock.PassiveClock, target func(string) (time.Duration, bool)) *admitter {
 	return &admitter{
 		controller:  controller,
 		clock:       clock,
+		target:      target,
+		prefill:     make(map[string]time.Duration),
 		perToken:    make(map[string]time.Duration),
 		preemptions: make(map[string]context.CancelCauseFunc),
 	}
@@ -60,6 +68,7 @@
 		Priority:      req.Priority,
 		Deadline:      req.Deadline,
 		Expected:      a.expected(req),
+		StartBy:       a.startBy(req),
 		Deferred:      req.Deferred,
 	})
 	if err != nil {
@@ -110,6 +119,31 @@
 	return time.Duration(optimism * float64(a.perToken[req.Route]) * float64(req.MaxTokens))
 }
 
+// startBy returns the latest start that keeps the route's target for the first
+// token, zero for none. It is never before the arrival: a request that can start
+// at once is admitted however long prefills took, since without new observations
+// the average would stay high for ever.
+func (a *admitter) startBy(req *streaming.AdmissionRequest) time.Time {
+	target, ok := a.target(req.Route)
+	if !ok || req.Deferred {
+		return time.Time{}
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.clock.Now().Add(max(target-a.prefill[req.Route], 0))
+}
+
+// firstToken observes the time from a request's slot to its first token.
+func (a *admitter) firstToken(route string, took time.Duration) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	mean, ok := a.prefill[route]
+	if !ok {
+		mean = took
+	}
+	a.prefill[route] = mean + time.Duration(occupancyWeight*float64(took-mean))
+}
+
 func (a *admitter) observe(req *streaming.AdmissionRequest, occupied time.Duration) {
 	perToken := occupied / time.Duration(max(req.MaxTokens, 1))
 	a.mu.Lock()
--- a/pkg/daemon/build.go
+++ b/pkg/daemon/build.go
@@ -95,8 +95,10 @@
 	d.engines = engine.NewHTTPClient(engine.Options{})
 	d.services = service.NewClient(service.Options{})
 	d.services.Register(d.registry)
-	d.buildStreams(random)
-	d.buildCalls(random)
+	// Streams and calls of an account draw on one budget.
+	budget := &budgets{policy: retry.NewPolicy(retry.DefaultOptions(), random(randomRetry)), clock: d.clock}
+	d.buildStreams(random, budget)
+	d.buildCalls(random, budget)
 	d.reconciler = &reconciler{
 		configuration: d.follower, directory: d.directory, balancer: d.balancer,
 		controller: d.controller, engines: d.engines, clock: d.clock,
@@ -125,12 +127,11 @@
 	return names
 }
 
-func (d *Daemon) buildStreams(random func(uint64) *rand.Rand) {
-	budget := &budgets{policy: retry.NewPolicy(retry.DefaultOptions(), random(randomRetry)), clock: d.clock}
-	admits := newAdmitter(d.controller, d.clock)
+func (d *Daemon) buildStreams(random func(uint64) *rand.Rand, budget *budgets) {
 	catalog := &catalog{configuration: d.follower}
+	admits := newAdmitter(d.controller, d.clock, catalog.firstTokenTarget)
 	d.streams = streaming.NewDriver(streaming.Options{
-		Client: d.engines, Router: newStreamRouter(d.balancer), Route: catalog.streamRoute,
+		Client: d.engines, Router: newStreamRouter(d.balancer, admits.firstToken), Route: catalog.streamRoute,
 		Directory: d.directory, RetryBudget: budget, Quarantine: d.quarantine, Admission: admits,
 		Peer: &streamPeers{directory: d.directory, pool: d.pool}, Clock: d.clock, Recorder: d.recorder,
 		Invariants: d.invariants, Registerer: d.registry, Seed: random(randomStreams).Uint64(),
@@ -142,8 +143,7 @@
 	})
 }
 
-func (d *Daemon) buildCalls(random func(uint64) *rand.Rand) {
-	budget := &budgets{policy: retry.NewPolicy(retry.DefaultOptions(), random(randomRetry)), clock: d.clock}
+func (d *Daemon) buildCalls(random func(uint64) *rand.Rand, budget *budgets) {
 	d.calls = oncecall.NewCaller(oncecall.Options{
 		Daemon: d.settings.Name, Configuration: &catalog{configuration: d.follower}, Directory: d.directory,
 		Client: d.services, Store: d.platform.table, Committer: d.committer, Leases: d.leases.Duty(rangeDuty),
--- a/pkg/daemon/catalog.go
+++ b/pkg/daemon/catalog.go
@@ -118,6 +118,24 @@
 	}, true
 }
 
+// firstTokenTarget returns the time to the first token beyond which a Route
+// refuses requests; false for none.
+func (c *catalog) firstTokenTarget(name string) (time.Duration, bool) {
+	snapshot, err := c.configuration.Current()
+	if err != nil {
+		return 0, false
+	}
+	route, ok := snapshot.Route(name)
+	if !ok || !route.ShedByTarget {
+		return 0, false
+	}
+	target, ok := snapshot.LatencyTarget(route.LatencyTarget)
+	if !ok {
+		return 0, false
+	}
+	return seconds(target.FirstTokenSeconds), true
+}
+
 // mayChat checks that an account may use the Route of a model.
 func (c *catalog) mayChat(account, model string, deferred bool) error {
 	snapshot, err := c.configuration.Current()
--- a/pkg/daemon/router.go
+++ b/pkg/daemon/router.go
@@ -28,12 +28,22 @@
 	// isolated are the servers that run a suspect of a crash, by the Balancer's
 	// attempt. Two suspects on one server would both be blamed for its death.
 	isolated map[string]string
+	// started are the attempts without a first token.
+	started map[string]startedAttempt
+	// firstToken learns the time from an attempt's start to its first token.
+	firstToken func(route string, took time.Duration)
+}
+
+type startedAttempt struct {
+	route string
+	at    time.Time
 }
 
 type pickKey struct{ request, server string }
 
-func newStreamRouter(balancer *routing.Balancer) *streamRouter {
+func newStreamRouter(balancer *routing.Balancer, firstToken func(string, time.Duration)) *streamRouter {
 	return &streamRouter{
+		firstToken: firstToken, started: make(map[string]startedAttempt),
 		balancer: balancer,
 		picked:   make(map[pickKey]string),
 		attempts: make(map[string]string),
@@ -109,9 +119,10 @@
 }
 
 // Started implements streaming.Router.
-func (r *streamRouter) Started(attemptID string, server membership.BackendServer, req *streaming.PickRequest, _ time.Time) {
+func (r *streamRouter) Started(attemptID string, server membership.BackendServer, req *streaming.PickRequest, now time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.started[attemptID] = startedAttempt{route: req.Route, at: now}
 	key := pickKey{req.RequestID, server.Name}
 	if id, ok := r.picked[key]; ok {
 		delete(r.picked, key)
@@ -120,7 +131,14 @@
 }
 
 // FirstToken implements streaming.Router.
-func (r *streamRouter) FirstToken(attemptID string, _ time.Time) {
+func (r *streamRouter) FirstToken(attemptID string, now time.Time) {
+	r.mu.Lock()
+	started, ok := r.started[attemptID]
+	delete(r.started, attemptID)
+	r.mu.Unlock()
+	if ok {
+		r.firstToken(started.route, now.Sub(started.at))
+	}
 	if id, ok := r.lookup(attemptID, false); ok {
 		r.balancer.FirstToken(id)
 	}
@@ -146,6 +164,7 @@
 	id, ok := r.attempts[attemptID]
 	if ends {
 		delete(r.attempts, attemptID)
+		delete(r.started, attemptID)
 		delete(r.isolated, id)
 	}
 	return id, ok
--- a/pkg/daemon/router_test.go
+++ b/pkg/daemon/router_test.go
@@ -32,7 +32,7 @@
 			servers = append(servers, routing.Server{BackendServer: membership.BackendServer{Name: name, Incarnation: 1}})
 		}
 		balancer.Update([]routing.Group{{Name: groupOfRoute("chat"), Servers: servers}})
-		router = newStreamRouter(balancer)
+		router = newStreamRouter(balancer, func(string, time.Duration) {})
 	})
 
 	start := func(attempt, request string, isolated bool) (string, error) {
