Keep no reserve where only deferred requests ask for slots

Change: a resource keeps the reserve once a request that is not deferred has asked for one of its slots.

--- a/pkg/admission/admission_test.go
+++ b/pkg/admission/admission_test.go
@@ -298,3 +298,22 @@
 	late := core.Finish(epoch.Add(3*time.Second+1), "1")
 	g.Expect(late).To(ConsistOf(And(HaveField("ID", "3"), HaveField("Refused.Reason", admission.ReasonDeadline))))
 }
+
+// Guards against slots that stay empty for requests that never come, and
+// against deferred requests that take the last slot from those that do.
+func TestDeferredReserve(t *testing.T) {
+	g := NewWithT(t)
+	core := newCore(10, map[string]float64{"a": 1})
+	submit := func(id string, deferred bool) []admission.Outcome {
+		return core.Submit(epoch, admission.Request{
+			ID: id, Resource: "r", ClientAccount: "a", Deadline: epoch.Add(time.Hour), Deferred: deferred,
+		})
+	}
+	for i := range 10 {
+		g.Expect(submit(fmt.Sprint("deferred-", i), true)).To(ConsistOf(HaveField("Admitted", true)))
+	}
+	g.Expect(submit("interactive", false)).To(ConsistOf(HaveField("Preempted", true), HaveField("Admitted", true)))
+	core.Finish(epoch, "interactive")
+	g.Expect(submit("deferred-last", true)).To(BeEmpty())
+	g.Expect(core.Running("r")).To(Equal(9))
+}
--- a/pkg/admission/core.go
+++ b/pkg/admission/core.go
@@ -243,6 +243,7 @@
 		return refuse(request.ID, ReasonNotAccepted, 0)
 	}
 	r := c.resource(request.Resource)
+	r.interactive = r.interactive || !request.Deferred
 	if refused := c.checkArrival(now, r, a, &request); refused != nil {
 		return []Outcome{{ID: request.ID, Refused: refused}}
 	}
--- a/pkg/admission/resource.go
+++ b/pkg/admission/resource.go
@@ -16,6 +16,9 @@
 	queues map[string]*accountQueue
 	// deferred are the running requests that can be preempted.
 	deferred map[string]*entry
+	// interactive is set once a request that is not deferred has asked for a
+	// slot; until then no slot is kept free of deferred requests.
+	interactive bool
 	// virtual is the virtual time of fair queueing: the start time of the
 	// request admitted last.
 	virtual float64
@@ -140,6 +143,9 @@
 }
 
 func (r *resource) reserved(options Options) int {
+	if !r.interactive {
+		return 0
+	}
 	return int(float64(r.slots) * options.DeferredReserve)
 }
 
