Share the slots of Pools between the Routes that use them

Cause: each Route was given all slots of its Pools, so Routes that share Pools were admitted to more than their engines hold, and deferred requests of one Route never gave way to another's. Change: the admission resource is the group of joined Pools, each server counted once.

--- a/pkg/daemon/admit.go
+++ b/pkg/daemon/admit.go
@@ -44,15 +44,18 @@
 	// target returns the time to the first token beyond which a route refuses
 	// requests; false for none.
 	target func(route string) (time.Duration, bool)
+	// resource returns the admission resource of a route.
+	resource func(route string) string
 	// preemptions cancel the deferred requests in progress.
 	preemptions map[string]context.CancelCauseFunc
 }
 
-func newAdmitter(controller *admission.Controller, clock clock.PassiveClock, target func(string) (time.Duration, bool)) *admitter {
+func newAdmitter(controller *admission.Controller, clock clock.PassiveClock, resource func(string) string, target func(string) (time.Duration, bool)) *admitter {
 	return &admitter{
 		controller:  controller,
 		clock:       clock,
 		target:      target,
+		resource:    resource,
 		prefill:     make(map[string]time.Duration),
 		perToken:    make(map[string]time.Duration),
 		preemptions: make(map[string]context.CancelCauseFunc),
@@ -63,7 +66,7 @@
 func (a *admitter) Acquire(ctx context.Context, req *streaming.AdmissionRequest) (func(), error) {
 	slot, err := a.controller.Acquire(ctx, admission.Request{
 		ID:            req.RequestID,
-		Resource:      req.Route,
+		Resource:      a.resource(req.Route),
 		ClientAccount: req.ClientAccount,
 		Priority:      req.Priority,
 		Deadline:      req.Deadline,
--- a/pkg/daemon/admit_test.go
+++ b/pkg/daemon/admit_test.go
@@ -26,7 +26,7 @@
 			defer controller.Close()
 			controller.SetAccounts(map[string]admission.Account{"a": {Weight: 1, MaxInFlight: 100, RequestsPerSecond: 1000}})
 			controller.SetSlots("chat", 1)
-			a := newAdmitter(controller, clock.RealClock{}, func(string) (time.Duration, bool) { return target, target > 0 })
+			a := newAdmitter(controller, clock.RealClock{}, func(route string) string { return route }, func(string) (time.Duration, bool) { return target, target > 0 })
 			a.firstToken("chat", 800*time.Millisecond)
 			request := func(id string) *streaming.AdmissionRequest {
 				return &streaming.AdmissionRequest{
--- a/pkg/daemon/build.go
+++ b/pkg/daemon/build.go
@@ -95,15 +95,15 @@
 	d.engines = engine.NewHTTPClient(engine.Options{})
 	d.services = service.NewClient(service.Options{})
 	d.services.Register(d.registry)
-	// Streams and calls of an account draw on one budget.
-	budget := &budgets{policy: retry.NewPolicy(retry.DefaultOptions(), random(randomRetry)), clock: d.clock}
-	d.buildStreams(random, budget)
-	d.buildCalls(random, budget)
 	d.reconciler = &reconciler{
 		configuration: d.follower, directory: d.directory, balancer: d.balancer,
 		controller: d.controller, engines: d.engines, clock: d.clock,
 		report: func(running, waiting int) { d.gossip.SetLoad(uint32(running), uint32(waiting)) },
 	}
+	// Streams and calls of an account draw on one budget.
+	budget := &budgets{policy: retry.NewPolicy(retry.DefaultOptions(), random(randomRetry)), clock: d.clock}
+	d.buildStreams(random, budget)
+	d.buildCalls(random, budget)
 	d.notices = &noticeDuty{
 		cloud: d.platform.cloud, directory: d.directory, balancer: d.balancer, streams: d.streams,
 		clock: d.clock, spread: d.spread(membership.AnnounceReclaim), known: d.reconciler.server,
@@ -129,7 +129,7 @@
 
 func (d *Daemon) buildStreams(random func(uint64) *rand.Rand, budget *budgets) {
 	catalog := &catalog{configuration: d.follower}
-	admits := newAdmitter(d.controller, d.clock, catalog.firstTokenTarget)
+	admits := newAdmitter(d.controller, d.clock, d.reconciler.resource, catalog.firstTokenTarget)
 	d.streams = streaming.NewDriver(streaming.Options{
 		Client: d.engines, Router: newStreamRouter(d.balancer, admits.firstToken), Route: catalog.streamRoute,
 		Directory: d.directory, RetryBudget: budget, Quarantine: d.quarantine, Admission: admits,
--- a/pkg/daemon/capacity.go
+++ b/pkg/daemon/capacity.go
@@ -138,9 +138,15 @@
 	return float64(sum)
 }
 
-// poolGroups joins Pools that serve the same Routes or Services into groups: a
-// Pool belongs to one group.
+// poolGroups returns the offers of each group of Pools.
 func poolGroups(snapshot *config.Snapshot) []capacity.Group {
+	return offersByGroup(snapshot.Set.Pools, joinedPools(snapshot))
+}
+
+// joinedPools joins Pools that serve the same Routes or Services and returns the
+// group of each Pool: their Hosts carry the same work, so they are bought and
+// admitted to together.
+func joinedPools(snapshot *config.Snapshot) map[string]string {
 	groupOf := make(map[string]string, len(snapshot.Set.Pools))
 	for _, pool := range snapshot.Set.Pools {
 		groupOf[pool.Name] = pool.Name
@@ -161,7 +167,7 @@
 	for _, service := range snapshot.Set.Services {
 		join(service.Pools)
 	}
-	return offersByGroup(snapshot.Set.Pools, groupOf)
+	return groupOf
 }
 
 func offersByGroup(pools []config.Pool, groupOf map[string]string) []capacity.Group {
--- a/pkg/daemon/capacity_test.go
+++ b/pkg/daemon/capacity_test.go
@@ -28,6 +28,23 @@
 		Expect(groups).To(HaveLen(2), "the engines, which share a route, and the booking servers")
 	})
 
+	// Guards against slots that are handed out once for each Route: deferred
+	// requests would not give way to others on the same engines.
+	It("joins the pools of interactive and deferred routes", func() {
+		set, err := config.Load("../../examples/ganda.jsonc")
+		Expect(err).NotTo(HaveOccurred())
+		snapshot := config.NewSnapshot(1, "", set)
+		joined := joinedPools(snapshot)
+		chat, _ := snapshot.Route("styling-chat")
+		for _, name := range []string{"lookbook", "profile-summary", "profile-summary-on-demand"} {
+			other, ok := snapshot.Route(name)
+			Expect(ok).To(BeTrue())
+			Expect(joined[other.Pools[0]]).To(Equal(joined[chat.Pools[0]]))
+		}
+		salon, _ := snapshot.Service("salon")
+		Expect(joined[salon.Pools[0]]).NotTo(Equal(joined[chat.Pools[0]]))
+	})
+
 	// Guards against engines that lack the adapters of their models.
 	It("places the models of a Pool and their adapters", func() {
 		set, err := config.Load("../../examples/kodiclub.jsonc")
--- a/pkg/daemon/reconcile.go
+++ b/pkg/daemon/reconcile.go
@@ -44,6 +44,8 @@
 	mu sync.Mutex
 	// revision is that whose accounts admission knows.
 	revision atomic.Uint64
+	// resources is the admission resource of each Route.
+	resources atomic.Pointer[map[string]string]
 	// serversKnown is set once a Route has had a server.
 	serversKnown atomic.Bool
 	// next is the engine whose reports are read next.
@@ -103,20 +105,47 @@
 		r.controller.SetAccounts(accountsOf(snapshot))
 	}
 	groups := make([]routing.Group, 0, len(snapshot.Set.Routes))
+	resources := make(map[string]string, len(snapshot.Set.Routes))
+	joined := joinedPools(snapshot)
 	for i := range snapshot.Set.Routes {
 		route := &snapshot.Set.Routes[i]
 		servers := r.servers(snapshot, route)
+		resources[route.Name] = joined[route.Pools[0]]
 		if len(servers) > 0 {
 			r.serversKnown.Store(true)
+			resources[route.Name] = joined[servers[0].Pool]
 		}
 		groups = append(groups, routing.Group{Name: groupOfRoute(route.Name), Servers: servers})
-		r.controller.SetSlots(route.Name, slotsOf(servers))
 	}
+	r.setSlots(snapshot, joined)
+	r.resources.Store(&resources)
 	r.balancer.Update(groups)
 	r.revision.Store(snapshot.Revision)
 	r.report(r.controller.Load())
 }
 
+// setSlots counts each server once, for the group of its Pool: Routes that share
+// Pools share slots, so that deferred requests of one give way to those of
+// another.
+func (r *reconciler) setSlots(snapshot *config.Snapshot, joined map[string]string) {
+	slots := make(map[string]int)
+	for _, pool := range snapshot.Set.Pools {
+		slots[joined[pool.Name]] += slotsOf(r.poolServers(snapshot, []string{pool.Name}))
+	}
+	for group, n := range slots {
+		r.controller.SetSlots(group, n)
+	}
+}
+
+// resource returns the admission resource of a Route.
+func (r *reconciler) resource(route string) string {
+	resources := r.resources.Load()
+	if resources == nil {
+		return route
+	}
+	return (*resources)[route]
+}
+
 // servers returns the engines of a Route's pools, or those of the first
 // Fallback that has any.
 func (r *reconciler) servers(snapshot *config.Snapshot, route *config.Route) []routing.Server {
