Send the pipelined request of the gateway's spec when the first has been read

Cause: the mutant that loses the byte read ahead was missed once when eight mutants ran at a time: both requests had arrived in one read. Change: the spec sends the second request after the first has reached its duty.

--- a/pkg/gateway/gateway_test.go
+++ b/pkg/gateway/gateway_test.go
@@ -250,19 +250,28 @@
 		Entry("in the middle of a stream", `,"stream":true}`, 1),
 	)
 
-	// Guards against losing the byte that was read ahead from a pipelined request.
+	// Guards against losing the byte that was read ahead from a pipelined
+	// request. The second request is sent when the first has been read, so that
+	// the watch of the connection meets its first byte.
 	It("serves the next request on the same connection, sent early or late", func() {
+		started, release := make(chan struct{}, 3), make(chan struct{}, 3)
 		duties.chat = func(_ context.Context, _ *api.ChatRequest, sink api.EventSink) error {
-			time.Sleep(20 * time.Millisecond)
+			started <- struct{}{}
+			<-release
 			return sendTokens(sink, 0, 1)
 		}
 		conn := dialChat(address, chatBody+"}")
 		defer func() { _ = conn.Close() }()
+		<-started
 		writeChat(conn, chatBody+"}")
+		time.Sleep(50 * time.Millisecond)
+		release <- struct{}{}
+		release <- struct{}{}
 		reader := bufio.NewReader(conn)
 		for range 2 {
 			Expect(readAnswer(reader)).To(ContainSubstring(`"content":"t0"`))
 		}
+		release <- struct{}{}
 		writeChat(conn, chatBody+"}")
 		Expect(readAnswer(reader)).To(ContainSubstring(`"content":"t0"`))
 	})
