Let the sides of a partition learn what the other side has

A daemon asked for a peer's state only when all peers had differed for ten heartbeats, but the daemons of one side agree with one another for ever. What a side had learned early in the partition had been sent often enough by then. Ruled out: the higher incarnation that hides the tombstone, which is kept beside it. Change: a peer whose digest differs in 20 messages in a row is reason enough.

--- a/coordination/membership/core.go
+++ b/coordination/membership/core.go
@@ -50,8 +50,10 @@
 
 	list listState
 
-	digest    uint64
-	agreedAt  time.Time // when a peer last had the same digest
+	digest   uint64
+	agreedAt time.Time // when a peer last had the same digest
+	// differing counts the messages in a row with another digest, by peer.
+	differing map[string]int
 	syncing   bool
 	syncAfter string
 
@@ -71,7 +73,7 @@
 		servers: map[string]*server{}, tombstones: map[string]tombstone{},
 		dirtyPools: map[string]bool{}, reclaimed: map[string]time.Time{}, seen: map[string]time.Time{},
 		loads: map[string]reportedLoad{}, zoneLoads: map[string]*zoneState{},
-		lastTick: now, heartbeatDue: now, viewAt: now,
+		differing: map[string]int{}, lastTick: now, heartbeatDue: now, viewAt: now,
 	}
 	for _, zone := range o.Zones {
 		c.zones[zone] = true
--- a/coordination/membership/membership_test.go
+++ b/coordination/membership/membership_test.go
@@ -59,6 +59,28 @@
 		Expect(ok).To(BeTrue())
 	})
 
+	// Guards against sides of a partition that each agree among themselves and so
+	// never ask the other side for what it learned. The news has been sent often
+	// enough long before the partition heals.
+	It("agree on a server that left on one side of a partition", func() {
+		w := newNetwork(9, 7, Options{})
+		w.run(15 * time.Second)
+		w.listAll(engineList(8, 1))
+		w.run(5 * time.Second)
+		for i, n := range w.nodes {
+			if i >= 7 {
+				n.side = 1
+			}
+		}
+		w.step(w.nodes[4], LeavingEvent{Name: "engine-0006", Incarnation: 1})
+		w.run(20 * time.Second)
+		for _, n := range w.nodes {
+			n.side = 0
+		}
+		_, ok := w.runUntil(2*time.Minute, w.converged)
+		Expect(ok).To(BeTrue())
+	})
+
 	It("take a daemon that is going to stop out of use at once", func() {
 		w := newNetwork(7, 5, Options{})
 		w.run(15 * time.Second)
--- a/coordination/membership/receive.go
+++ b/coordination/membership/receive.go
@@ -83,6 +83,14 @@
 // part. Changes under way make digests differ for one or two.
 const syncAfterIntervals = 10
 
+// syncAfterMessages is for how many messages in a row the digest of one peer has
+// to differ. After a partition the daemons of each side agree with one another,
+// so that it is never all peers that differ.
+const syncAfterMessages = 20
+
+// maxDiffering bounds the peers whose messages are counted.
+const maxDiffering = 256
+
 func (c *Core) compareDigest(m *Message) {
 	if m.SyncReply && c.syncing {
 		c.syncAfter = m.SyncNext
@@ -92,13 +100,31 @@
 	}
 	if m.Digest == c.digest {
 		c.agreedAt = c.now
+		delete(c.differing, m.Sender.Name)
+		return
+	}
+	if c.syncing {
 		return
 	}
-	if !c.syncing && c.now.Sub(c.agreedAt) >= syncAfterIntervals*c.o.HeartbeatInterval {
+	if c.now.Sub(c.agreedAt) >= syncAfterIntervals*c.o.HeartbeatInterval || c.differsAgain(m.Sender.Name) {
 		c.syncing, c.syncAfter = true, ""
 	}
 }
 
+// differsAgain counts a message with another digest and reports whether its
+// sender has differed for too long.
+func (c *Core) differsAgain(peer string) bool {
+	if len(c.differing) >= maxDiffering {
+		clear(c.differing)
+	}
+	c.differing[peer]++
+	if c.differing[peer] < syncAfterMessages {
+		return false
+	}
+	delete(c.differing, peer)
+	return true
+}
+
 // agreed calls visit for each state that all daemons should agree on. States
 // close to the end of their retention are left out, because daemons forget them
 // at different moments.
