--- a/pkg/deferred/random_test.go
+++ b/pkg/deferred/random_test.go
@@ -156,6 +156,10 @@
 
 var matrixSteps = map[string]int{"accepted": 0, "mid-answer": 8, "last token": -1}
 
+// tableFaults are how many writes a fault of the table strikes. A lost request
+// strikes twice, since the first may be a partial answer that is given up.
+var tableFaults = map[string]int{"answer lost": 1, "request lost": 2}
+
 func runDeferredCell(t *testing.T, fault, step string) {
 	w := newWorld()
 	defer w.close()
@@ -188,7 +192,13 @@
 	if fault == "daemon dies" || fault == "daemon drains" || fault == "holder paused" {
 		d = w.daemon(c, nil)
 	}
-	time.Sleep(5 * time.Millisecond)
+	if strikes, ok := tableFaults[fault]; ok {
+		// The run writes at least its final answer, and again when the write was
+		// lost: without this wait the fault may be gone before it strikes.
+		eventually(t, "the fault to strike", func() bool { return w.table.Stats().FaultsApplied >= uint64(strikes) })
+	} else {
+		time.Sleep(5 * time.Millisecond)
+	}
 	w.heal()
 	eventually(t, "the answer", func() bool { return answerOf(d, req)() == wantText(req) })
 	eventually(t, "one row", func() bool { return w.rows("open/") == 0 && w.rows("done/") == 1 })
@@ -217,11 +227,10 @@
 // inject starts a fault.
 func (w *world) inject(fault string) {
 	d := w.drivers[len(w.drivers)-1]
-	first := true
-	once := func(f memtable.Fault) {
+	writes := func(f memtable.Fault, left int) {
 		w.table.SetFault(func(op memtable.Operation) memtable.Fault {
-			if op == memtable.OperationTransact && first {
-				first = false
+			if op == memtable.OperationTransact && left > 0 {
+				left--
 				return f
 			}
 			return memtable.FaultNone
@@ -235,9 +244,9 @@
 	case "table down":
 		w.table.SetFault(func(memtable.Operation) memtable.Fault { return memtable.FaultUnavailable })
 	case "answer lost":
-		once(memtable.FaultAnswerLost)
+		writes(memtable.FaultAnswerLost, tableFaults[fault])
 	case "request lost":
-		once(memtable.FaultRequestLost)
+		writes(memtable.FaultRequestLost, tableFaults[fault])
 	case "object store down":
 		w.objects.setFail(func() bool { return true })
 	}
