Assert the graceful stop inside the daemon

Change: a drain that leaves a stream behind counts as a violation of I6. I1 is still asserted by specs and the demo only.

--- a/pkg/daemon/run.go
+++ b/pkg/daemon/run.go
@@ -7,6 +7,7 @@
 	"github.com/juju/errors"
 	"k8s.io/klog/v2"
 
+	"github.com/monsooncrank/monsooncrank/coordination/invariant"
 	"github.com/monsooncrank/monsooncrank/coordination/membership"
 	"github.com/monsooncrank/monsooncrank/pkg/publish"
 )
@@ -59,6 +60,10 @@
 	if callersErr := d.callers.Shutdown(ctx); callersErr != nil {
 		err = callersErr
 	}
+	active := d.streams.Active()
+	if violation := d.invariants.Check(active == 0, invariant.GracefulStop, "%d streams remain after the drain", active); violation != nil {
+		err = violation
+	}
 	klog.InfoS("drain ended", "name", d.settings.Name, "error", err)
 	return errors.Trace(err)
 }
