--- a/cmd/monsooncrankd/main.go
+++ b/cmd/monsooncrankd/main.go
@@ -23,12 +23,20 @@
 	app := kingpin.New("monsooncrankd", "Serves model-backed and booking requests on reclaimable hosts.\n\n"+
 		"SIGTERM and SIGINT stop it without cutting a request in progress.\n\n"+
 		"Example: monsooncrankd --settings /etc/monsooncrank/daemon.jsonc")
-	file := app.Flag("settings", "Settings in JSON with comments.").Short('s').Required().ExistingFile()
+	file := app.Flag("settings", "Settings in JSON with comments.").Short('s').ExistingFile()
+	onPlatform := app.Flag("platform", "Serve on the users' platform, which writes the settings file.").Bool()
 	checkOnly := app.Flag("check", "Check the settings and exit.").Bool()
 	verbosity := app.Flag("verbosity", "Log verbosity, 0 to 9; overrides the settings.").Short('v').Default("-1").Int()
 	profile := app.Flag("cpu-profile", "Write a CPU profile to this file until the daemon stops.").String()
 	kingpin.MustParse(app.Parse(os.Args[1:]))
-	if err := profiled(*profile, func() error { return run(*file, *checkOnly, *verbosity) }); err != nil {
+	work := func() error { return run(*file, *checkOnly, *verbosity) }
+	switch {
+	case *onPlatform:
+		work = func() error { return runOnPlatform(*checkOnly, max(*verbosity, 0)) }
+	case *file == "":
+		app.FatalUsage("one of --settings and --platform is required")
+	}
+	if err := profiled(*profile, work); err != nil {
 		fmt.Fprintln(os.Stderr, "monsooncrankd:", err)
 		os.Exit(1)
 	}
--- /dev/null
+++ b/cmd/monsooncrankd/platform.go
@@ -0,0 +1,49 @@
+package main
+
+import (
+	"flag"
+	"os"
+	"strconv"
+
+	"k8s.io/klog/v2"
+
+	"github.com/monsooncrank/monsooncrank/pkg/edge"
+	"github.com/monsooncrank/monsooncrank/pkg/logging"
+	"github.com/monsooncrank/monsooncrank/platform"
+)
+
+// runOnPlatform serves with the settings that the platform writes.
+func runOnPlatform(checkOnly bool, verbosity int) error {
+	if err := logToStdout(verbosity); err != nil {
+		return err
+	}
+	defer klog.Flush()
+	settings, err := platform.LoadSettings()
+	if err != nil || checkOnly {
+		return err
+	}
+	client, err := platform.NewClient()
+	if err != nil {
+		return err
+	}
+	d, err := edge.New(edge.Options{Settings: settings, Platform: client, Codec: platform.Codec{},
+		ReadyPath: platform.ReadyPath, Reload: platform.LoadSettings})
+	if err != nil {
+		return err
+	}
+	return d.Run()
+}
+
+// logToStdout sends structured lines to standard output without blocking.
+func logToStdout(verbosity int) error {
+	flags := flag.NewFlagSet("klog", flag.ContinueOnError)
+	klog.InitFlags(flags)
+	for name, value := range map[string]string{"logtostderr": "false", "alsologtostderr": "false", "stderrthreshold": "FATAL",
+		"v": strconv.Itoa(verbosity)} {
+		if err := flags.Set(name, value); err != nil {
+			return err
+		}
+	}
+	klog.SetOutput(logging.NewWriter(os.Stdout))
+	return nil
+}
--- /dev/null
+++ b/pkg/edge/duties.go
@@ -0,0 +1,263 @@
+package edge
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/juju/errors"
+	"k8s.io/klog/v2"
+
+	"github.com/monsooncrank/monsooncrank/coordination/lease"
+	"github.com/monsooncrank/monsooncrank/coordination/table"
+	"github.com/monsooncrank/monsooncrank/pkg/catalog"
+	"github.com/monsooncrank/monsooncrank/pkg/fleet"
+	"github.com/monsooncrank/monsooncrank/pkg/scaling"
+	"github.com/monsooncrank/monsooncrank/pkg/usage"
+)
+
+const (
+	// dutyLease is the lease of all duties.
+	dutyLease = "duties"
+	// dutyLeaseDuration bounds how long the duties rest after their holder has
+	// died; a usage report has to come within ten seconds.
+	dutyLeaseDuration = 4 * time.Second
+	// dutyMargin is how long before the end of the lease its holder stops.
+	dutyMargin = time.Second
+	// orderSlack is added to the time for which the duties stay with one holder,
+	// for calls that are still on their way.
+	orderSlack = 700 * time.Millisecond
+	// dutyTick is how often the duties are looked at.
+	dutyTick = 500 * time.Millisecond
+	// usageSettle is the time after the end of a window in which all daemons
+	// have stated their counts.
+	usageSettle = 1200 * time.Millisecond
+	// usagePartition holds the final figure of each window.
+	usagePartition = "usage"
+	// usageRowsKept is how many figures remain for a successor.
+	usageRowsKept = 12
+)
+
+// duties are what one daemon at a time does.
+type duties struct {
+	daemon  *Daemon
+	manager *lease.Manager
+	// reported are the windows that need no report any more.
+	reported map[int64]bool
+	scaling  map[string]*scaling.Core
+	number   uint64
+	cleaned  int64
+}
+
+func newDuties(d *Daemon) *duties {
+	manager := lease.NewManager(lease.Options{
+		Core: lease.CoreOptions{
+			Holder: fmt.Sprintf("%s/%d", d.settings.Node, d.state.incarnation), Daemons: 1, Names: []string{dutyLease},
+			Duration: dutyLeaseDuration, Margin: dutyMargin, OrderDeadline: d.settings.MinHolderInterval + orderSlack,
+		},
+		Store: d.platform,
+		Clock: bootClock{},
+		OnAcquired: func(a lease.Acquired) {
+			klog.InfoS("duties taken", "number", a.Number, "firstOrderInMs", a.EarliestOrder.Sub(bootNow()).Milliseconds())
+		},
+		OnLost: func(l lease.Lost) { klog.InfoS("duties lost", "number", l.Number, "lapsed", l.Lapsed) },
+	})
+	return &duties{daemon: d, manager: manager, reported: make(map[int64]bool), scaling: make(map[string]*scaling.Core)}
+}
+
+// run does the duties while the lease is held.
+func (u *duties) run(ctx context.Context) {
+	tick := time.NewTicker(dutyTick)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+		}
+		number, held := u.held()
+		if !held {
+			continue
+		}
+		if number != u.number {
+			// What an earlier holder ordered since is not known.
+			u.number = number
+			u.scaling = make(map[string]*scaling.Core)
+			u.reported = make(map[int64]bool)
+		}
+		if u.daemon.settings.ReportsUsage {
+			u.reportUsage(ctx)
+		}
+		if u.daemon.settings.OrdersServers {
+			u.orderServers(ctx)
+		}
+	}
+}
+
+// held returns the fencing number if the duties may be done at this moment.
+func (u *duties) held() (uint64, bool) {
+	number, ok := u.manager.Held(dutyLease)
+	return number, ok && !bootNow().Before(u.manager.EarliestOrder(dutyLease))
+}
+
+// reportUsage reports the windows that are final.
+func (u *duties) reportUsage(ctx context.Context) {
+	s := u.daemon.state
+	s.mu.Lock()
+	now := s.trueTime()
+	current := s.usage.WindowAt(now)
+	s.mu.Unlock()
+	for window := current - usageWindows; window < current; window++ {
+		end := s.usage.End(window)
+		if u.reported[window] || now.Before(end.Add(usageSettle)) || now.After(end.Add(u.daemon.settings.UsageLateness)) {
+			continue
+		}
+		if err := u.reportWindow(ctx, window); err != nil {
+			klog.InfoS("usage not reported", "window", window, "err", err)
+			return
+		}
+	}
+	for window := range u.reported {
+		if window < current-2*usageWindows {
+			delete(u.reported, window)
+		}
+	}
+}
+
+// usageWindows is how many past windows may still be reported.
+const usageWindows = 4
+
+func (u *duties) reportWindow(ctx context.Context, window int64) error {
+	s := u.daemon.state
+	s.mu.Lock()
+	total := s.usage.Total(window)
+	s.mu.Unlock()
+	if len(total) == 0 {
+		return nil
+	}
+	counts, err := u.settle(ctx, window, total)
+	if err != nil {
+		return err
+	}
+	number, ok := u.held()
+	if !ok {
+		return nil
+	}
+	if err := u.daemon.platform.ReportUsage(ctx, number, window, counts); err != nil {
+		return err
+	}
+	u.reported[window] = true
+	klog.InfoS("usage reported", "window", window, "number", number, "accounts", len(counts))
+	u.cleanUsage(ctx, window)
+	return nil
+}
+
+// settle makes the figure of a window final: the first one written stands for
+// all holders.
+func (u *duties) settle(ctx context.Context, window int64, total usage.Counts) (usage.Counts, error) {
+	key := table.Key{Partition: usagePartition, Sort: fmt.Sprintf("%020d", window)}
+	value, err := json.Marshal(total)
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	err = u.daemon.platform.Transact(ctx, []table.Write{{Key: key, Value: value}})
+	if err == nil {
+		return total, nil
+	}
+	item, readErr := u.daemon.platform.Get(ctx, key)
+	if readErr != nil {
+		return nil, errors.Annotatef(err, "read back: %v", readErr)
+	}
+	var final usage.Counts
+	if err := json.Unmarshal(item.Value, &final); err != nil {
+		return nil, errors.Annotatef(err, "figure of window %d", window)
+	}
+	return final, nil
+}
+
+// cleanUsage removes figures that no successor needs.
+func (u *duties) cleanUsage(ctx context.Context, window int64) {
+	if window-u.cleaned < usageRowsKept {
+		return
+	}
+	u.cleaned = window
+	items, err := u.daemon.platform.Query(ctx, usagePartition, "", table.MaxTransactionWrites)
+	if err != nil {
+		klog.InfoS("old usage not removed", "err", err)
+		return
+	}
+	oldest := fmt.Sprintf("%020d", window-usageRowsKept)
+	var writes []table.Write
+	for _, item := range items {
+		if item.Key.Sort < oldest {
+			writes = append(writes, table.Write{Key: item.Key, Version: item.Version, Delete: true})
+		}
+	}
+	if len(writes) == 0 {
+		return
+	}
+	if err := u.daemon.platform.Transact(ctx, writes); err != nil {
+		klog.InfoS("old usage not removed", "err", err)
+	}
+}
+
+// orderServers brings the number of servers to what the load asks for.
+func (u *duties) orderServers(ctx context.Context) {
+	s := u.daemon.state
+	s.mu.Lock()
+	c := s.catalog
+	servers := s.fleet.Servers()
+	s.mu.Unlock()
+	if c == nil || !s.fleet.Known() {
+		return
+	}
+	for name, service := range c.Services {
+		if service.Scaling != nil {
+			u.orderService(ctx, name, service.Scaling, servers)
+		}
+	}
+}
+
+func (u *duties) orderService(ctx context.Context, name string, limits *catalog.Scaling, servers []fleet.Server) {
+	core, ok := u.scaling[name]
+	if !ok {
+		core = scaling.New(name, scaling.DefaultOptions())
+		u.scaling[name] = core
+	}
+	s := u.daemon.state
+	s.mu.Lock()
+	summary := s.placement.Summarize(name)
+	s.mu.Unlock()
+	now := bootNow()
+	core.Observe(now, scaling.Load{Running: summary.Running, Prefill: summary.Prefill, PrefillRate: summary.PrefillRate})
+	for _, order := range core.Plan(now, limits, zonesOf(limits), servers) {
+		number, ok := u.held()
+		if !ok {
+			return
+		}
+		err := u.daemon.platform.OrderServers(ctx, number, order)
+		klog.InfoS("servers ordered", "service", order.Service, "zone", order.Zone, "reclaimable", order.Reclaimable,
+			"desired", order.Desired, "number", number, "need", core.Need(), "running", summary.Running,
+			"prefill", summary.Prefill, "servers", summary.Servers, "err", err)
+		var none *NoCapacityError
+		switch {
+		case errors.As(err, &none):
+			core.Refused(bootNow(), order)
+		case err != nil:
+			return
+		default:
+			core.Ordered(bootNow(), order)
+		}
+	}
+}
+
+func zonesOf(limits *catalog.Scaling) []string {
+	zones := make([]string, 0, len(limits.ZonePrices))
+	for zone := range limits.ZonePrices {
+		zones = append(zones, zone)
+	}
+	slices.Sort(zones)
+	return zones
+}
--- /dev/null
+++ b/pkg/edge/follow.go
@@ -0,0 +1,244 @@
+package edge
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"github.com/juju/errors"
+	"k8s.io/klog/v2"
+
+	"github.com/monsooncrank/monsooncrank/coordination/table"
+)
+
+const (
+	// catalogWait is how long one watch of the configuration may last. With the
+	// time that a call may take beside it, a connection that went silent is
+	// noticed within three seconds.
+	catalogWait = 1500 * time.Millisecond
+	// serversPause is the time between two reads of changed servers: a small
+	// part of the time after which a leaving server may get no request.
+	serversPause = 450 * time.Millisecond
+	// serversWait is how long such a read may last when nothing has changed.
+	serversWait = 500 * time.Millisecond
+	// storeRetry is the pause after a failed call.
+	storeRetry = 250 * time.Millisecond
+	// registerInterval is how often a daemon refreshes its row.
+	registerInterval = 10 * time.Second
+	// registerFirst is how often it reads the rows just after its start, when
+	// all daemons appear.
+	registerFirst = 1500 * time.Millisecond
+	// registerSoon is how long that lasts.
+	registerSoon = 6 * time.Second
+	// daemonPartition holds a row for each daemon.
+	daemonPartition = "daemon"
+	// maxDaemonRows bounds one read of the rows.
+	maxDaemonRows = 500
+)
+
+// storeAnswered records whether the store answers this daemon.
+func (s *state) storeAnswered(err error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	up := err == nil
+	if up == s.storeUp {
+		return
+	}
+	s.storeUp = up
+	if up {
+		s.fleet.Returned(bootNow())
+		klog.InfoS("store answers", "fleetVersion", s.fleet.Version())
+		return
+	}
+	s.fleet.Lost()
+	klog.InfoS("store does not answer", "err", err, "fleetVersion", s.fleet.Version())
+}
+
+// followCatalog keeps the configuration up to date.
+func (d *Daemon) followCatalog(ctx context.Context) {
+	var version uint64
+	known := false
+	for ctx.Err() == nil {
+		var err error
+		if !known {
+			version, err = d.readCatalog(ctx)
+		} else {
+			version, err = d.watchCatalog(ctx, version)
+		}
+		if ctx.Err() != nil {
+			return
+		}
+		var lost *HistoryLostError
+		switch {
+		case errors.As(err, &lost):
+			klog.InfoS("changes of the configuration are no longer kept; reading it whole")
+			known = false
+		case err != nil:
+			d.state.storeAnswered(err)
+			// A change may have been missed on a connection that broke.
+			known = false
+			pause(ctx, storeRetry)
+		default:
+			d.state.storeAnswered(nil)
+			known = true
+		}
+	}
+}
+
+func (d *Daemon) readCatalog(ctx context.Context) (uint64, error) {
+	c, version, err := d.platform.ReadCatalog(ctx)
+	if err == nil {
+		d.state.putInForce(c, "store")
+	}
+	return version, err
+}
+
+func (d *Daemon) watchCatalog(ctx context.Context, after uint64) (uint64, error) {
+	c, version, err := d.platform.WatchCatalog(ctx, after, catalogWait)
+	if err != nil {
+		return after, err
+	}
+	d.state.putInForce(c, "store")
+	return max(version, after), nil
+}
+
+// followServers keeps the view of the BackendServers up to date.
+func (d *Daemon) followServers(ctx context.Context) {
+	s := d.state
+	known := false
+	for ctx.Err() == nil {
+		err := d.readServers(ctx, known)
+		if ctx.Err() != nil {
+			return
+		}
+		var lost *HistoryLostError
+		switch {
+		case errors.As(err, &lost):
+			klog.InfoS("changes of servers are no longer kept; reading all entries")
+			known = false
+			continue
+		case err != nil:
+			s.storeAnswered(err)
+			known = false
+			pause(ctx, storeRetry)
+		default:
+			s.storeAnswered(nil)
+			known = true
+			pause(ctx, serversPause)
+		}
+		s.mu.Lock()
+		s.follow(s.fleet.Tick(bootNow()), "grace period")
+		s.mu.Unlock()
+	}
+}
+
+func (d *Daemon) readServers(ctx context.Context, known bool) error {
+	s := d.state
+	if !known {
+		entries, version, err := d.platform.ReadServers(ctx)
+		if err != nil {
+			return err
+		}
+		s.storeAnswered(nil)
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.follow(s.fleet.Snapshot(bootNow(), version, entries), "store")
+		return nil
+	}
+	s.mu.Lock()
+	after := s.fleet.Version()
+	s.mu.Unlock()
+	entries, version, err := d.platform.WatchServers(ctx, after, serversWait)
+	if err != nil {
+		return err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.follow(s.fleet.Apply(bootNow(), version, entries), "store")
+	return nil
+}
+
+// daemonRow is the value of a daemon's row.
+type daemonRow struct {
+	Address     string `json:"address"`
+	Incarnation uint64 `json:"incarnation"`
+	// Refreshed makes every refresh another value.
+	Refreshed uint64 `json:"refreshed"`
+}
+
+// register keeps this daemon's row fresh and learns of the other daemons.
+func (d *Daemon) register(ctx context.Context) {
+	startedAt := time.Now()
+	var refreshed uint64
+	for ctx.Err() == nil {
+		refreshed++
+		if err := d.registerOnce(ctx, refreshed); err != nil {
+			klog.InfoS("list of daemons not refreshed", "err", err)
+		}
+		wait := registerInterval
+		if time.Since(startedAt) < registerSoon {
+			wait = registerFirst
+		}
+		pause(ctx, wait)
+	}
+}
+
+func (d *Daemon) registerOnce(ctx context.Context, refreshed uint64) error {
+	items, err := d.platform.Query(ctx, daemonPartition, "", maxDaemonRows)
+	if err != nil {
+		return err
+	}
+	own := table.Key{Partition: daemonPartition, Sort: d.settings.Node}
+	var version uint64
+	var row daemonRow
+	for _, item := range items {
+		if item.Key == own {
+			version = item.Version
+		}
+		if err := json.Unmarshal(item.Value, &row); err != nil {
+			klog.ErrorS(err, "row of a daemon cannot be read", "daemon", item.Key.Sort)
+			continue
+		}
+		d.listPeer(item.Key.Sort, row, item.Version)
+	}
+	d.expirePeers()
+	if version != 0 && refreshed > 1 && time.Since(d.refreshedAt) < registerInterval {
+		return nil
+	}
+	// Strings and integers always encode.
+	value, _ := json.Marshal(daemonRow{Address: d.settings.PeerAddress, Incarnation: d.state.incarnation, Refreshed: refreshed})
+	err = d.platform.Transact(ctx, []table.Write{{Key: own, Version: version, Value: value}})
+	if err == nil {
+		d.refreshedAt = time.Now()
+	}
+	return err
+}
+
+func (d *Daemon) listPeer(node string, row daemonRow, version uint64) {
+	s := d.state
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.peers.List(bootNow(), node, row.Address, version) {
+		s.quota.Expect(node)
+	}
+}
+
+func (d *Daemon) expirePeers() {
+	s := d.state
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, node := range s.peers.Expire(bootNow()) {
+		klog.InfoS("peer is gone", "peer", node)
+		s.quota.Forget(node)
+	}
+}
+
+// pause waits unless the context ends.
+func pause(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
--- /dev/null
+++ b/pkg/edge/settings.go
@@ -0,0 +1,44 @@
+// Package edge wires the daemon that serves callers on a platform that keeps
+// all lasting state: it follows the configuration and the BackendServers,
+// exchanges digests with its peers and does the duties of the one daemon that
+// holds the lease.
+package edge
+
+import "time"
+
+// Settings are the settings of the daemon.
+type Settings struct {
+	Node             string
+	AvailabilityZone string
+	// FrontAddress serves callers, ReadyAddress the balancer's question,
+	// PeerAddress other daemons.
+	FrontAddress   string
+	ReadyAddress   string
+	PeerAddress    string
+	MetricsAddress string
+	MemoryBytes    int64
+	// HeartbeatInterval is how often servers refresh their entries.
+	HeartbeatInterval time.Duration
+	// DrainTimeout is when a leaving server may get no more requests.
+	DrainTimeout time.Duration
+	// GracePeriod is the time from SIGTERM to SIGKILL.
+	GracePeriod time.Duration
+	// RetryRatio and RetrySlack bound repeats to servers per RetryWindow, over
+	// all daemons.
+	RetryRatio  float64
+	RetryWindow time.Duration
+	RetrySlack  float64
+	// QuotaWindow, QuotaOverage and QuotaSlack say how exactly usage limits
+	// have to hold.
+	QuotaWindow  time.Duration
+	QuotaOverage float64
+	QuotaSlack   float64
+	// MinHolderInterval is the time within which a duty must not go to another
+	// daemon and back.
+	MinHolderInterval time.Duration
+	UsageWindow       time.Duration
+	// UsageLateness is how long after its end a window may be reported.
+	UsageLateness time.Duration
+	ReportsUsage  bool
+	OrdersServers bool
+}
--- /dev/null
+++ b/pkg/edge/state.go
@@ -0,0 +1,283 @@
+package edge
+
+import (
+	"sync"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"github.com/monsooncrank/monsooncrank/coordination/quarantine"
+	"github.com/monsooncrank/monsooncrank/coordination/retry"
+	"github.com/monsooncrank/monsooncrank/pkg/backendconn"
+	"github.com/monsooncrank/monsooncrank/pkg/catalog"
+	"github.com/monsooncrank/monsooncrank/pkg/fleet"
+	"github.com/monsooncrank/monsooncrank/pkg/mesh"
+	"github.com/monsooncrank/monsooncrank/pkg/placement"
+	"github.com/monsooncrank/monsooncrank/pkg/quota"
+	"github.com/monsooncrank/monsooncrank/pkg/usage"
+)
+
+const (
+	// returnGrace is how long after the store's return living servers take to
+	// write their entries again, with the time of one read added.
+	returnGrace = 2300 * time.Millisecond
+	// retryMargin is the part of the shared retry budget that is spent; the
+	// rest covers daemons that do not know of one another yet.
+	retryMargin = 0.8
+	// quarantineCrashes is how many servers a request may crash before it is
+	// refused everywhere.
+	quarantineCrashes = 2
+	// connectionMargin is the part of a server's connections that is used.
+	connectionMargin = 0.85
+	// defaultConnections bounds the connections to a server whose service
+	// states no limit.
+	defaultConnections = 64
+)
+
+// state holds the cores of the daemon under one lock; each decision takes
+// microseconds. It is the desk of the relay.
+type state struct {
+	settings    Settings
+	incarnation uint64
+	pool        *backendconn.Pool
+
+	mu         sync.Mutex
+	catalog    *catalog.Catalog
+	fleet      *fleet.Core
+	placement  *placement.Core
+	quota      *quota.Core
+	usage      *usage.Core
+	peers      *mesh.Peers
+	quarantine *quarantine.Core
+	retries    map[string]*retry.Budget
+	storeUp    bool
+	stopping   bool
+	// urgent wakes the exchange of digests.
+	urgent chan struct{}
+}
+
+func newState(settings Settings, pool *backendconn.Pool) *state {
+	now := bootNow()
+	options := quarantine.DefaultOptions()
+	options.Crashes = quarantineCrashes
+	return &state{
+		settings:    settings,
+		incarnation: uint64(time.Now().UnixNano()),
+		pool:        pool,
+		fleet:       fleet.New(fleet.Options{ReturnGrace: returnGrace}),
+		placement:   placement.NewCore(placement.Options{}),
+		quota:       quota.New(now),
+		usage:       usage.New(settings.UsageWindow),
+		peers:       mesh.NewPeers(settings.Node, mesh.Options{Interval: exchangeInterval, GoneAfter: peerGoneAfter}),
+		quarantine:  quarantine.New(options),
+		retries:     make(map[string]*retry.Budget),
+		urgent:      make(chan struct{}, 1),
+	}
+}
+
+// Catalog returns the configuration in force, or nil.
+func (s *state) Catalog() *catalog.Catalog {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.catalog
+}
+
+// putInForce takes a configuration unless it is older than the one in force.
+func (s *state) putInForce(c *catalog.Catalog, source string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if c == nil || s.catalog != nil && c.Version <= s.catalog.Version {
+		return
+	}
+	before := int64(0)
+	if s.catalog != nil {
+		before = s.catalog.Version
+	}
+	s.catalog = c
+	limits := make(map[string]quota.Limit, len(c.Accounts))
+	for _, a := range c.Accounts {
+		limits[a.Name] = quota.Limit{Rate: a.Rate, Burst: a.Burst}
+	}
+	s.quota.SetLimits(bootNow(), limits)
+	for name, service := range c.Services {
+		if service.Engine != nil {
+			s.placement.SetEngine(name, service.Engine.Slots, service.Engine.KVCapacityTokens)
+		}
+	}
+	klog.InfoS("configuration in force", "version", c.Version, "before", before, "source", source,
+		"routes", len(c.Routes), "accounts", len(c.Accounts))
+	s.wakeExchange()
+}
+
+func (s *state) wakeExchange() {
+	s.peers.Urgent(bootNow())
+	select {
+	case s.urgent <- struct{}{}:
+	default:
+	}
+}
+
+// follow takes changes of servers.
+func (s *state) follow(events []fleet.Event, source string) {
+	for _, e := range events {
+		klog.InfoS("server", "server", e.Server.ID, "change", e.Change.String(), "service", e.Server.Service,
+			"address", e.Server.Address, "zone", e.Server.AvailabilityZone, "reclaimable", e.Server.Reclaimable,
+			"leavesInMs", e.Server.LeavesIn.Milliseconds(), "fleetVersion", s.fleet.Version(), "source", source)
+		s.placement.Handle(e)
+		if e.Change != fleet.Joined {
+			s.pool.Forget(e.Server.ID)
+		}
+	}
+}
+
+// Charge charges an account.
+func (s *state) Charge(account string, cost float64) (time.Duration, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := bootNow()
+	after, ok := s.quota.Take(now, account, cost)
+	if !ok {
+		klog.InfoS("usage limit", "account", account, "cost", cost, "level", s.quota.Level(now, account), "retryAfterMs", after.Milliseconds())
+	}
+	return after, ok
+}
+
+// Refund gives back the cost of a request that did not run.
+func (s *state) Refund(account string, cost float64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.quota.Return(bootNow(), account, cost)
+}
+
+// Place chooses a server.
+func (s *state) Place(q *placement.Query) (placement.Decision, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	q.Zone = s.settings.AvailabilityZone
+	return s.placement.Pick(time.Now(), q)
+}
+
+// Started records an attempt.
+func (s *state) Started(attempt string, d *placement.Decision, q *placement.Query) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.placement.Started(time.Now(), attempt, d, q)
+}
+
+// FirstEvent records the first part of an answer.
+func (s *state) FirstEvent(attempt string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.placement.FirstEvent(time.Now(), attempt)
+}
+
+// Finished records the end of an attempt.
+func (s *state) Finished(attempt string, result placement.Result) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.placement.Finished(time.Now(), attempt, result)
+}
+
+// Misdirected stops work for a server whose address belongs to another one.
+func (s *state) Misdirected(server string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.placement.Misdirected(server)
+	klog.InfoS("address belongs to another server", "server", server)
+}
+
+// Began counts a request that began to run.
+func (s *state) Began(account string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.usage.Began(s.trueTime(), account)
+}
+
+// trueTime is the time of day that most daemons agree on.
+func (s *state) trueTime() time.Time {
+	now := bootNow()
+	return now.Add(s.peers.ClockAhead(now, time.Now().Round(0).Sub(now)))
+}
+
+// Arrived credits the retry budget of a service.
+func (s *state) Arrived(service string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.budget(service).Succeeded()
+}
+
+// Retry spends one retry of a service.
+func (s *state) Retry(service string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	ok := s.budget(service).Spend()
+	if !ok {
+		klog.InfoS("retry budget spent", "service", service)
+	}
+	return ok
+}
+
+// budget is this daemon's part of a service's retries: what its own requests
+// earn and an equal share of the slack.
+func (s *state) budget(service string) *retry.Budget {
+	b, ok := s.retries[service]
+	if !ok {
+		share := retryMargin * s.settings.RetrySlack / float64(max(len(s.peers.All())+1, minDaemons))
+		b = retry.NewBudget(retry.Options{Ratio: retryMargin * s.settings.RetryRatio, Initial: share, Max: share})
+		s.retries[service] = b
+	}
+	return b
+}
+
+// minDaemons is the least number of daemons that shares are taken for, while
+// not all of them are known.
+const minDaemons = 4
+
+// ConnectionLimit is how many connections this daemon may have to a server.
+func (s *state) ConnectionLimit(_, service string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	limit := defaultConnections
+	if s.catalog != nil {
+		if c, ok := s.catalog.Services[service]; ok && c.MaxConnections > 0 {
+			limit = c.MaxConnections
+		}
+	}
+	daemons := len(s.peers.All()) + 1
+	// Requests are not spread evenly over daemons; half of them may be idle.
+	return max(int(connectionMargin*float64(limit))/max(daemons/2, 1), 1)
+}
+
+// Leaving reports whether a server takes no new work.
+func (s *state) Leaving(server string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return !s.placement.Usable(server)
+}
+
+// Verdict tells whether a request may run.
+func (s *state) Verdict(f quarantine.Fingerprint) quarantine.Verdict {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.quarantine.Check(time.Now(), f)
+}
+
+// Crashed records that a server broke off while it ran a request.
+func (s *state) Crashed(f quarantine.Fingerprint, server string, advanced bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	entry, quarantined := s.quarantine.Crashed(time.Now(), f, server, advanced)
+	if quarantined {
+		klog.InfoS("request quarantined", "fingerprint", string(f), "servers", entry.Servers)
+		s.wakeExchange()
+	}
+}
+
+// Cleared forgets suspicions against a request that ran to its end.
+func (s *state) Cleared(f quarantine.Fingerprint) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if _, suspected := s.quarantine.Entry(f); suspected {
+		s.quarantine.Succeeded(time.Now(), f)
+	}
+}
--- /dev/null
+++ b/pkg/fleet/fleet.go
@@ -0,0 +1,217 @@
+// Package fleet keeps what one daemon knows of the BackendServers: which ones
+// exist, which are leaving and which are gone. The core does no I/O; it is fed
+// with entries of the platform's store, read by this daemon or by a peer.
+package fleet
+
+import (
+	"time"
+)
+
+// Server is one start of a BackendServer.
+type Server struct {
+	ID               string `cbor:"1,keyasint"`
+	Service          string `cbor:"2,keyasint"`
+	Address          string `cbor:"3,keyasint"`
+	AvailabilityZone string `cbor:"4,keyasint"`
+	Slots            int    `cbor:"5,keyasint"`
+	// Leaving servers take no new work.
+	Leaving bool `cbor:"6,keyasint,omitempty"`
+	// LeavesIn is the notice that was given when Leaving was reported; 0 means
+	// that none was given.
+	LeavesIn time.Duration `cbor:"7,keyasint,omitempty"`
+	// Reclaimable servers are cheap and may be taken away a zone at a time.
+	Reclaimable bool `cbor:"8,keyasint,omitempty"`
+	// StartedUnixMilli tells starts of a server under one ID apart.
+	StartedUnixMilli int64 `cbor:"9,keyasint,omitempty"`
+}
+
+// Entry is the state of one ID in the store. Server is nil where the entry was
+// removed or cannot be read.
+type Entry struct {
+	ID     string  `cbor:"1,keyasint"`
+	Server *Server `cbor:"2,keyasint,omitempty"`
+}
+
+// Options configure a Core.
+type Options struct {
+	// ReturnGrace is how long after the return of the store the servers whose
+	// entries lapsed meanwhile are kept: living servers write theirs again.
+	ReturnGrace time.Duration
+}
+
+// Change says what became of a server.
+type Change int
+
+// The changes.
+const (
+	Joined Change = iota + 1
+	// Left servers take no new work but may still answer.
+	Left
+	// Gone servers have no entry any more.
+	Gone
+)
+
+// String returns the name of the change in logs.
+func (c Change) String() string { return [...]string{"none", "joined", "leaving", "gone"}[c] }
+
+// Event reports a change of a server.
+type Event struct {
+	Server Server
+	Change Change
+}
+
+type member struct {
+	server Server
+	// lapsedAt is set while the entry is missing and the server is kept.
+	lapsed   bool
+	removeAt time.Time
+}
+
+// Core is the state of one daemon. It is not safe for concurrent use.
+//
+// Invariant: version never falls, so that an older view of a peer does not
+// bring back a server that has left.
+type Core struct {
+	options Options
+	members map[string]*member
+	version uint64
+	known   bool
+	// storeLost is set while the store does not answer this daemon.
+	storeLost  bool
+	returnedAt time.Time
+}
+
+// New returns an empty Core.
+func New(options Options) *Core {
+	return &Core{options: options, members: make(map[string]*member)}
+}
+
+// Known reports whether a full list was ever seen.
+func (c *Core) Known() bool { return c.known }
+
+// Version returns the store's version of the view.
+func (c *Core) Version() uint64 { return c.version }
+
+// Lost says that the store stopped answering.
+func (c *Core) Lost() { c.storeLost = true }
+
+// Returned says that the store answers again.
+func (c *Core) Returned(now time.Time) {
+	if c.storeLost {
+		c.storeLost, c.returnedAt = false, now
+	}
+}
+
+// Snapshot replaces the view by a full list as of version.
+func (c *Core) Snapshot(now time.Time, version uint64, entries []Entry) []Event {
+	if c.known && version < c.version {
+		return nil
+	}
+	c.known, c.version = true, version
+	present := make(map[string]bool, len(entries))
+	var events []Event
+	for _, e := range entries {
+		if e.Server != nil {
+			present[e.ID] = true
+		}
+		events = c.set(now, e, events)
+	}
+	for id, m := range c.members {
+		if !present[id] {
+			events = c.missing(now, m, events)
+		}
+	}
+	return events
+}
+
+// Apply changes the view by the entries that changed up to version.
+func (c *Core) Apply(now time.Time, version uint64, entries []Entry) []Event {
+	if version < c.version {
+		return nil
+	}
+	c.version = version
+	var events []Event
+	for _, e := range entries {
+		events = c.set(now, e, events)
+	}
+	return events
+}
+
+func (c *Core) set(now time.Time, e Entry, events []Event) []Event {
+	m := c.members[e.ID]
+	switch {
+	case e.Server == nil && m == nil:
+		return events
+	case e.Server == nil:
+		return c.missing(now, m, events)
+	case m == nil:
+		m = &member{server: *e.Server}
+		c.members[e.ID] = m
+		return append(events, Event{Server: m.server, Change: changeOf(e.Server)})
+	}
+	before := m.server
+	m.server, m.lapsed = *e.Server, false
+	switch {
+	case before.StartedUnixMilli != m.server.StartedUnixMilli, before.Address != m.server.Address, before.Service != m.server.Service:
+		return append(events, Event{Server: before, Change: Gone}, Event{Server: m.server, Change: changeOf(&m.server)})
+	case before.Leaving != m.server.Leaving:
+		return append(events, Event{Server: m.server, Change: changeOf(&m.server)})
+	}
+	return events
+}
+
+func changeOf(s *Server) Change {
+	if s.Leaving {
+		return Left
+	}
+	return Joined
+}
+
+// missing removes a server, at once or after the grace that follows an outage
+// of the store.
+func (c *Core) missing(now time.Time, m *member, events []Event) []Event {
+	if m.lapsed {
+		return events
+	}
+	keepUntil := c.returnedAt.Add(c.options.ReturnGrace)
+	if !c.returnedAt.IsZero() && now.Before(keepUntil) && !m.server.Leaving {
+		m.lapsed, m.removeAt = true, keepUntil
+		return events
+	}
+	delete(c.members, m.server.ID)
+	return append(events, Event{Server: m.server, Change: Gone})
+}
+
+// Tick removes the servers whose entries did not come back in time.
+func (c *Core) Tick(now time.Time) []Event {
+	var events []Event
+	for id, m := range c.members {
+		if m.lapsed && !c.storeLost && !now.Before(m.removeAt) {
+			delete(c.members, id)
+			events = append(events, Event{Server: m.server, Change: Gone})
+		}
+	}
+	return events
+}
+
+// Servers returns all servers that have an entry, leaving ones included.
+func (c *Core) Servers() []Server {
+	servers := make([]Server, 0, len(c.members))
+	for _, m := range c.members {
+		servers = append(servers, m.server)
+	}
+	return servers
+}
+
+// Entries returns the view in the form that Snapshot of a peer takes.
+func (c *Core) Entries() []Entry {
+	entries := make([]Entry, 0, len(c.members))
+	for id, m := range c.members {
+		if m.lapsed {
+			continue
+		}
+		server := m.server
+		entries = append(entries, Entry{ID: id, Server: &server})
+	}
+	return entries
+}
--- a/pkg/peer/pool.go
+++ b/pkg/peer/pool.go
@@ -150,19 +150,25 @@
 // PingFresh closes the connection to address, opens a new one and asks there.
 // Silence on a connection says nothing about the daemon until this fails too.
 func (p *Pool) PingFresh(ctx context.Context, address string) error {
+	p.Drop(address)
+	return p.do(ctx, address, methodPing, &Empty{}, &Empty{})
+}
+
+// Drop closes the connection to address, so that the next call opens a new one.
+func (p *Pool) Drop(address string) {
 	p.mu.Lock()
 	e := p.entries[address]
 	p.mu.Unlock()
-	if e != nil {
-		select {
-		case <-e.ready:
-			if e.conn != nil {
-				p.drop(e.conn)
-			}
-		default: // It is being opened and so is new.
+	if e == nil {
+		return
+	}
+	select {
+	case <-e.ready:
+		if e.conn != nil {
+			p.drop(e.conn)
 		}
+	default: // It is being opened and so is new.
 	}
-	return p.do(ctx, address, methodPing, &Empty{}, &Empty{})
 }
 
 func (p *Pool) withDeadline(ctx context.Context) (context.Context, context.CancelFunc) {
--- /dev/null
+++ b/pkg/placement/types.go
@@ -0,0 +1,154 @@
+// Package placement decides which BackendServer runs a request, and whether any
+// can run it in time. The core does no I/O: it takes the time and what is known
+// of servers, of this daemon's own requests and of the load that peers state.
+package placement
+
+import (
+	"time"
+
+	"github.com/monsooncrank/monsooncrank/pkg/fleet"
+)
+
+// Part is a part of a prompt that other requests may share.
+type Part struct {
+	ID     string
+	Tokens int
+}
+
+// Query describes a request to place.
+type Query struct {
+	Service string
+	// Zone is the AvailabilityZone of this daemon.
+	Zone string
+	// Parts are the parts of the prompt in order; the last one is the
+	// request's own.
+	Parts []Part
+	// PromptTokens and OutputTokens are 0 for requests to plain services.
+	PromptTokens int
+	OutputTokens int
+	// Target is how long the first part of the answer may take, counted from
+	// Received.
+	Target   time.Duration
+	Received time.Time
+	Deadline time.Time
+	// Rank is the urgency among requests of the service; 0 is the highest.
+	Rank int
+	// Exclude names servers that have already been tried.
+	Exclude []string
+}
+
+// Decision is a placement.
+type Decision struct {
+	Server fleet.Server
+	// Wait is the expected time to the first part of the answer.
+	Wait time.Duration
+	// Cached is the number of prompt tokens expected in the server's memory.
+	Cached int
+	// Candidates is the number of servers that were compared.
+	Candidates int
+	// LoadAge is the age of the oldest peer report that was used.
+	LoadAge time.Duration
+}
+
+// RefusalReason says why no server takes a request.
+type RefusalReason string
+
+// The reasons for refusals.
+const (
+	RefusedNoServer   RefusalReason = "no server"
+	RefusedOverloaded RefusalReason = "overloaded"
+)
+
+// RefusedError reports a request that no server can run in time.
+type RefusedError struct {
+	Reason RefusalReason
+	// Wait is the shortest expected wait.
+	Wait time.Duration
+	// RetryAfter is when a server can be expected to take the request.
+	RetryAfter time.Duration
+}
+
+func (e *RefusedError) Error() string { return "placement refused: " + string(e.Reason) }
+
+// Load is the work that one daemon has given to a server.
+type Load struct {
+	// Running counts requests that were sent and have not ended.
+	Running int `cbor:"1,keyasint,omitempty"`
+	// Prefill counts prompt tokens still to be read.
+	Prefill int `cbor:"2,keyasint,omitempty"`
+	// Memory counts tokens that running requests occupy.
+	Memory int `cbor:"3,keyasint,omitempty"`
+}
+
+func (l *Load) add(o Load) {
+	l.Running += o.Running
+	l.Prefill += o.Prefill
+	l.Memory += o.Memory
+}
+
+// Result says how an attempt at a server ended.
+type Result int
+
+// The results.
+const (
+	// ResultAnswered is a whole answer, also one that reports a failure of the
+	// application.
+	ResultAnswered Result = iota + 1
+	// ResultRefused means that the server did not run the request.
+	ResultRefused
+	// ResultFailed means that the server broke off, stalled or could not be
+	// reached.
+	ResultFailed
+	// ResultAbandoned means that the caller left; it says nothing of the server.
+	ResultAbandoned
+)
+
+// Options configure a Core; zero values take defaults.
+type Options struct {
+	// PrefillRate is the assumed prompt tokens per millisecond of an engine
+	// until it has been measured.
+	PrefillRate float64
+}
+
+const (
+	// defaultPrefillRate is below the engines in use, so that the first
+	// requests are spread.
+	defaultPrefillRate = 40.0
+	// minPrefillRate and maxPrefillRate bound the learned rate, so that a few
+	// odd samples do not close or open an engine.
+	minPrefillRate = 10.0
+	maxPrefillRate = 200.0
+	// rateWeight is the weight of a new sample of the prefill rate.
+	rateWeight = 0.05
+	// minSampleTokens is the work below which the time to the first event says
+	// little about the prefill rate.
+	minSampleTokens = 2000
+	// baseWait is the part of the time to the first event that does not depend
+	// on the prompt.
+	baseWait = 15 * time.Millisecond
+	// zoneWait is added for a server in another zone: a round trip and the
+	// price of bytes between zones.
+	zoneWait = 4 * time.Millisecond
+	// rereadWeight makes tokens that another server already holds cost more
+	// than their time, since reading them again also takes the place of others.
+	rereadWeight = 1.5
+	// memoryLimit is the part of an engine's memory that may be occupied
+	// before it is taken for full; beyond it engines preempt requests.
+	memoryLimit = 0.9
+	// failureHalfLife is how fast failures of a server are forgotten.
+	failureHalfLife = 2 * time.Second
+	// slownessHalfLife is how fast a slow server is tried again.
+	slownessHalfLife = 6 * time.Second
+	// failurePenalty is the wait added per recent failure in relation to the
+	// request's target.
+	failurePenalty = 0.5
+	// peerLoadMaxAge is when the load that a peer stated counts no longer.
+	peerLoadMaxAge = 3 * time.Second
+	// cacheMemory is how long a prompt part is believed to stay at a server.
+	cacheMemory = 60 * time.Second
+	// plainWork is the assumed run time of a plain request until measured.
+	plainWork = 40 * time.Millisecond
+	// plainQueue is how many requests per slot a plain server may be given;
+	// servers queue a few and refuse the rest.
+	plainQueue = 2.5
+)
--- /dev/null
+++ b/pkg/quota/quota.go
@@ -0,0 +1,194 @@
+// Package quota holds ClientAccounts to their usage limits over all daemons
+// without a call to a store per request. Each daemon keeps the bucket of the
+// whole deployment: it drains it by its own requests at once and by those of
+// its peers as they state their totals. The core does no I/O.
+package quota
+
+import (
+	"math"
+	"time"
+)
+
+// Limit is a token bucket.
+type Limit struct {
+	// Rate is the refill per second; 0 means no limit.
+	Rate  float64
+	Burst float64
+}
+
+// silentAfter is when a peer that states nothing is assumed to spend its equal
+// share; peers state their totals several times a second.
+const silentAfter = 1200 * time.Millisecond
+
+// adoptWithin is how long after its start a daemon takes over the bucket levels
+// of its peers, which know what was spent before.
+const adoptWithin = 3 * time.Second
+
+type bucket struct {
+	limit Limit
+	level float64
+	at    time.Time
+	// used is the total that this daemon has let through.
+	used float64
+}
+
+type peer struct {
+	incarnation uint64
+	heardAt     time.Time
+	used        map[string]float64
+	// assumed is what was drained for the peer while it was silent.
+	assumed map[string]float64
+}
+
+// Core is the state of one daemon. It is not safe for concurrent use.
+type Core struct {
+	startedAt time.Time
+	buckets   map[string]*bucket
+	peers     map[string]*peer
+}
+
+// New returns a Core without limits.
+func New(now time.Time) *Core {
+	return &Core{startedAt: now, buckets: make(map[string]*bucket), peers: make(map[string]*peer)}
+}
+
+// SetLimits replaces the limits. A lower burst takes effect at once.
+func (c *Core) SetLimits(now time.Time, limits map[string]Limit) {
+	for name, limit := range limits {
+		b, ok := c.buckets[name]
+		if !ok {
+			c.buckets[name] = &bucket{limit: limit, level: limit.Burst, at: now}
+			continue
+		}
+		c.refill(now, name, b)
+		b.limit = limit
+		b.level = math.Min(b.level, limit.Burst)
+	}
+	for name := range c.buckets {
+		if _, ok := limits[name]; !ok {
+			delete(c.buckets, name)
+		}
+	}
+}
+
+// Take charges cost to an account, or says when it can be had.
+func (c *Core) Take(now time.Time, account string, cost float64) (retryAfter time.Duration, ok bool) {
+	b, known := c.buckets[account]
+	if !known || b.limit.Rate == 0 {
+		return 0, true
+	}
+	c.refill(now, account, b)
+	// A request larger than the whole bucket passes when the bucket is full.
+	if need := math.Min(cost, b.limit.Burst); b.level < need {
+		return time.Duration((need - b.level) / b.limit.Rate * float64(time.Second)), false
+	}
+	b.level -= cost
+	b.used += cost
+	return 0, true
+}
+
+// Return gives back the cost of a request that did not run.
+func (c *Core) Return(now time.Time, account string, cost float64) {
+	b, ok := c.buckets[account]
+	if !ok || b.limit.Rate == 0 {
+		return
+	}
+	c.refill(now, account, b)
+	b.level = math.Min(b.level+cost, b.limit.Burst)
+	b.used -= cost
+}
+
+// Level returns the balance of an account's bucket.
+func (c *Core) Level(now time.Time, account string) float64 {
+	b, ok := c.buckets[account]
+	if !ok {
+		return 0
+	}
+	c.refill(now, account, b)
+	return b.level
+}
+
+func (c *Core) refill(now time.Time, account string, b *bucket) {
+	elapsed := now.Sub(b.at).Seconds()
+	if elapsed <= 0 {
+		return
+	}
+	b.at = now
+	b.level += b.limit.Rate * elapsed
+	share := b.limit.Rate * elapsed / float64(len(c.peers)+1)
+	for _, p := range c.peers {
+		if now.Sub(p.heardAt) > silentAfter {
+			b.level -= share
+			p.assumed[account] += share
+		}
+	}
+	b.level = math.Min(b.level, b.limit.Burst)
+}
+
+// Expect makes a peer count that has not been heard yet: until it is, it is
+// assumed to spend its share.
+func (c *Core) Expect(name string) {
+	if _, ok := c.peers[name]; !ok {
+		c.peers[name] = &peer{assumed: make(map[string]float64)}
+	}
+}
+
+// Totals are what a daemon states to its peers.
+type Totals struct {
+	Used  map[string]float64 `cbor:"1,keyasint,omitempty"`
+	Level map[string]float64 `cbor:"2,keyasint,omitempty"`
+	// Settled says that the levels take into account what was spent before the
+	// daemon started.
+	Settled bool `cbor:"3,keyasint,omitempty"`
+}
+
+// Totals returns the totals of this daemon.
+func (c *Core) Totals(now time.Time) Totals {
+	t := Totals{Used: make(map[string]float64), Level: make(map[string]float64), Settled: c.settled(now)}
+	for name, b := range c.buckets {
+		if b.limit.Rate == 0 {
+			continue
+		}
+		c.refill(now, name, b)
+		t.Used[name], t.Level[name] = b.used, b.level
+	}
+	return t
+}
+
+func (c *Core) settled(now time.Time) bool { return now.Sub(c.startedAt) > adoptWithin }
+
+// SetPeer takes the totals of a peer.
+func (c *Core) SetPeer(now time.Time, name string, incarnation uint64, totals Totals) {
+	p, ok := c.peers[name]
+	if !ok || p.incarnation != incarnation {
+		c.peers[name] = &peer{incarnation: incarnation, heardAt: now, used: totals.Used, assumed: make(map[string]float64)}
+		c.adopt(now, totals)
+		return
+	}
+	for account, b := range c.buckets {
+		c.refill(now, account, b)
+		spent := totals.Used[account] - p.used[account]
+		// What was assumed while the peer was silent has been drained already.
+		drained := math.Min(math.Max(spent, 0), p.assumed[account])
+		b.level = math.Min(b.level-(spent-drained), b.limit.Burst)
+		delete(p.assumed, account)
+	}
+	p.used, p.heardAt = totals.Used, now
+	c.adopt(now, totals)
+}
+
+// adopt lowers the buckets of a daemon that has just started to those of a peer
+// that has run for longer.
+func (c *Core) adopt(now time.Time, totals Totals) {
+	if c.settled(now) || !totals.Settled {
+		return
+	}
+	for account, level := range totals.Level {
+		if b, ok := c.buckets[account]; ok {
+			b.level = math.Min(b.level, level)
+		}
+	}
+}
+
+// Forget removes a peer that is gone for good.
+func (c *Core) Forget(name string) { delete(c.peers, name) }
--- /dev/null
+++ b/pkg/relay/metrics.go
@@ -0,0 +1,27 @@
+package relay
+
+import (
+	"github.com/prometheus/client_golang/prometheus"
+)
+
+// Metrics count requests and their times.
+type Metrics struct {
+	requests  *prometheus.CounterVec
+	duration  *prometheus.HistogramVec
+	firstPart *prometheus.HistogramVec
+}
+
+// NewMetrics registers the metrics.
+func NewMetrics(registry prometheus.Registerer) *Metrics {
+	buckets := prometheus.ExponentialBuckets(0.01, 2, 11)
+	m := &Metrics{
+		requests: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "monsooncrank_relay_requests_total",
+			Help: "Requests of callers by kind and status."}, []string{"kind", "status"}),
+		duration: prometheus.NewHistogramVec(prometheus.HistogramOpts{Name: "monsooncrank_relay_request_seconds",
+			Help: "Time from the request to the end of its answer.", Buckets: buckets}, []string{"kind"}),
+		firstPart: prometheus.NewHistogramVec(prometheus.HistogramOpts{Name: "monsooncrank_relay_first_part_seconds",
+			Help: "Time from the request to the first part of its answer.", Buckets: buckets}, []string{"kind"}),
+	}
+	registry.MustRegister(m.requests, m.duration, m.firstPart)
+	return m
+}
--- /dev/null
+++ b/pkg/relay/run.go
@@ -0,0 +1,214 @@
+package relay
+
+import (
+	"errors"
+	"net/http"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"k8s.io/klog/v2"
+
+	"github.com/monsooncrank/monsooncrank/pkg/api"
+	"github.com/monsooncrank/monsooncrank/pkg/backendconn"
+	"github.com/monsooncrank/monsooncrank/pkg/catalog"
+	"github.com/monsooncrank/monsooncrank/pkg/placement"
+)
+
+const (
+	// maxDials bounds the servers that are dialled in vain for one request.
+	maxDials = 4
+	// answerSlack is how much longer than the deadline a server's own answer
+	// about it is awaited; the answer takes one trip through the network.
+	answerSlack = 80 * time.Millisecond
+	// minTimeLeft is the time below which a request is not sent any more: no
+	// server answers faster.
+	minTimeLeft = 10 * time.Millisecond
+	// refusedRetry is when a request that servers refused may come back; their
+	// queues move within that time.
+	refusedRetry = 250 * time.Millisecond
+)
+
+// outcome says how an attempt ended.
+type outcome int
+
+const (
+	// outcomeDone means that the caller has its answer, or has left.
+	outcomeDone outcome = iota
+	// outcomeNotSent means that no byte of the request was sent.
+	outcomeNotSent
+	// outcomeNotRun means that the server says it did not run the request.
+	outcomeNotRun
+	// outcomeBroken means that the answer did not come or broke off.
+	outcomeBroken
+	// outcomeFailed means that the server answered with a failure, which is
+	// kept in case that no other server does better.
+	outcomeFailed
+)
+
+// spread maps a request's ID to a point between 0 and 1.
+func spread(id string) float64 { return float64(xxhash.Sum64String(id)>>11) / (1 << 53) }
+
+// run tries servers until the request has its answer.
+func (x *exchange) run() {
+	var exclude []string
+	dials := 0
+	var kept *plainAnswer
+	for {
+		decision, err := x.place(exclude)
+		if err != nil {
+			x.giveUp(err, kept)
+			return
+		}
+		if time.Until(x.deadline) < minTimeLeft {
+			x.timedOut()
+			return
+		}
+		x.attempts++
+		result, answer := x.attempt(&decision)
+		klog.InfoS("attempt", "request", x.ID, "attempt", x.attempts, "server", decision.Server.ID,
+			"zone", decision.Server.AvailabilityZone, "service", x.service, "outcome", int(result),
+			"expectedMs", decision.Wait.Milliseconds(), "cached", decision.Cached, "candidates", decision.Candidates,
+			"loadAgeMs", decision.LoadAge.Milliseconds(), "status", x.status)
+		if answer != nil {
+			kept = answer
+		}
+		if result == outcomeDone {
+			return
+		}
+		exclude = append(exclude, decision.Server.ID)
+		if result == outcomeNotSent {
+			x.attempts--
+			dials++
+			if dials < maxDials {
+				continue
+			}
+		} else if x.mayRetry(result) {
+			continue
+		}
+		x.fail(result, kept)
+		return
+	}
+}
+
+// mayRetry decides whether another server may be tried.
+func (x *exchange) mayRetry(result outcome) bool {
+	if x.caller.Err() != nil || x.attempts >= x.route.MaxAttempts || time.Until(x.deadline) < minTimeLeft {
+		return false
+	}
+	if x.ran && !x.route.Repeatable() && result != outcomeNotRun {
+		return false
+	}
+	return x.front.desk.Retry(x.service)
+}
+
+func (x *exchange) place(exclude []string) (placement.Decision, error) {
+	decision, err := x.front.desk.Place(x.query("", exclude))
+	if err != nil && len(exclude) > 0 {
+		klog.V(1).InfoS("no other server", "request", x.ID, "tried", len(exclude), "err", err)
+	}
+	return decision, err
+}
+
+// giveUp answers a request for which there is no server.
+func (x *exchange) giveUp(err error, kept *plainAnswer) {
+	if kept != nil {
+		x.forward(kept)
+		return
+	}
+	if x.ran {
+		x.broken("no other server")
+		return
+	}
+	after, detail := refusedRetry, "no server"
+	var refused *placement.RefusedError
+	if errors.As(err, &refused) {
+		after, detail = refused.RetryAfter, string(refused.Reason)
+	}
+	klog.InfoS("refused", "request", x.ID, "service", x.service, "reason", detail, "retryAfterMs", after.Milliseconds())
+	x.notRun(api.NotRun(api.ProblemOverloaded, http.StatusServiceUnavailable, detail).After(after))
+}
+
+// fail answers a request whose last attempt failed.
+func (x *exchange) fail(result outcome, kept *plainAnswer) {
+	switch {
+	case x.caller.Err() != nil:
+		x.status, x.cause = statusCallerLeft, "caller left"
+	case kept != nil:
+		x.forward(kept)
+	case x.ran:
+		x.broken("server failed")
+	default:
+		x.notRun(api.NotRun(api.ProblemNoBackendServer, http.StatusServiceUnavailable, "servers did not take the request").After(refusedRetry))
+	}
+}
+
+// statusCallerLeft stands in logs for a request without an answer.
+const statusCallerLeft = 499
+
+// broken ends a request that may have run. A stream that has begun is cut, so
+// that it does not look complete.
+func (x *exchange) broken(detail string) {
+	if x.sentHeader {
+		x.status, x.cause = http.StatusBadGateway, "stream cut: "+detail
+		panic(http.ErrAbortHandler)
+	}
+	x.unknown(http.StatusBadGateway, detail)
+}
+
+// timedOut ends a request at its deadline.
+func (x *exchange) timedOut() {
+	switch {
+	case x.sentHeader:
+		x.broken("deadline")
+	case x.ran:
+		x.unknown(http.StatusGatewayTimeout, "deadline")
+	default:
+		x.notRun(api.NotRun(api.ProblemDeadlineExceeded, http.StatusServiceUnavailable, "deadline").After(refusedRetry))
+	}
+}
+
+// attempt sends the request to one server and passes its answer on.
+func (x *exchange) attempt(d *placement.Decision) (outcome, *plainAnswer) {
+	conn, err := x.connect(d)
+	if err != nil {
+		return outcomeNotSent, nil
+	}
+	s := &sending{exchange: x, conn: conn, decision: d, id: x.attemptID(), startedAt: time.Now()}
+	defer s.end()
+	if !s.send() {
+		return s.broken(), nil
+	}
+	response, answer, ok := s.receive()
+	switch {
+	case !ok:
+		return s.broken(), nil
+	case answer.NotRun || response.StatusCode == http.StatusMisdirectedRequest:
+		return s.refused(response), nil
+	case response.StatusCode/100 == 2 && !answer.Sealed:
+		return s.broken(), nil
+	case x.route.Kind == catalog.KindStream && response.StatusCode/100 == 2:
+		return s.stream(response), nil
+	default:
+		return s.plain(response)
+	}
+}
+
+// connect gets a connection; a server that cannot be reached counts as failed.
+func (x *exchange) connect(d *placement.Decision) (*backendconn.Conn, error) {
+	desk := x.front.desk
+	conn, err := x.front.pool.Get(x.caller, d.Server.ID, d.Server.Address, desk.ConnectionLimit(d.Server.ID, x.service))
+	if err != nil {
+		q := x.query("", nil)
+		id := x.attemptID()
+		desk.Started(id, d, q)
+		result := placement.ResultFailed
+		if x.caller.Err() != nil {
+			result = placement.ResultAbandoned
+		}
+		desk.Finished(id, result)
+		klog.InfoS("no connection to server", "request", x.ID, "server", d.Server.ID, "err", err)
+		return nil, err
+	}
+	desk.Started(x.attemptID(), d, x.query("", nil))
+	return conn, nil
+}
--- /dev/null
+++ b/pkg/relay/stream.go
@@ -0,0 +1,172 @@
+package relay
+
+import (
+	"bufio"
+	"bytes"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/monsooncrank/monsooncrank/pkg/placement"
+)
+
+// maxEventBytes bounds one event of a stream.
+const maxEventBytes = 1 << 20
+
+// readBufferBytes holds a few events.
+const readBufferBytes = 4 << 10
+
+// stream passes the events of a stream on as they come.
+func (s *sending) stream(response *http.Response) outcome {
+	events := newEventReader(response.Body)
+	control := http.NewResponseController(s.w)
+	for {
+		event, err := events.next()
+		if err == io.EOF {
+			return s.streamEnd(response)
+		}
+		if err != nil {
+			s.cause = "read event: " + err.Error()
+			return s.broken()
+		}
+		if !s.inOrder(event.id) {
+			continue
+		}
+		s.beginStream(response)
+		if _, err := s.w.Write(event.raw); err != nil {
+			return s.callerLeft()
+		}
+		if err := control.Flush(); err != nil {
+			return s.callerLeft()
+		}
+		s.exchange.lastEvent = event.id
+		s.armGap()
+	}
+}
+
+// inOrder drops events that the caller already has.
+func (s *sending) inOrder(id string) bool {
+	last := s.resumeFrom()
+	if last == "" || id == "" {
+		return true
+	}
+	before, errBefore := strconv.ParseInt(last, 10, 64)
+	now, errNow := strconv.ParseInt(id, 10, 64)
+	return errBefore != nil || errNow != nil || now > before
+}
+
+// beginStream sends the header of the first server's answer with its first
+// event; a stream that goes on elsewhere keeps it.
+func (s *sending) beginStream(response *http.Response) {
+	if s.sentHeader {
+		if s.gap == nil {
+			s.front.desk.FirstEvent(s.id)
+		}
+		return
+	}
+	s.exchange.sentHeader = true
+	s.status = response.StatusCode
+	CopyHeader(s.w.Header(), response.Header)
+	s.w.WriteHeader(response.StatusCode)
+	s.began()
+}
+
+// armGap watches for a silent server between events.
+func (s *sending) armGap() {
+	if !s.route.Resumable || s.attempts >= s.route.MaxAttempts || s.route.EventGapTarget == 0 {
+		s.stopPatience()
+		return
+	}
+	patience := time.Duration(gapPatience * float64(s.route.EventGapTarget))
+	if s.gap == nil {
+		s.stopPatience()
+		s.gap = time.AfterFunc(patience, s.stall)
+		s.stop = append(s.stop, s.gap.Stop)
+		return
+	}
+	s.gap.Reset(patience)
+}
+
+// streamEnd passes the end of a stream on.
+func (s *sending) streamEnd(response *http.Response) outcome {
+	s.beginStream(response)
+	s.result = placement.ResultAnswered
+	s.reusable = !response.Close
+	s.front.desk.Cleared(s.fingerprint)
+	return outcomeDone
+}
+
+func (s *sending) callerLeft() outcome {
+	s.result = placement.ResultAbandoned
+	s.status, s.cause = statusCallerLeft, "caller left"
+	return outcomeDone
+}
+
+// event is one event of a stream with its closing blank line.
+type event struct {
+	id  string
+	raw []byte
+}
+
+// eventReader splits a stream of server-sent events. An event that breaks off
+// is never returned.
+type eventReader struct {
+	reader *bufio.Reader
+	raw    []byte
+}
+
+func newEventReader(r io.Reader) *eventReader {
+	return &eventReader{reader: bufio.NewReaderSize(r, readBufferBytes)}
+}
+
+// EventTooLongError reports an event over the size limit.
+type EventTooLongError struct{ Bytes int }
+
+func (e *EventTooLongError) Error() string {
+	return "event of over " + strconv.Itoa(e.Bytes) + " bytes"
+}
+
+// next returns the next whole event; the memory is valid until the next call.
+func (r *eventReader) next() (event, error) {
+	r.raw = r.raw[:0]
+	var e event
+	for {
+		line, err := r.reader.ReadSlice('\n')
+		r.raw = append(r.raw, line...)
+		if err == bufio.ErrBufferFull {
+			if len(r.raw) > maxEventBytes {
+				return event{}, &EventTooLongError{Bytes: maxEventBytes}
+			}
+			continue
+		}
+		if err == io.EOF && len(r.raw) > 0 {
+			return event{}, io.ErrUnexpectedEOF
+		}
+		if err != nil {
+			return event{}, err
+		}
+		text := strings.TrimRight(string(line), "\r\n")
+		if text == "" && len(bytes.TrimSpace(r.raw)) > 0 {
+			e.raw = r.raw
+			return e, nil
+		}
+		if id, ok := strings.CutPrefix(text, "id:"); ok {
+			e.id = strings.TrimSpace(id)
+		}
+	}
+}
+
+func connectionTokens(h http.Header) map[string]bool {
+	var named map[string]bool
+	for _, value := range h.Values("Connection") {
+		for _, token := range strings.Split(value, ",") {
+			if named == nil {
+				named = make(map[string]bool)
+			}
+			named[http.CanonicalHeaderKey(strings.TrimSpace(token))] = true
+		}
+	}
+	return named
+}
--- /dev/null
+++ b/pkg/usage/usage.go
@@ -0,0 +1,106 @@
+// Package usage counts the requests of each ClientAccount that began to run in
+// each window of time, and decides when the figure of a window is final. The
+// core does no I/O.
+package usage
+
+import "time"
+
+// Counts maps accounts to numbers of requests.
+type Counts map[string]int
+
+// Windows maps window numbers to counts. Window k begins k lengths after the
+// start of 1970.
+type Windows map[int64]Counts
+
+// kept is how many windows are remembered.
+const kept = 8
+
+// source is one start of a daemon.
+type source struct {
+	node        string
+	incarnation uint64
+}
+
+// Core holds the counts of this daemon and what peers stated of theirs. It is
+// not safe for concurrent use.
+type Core struct {
+	length time.Duration
+	own    Windows
+	peers  map[source]Windows
+}
+
+// New returns a Core for windows of a length.
+func New(length time.Duration) *Core {
+	return &Core{length: length, own: make(Windows), peers: make(map[source]Windows)}
+}
+
+// WindowAt returns the window that holds a time.
+func (c *Core) WindowAt(at time.Time) int64 { return at.UnixNano() / int64(c.length) }
+
+// End returns when a window ends.
+func (c *Core) End(window int64) time.Time { return time.Unix(0, (window+1)*int64(c.length)) }
+
+// Began counts a request.
+func (c *Core) Began(at time.Time, account string) {
+	window := c.WindowAt(at)
+	counts, ok := c.own[window]
+	if !ok {
+		counts = make(Counts)
+		c.own[window] = counts
+		c.own.expire(window)
+	}
+	counts[account]++
+}
+
+func (w Windows) expire(newest int64) {
+	for window := range w {
+		if window <= newest-kept {
+			delete(w, window)
+		}
+	}
+}
+
+// Own returns a copy of this daemon's counts.
+func (c *Core) Own() Windows {
+	windows := make(Windows, len(c.own))
+	for window, counts := range c.own {
+		copied := make(Counts, len(counts))
+		for account, n := range counts {
+			copied[account] = n
+		}
+		windows[window] = copied
+	}
+	return windows
+}
+
+// SetPeer takes what one start of a peer has counted. What it counted remains
+// after its death.
+func (c *Core) SetPeer(node string, incarnation uint64, windows Windows) {
+	key := source{node: node, incarnation: incarnation}
+	known, ok := c.peers[key]
+	if !ok {
+		known = make(Windows)
+		c.peers[key] = known
+	}
+	var newest int64
+	for window, counts := range windows {
+		known[window] = counts
+		newest = max(newest, window)
+	}
+	known.expire(newest)
+}
+
+// Total returns the counts of a window over all daemons.
+func (c *Core) Total(window int64) Counts {
+	total := make(Counts)
+	add := func(counts Counts) {
+		for account, n := range counts {
+			total[account] += n
+		}
+	}
+	add(c.own[window])
+	for _, windows := range c.peers {
+		add(windows[window])
+	}
+	return total
+}
