--- a/pkg/edge/exchange.go
+++ b/pkg/edge/exchange.go
@@ -30,7 +30,7 @@
 	now := bootNow()
 	d := &mesh.Digest{
 		Node: s.settings.Node, Incarnation: s.incarnation, Address: s.settings.PeerAddress,
-		WallUnixMilli: time.Now().UnixMilli(), StoreReachable: s.storeUp, FleetVersion: s.fleet.Version(),
+		WallUnixMilli: time.Now().UnixMilli(), StoreReachable: s.serversCurrent(), FleetVersion: s.fleet.Version(),
 		Loads: s.placement.Own(), Quota: s.quota.Totals(now), Usage: s.usage.Own(),
 		Quarantine: s.recentCrashes(), Stopping: s.stopping,
 	}
@@ -40,7 +40,7 @@
 			d.Catalog = s.catalog.Source
 		}
 	}
-	if needsFleet && s.storeUp && s.fleet.Known() && s.fleet.Version() > fleetVersion {
+	if needsFleet && s.serversCurrent() && s.fleet.Known() && s.fleet.Version() > fleetVersion {
 		d.Fleet = s.fleet.Entries()
 	}
 	return d
@@ -90,7 +90,7 @@
 	for _, entry := range digest.Quarantine {
 		s.quarantine.Merge(time.Now(), entry)
 	}
-	if !s.storeUp && len(digest.Fleet) > 0 {
+	if !s.serversCurrent() && len(digest.Fleet) > 0 {
 		s.follow(s.fleet.Snapshot(now, digest.FleetVersion, digest.Fleet), "peer "+digest.Node)
 	}
 }
@@ -122,6 +122,7 @@
 		d.state.mu.Lock()
 		due := d.state.peers.Due(bootNow())
 		d.state.mu.Unlock()
+		d.state.expireServers()
 		for i := range due {
 			go d.exchange(ctx, due[i])
 		}
--- a/pkg/edge/follow.go
+++ b/pkg/edge/follow.go
@@ -20,7 +20,10 @@
 	// part of the time after which a leaving server may get no request.
 	serversPause = 450 * time.Millisecond
 	// serversWait is how long such a read may last when nothing has changed.
-	serversWait = 500 * time.Millisecond
+	serversWait = 300 * time.Millisecond
+	// serversStale is the age of the view of servers from which on a peer that
+	// has read more recently is believed.
+	serversStale = 1200 * time.Millisecond
 	// storeRetry is the pause after a failed call.
 	storeRetry = 250 * time.Millisecond
 	// registerInterval is how often a daemon refreshes its row.
@@ -126,12 +129,21 @@
 			known = true
 			pause(ctx, serversPause)
 		}
-		s.mu.Lock()
-		s.follow(s.fleet.Tick(bootNow()), "grace period")
-		s.mu.Unlock()
 	}
 }
 
+// serversCurrent reports whether the store tells this daemon of servers.
+func (s *state) serversCurrent() bool {
+	return s.storeUp && bootNow().Sub(s.serversReadAt) < serversStale
+}
+
+// expireServers removes the servers whose entries did not come back.
+func (s *state) expireServers() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.follow(s.fleet.Tick(bootNow()), "grace period")
+}
+
 func (d *Daemon) readServers(ctx context.Context, known bool) error {
 	s := d.state
 	if !known {
@@ -142,6 +154,7 @@
 		s.storeAnswered(nil)
 		s.mu.Lock()
 		defer s.mu.Unlock()
+		s.serversReadAt = bootNow()
 		s.follow(s.fleet.Snapshot(bootNow(), version, entries), "store")
 		return nil
 	}
@@ -154,6 +167,7 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.serversReadAt = bootNow()
 	s.follow(s.fleet.Apply(bootNow(), version, entries), "store")
 	return nil
 }
--- a/pkg/edge/state.go
+++ b/pkg/edge/state.go
@@ -51,6 +51,8 @@
 	quarantine *quarantine.Core
 	retries    map[string]*retry.Budget
 	storeUp    bool
+	// serversReadAt is when the store last told of servers.
+	serversReadAt time.Time
 	stopping   bool
 	// urgent wakes the exchange of digests.
 	urgent chan struct{}
--- a/pkg/fleet/fleet.go
+++ b/pkg/fleet/fleet.go
@@ -79,6 +79,8 @@
 	// storeLost is set while the store does not answer this daemon.
 	storeLost  bool
 	returnedAt time.Time
+	// unread is set from the store's return to the first full list.
+	unread bool
 }
 
 // New returns an empty Core.
@@ -98,7 +100,7 @@
 // Returned says that the store answers again.
 func (c *Core) Returned(now time.Time) {
 	if c.storeLost {
-		c.storeLost, c.returnedAt = false, now
+		c.storeLost, c.returnedAt, c.unread = false, now, true
 	}
 }
 
@@ -121,6 +123,7 @@
 			events = c.missing(now, m, events)
 		}
 	}
+	c.unread = false
 	return events
 }
 
@@ -167,21 +170,25 @@
 	return Joined
 }
 
-// missing removes a server, at once or after the grace that follows an outage
-// of the store.
+// missing removes a server. Only the first full list after an outage leaves out
+// servers whose entries lapsed because they could not refresh them; a removal
+// that comes later is the server's own or follows from its silence.
 func (c *Core) missing(now time.Time, m *member, events []Event) []Event {
 	if m.lapsed {
 		return events
 	}
-	keepUntil := c.returnedAt.Add(c.options.ReturnGrace)
-	if !c.returnedAt.IsZero() && now.Before(keepUntil) && !m.server.Leaving {
-		m.lapsed, m.removeAt = true, keepUntil
+	if (c.unread || now.Before(c.returnedAt.Add(lapseMargin))) && !m.server.Leaving {
+		m.lapsed, m.removeAt = true, c.returnedAt.Add(c.options.ReturnGrace)
 		return events
 	}
 	delete(c.members, m.server.ID)
 	return append(events, Event{Server: m.server, Change: Gone})
 }
 
+// lapseMargin is how long after the store's return entries still lapse for want
+// of refreshes that were due before it.
+const lapseMargin = 300 * time.Millisecond
+
 // Tick removes the servers whose entries did not come back in time.
 func (c *Core) Tick(now time.Time) []Event {
 	var events []Event
--- /dev/null
+++ b/pkg/fleet/fleet_test.go
@@ -0,0 +1,84 @@
+package fleet_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"github.com/monsooncrank/monsooncrank/pkg/fleet"
+)
+
+var epoch = time.Unix(1000, 0)
+
+func at(ms int) time.Time { return epoch.Add(time.Duration(ms) * time.Millisecond) }
+
+func server(id string) fleet.Entry {
+	return fleet.Entry{ID: id, Server: &fleet.Server{ID: id, Service: "llm", Address: "10.0.0.1:80", StartedUnixMilli: 1}}
+}
+
+func newCore() *fleet.Core {
+	c := fleet.New(fleet.Options{ReturnGrace: 2 * time.Second})
+	c.Snapshot(at(0), 10, []fleet.Entry{server("a"), server("b")})
+	return c
+}
+
+// Answers the store outage during which entries lapse because servers cannot
+// refresh them.
+func TestLapsedEntriesAreKeptForAGracePeriod(t *testing.T) {
+	g := gomega.NewWithT(t)
+	c := newCore()
+	c.Lost()
+	c.Returned(at(5000))
+	g.Expect(c.Snapshot(at(5010), 20, []fleet.Entry{server("a")})).To(gomega.BeEmpty())
+	g.Expect(c.Tick(at(6900))).To(gomega.BeEmpty())
+	g.Expect(c.Tick(at(7001))).To(gomega.HaveLen(1))
+	g.Expect(c.Servers()).To(gomega.HaveLen(1))
+}
+
+// Answers the cut of one host from the store while servers leave: a removal
+// that comes after the first full list is not a lapse (kodiclub-enrol scale-2:
+// requests reached a server 2123 ms after its entry was removed).
+func TestRemovalAfterTheReturnCountsAtOnce(t *testing.T) {
+	g := gomega.NewWithT(t)
+	c := newCore()
+	c.Lost()
+	c.Returned(at(5000))
+	c.Snapshot(at(5010), 20, []fleet.Entry{server("a"), server("b")})
+	events := c.Apply(at(5900), 21, []fleet.Entry{{ID: "b"}})
+	g.Expect(events).To(gomega.HaveLen(1))
+	g.Expect(events[0].Change).To(gomega.Equal(fleet.Gone))
+}
+
+// Answers an older view of a peer that arrives late.
+func TestOlderViewsAreIgnored(t *testing.T) {
+	g := gomega.NewWithT(t)
+	c := newCore()
+	c.Apply(at(100), 20, []fleet.Entry{{ID: "b"}})
+	g.Expect(c.Snapshot(at(200), 15, []fleet.Entry{server("a"), server("b")})).To(gomega.BeEmpty())
+	g.Expect(c.Servers()).To(gomega.HaveLen(1))
+}
+
+// Answers a server that starts again under its ID.
+func TestRestartUnderTheSameIDIsAnotherServer(t *testing.T) {
+	g := gomega.NewWithT(t)
+	c := newCore()
+	again := server("a")
+	again.Server.StartedUnixMilli = 2
+	events := c.Apply(at(100), 20, []fleet.Entry{again})
+	g.Expect(events).To(gomega.HaveLen(2))
+	g.Expect(events[0].Change).To(gomega.Equal(fleet.Gone))
+	g.Expect(events[1].Change).To(gomega.Equal(fleet.Joined))
+}
+
+// Answers a leaving server whose entry lapses: it is not kept.
+func TestLeavingServersGetNoGrace(t *testing.T) {
+	g := gomega.NewWithT(t)
+	c := newCore()
+	leaving := server("b")
+	leaving.Server.Leaving = true
+	g.Expect(c.Apply(at(10), 11, []fleet.Entry{leaving})[0].Change).To(gomega.Equal(fleet.Left))
+	c.Lost()
+	c.Returned(at(5000))
+	g.Expect(c.Snapshot(at(5010), 20, []fleet.Entry{server("a")})).To(gomega.HaveLen(1))
+}
