Take no requests later than 2.6 s after SIGTERM

Change: answers ask callers to reconnect from the signal on, idle connections and the listener are closed after 2.6 s, when the balancer has noticed.

--- a/pkg/edge/daemon.go
+++ b/pkg/edge/daemon.go
@@ -27,11 +27,9 @@
 	// harder.
 	memoryPart = 0.6
 	// balancerNotice is how long the balancer takes to send no new connections:
-	// two questions a second apart, and their answers.
-	balancerNotice = 2300 * time.Millisecond
-	// reconnectTime is how long callers are asked to reconnect before idle
-	// connections are closed.
-	reconnectTime = 1200 * time.Millisecond
+	// two questions a second apart, and their answers. Requests taken later
+	// than three seconds after SIGTERM might outlast the grace period.
+	balancerNotice = 2600 * time.Millisecond
 	// exitMargin is the end of the grace period that is left for the exit.
 	exitMargin = 400 * time.Millisecond
 	// goodbyeTimeout bounds the last words to peers.
@@ -177,16 +175,16 @@
 	return s.catalog != nil && s.fleet.Known() && !s.stopping
 }
 
-// drain stops without cutting a request: the balancer notices first, then
-// callers are asked to reconnect, then idle connections are closed.
+// drain stops without cutting a request: callers are asked to reconnect with
+// each answer, and when the balancer has noticed, idle connections and the
+// listener are closed and the requests in progress end.
 func (d *Daemon) drain(front *http.Server) {
 	end := time.Now().Add(d.settings.GracePeriod - exitMargin)
 	d.state.mu.Lock()
 	d.state.stopping = true
 	d.state.mu.Unlock()
-	time.Sleep(balancerNotice)
 	d.front.CloseConnections()
-	time.Sleep(reconnectTime)
+	time.Sleep(balancerNotice)
 	ctx, cancel := context.WithDeadline(context.Background(), end)
 	defer cancel()
 	if err := front.Shutdown(ctx); err != nil {
