Share which engine read which prompt part; weigh rereading by its cost to others

Firm servers found no room in zones whose reclaimable ones were refused. Ruled out: too little memory in the engines (1.5 million shared tokens, 7.4 million places). Change: digests carry the newest placements, each engine's memory is modelled as least-recently-used, tokens that another engine holds weigh 2.5 times their time; the need grows at most by half of the servers that are there.

--- a/pkg/edge/exchange.go
+++ b/pkg/edge/exchange.go
@@ -32,7 +32,7 @@
 		Node: s.settings.Node, Incarnation: s.incarnation, Address: s.settings.PeerAddress,
 		WallUnixMilli: time.Now().UnixMilli(), StoreReachable: s.serversCurrent(), FleetVersion: s.fleet.Version(),
 		Loads: s.placement.Own(), Quota: s.quota.Totals(now), Usage: s.usage.Own(),
-		Quarantine: s.recentCrashes(), Stopping: s.stopping,
+		Placed: s.placement.News(time.Now()), Quarantine: s.recentCrashes(), Stopping: s.stopping,
 	}
 	if s.catalog != nil {
 		d.CatalogVersion = s.catalog.Version
@@ -85,6 +85,7 @@
 		klog.InfoS("peer", "peer", digest.Node, "address", digest.Address, "configuration", digest.CatalogVersion)
 	}
 	s.placement.SetPeer(time.Now(), digest.Node, digest.Loads)
+	s.placement.TakeNews(time.Now(), digest.Node, digest.Incarnation, digest.Placed)
 	s.quota.SetPeer(now, digest.Node, digest.Incarnation, digest.Quota)
 	s.usage.SetPeer(digest.Node, digest.Incarnation, digest.Usage)
 	for _, entry := range digest.Quarantine {
--- a/pkg/mesh/digest.go
+++ b/pkg/mesh/digest.go
@@ -36,6 +36,8 @@
 	Quota        quota.Totals              `cbor:"11,keyasint"`
 	Usage        usage.Windows             `cbor:"12,keyasint,omitempty"`
 	Quarantine   []quarantine.Entry        `cbor:"13,keyasint,omitempty"`
+	// Placed are the newest placements of prompt parts.
+	Placed []placement.Placed `cbor:"15,keyasint,omitempty"`
 	// Stopping daemons take no part in shares any more.
 	Stopping bool `cbor:"14,keyasint,omitempty"`
 }
--- a/pkg/placement/core.go
+++ b/pkg/placement/core.go
@@ -16,6 +16,7 @@
 	servers  map[string]*server
 	attempts map[string]*attempt
 	peers    map[string]peerLoad
+	placed   placements
 }
 
 type service struct {
@@ -44,7 +45,16 @@
 	unusable bool
 	// aliveAt is when the server last sent anything.
 	aliveAt time.Time
-	cached  map[string]time.Time
+	cached  map[uint64]cachedPart
+	// inserted counts the tokens that were read into the server's memory.
+	inserted int
+}
+
+// cachedPart is a part of a prompt in a server's memory.
+type cachedPart struct {
+	at time.Time
+	// inserted is the server's count at the last use.
+	inserted int
 }
 
 type attempt struct {
@@ -103,7 +113,7 @@
 	if s, ok := c.servers[f.ID]; ok {
 		s.service.remove(s)
 	}
-	s := &server{Server: f, service: c.service(f.Service), slowness: 1, cached: make(map[string]time.Time)}
+	s := &server{Server: f, service: c.service(f.Service), slowness: 1, cached: make(map[uint64]cachedPart)}
 	c.servers[f.ID] = s
 	s.service.servers = append(s.service.servers, s)
 	c.sumPeers()
@@ -274,14 +284,15 @@
 
 // hit returns how many tokens of the prompt are expected in memory.
 func (s *server) hit(now time.Time, parts []Part, home bool) int {
-	tokens, key := 0, ""
+	tokens := 0
+	var chain uint64
 	for i, p := range parts {
 		if i == len(parts)-1 {
 			break
 		}
-		key += p.ID + "/"
-		usedAt, used := s.cached[key]
-		if !home && (!used || now.Sub(usedAt) > cacheMemory) {
+		chain = chainHash(chain, p.ID)
+		part, used := s.cached[chain]
+		if used && !s.kept(now, part) || !used && !home {
 			break
 		}
 		tokens += p.Tokens
@@ -289,6 +300,21 @@
 	return tokens
 }
 
+// kept reports whether a part is still in memory: the least recently used parts
+// yield to what is read.
+func (s *server) kept(now time.Time, p cachedPart) bool {
+	return now.Sub(p.at) < cacheMemory && float64(s.inserted-p.inserted) < cacheShare*float64(s.service.memory)
+}
+
+// chainHash names a part together with all parts before it.
+func chainHash(before uint64, id string) uint64 {
+	var digest xxhash.Digest
+	digest.ResetWithSeed(before)
+	// A hash takes any string.
+	_, _ = digest.WriteString(id)
+	return digest.Sum64()
+}
+
 func (s *server) total() Load {
 	l := s.own
 	l.add(s.others)
@@ -388,32 +414,45 @@
 		a.load.Prefill = uncached
 		a.load.Memory = uncached + q.OutputTokens
 		a.ahead = s.total().Prefill + uncached
-		s.remember(now, q.Parts)
+		shared := chains(q.Parts)
+		s.remember(now, shared, uncached)
+		c.placed.add(Placed{Server: s.ID, Chains: shared, Uncached: uncached}, now)
 	}
 	s.own.add(a.load)
 	c.attempts[id] = a
 }
 
-func (s *server) remember(now time.Time, parts []Part) {
-	key := ""
-	for i, p := range parts {
-		if i == len(parts)-1 {
-			break
-		}
-		key += p.ID + "/"
-		s.cached[key] = now
+// remember notes the parts that a server has read for a request.
+func (s *server) remember(now time.Time, chains []uint64, uncached int) {
+	s.inserted += uncached
+	for _, chain := range chains {
+		s.cached[chain] = cachedPart{at: now, inserted: s.inserted}
 	}
 	if len(s.cached) > maxCachedParts {
-		for k, at := range s.cached {
-			if now.Sub(at) > cacheMemory/2 {
-				delete(s.cached, k)
+		for chain, p := range s.cached {
+			if !s.kept(now, p) {
+				delete(s.cached, chain)
 			}
 		}
 	}
 }
 
+// chains names the shared parts of a prompt.
+func chains(parts []Part) []uint64 {
+	if len(parts) < 2 {
+		return nil
+	}
+	names := make([]uint64, 0, len(parts)-1)
+	var chain uint64
+	for _, p := range parts[:len(parts)-1] {
+		chain = chainHash(chain, p.ID)
+		names = append(names, chain)
+	}
+	return names
+}
+
 // maxCachedParts bounds the memory for the parts of one server.
-const maxCachedParts = 2000
+const maxCachedParts = 4000
 
 // FirstEvent records that the first part of an answer has come.
 func (c *Core) FirstEvent(now time.Time, id string) {
--- a/pkg/placement/types.go
+++ b/pkg/placement/types.go
@@ -131,7 +131,7 @@
 	zoneWait = 4 * time.Millisecond
 	// rereadWeight makes tokens that another server already holds cost more
 	// than their time, since reading them again also takes the place of others.
-	rereadWeight = 1.5
+	rereadWeight = 2.5
 	// memoryLimit is the part of an engine's memory that may be occupied
 	// before it is taken for full; beyond it engines preempt requests.
 	memoryLimit = 0.9
@@ -146,6 +146,9 @@
 	peerLoadMaxAge = 3 * time.Second
 	// cacheMemory is how long a prompt part is believed to stay at a server.
 	cacheMemory = 60 * time.Second
+	// cacheShare is the part of an engine's memory that holds parts which no
+	// running request uses.
+	cacheShare = 0.6
 	// plainWork is the assumed run time of a plain request until measured.
 	plainWork = 40 * time.Millisecond
 	// plainQueue is how many requests per slot a plain server may be given;
--- a/pkg/scaling/scaling.go
+++ b/pkg/scaling/scaling.go
@@ -65,6 +65,8 @@
 	// firmLowerAfter is the same for servers that stand in for reclaimable
 	// ones, which cost several times as much.
 	firmLowerAfter = 3 * time.Second
+	// growth bounds the need in relation to the servers that are there.
+	growth = 1.5
 	// backlogFactor bounds what a backlog of prompts can add to the need: it
 	// grows without limit when there are too few servers.
 	backlogFactor = 1.5
@@ -140,7 +142,10 @@
 	for _, l := range c.loads {
 		highest = math.Max(highest, l.need)
 	}
-	c.need.set(now, max(int(math.Ceil(highest)), c.options.MinServers), lowerAfter)
+	// Requests pile up where servers are missing, so that the load of few
+	// servers overstates how many would do.
+	most := growth * float64(max(c.ready(servers), c.options.MinServers))
+	c.need.set(now, max(int(math.Ceil(math.Min(highest, most))), c.options.MinServers), lowerAfter)
 	wanted := c.distribute(now, s, zones, servers)
 	var orders []Order
 	for subject, desired := range wanted {
@@ -166,31 +171,47 @@
 	perZone := 0
 	if s.SpotPrice > 0 {
 		perZone = min((c.need.value+max(len(zones)-1, 1)-1)/max(len(zones)-1, 1), s.Max)
-		for _, zone := range zones {
-			wanted[Subject{c.service, zone, true}] = perZone
-		}
 	}
 	c.firm.set(now, max(c.need.value-c.ready(servers), 0), firmLowerAfter)
 	left := c.firm.value
 	byPrice := slices.Clone(zones)
 	slices.SortStableFunc(byPrice, func(a, b string) int { return cmp.Compare(s.ZonePrices[a], s.ZonePrices[b]) })
+	firm, room := make(map[string]int), make(map[string]int)
 	for _, zone := range zones {
-		wanted[Subject{c.service, zone, false}] = max(s.Min-perZone, 0)
+		firm[zone] = max(s.Min-perZone, 0)
+		room[zone] = s.Max - reclaimableIn(c.service, zone, servers)
 	}
 	for placed := true; placed && left > 0; {
 		placed = false
 		for _, zone := range byPrice {
-			firm := Subject{c.service, zone, false}
-			if left > 0 && wanted[firm]+perZone < s.Max {
-				wanted[firm]++
+			if left > 0 && firm[zone] < room[zone] {
+				firm[zone]++
 				left--
 				placed = true
 			}
 		}
 	}
+	for _, zone := range zones {
+		wanted[Subject{c.service, zone, false}] = firm[zone]
+		if s.SpotPrice > 0 {
+			wanted[Subject{c.service, zone, true}] = min(perZone, s.Max-firm[zone])
+		}
+	}
 	return wanted
 }
 
+// reclaimableIn counts the reclaimable servers of a zone, leaving ones too:
+// they still count against the zone's limit.
+func reclaimableIn(service, zone string, servers []fleet.Server) int {
+	n := 0
+	for i := range servers {
+		if f := &servers[i]; f.Service == service && f.AvailabilityZone == zone && f.Reclaimable {
+			n++
+		}
+	}
+	return n
+}
+
 // ready counts the reclaimable servers that take work.
 func (c *Core) ready(servers []fleet.Server) int {
 	n := 0
