--- a/pkg/capacity/bench_test.go
+++ b/pkg/capacity/bench_test.go
@@ -7,7 +7,7 @@
 	"time"
 
 	"github.com/monsooncrank/monsooncrank/coordination/membership"
-	"github.com/monsooncrank/monsooncrank/pkg/platform/cloud"
+	"github.com/monsooncrank/monsooncrank/pkg/providers/cloud"
 )
 
 const (
--- a/pkg/capacity/buyer.go
+++ b/pkg/capacity/buyer.go
@@ -10,7 +10,7 @@
 	"github.com/juju/errors"
 
 	"github.com/monsooncrank/monsooncrank/coordination/membership"
-	"github.com/monsooncrank/monsooncrank/pkg/platform/cloud"
+	"github.com/monsooncrank/monsooncrank/pkg/providers/cloud"
 )
 
 // BuyerOptions are the settings of a Buyer. Zero values take the defaults.
--- a/pkg/capacity/buyerdriver.go
+++ b/pkg/capacity/buyerdriver.go
@@ -8,7 +8,7 @@
 	"k8s.io/klog/v2"
 
 	"github.com/monsooncrank/monsooncrank/pkg/decision"
-	"github.com/monsooncrank/monsooncrank/pkg/platform/cloud"
+	"github.com/monsooncrank/monsooncrank/pkg/providers/cloud"
 )
 
 // BuyerHooks connect a BuyerDriver to the other duties.
--- a/pkg/capacity/capacity_test.go
+++ b/pkg/capacity/capacity_test.go
@@ -14,7 +14,7 @@
 
 	"github.com/monsooncrank/monsooncrank/coordination/membership"
 	"github.com/monsooncrank/monsooncrank/pkg/engine"
-	"github.com/monsooncrank/monsooncrank/pkg/platform/cloud"
+	"github.com/monsooncrank/monsooncrank/pkg/providers/cloud"
 	standin "github.com/monsooncrank/monsooncrank/pkg/standin/cloud"
 )
 
--- a/pkg/capacity/events.go
+++ b/pkg/capacity/events.go
@@ -5,7 +5,7 @@
 
 	"github.com/monsooncrank/monsooncrank/pkg/decision"
 	"github.com/monsooncrank/monsooncrank/pkg/engine"
-	"github.com/monsooncrank/monsooncrank/pkg/platform/cloud"
+	"github.com/monsooncrank/monsooncrank/pkg/providers/cloud"
 )
 
 // Event is something that a Buyer or a Placer learns.
--- a/pkg/capacity/random_test.go
+++ b/pkg/capacity/random_test.go
@@ -12,7 +12,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/monsooncrank/monsooncrank/coordination/randomtest"
-	"github.com/monsooncrank/monsooncrank/pkg/platform/cloud"
+	"github.com/monsooncrank/monsooncrank/pkg/providers/cloud"
 	standin "github.com/monsooncrank/monsooncrank/pkg/standin/cloud"
 )
 
--- a/pkg/capacity/reconcile.go
+++ b/pkg/capacity/reconcile.go
@@ -5,7 +5,7 @@
 	"maps"
 
 	"github.com/monsooncrank/monsooncrank/pkg/decision"
-	"github.com/monsooncrank/monsooncrank/pkg/platform/cloud"
+	"github.com/monsooncrank/monsooncrank/pkg/providers/cloud"
 )
 
 // choices returns the offers of a group that can be bought now. A Pool whose
--- a/pkg/command/command_test.go
+++ b/pkg/command/command_test.go
@@ -23,7 +23,7 @@
 	"github.com/monsooncrank/monsooncrank/coordination/table/memtable"
 	"github.com/monsooncrank/monsooncrank/pkg/decision"
 	"github.com/monsooncrank/monsooncrank/pkg/operatorapi"
-	"github.com/monsooncrank/monsooncrank/pkg/platform/objectstore/memstore"
+	"github.com/monsooncrank/monsooncrank/pkg/providers/objectstore/memstore"
 	"github.com/monsooncrank/monsooncrank/pkg/publish"
 )
 
--- a/pkg/daemon/capacity.go
+++ b/pkg/daemon/capacity.go
@@ -14,7 +14,7 @@
 	"github.com/monsooncrank/monsooncrank/pkg/config"
 	"github.com/monsooncrank/monsooncrank/pkg/decision"
 	"github.com/monsooncrank/monsooncrank/pkg/engine"
-	"github.com/monsooncrank/monsooncrank/pkg/platform/cloud"
+	"github.com/monsooncrank/monsooncrank/pkg/providers/cloud"
 )
 
 const (
--- a/pkg/daemon/notices.go
+++ b/pkg/daemon/notices.go
@@ -11,7 +11,7 @@
 	"k8s.io/utils/clock"
 
 	"github.com/monsooncrank/monsooncrank/coordination/membership"
-	"github.com/monsooncrank/monsooncrank/pkg/platform/cloud"
+	"github.com/monsooncrank/monsooncrank/pkg/providers/cloud"
 	"github.com/monsooncrank/monsooncrank/pkg/routing"
 	"github.com/monsooncrank/monsooncrank/pkg/streaming"
 )
--- a/pkg/daemon/platform.go
+++ b/pkg/daemon/platform.go
@@ -7,12 +7,12 @@
 
 	"github.com/monsooncrank/monsooncrank/coordination/table"
 	"github.com/monsooncrank/monsooncrank/pkg/peer"
-	"github.com/monsooncrank/monsooncrank/pkg/platform/awsclient"
-	"github.com/monsooncrank/monsooncrank/pkg/platform/cloud"
-	"github.com/monsooncrank/monsooncrank/pkg/platform/hostlist"
-	"github.com/monsooncrank/monsooncrank/pkg/platform/objectstore"
-	"github.com/monsooncrank/monsooncrank/pkg/platform/objectstore/s3store"
-	"github.com/monsooncrank/monsooncrank/pkg/platform/tableservice"
+	"github.com/monsooncrank/monsooncrank/pkg/providers/awsclient"
+	"github.com/monsooncrank/monsooncrank/pkg/providers/cloud"
+	"github.com/monsooncrank/monsooncrank/pkg/providers/hostlist"
+	"github.com/monsooncrank/monsooncrank/pkg/providers/objectstore"
+	"github.com/monsooncrank/monsooncrank/pkg/providers/objectstore/s3store"
+	"github.com/monsooncrank/monsooncrank/pkg/providers/tableservice"
 )
 
 // hostListTimeout bounds one poll of the host list.
--- a/pkg/daemon/recoverytest/fleet_test.go
+++ b/pkg/daemon/recoverytest/fleet_test.go
@@ -19,7 +19,7 @@
 	"github.com/monsooncrank/monsooncrank/coordination/membership"
 	"github.com/monsooncrank/monsooncrank/pkg/config"
 	"github.com/monsooncrank/monsooncrank/pkg/daemon"
-	platformcloud "github.com/monsooncrank/monsooncrank/pkg/platform/cloud"
+	platformcloud "github.com/monsooncrank/monsooncrank/pkg/providers/cloud"
 	"github.com/monsooncrank/monsooncrank/pkg/publish"
 	"github.com/monsooncrank/monsooncrank/pkg/standin/cloud"
 	"github.com/monsooncrank/monsooncrank/pkg/standin/engine"
--- a/pkg/operatorapi/problems.go
+++ b/pkg/operatorapi/problems.go
@@ -9,7 +9,7 @@
 
 	"github.com/monsooncrank/monsooncrank/coordination/table"
 	"github.com/monsooncrank/monsooncrank/pkg/config"
-	"github.com/monsooncrank/monsooncrank/pkg/platform/objectstore"
+	"github.com/monsooncrank/monsooncrank/pkg/providers/objectstore"
 	"github.com/monsooncrank/monsooncrank/pkg/publish"
 )
 
--- /dev/null
+++ b/pkg/placement/placement_test.go
@@ -0,0 +1,264 @@
+package placement_test
+
+import (
+	"errors"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"github.com/monsooncrank/monsooncrank/pkg/fleet"
+	"github.com/monsooncrank/monsooncrank/pkg/placement"
+)
+
+const (
+	models   = "models"
+	bookings = "bookings"
+)
+
+var epoch = time.Unix(1000, 0)
+
+func at(ms int) time.Time { return epoch.Add(time.Duration(ms) * time.Millisecond) }
+
+func newCore(engines, plain int) *placement.Core {
+	c := placement.NewCore(placement.Options{})
+	c.SetEngine(models, 64, 600_000)
+	for i := range engines {
+		c.Handle(joined(fmt.Sprintf("e%d", i), models, 64))
+	}
+	for i := range plain {
+		c.Handle(joined(fmt.Sprintf("p%d", i), bookings, 6))
+	}
+	return c
+}
+
+func joined(id, service string, slots int) fleet.Event {
+	return fleet.Event{Change: fleet.Joined, Server: fleet.Server{ID: id, Service: service, Address: id + ":80",
+		AvailabilityZone: "a", Slots: slots}}
+}
+
+// letter is a request whose prompt shares 13,000 tokens with others of its
+// group.
+func letter(now time.Time, group string, own int) *placement.Query {
+	return &placement.Query{Service: models, Zone: "a",
+		Parts:        []placement.Part{{ID: group, Tokens: 13_000}, {ID: "own", Tokens: own}},
+		PromptTokens: 13_000 + own, OutputTokens: 100, Target: time.Second, Received: now, Deadline: now.Add(8 * time.Second)}
+}
+
+func booking(now time.Time, exclude ...string) *placement.Query {
+	return &placement.Query{Service: bookings, Zone: "a", Target: 150 * time.Millisecond, Received: now,
+		Deadline: now.Add(time.Second), Exclude: exclude}
+}
+
+func place(t *testing.T, c *placement.Core, now time.Time, id string, q *placement.Query) placement.Decision {
+	t.Helper()
+	d, err := c.Pick(now, q)
+	if err != nil {
+		t.Fatalf("request %s refused: %v", id, err)
+	}
+	c.Started(now, id, &d, q)
+	return d
+}
+
+// Answers calm traffic on many shared prompts from daemons that have not spoken
+// to one another: all send a prompt to the same engine.
+func TestDaemonsAgreeOnTheHomeOfAPrompt(t *testing.T) {
+	g := gomega.NewWithT(t)
+	one, two := newCore(8, 0), newCore(8, 0)
+	homes := make(map[string]bool)
+	for i := range 100 {
+		group := fmt.Sprintf("group-%d", i)
+		a, errA := one.Pick(at(0), letter(at(0), group, 1000))
+		b, errB := two.Pick(at(0), letter(at(0), group, 1000))
+		g.Expect(errors.Join(errA, errB)).NotTo(gomega.HaveOccurred())
+		g.Expect(a.Server.ID).To(gomega.Equal(b.Server.ID))
+		homes[a.Server.ID] = true
+	}
+	g.Expect(homes).To(gomega.HaveLen(8), "prompts are spread over all engines")
+}
+
+// Answers a burst on one shared prompt: the load leaves its home when waiting
+// there costs more than reading the prompt again elsewhere, and not before.
+func TestAHotPromptSpillsOnlyWhenItsHomeIsFull(t *testing.T) {
+	g := gomega.NewWithT(t)
+	c := newCore(6, 0)
+	home := place(t, c, at(0), "first", letter(at(0), "hot", 1000)).Server.ID
+	engines := make(map[string]int)
+	for i := range 60 {
+		engines[place(t, c, at(i), fmt.Sprint(i), letter(at(i), "hot", 4000)).Server.ID]++
+	}
+	g.Expect(engines[home]).To(gomega.BeNumerically(">=", 8))
+	g.Expect(len(engines)).To(gomega.BeNumerically(">=", 3))
+}
+
+// Answers overload after a reclaim (kodiclub-enrol scale-1: half of all prompt
+// tokens were read again): with all engines equally busy, prompts stay where
+// they are kept.
+func TestUnderEqualLoadPromptsStayAtTheirHome(t *testing.T) {
+	g := gomega.NewWithT(t)
+	c := newCore(6, 0)
+	stayed, total := 0, 0
+	home := make(map[string]string)
+	for i := range 300 {
+		group := fmt.Sprintf("group-%d", i%60)
+		now := at(i * 10)
+		id := fmt.Sprint(i)
+		d := place(t, c, now, id, letter(now, group, 3000))
+		if first, ok := home[group]; ok {
+			total++
+			if first == d.Server.ID {
+				stayed++
+			}
+		} else {
+			home[group] = d.Server.ID
+		}
+		if i >= 40 {
+			done := fmt.Sprint(i - 40)
+			c.FirstEvent(now, done)
+			c.Finished(now, done, placement.ResultAnswered)
+		}
+	}
+	g.Expect(float64(stayed) / float64(total)).To(gomega.BeNumerically(">=", 0.9))
+}
+
+// Answers a prompt that a peer has sent elsewhere: the daemon follows the news.
+func TestPlacementsOfPeersAreKnown(t *testing.T) {
+	g := gomega.NewWithT(t)
+	one, two := newCore(4, 0), newCore(4, 0)
+	q := letter(at(0), "g", 1000)
+	home, err := one.Pick(at(0), q)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	q.Exclude = []string{home.Server.ID}
+	away := place(t, one, at(0), "away", q)
+	two.TakeNews(at(100), "one", 7, one.News(at(100)))
+	two.TakeNews(at(110), "one", 7, one.News(at(110)))
+	q = letter(at(200), "g", 1000)
+	q.Exclude = []string{home.Server.ID}
+	d, err := two.Pick(at(200), q)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(d.Server.ID).To(gomega.Equal(away.Server.ID))
+	g.Expect(d.Cached).To(gomega.Equal(13_000))
+}
+
+// Answers an engine whose memory has been filled since a part was used: the
+// part is not expected there any more.
+func TestPartsYieldToWhatIsReadAfterThem(t *testing.T) {
+	g := gomega.NewWithT(t)
+	c := newCore(1, 0)
+	place(t, c, at(0), "first", letter(at(0), "g", 1000))
+	for i := range 60 {
+		id := fmt.Sprint(i)
+		q := letter(at(i), fmt.Sprintf("other-%d", i), 9_000)
+		place(t, c, at(i), id, q)
+		c.FirstEvent(at(i), id)
+		c.Finished(at(i), id, placement.ResultAnswered)
+	}
+	d, err := c.Pick(at(100), letter(at(100), "g", 1000))
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(d.Cached).To(gomega.BeZero())
+}
+
+// Answers servers that fail part of their requests while they look healthy.
+func TestFailingServersGetLessWork(t *testing.T) {
+	g := gomega.NewWithT(t)
+	c := newCore(0, 4)
+	counts := make(map[string]int)
+	for i := range 400 {
+		now, id := at(i*10), fmt.Sprint(i)
+		d := place(t, c, now, id, booking(now))
+		counts[d.Server.ID]++
+		result := placement.ResultAnswered
+		if d.Server.ID == "p0" && i%2 == 0 {
+			result = placement.ResultFailed
+		}
+		c.Finished(now.Add(5*time.Millisecond), id, result)
+	}
+	g.Expect(counts["p0"]).To(gomega.BeNumerically("<", counts["p1"]))
+}
+
+// Answers a server that works several times slower than its peers.
+func TestSlowServersGetLessWork(t *testing.T) {
+	g := gomega.NewWithT(t)
+	c := newCore(0, 4)
+	counts := make(map[string]int)
+	type running struct {
+		id   string
+		ends int
+	}
+	var open []running
+	for i := range 600 {
+		ms := i * 10
+		for len(open) > 0 && open[0].ends <= ms {
+			c.Finished(at(ms), open[0].id, placement.ResultAnswered)
+			open = open[1:]
+		}
+		d := place(t, c, at(ms), fmt.Sprint(i), booking(at(ms)))
+		counts[d.Server.ID]++
+		took := 30
+		if d.Server.ID == "p0" {
+			took = 240
+		}
+		open = append(open, running{fmt.Sprint(i), ms + took})
+	}
+	g.Expect(counts["p0"]).To(gomega.BeNumerically("<", 90), "an equal share is 150")
+}
+
+// Answers a daemon that reads reports of its peers: their work counts.
+func TestLoadOfPeersCounts(t *testing.T) {
+	g := gomega.NewWithT(t)
+	c := newCore(0, 2)
+	c.SetPeer(at(0), "peer", map[string]placement.Load{"p0": {Running: 5}})
+	d, err := c.Pick(at(10), booking(at(10)))
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(d.Server.ID).To(gomega.Equal("p1"))
+	c.SetPeer(at(5000), "other", nil)
+	g.Expect(c.Own()).To(gomega.BeEmpty())
+	d, err = c.Pick(at(5000), booking(at(5000), "p1"))
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(d.Server.ID).To(gomega.Equal("p0"))
+}
+
+// Answers load beyond what the engines can do: a stream that cannot end in time
+// is refused at once with the time after which it may come back.
+func TestStreamsThatCannotEndInTimeAreRefusedAtOnce(t *testing.T) {
+	g := gomega.NewWithT(t)
+	c := newCore(1, 0)
+	var refused *placement.RefusedError
+	for i := range 200 {
+		q := letter(at(i), fmt.Sprintf("g%d", i), 4000)
+		d, err := c.Pick(at(i), q)
+		if errors.As(err, &refused) {
+			break
+		}
+		g.Expect(d.Wait).To(gomega.BeNumerically("<", 8*time.Second))
+		c.Started(at(i), fmt.Sprint(i), &d, q)
+	}
+	g.Expect(refused).NotTo(gomega.BeNil())
+	g.Expect(refused.Reason).To(gomega.Equal(placement.RefusedOverloaded))
+	g.Expect(refused.RetryAfter).To(gomega.BeNumerically(">", 0))
+}
+
+// Answers a server that starts again under its ID with requests of its former
+// start still open.
+func TestEndsOfAFormerStartDoNotTouchTheNewOne(t *testing.T) {
+	g := gomega.NewWithT(t)
+	c := newCore(0, 1)
+	place(t, c, at(0), "old", booking(at(0)))
+	again := joined("p0", bookings, 6)
+	again.Server.StartedUnixMilli = 5
+	c.Handle(again)
+	c.Finished(at(10), "old", placement.ResultFailed)
+	g.Expect(c.Own()).To(gomega.BeEmpty())
+}
+
+// Answers a reused address: the server that is no longer there gets nothing.
+func TestMisdirectedServersAreNotUsed(t *testing.T) {
+	g := gomega.NewWithT(t)
+	c := newCore(0, 1)
+	c.Misdirected("p0")
+	_, err := c.Pick(at(0), booking(at(0)))
+	var refused *placement.RefusedError
+	g.Expect(errors.As(err, &refused)).To(gomega.BeTrue())
+	g.Expect(refused.Reason).To(gomega.Equal(placement.RefusedNoServer))
+}
--- a/pkg/platform/cloud/client.go
+++ b/pkg/providers/cloud/client.go
@@ -10,7 +10,7 @@
 
 	"github.com/juju/errors"
 
-	"github.com/monsooncrank/monsooncrank/pkg/platform/internal/once"
+	"github.com/monsooncrank/monsooncrank/pkg/providers/internal/once"
 )
 
 // Paths of the API.
--- a/pkg/platform/cloud/cloud_test.go
+++ b/pkg/providers/cloud/cloud_test.go
@@ -11,7 +11,7 @@
 	testclock "k8s.io/utils/clock/testing"
 
 	"github.com/monsooncrank/monsooncrank/coordination/membership"
-	"github.com/monsooncrank/monsooncrank/pkg/platform/cloud"
+	"github.com/monsooncrank/monsooncrank/pkg/providers/cloud"
 	standin "github.com/monsooncrank/monsooncrank/pkg/standin/cloud"
 )
 
--- a/pkg/platform/hostlist/bench_test.go
+++ b/pkg/providers/hostlist/bench_test.go
@@ -8,7 +8,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/monsooncrank/monsooncrank/coordination/membership"
-	"github.com/monsooncrank/monsooncrank/pkg/platform/hostlist"
+	"github.com/monsooncrank/monsooncrank/pkg/providers/hostlist"
 	standin "github.com/monsooncrank/monsooncrank/pkg/standin/hostlist"
 )
 
--- a/pkg/platform/hostlist/hostlist.go
+++ b/pkg/providers/hostlist/hostlist.go
@@ -12,7 +12,7 @@
 	"k8s.io/klog/v2"
 
 	"github.com/monsooncrank/monsooncrank/coordination/membership"
-	"github.com/monsooncrank/monsooncrank/pkg/platform/internal/once"
+	"github.com/monsooncrank/monsooncrank/pkg/providers/internal/once"
 )
 
 // Options are the settings of a Client. Zero values take the defaults.
--- a/pkg/platform/hostlist/hostlist_test.go
+++ b/pkg/providers/hostlist/hostlist_test.go
@@ -12,7 +12,7 @@
 	testclock "k8s.io/utils/clock/testing"
 
 	"github.com/monsooncrank/monsooncrank/coordination/membership"
-	"github.com/monsooncrank/monsooncrank/pkg/platform/hostlist"
+	"github.com/monsooncrank/monsooncrank/pkg/providers/hostlist"
 	standin "github.com/monsooncrank/monsooncrank/pkg/standin/hostlist"
 )
 
--- a/pkg/platform/objectstore/memstore/memstore.go
+++ b/pkg/providers/objectstore/memstore/memstore.go
@@ -6,7 +6,7 @@
 	"context"
 	"sync"
 
-	"github.com/monsooncrank/monsooncrank/pkg/platform/objectstore"
+	"github.com/monsooncrank/monsooncrank/pkg/providers/objectstore"
 )
 
 // Fault is a failure that an operation suffers.
--- a/pkg/platform/objectstore/memstore/memstore_test.go
+++ b/pkg/providers/objectstore/memstore/memstore_test.go
@@ -6,7 +6,7 @@
 
 	. "github.com/onsi/gomega"
 
-	"github.com/monsooncrank/monsooncrank/pkg/platform/objectstore"
+	"github.com/monsooncrank/monsooncrank/pkg/providers/objectstore"
 )
 
 // Guards against a fault that is reported as the wrong kind: what a caller may
--- a/pkg/platform/objectstore/s3store/s3store.go
+++ b/pkg/providers/objectstore/s3store/s3store.go
@@ -14,8 +14,8 @@
 	"github.com/aws/aws-sdk-go-v2/service/s3/types"
 	"github.com/juju/errors"
 
-	"github.com/monsooncrank/monsooncrank/pkg/platform/awsclient"
-	"github.com/monsooncrank/monsooncrank/pkg/platform/objectstore"
+	"github.com/monsooncrank/monsooncrank/pkg/providers/awsclient"
+	"github.com/monsooncrank/monsooncrank/pkg/providers/objectstore"
 )
 
 // maxObjectBytes bounds what Get reads.
--- a/pkg/platform/objectstore/s3store/s3store_test.go
+++ b/pkg/providers/objectstore/s3store/s3store_test.go
@@ -9,9 +9,9 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
-	"github.com/monsooncrank/monsooncrank/pkg/platform/awsclient"
-	"github.com/monsooncrank/monsooncrank/pkg/platform/objectstore"
-	"github.com/monsooncrank/monsooncrank/pkg/platform/objectstore/s3store"
+	"github.com/monsooncrank/monsooncrank/pkg/providers/awsclient"
+	"github.com/monsooncrank/monsooncrank/pkg/providers/objectstore"
+	"github.com/monsooncrank/monsooncrank/pkg/providers/objectstore/s3store"
 	"github.com/monsooncrank/monsooncrank/pkg/standin/objectserver"
 )
 
--- a/pkg/platform/tableservice/client.go
+++ b/pkg/providers/tableservice/client.go
@@ -17,7 +17,7 @@
 	"github.com/juju/errors"
 
 	"github.com/monsooncrank/monsooncrank/coordination/table"
-	"github.com/monsooncrank/monsooncrank/pkg/platform/awsclient"
+	"github.com/monsooncrank/monsooncrank/pkg/providers/awsclient"
 )
 
 // The attributes of a row.
--- a/pkg/platform/tableservice/client_test.go
+++ b/pkg/providers/tableservice/client_test.go
@@ -11,8 +11,8 @@
 
 	"github.com/monsooncrank/monsooncrank/coordination/table"
 	"github.com/monsooncrank/monsooncrank/coordination/table/memtable"
-	"github.com/monsooncrank/monsooncrank/pkg/platform/awsclient"
-	"github.com/monsooncrank/monsooncrank/pkg/platform/tableservice"
+	"github.com/monsooncrank/monsooncrank/pkg/providers/awsclient"
+	"github.com/monsooncrank/monsooncrank/pkg/providers/tableservice"
 	"github.com/monsooncrank/monsooncrank/pkg/standin/tableserver"
 )
 
--- a/pkg/publish/bench_test.go
+++ b/pkg/publish/bench_test.go
@@ -9,7 +9,7 @@
 
 	"github.com/monsooncrank/monsooncrank/coordination/table/memtable"
 	"github.com/monsooncrank/monsooncrank/pkg/config"
-	"github.com/monsooncrank/monsooncrank/pkg/platform/objectstore/memstore"
+	"github.com/monsooncrank/monsooncrank/pkg/providers/objectstore/memstore"
 )
 
 const benchDaemons = 7
--- a/pkg/publish/faultmatrix_test.go
+++ b/pkg/publish/faultmatrix_test.go
@@ -12,8 +12,8 @@
 
 	"github.com/monsooncrank/monsooncrank/coordination/faultmatrix"
 	"github.com/monsooncrank/monsooncrank/coordination/table/memtable"
-	"github.com/monsooncrank/monsooncrank/pkg/platform/objectstore"
-	"github.com/monsooncrank/monsooncrank/pkg/platform/objectstore/memstore"
+	"github.com/monsooncrank/monsooncrank/pkg/providers/objectstore"
+	"github.com/monsooncrank/monsooncrank/pkg/providers/objectstore/memstore"
 )
 
 // The steps of a publish. A fault strikes right after its step, so that the
--- a/pkg/publish/publish_test.go
+++ b/pkg/publish/publish_test.go
@@ -19,8 +19,8 @@
 	"github.com/monsooncrank/monsooncrank/coordination/table"
 	"github.com/monsooncrank/monsooncrank/coordination/table/memtable"
 	"github.com/monsooncrank/monsooncrank/pkg/config"
-	"github.com/monsooncrank/monsooncrank/pkg/platform/objectstore"
-	"github.com/monsooncrank/monsooncrank/pkg/platform/objectstore/memstore"
+	"github.com/monsooncrank/monsooncrank/pkg/providers/objectstore"
+	"github.com/monsooncrank/monsooncrank/pkg/providers/objectstore/memstore"
 )
 
 func TestPublish(t *testing.T) {
--- a/pkg/publish/publisher.go
+++ b/pkg/publish/publisher.go
@@ -11,7 +11,7 @@
 
 	"github.com/monsooncrank/monsooncrank/coordination/table"
 	"github.com/monsooncrank/monsooncrank/pkg/config"
-	"github.com/monsooncrank/monsooncrank/pkg/platform/objectstore"
+	"github.com/monsooncrank/monsooncrank/pkg/providers/objectstore"
 )
 
 const (
--- a/pkg/publish/random_test.go
+++ b/pkg/publish/random_test.go
@@ -13,7 +13,7 @@
 	"github.com/monsooncrank/monsooncrank/coordination/table"
 	"github.com/monsooncrank/monsooncrank/coordination/table/memtable"
 	"github.com/monsooncrank/monsooncrank/pkg/config"
-	"github.com/monsooncrank/monsooncrank/pkg/platform/objectstore/memstore"
+	"github.com/monsooncrank/monsooncrank/pkg/providers/objectstore/memstore"
 )
 
 // claims is what publishers were told, by publish ID.
--- a/pkg/quota/quota.go
+++ b/pkg/quota/quota.go
@@ -162,6 +162,9 @@
 	p, ok := c.peers[name]
 	if !ok || p.incarnation != incarnation {
 		c.peers[name] = &peer{incarnation: incarnation, heardAt: now, used: totals.Used, assumed: make(map[string]float64)}
+		if !totals.Settled {
+			c.drain(now, totals.Used)
+		}
 		c.adopt(now, totals)
 		return
 	}
@@ -177,6 +180,15 @@
 	c.adopt(now, totals)
 }
 
+// drain counts what a peer has spent since it started, just before it was first
+// heard.
+func (c *Core) drain(now time.Time, used map[string]float64) {
+	for account, b := range c.buckets {
+		c.refill(now, account, b)
+		b.level -= used[account]
+	}
+}
+
 // adopt lowers the buckets of a daemon that has just started to those of a peer
 // that has run for longer.
 func (c *Core) adopt(now time.Time, totals Totals) {
--- /dev/null
+++ b/pkg/relay/relay_test.go
@@ -0,0 +1,517 @@
+package relay_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/monsooncrank/monsooncrank/coordination/quarantine"
+	"github.com/monsooncrank/monsooncrank/pkg/backendconn"
+	"github.com/monsooncrank/monsooncrank/pkg/catalog"
+	"github.com/monsooncrank/monsooncrank/pkg/fleet"
+	"github.com/monsooncrank/monsooncrank/pkg/placement"
+	"github.com/monsooncrank/monsooncrank/pkg/relay"
+)
+
+// codec uses headers of its own: the relay knows none.
+type codec struct{}
+
+func (codec) Decode(r *http.Request) *relay.Request {
+	left, _ := time.ParseDuration(r.Header.Get("Left"))
+	return &relay.Request{ID: r.Header.Get("Id"), Method: r.Method, Host: r.Host, Target: r.RequestURI, Path: r.URL.Path,
+		Header: http.Header{}, APIKey: r.Header.Get("Key"), TimeLeft: left}
+}
+
+func (codec) BackendHeader(r *relay.Request, a *relay.Attempt) http.Header {
+	h := http.Header{}
+	h.Set("Id", r.ID)
+	if a.LastEventID != "" {
+		h.Set("Last", a.LastEventID)
+	}
+	return h
+}
+
+func (codec) Answer(response *http.Response) relay.Answer {
+	return relay.Answer{AttemptID: response.Header.Get("Id"), NotRun: response.Header.Get("Not-Run") != "",
+		Sealed: response.Header.Get("Seal") != ""}
+}
+
+// desk places requests on its servers in turn.
+type desk struct {
+	mu       sync.Mutex
+	catalog  *catalog.Catalog
+	servers  []fleet.Server
+	next     int
+	began    int
+	refunded float64
+	charged  float64
+	crashed  int
+	retries  int
+	denied   bool
+	results  []placement.Result
+	silence  time.Duration
+}
+
+func (d *desk) Catalog() *catalog.Catalog { return d.catalog }
+func (d *desk) Charge(_ string, cost float64) (time.Duration, bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.denied {
+		return time.Second, false
+	}
+	d.charged += cost
+	return 0, true
+}
+func (d *desk) Refund(_ string, cost float64) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.refunded += cost
+}
+func (d *desk) Place(q *placement.Query) (placement.Decision, error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for range d.servers {
+		s := d.servers[d.next%len(d.servers)]
+		d.next++
+		tried := false
+		for _, id := range q.Exclude {
+			tried = tried || id == s.ID
+		}
+		if !tried {
+			return placement.Decision{Server: s, Wait: 20 * time.Millisecond}, nil
+		}
+	}
+	return placement.Decision{}, &placement.RefusedError{Reason: placement.RefusedNoServer, RetryAfter: 300 * time.Millisecond}
+}
+func (d *desk) Started(string, *placement.Decision, *placement.Query) {}
+func (d *desk) FirstEvent(string)                                     {}
+func (d *desk) Finished(_ string, r placement.Result) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.results = append(d.results, r)
+}
+func (d *desk) Alive(string)                       {}
+func (d *desk) SilentFor(string) time.Duration     { return d.silence }
+func (d *desk) Misdirected(string)                 {}
+func (d *desk) Began(string)                       { d.mu.Lock(); defer d.mu.Unlock(); d.began++ }
+func (d *desk) Arrived(string)                     {}
+func (d *desk) Retry(string) bool                  { d.mu.Lock(); defer d.mu.Unlock(); d.retries++; return true }
+func (d *desk) ConnectionLimit(string, string) int { return 10 }
+func (d *desk) Leaving(string) bool                { return false }
+func (d *desk) Verdict(quarantine.Fingerprint) quarantine.Verdict {
+	return quarantine.VerdictRun
+}
+func (d *desk) Crashed(quarantine.Fingerprint, string, bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.crashed++
+}
+func (d *desk) Cleared(quarantine.Fingerprint) {}
+
+// script is what a server does with the n-th request that reaches it; the
+// connection stays open if it returns true.
+type script func(n int, r *http.Request, c net.Conn) bool
+
+// backend is a server that follows a script.
+type backend struct {
+	listener net.Listener
+	mu       sync.Mutex
+	requests []*http.Request
+	closed   chan struct{}
+}
+
+func newBackend(t *testing.T, s script) *backend {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	b := &backend{listener: listener, closed: make(chan struct{}, 100)}
+	t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go b.serve(conn, s)
+		}
+	}()
+	return b
+}
+
+func (b *backend) serve(conn net.Conn, s script) {
+	defer func() { _ = conn.Close(); b.closed <- struct{}{} }()
+	reader := bufio.NewReader(conn)
+	for {
+		r, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		_, _ = io.Copy(io.Discard, r.Body)
+		b.mu.Lock()
+		b.requests = append(b.requests, r)
+		n := len(b.requests)
+		b.mu.Unlock()
+		if !s(n, r, conn) {
+			return
+		}
+	}
+}
+
+func (b *backend) count() int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return len(b.requests)
+}
+
+func answer(c net.Conn, id, header, body string) {
+	fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nId: %s\r\nSeal: s\r\nContent-Length: %d\r\n%s\r\n%s", id, len(body), header, body)
+}
+
+func notRun(c net.Conn, id string) {
+	fmt.Fprintf(c, "HTTP/1.1 503 Busy\r\nId: %s\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n", id)
+}
+
+// events writes the events of a stream from one number to another.
+func events(c net.Conn, id string, from, to int, end bool) {
+	fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nId: %s\r\nSeal: s-%d\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n", id, from)
+	for i := from; i <= to; i++ {
+		event := fmt.Sprintf("id: %d\ndata: e%d\n\n", i, i)
+		fmt.Fprintf(c, "%x\r\n%s\r\n", len(event), event)
+	}
+	if end {
+		fmt.Fprint(c, "0\r\n\r\n")
+	}
+}
+
+type world struct {
+	*desk
+	front  *relay.Front
+	server *httptest.Server
+}
+
+func newWorld(t *testing.T, backends ...*backend) *world {
+	t.Helper()
+	c := &catalog.Catalog{Version: 1, Accounts: []*catalog.ClientAccount{{Name: "account", APIKeys: []string{"key"}, PlainCost: 7}}}
+	route := func(prefix string, kind catalog.Kind, attempts int, resumable bool) {
+		c.Routes = append(c.Routes, &catalog.Route{Name: prefix, Host: "127.0.0.1", PathPrefix: prefix, Kind: kind, Timeout: 2 * time.Second,
+			LatencyTarget: 200 * time.Millisecond, EventGapTarget: 200 * time.Millisecond, MaxAttempts: attempts, Resumable: resumable,
+			Split: []catalog.Share{{Service: "s", Weight: 1}}})
+	}
+	route("/once/", catalog.KindOnce, 2, false)
+	route("/look/", catalog.KindIdempotent, 2, false)
+	route("/stream/", catalog.KindStream, 2, true)
+	route("/whole/", catalog.KindStream, 2, false)
+	c.Index()
+	w := &world{desk: &desk{catalog: c, silence: time.Hour}}
+	for i, b := range backends {
+		w.servers = append(w.servers, fleet.Server{ID: fmt.Sprint("server-", i), Address: b.listener.Addr().String()})
+	}
+	w.front = relay.NewFront(relay.Options{Codec: codec{}, Desk: w.desk, Pool: backendconn.NewPool(),
+		Metrics: relay.NewMetrics(prometheus.NewRegistry())})
+	w.server = httptest.NewServer(w.front)
+	t.Cleanup(w.server.Close)
+	return w
+}
+
+// ask sends a request and returns the status, the body and the error of reading
+// it; the status is 0 if no answer came.
+func (w *world) ask(ctx context.Context, method, path, id string) (int, string, http.Header, error) {
+	request, err := http.NewRequestWithContext(ctx, method, w.server.URL+path, strings.NewReader("body"))
+	if err != nil {
+		return 0, "", nil, err
+	}
+	request.Header.Set("Id", id)
+	request.Header.Set("Key", "key")
+	response, err := w.server.Client().Do(request)
+	if err != nil {
+		return 0, "", nil, err
+	}
+	defer func() { _ = response.Body.Close() }()
+	body, err := io.ReadAll(response.Body)
+	return response.StatusCode, string(body), response.Header, err
+}
+
+func (w *world) post(path, id string) (int, string, http.Header, error) {
+	return w.ask(context.Background(), http.MethodPost, path, id)
+}
+
+// Answers a server that runs a booking and loses its answer: the booking is not
+// sent again, and the caller is not told that it did not run.
+func TestABookingWhoseAnswerIsLostIsNotRepeated(t *testing.T) {
+	g := gomega.NewWithT(t)
+	drop := func(int, *http.Request, net.Conn) bool { return false }
+	a, b := newBackend(t, drop), newBackend(t, drop)
+	w := newWorld(t, a, b)
+	status, _, header, err := w.post("/once/x", "1")
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(status).To(gomega.Equal(http.StatusBadGateway))
+	g.Expect(header.Get("Retry-After")).To(gomega.BeEmpty())
+	g.Expect(a.count() + b.count()).To(gomega.Equal(1))
+	g.Expect(w.refunded).To(gomega.BeZero())
+}
+
+// Answers a full server: a booking that it says it did not run goes to another.
+func TestABookingThatWasNotRunGoesToAnotherServer(t *testing.T) {
+	g := gomega.NewWithT(t)
+	full := newBackend(t, func(_ int, r *http.Request, c net.Conn) bool { notRun(c, r.Header.Get("Id")); return true })
+	free := newBackend(t, func(_ int, r *http.Request, c net.Conn) bool { answer(c, r.Header.Get("Id"), "", "done"); return true })
+	w := newWorld(t, full, free)
+	status, body, _, err := w.post("/once/x", "1")
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(status).To(gomega.Equal(http.StatusOK))
+	g.Expect(body).To(gomega.Equal("done"))
+	g.Expect(w.retries).To(gomega.Equal(1))
+	g.Expect(w.began).To(gomega.Equal(1))
+}
+
+// Answers servers that are all full: the refusal is true, names a time to come
+// back, and the usage is given back.
+func TestWhereNoServerRunsARequestItIsRefusedWithATimeToComeBack(t *testing.T) {
+	g := gomega.NewWithT(t)
+	full := func(_ int, r *http.Request, c net.Conn) bool { notRun(c, r.Header.Get("Id")); return true }
+	w := newWorld(t, newBackend(t, full), newBackend(t, full))
+	status, _, header, err := w.post("/once/x", "1")
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(status).To(gomega.Equal(http.StatusServiceUnavailable))
+	g.Expect(header.Get("Retry-After")).NotTo(gomega.BeEmpty())
+	g.Expect(w.refunded).To(gomega.Equal(w.charged))
+}
+
+// Answers a server that fails part of its requests: a look-up is asked again
+// elsewhere.
+func TestALookUpThatFailsIsAskedElsewhere(t *testing.T) {
+	g := gomega.NewWithT(t)
+	failing := newBackend(t, func(_ int, r *http.Request, c net.Conn) bool {
+		fmt.Fprintf(c, "HTTP/1.1 500 Broken\r\nId: %s\r\nSeal: s\r\nContent-Length: 4\r\n\r\nfail", r.Header.Get("Id"))
+		return true
+	})
+	good := newBackend(t, func(_ int, r *http.Request, c net.Conn) bool { answer(c, r.Header.Get("Id"), "", "found"); return true })
+	w := newWorld(t, failing, good)
+	status, body, _, _ := w.post("/look/x", "1")
+	g.Expect(status).To(gomega.Equal(http.StatusOK))
+	g.Expect(body).To(gomega.Equal("found"))
+	// A failure that every server gives is passed on as it is.
+	w = newWorld(t, failing, failing)
+	status, body, header, _ := w.post("/look/x", "2")
+	g.Expect(status).To(gomega.Equal(http.StatusInternalServerError))
+	g.Expect(body).To(gomega.Equal("fail"))
+	g.Expect(header.Get("Seal")).To(gomega.Equal("s"))
+}
+
+// Answers late second answers: an answer to an earlier request on a kept
+// connection is skipped, also when it arrives after the next request was sent.
+func TestAnswersToOtherRequestsAreSkipped(t *testing.T) {
+	g := gomega.NewWithT(t)
+	b := newBackend(t, func(n int, r *http.Request, c net.Conn) bool {
+		if n == 2 {
+			answer(c, "1", "", "again the first")
+		}
+		answer(c, r.Header.Get("Id"), "Keep-Alive: timeout=5\r\n", "answer "+r.Header.Get("Id"))
+		return true
+	})
+	w := newWorld(t, b)
+	for _, id := range []string{"1", "2", "3"} {
+		status, body, _, err := w.post("/once/x", id)
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		g.Expect(status).To(gomega.Equal(http.StatusOK))
+		g.Expect(body).To(gomega.Equal("answer " + id))
+	}
+}
+
+// Answers bytes behind a complete answer: the connection is not used again.
+func TestBytesBehindAnAnswerReachNobody(t *testing.T) {
+	g := gomega.NewWithT(t)
+	b := newBackend(t, func(_ int, r *http.Request, c net.Conn) bool {
+		answer(c, r.Header.Get("Id"), "Keep-Alive: timeout=5\r\n", "right")
+		answer(c, r.Header.Get("Id"), "", "wrong")
+		return true
+	})
+	w := newWorld(t, b)
+	for _, id := range []string{"1", "2", "3"} {
+		_, body, _, err := w.post("/once/x", id)
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		g.Expect(body).To(gomega.Equal("right"))
+	}
+}
+
+// Answers garbled answers: neither a cut body nor an answer without a seal is
+// passed on as a success.
+func TestSpoiltAnswersAreNoSuccess(t *testing.T) {
+	g := gomega.NewWithT(t)
+	spoil := map[string]script{
+		"cut": func(_ int, r *http.Request, c net.Conn) bool {
+			fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nId: %s\r\nSeal: s\r\nContent-Length: 100\r\n\r\nhalf", r.Header.Get("Id"))
+			return false
+		},
+		"unsealed": func(_ int, r *http.Request, c net.Conn) bool {
+			fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nId: %s\r\nContent-Length: 4\r\n\r\nbody", r.Header.Get("Id"))
+			return true
+		},
+		"nonsense": func(_ int, _ *http.Request, c net.Conn) bool {
+			fmt.Fprint(c, "\x00\x01 no answer\r\n\r\n")
+			return true
+		},
+	}
+	for name, s := range spoil {
+		w := newWorld(t, newBackend(t, s))
+		status, _, _, err := w.post("/once/x", "1")
+		g.Expect(err).NotTo(gomega.HaveOccurred(), name)
+		g.Expect(status).To(gomega.Equal(http.StatusBadGateway), name)
+	}
+}
+
+// Answers an answer without a length, which ends with its connection.
+func TestAnAnswerMayEndWithItsConnection(t *testing.T) {
+	g := gomega.NewWithT(t)
+	b := newBackend(t, func(_ int, r *http.Request, c net.Conn) bool {
+		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nId: %s\r\nSeal: s\r\n\r\nto the end", r.Header.Get("Id"))
+		return false
+	})
+	status, body, _, err := newWorld(t, b).post("/once/x", "1")
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(status).To(gomega.Equal(http.StatusOK))
+	g.Expect(body).To(gomega.Equal("to the end"))
+}
+
+// Answers an engine that crashes in the middle of a resumable stream: it goes
+// on at another engine behind the last whole event, with the first header.
+func TestAResumableStreamGoesOnElsewhere(t *testing.T) {
+	g := gomega.NewWithT(t)
+	crashing := newBackend(t, func(_ int, r *http.Request, c net.Conn) bool {
+		events(c, r.Header.Get("Id"), 1, 3, false)
+		fmt.Fprint(c, "9\r\nid: 4\ndat")
+		return false
+	})
+	var last string
+	other := newBackend(t, func(_ int, r *http.Request, c net.Conn) bool {
+		last = r.Header.Get("Last")
+		events(c, r.Header.Get("Id"), 3, 5, true)
+		return true
+	})
+	w := newWorld(t, crashing, other)
+	status, body, header, err := w.post("/stream/x", "1")
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(status).To(gomega.Equal(http.StatusOK))
+	g.Expect(last).To(gomega.Equal("3"))
+	g.Expect(header.Get("Seal")).To(gomega.Equal("s-1"))
+	for i := 1; i <= 5; i++ {
+		g.Expect(strings.Count(body, fmt.Sprintf("data: e%d\n", i))).To(gomega.Equal(1))
+	}
+	g.Expect(w.began).To(gomega.Equal(1))
+}
+
+// Answers the crash of an engine in a stream that may run once: it is cut and
+// never looks complete, and no other engine runs it.
+func TestAStreamThatMayRunOnceIsCut(t *testing.T) {
+	g := gomega.NewWithT(t)
+	crash := func(_ int, r *http.Request, c net.Conn) bool {
+		events(c, r.Header.Get("Id"), 1, 3, false)
+		return false
+	}
+	a, b := newBackend(t, crash), newBackend(t, crash)
+	_, _, _, err := newWorld(t, a, b).post("/whole/x", "1")
+	g.Expect(err).To(gomega.HaveOccurred())
+	g.Expect(a.count() + b.count()).To(gomega.Equal(1))
+}
+
+// Answers an engine that goes dark in the middle of a resumable stream, and one
+// that is only busy with other requests.
+func TestAStreamLeavesASilentEngineAndWaitsForABusyOne(t *testing.T) {
+	g := gomega.NewWithT(t)
+	dark := newBackend(t, func(_ int, r *http.Request, c net.Conn) bool {
+		events(c, r.Header.Get("Id"), 1, 2, false)
+		time.Sleep(900 * time.Millisecond)
+		return false
+	})
+	other := newBackend(t, func(_ int, r *http.Request, c net.Conn) bool {
+		events(c, r.Header.Get("Id"), 3, 4, true)
+		return true
+	})
+	w := newWorld(t, dark, other)
+	began := time.Now()
+	_, body, _, err := w.post("/stream/x", "1")
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(body).To(gomega.ContainSubstring("e4"))
+	g.Expect(time.Since(began)).To(gomega.BeNumerically("<", 880*time.Millisecond))
+
+	w = newWorld(t, dark, other)
+	w.silence = 0
+	_, _, _, err = w.post("/stream/x", "2")
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(dark.count()).To(gomega.Equal(2))
+}
+
+// Answers callers that leave before their deadline: the server's connection is
+// closed within half a second, so that it stops.
+func TestWorkStopsWhenTheCallerLeaves(t *testing.T) {
+	g := gomega.NewWithT(t)
+	b := newBackend(t, func(_ int, _ *http.Request, c net.Conn) bool {
+		_, _ = c.Read(make([]byte, 1))
+		return false
+	})
+	w := newWorld(t, b)
+	ctx, cancel := context.WithTimeout(context.Background(), 100*time.Millisecond)
+	defer cancel()
+	_, _, _, err := w.ask(ctx, http.MethodPost, "/stream/x", "1")
+	g.Expect(err).To(gomega.HaveOccurred())
+	g.Eventually(b.closed, 400*time.Millisecond).Should(gomega.Receive())
+}
+
+// Answers a server that never answers: the caller has its answer at the route's
+// timeout, and it does not say that the request did not run.
+func TestARequestEndsAtTheRoutesTimeout(t *testing.T) {
+	g := gomega.NewWithT(t)
+	b := newBackend(t, func(int, *http.Request, net.Conn) bool { time.Sleep(5 * time.Second); return false })
+	began := time.Now()
+	status, _, _, err := newWorld(t, b).post("/once/x", "1")
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(status).To(gomega.Equal(http.StatusGatewayTimeout))
+	g.Expect(time.Since(began)).To(gomega.BeNumerically("<", 2500*time.Millisecond))
+}
+
+// Answers a server that is down: no byte was sent, so another one is tried even
+// for a booking.
+func TestAServerThatCannotBeReachedCostsNoAttempt(t *testing.T) {
+	g := gomega.NewWithT(t)
+	down := newBackend(t, func(int, *http.Request, net.Conn) bool { return false })
+	_ = down.listener.Close()
+	good := newBackend(t, func(_ int, r *http.Request, c net.Conn) bool { answer(c, r.Header.Get("Id"), "", "done"); return true })
+	w := newWorld(t, down, good)
+	status, _, _, err := w.post("/once/x", "1")
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(status).To(gomega.Equal(http.StatusOK))
+	g.Expect(w.retries).To(gomega.BeZero())
+}
+
+// Answers an account over its limit, an unknown key, an unknown route and a
+// daemon without a configuration.
+func TestRequestsThatMayNotRunAreRefused(t *testing.T) {
+	g := gomega.NewWithT(t)
+	w := newWorld(t)
+	w.denied = true
+	status, _, header, _ := w.post("/once/x", "1")
+	g.Expect(status).To(gomega.Equal(http.StatusTooManyRequests))
+	g.Expect(header.Get("Retry-After")).To(gomega.Equal("1.000"))
+	status, _, _, _ = w.post("/none/x", "1")
+	g.Expect(status).To(gomega.Equal(http.StatusNotFound))
+	w.catalog.Accounts[0].APIKeys = nil
+	w.catalog.Index()
+	status, _, _, _ = w.post("/once/x", "1")
+	g.Expect(status).To(gomega.Equal(http.StatusUnauthorized))
+	w.catalog = nil
+	status, _, _, _ = w.post("/once/x", "1")
+	g.Expect(status).To(gomega.Equal(http.StatusServiceUnavailable))
+}
--- a/pkg/standin/cloud/api.go
+++ b/pkg/standin/cloud/api.go
@@ -4,7 +4,7 @@
 	"context"
 	"time"
 
-	"github.com/monsooncrank/monsooncrank/pkg/platform/cloud"
+	"github.com/monsooncrank/monsooncrank/pkg/providers/cloud"
 )
 
 var _ cloud.API = (*Cloud)(nil)
--- a/pkg/standin/cloud/cloud.go
+++ b/pkg/standin/cloud/cloud.go
@@ -13,7 +13,7 @@
 	"k8s.io/utils/clock"
 
 	"github.com/monsooncrank/monsooncrank/coordination/membership"
-	"github.com/monsooncrank/monsooncrank/pkg/platform/cloud"
+	"github.com/monsooncrank/monsooncrank/pkg/providers/cloud"
 )
 
 // Offer is what the cloud sells.
--- a/pkg/standin/cloud/server.go
+++ b/pkg/standin/cloud/server.go
@@ -11,7 +11,7 @@
 	"github.com/juju/errors"
 	"github.com/valyala/fasthttp"
 
-	"github.com/monsooncrank/monsooncrank/pkg/platform/cloud"
+	"github.com/monsooncrank/monsooncrank/pkg/providers/cloud"
 )
 
 // Server serves a Cloud over HTTP.
--- /dev/null
+++ b/pkg/usage/usage_test.go
@@ -0,0 +1,55 @@
+package usage_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"github.com/monsooncrank/monsooncrank/pkg/usage"
+)
+
+const length = 5 * time.Second
+
+// Answers a daemon that is killed in the middle of a window: what it had stated
+// still counts, and its next start counts beside it.
+func TestCountsOfADeadDaemonRemain(t *testing.T) {
+	g := gomega.NewWithT(t)
+	c := usage.New(length)
+	now := time.Unix(1002, 0)
+	window := c.WindowAt(now)
+	c.Began(now, "account")
+	c.SetPeer("b", 1, usage.Windows{window: {"account": 3}})
+	c.SetPeer("b", 1, usage.Windows{window: {"account": 4}})
+	c.SetPeer("b", 2, usage.Windows{window: {"account": 2, "other": 1}})
+	g.Expect(c.Total(window)).To(gomega.Equal(usage.Counts{"account": 7, "other": 1}))
+}
+
+// Answers an old digest that is kept while counts go on.
+func TestStatedCountsAreCopies(t *testing.T) {
+	g := gomega.NewWithT(t)
+	c := usage.New(length)
+	now := time.Unix(1002, 0)
+	c.Began(now, "account")
+	stated := c.Own()
+	c.Began(now, "account")
+	g.Expect(stated[c.WindowAt(now)]["account"]).To(gomega.Equal(1))
+}
+
+// Answers a long run: old windows are forgotten.
+func TestOldWindowsAreForgotten(t *testing.T) {
+	g := gomega.NewWithT(t)
+	c := usage.New(length)
+	for i := range 100 {
+		c.Began(time.Unix(int64(1000+5*i), 0), "account")
+	}
+	g.Expect(len(c.Own())).To(gomega.BeNumerically("<=", 8))
+}
+
+// Window k begins k lengths after the start of 1970.
+func TestWindowsAreCountedFrom1970(t *testing.T) {
+	g := gomega.NewWithT(t)
+	c := usage.New(length)
+	g.Expect(c.WindowAt(time.Unix(10, 0))).To(gomega.Equal(int64(2)))
+	g.Expect(c.End(2)).To(gomega.Equal(time.Unix(15, 0)))
+}
