Shorten the rest of the duties after a takeover; cover the loss of two zones

Ruled out: routing and retries (the few failures were stalls on full engines). Change: a successor waits for calls in flight (1.2 s) only; that duties do not go to a host and back within the interval is kept by the host itself, which remembers when it acted last. Leases last 3 s. Every zone gets so many reclaimable servers that the loss of two zones leaves enough.

--- a/pkg/edge/duties.go
+++ b/pkg/edge/duties.go
@@ -23,12 +23,12 @@
 	dutyLease = "duties"
 	// dutyLeaseDuration bounds how long the duties rest after their holder has
 	// died; a usage report has to come within ten seconds.
-	dutyLeaseDuration = 4 * time.Second
+	dutyLeaseDuration = 3 * time.Second
 	// dutyMargin is how long before the end of the lease its holder stops.
 	dutyMargin = time.Second
-	// orderSlack is added to the time for which the duties stay with one holder,
-	// for calls that are still on their way.
-	orderSlack = 700 * time.Millisecond
+	// orderDeadline bounds how long a call of a former holder may be on its way:
+	// the time-out of a call and a trip through the network.
+	orderDeadline = 1200 * time.Millisecond
 	// dutyTick is how often the duties are looked at.
 	dutyTick = 500 * time.Millisecond
 	// usageSettle is the time after the end of a window in which all daemons
@@ -49,13 +49,15 @@
 	scaling  map[string]*scaling.Core
 	number   uint64
 	cleaned  int64
+	// actedAt is when this host may have acted last.
+	actedAt time.Time
 }
 
 func newDuties(d *Daemon) *duties {
 	manager := lease.NewManager(lease.Options{
 		Core: lease.CoreOptions{
 			Holder: fmt.Sprintf("%s/%d", d.settings.Node, d.state.incarnation), Daemons: 1, Names: []string{dutyLease},
-			Duration: dutyLeaseDuration, Margin: dutyMargin, OrderDeadline: d.settings.MinHolderInterval + orderSlack,
+			Duration: dutyLeaseDuration, Margin: dutyMargin, OrderDeadline: orderDeadline,
 		},
 		Store: d.platform,
 		Clock: bootClock{},
@@ -64,7 +66,8 @@
 		},
 		OnLost: func(l lease.Lost) { klog.InfoS("duties lost", "number", l.Number, "lapsed", l.Lapsed) },
 	})
-	return &duties{daemon: d, manager: manager, reported: make(map[int64]bool), scaling: make(map[string]*scaling.Core)}
+	// An earlier process of this host may have acted until now.
+	return &duties{daemon: d, manager: manager, actedAt: bootNow(), reported: make(map[int64]bool), scaling: make(map[string]*scaling.Core)}
 }
 
 // run does the duties while the lease is held.
@@ -82,17 +85,24 @@
 			continue
 		}
 		if number != u.number {
+			if bootNow().Before(u.actedAt.Add(u.daemon.settings.MinHolderInterval)) && number > 1 {
+				// Another host may have acted in between: the duties must not
+				// go there and back within the interval.
+				continue
+			}
 			// What an earlier holder ordered since is not known.
 			u.number = number
 			u.scaling = make(map[string]*scaling.Core)
 			u.reported = make(map[int64]bool)
 		}
+		u.actedAt = bootNow()
 		if u.daemon.settings.ReportsUsage {
 			u.reportUsage(ctx)
 		}
 		if u.daemon.settings.OrdersServers {
 			u.orderServers(ctx)
 		}
+		u.actedAt = bootNow()
 	}
 }
 
--- a/pkg/scaling/scaling.go
+++ b/pkg/scaling/scaling.go
@@ -65,6 +65,9 @@
 	// firmLowerAfter is the same for servers that stand in for reclaimable
 	// ones, which cost several times as much.
 	firmLowerAfter = 3 * time.Second
+	// zonesAtRisk is how many zones may be reclaimed before firm servers have
+	// booted in their place.
+	zonesAtRisk = 2
 	// growth bounds the need in relation to the servers that are there.
 	growth = 1.5
 	// backlogFactor bounds what a backlog of prompts can add to the need: it
@@ -164,13 +167,14 @@
 func (c *Core) Need() int { return c.need.value }
 
 // distribute spreads the needed servers. Reclaimable ones are cheap: every zone
-// gets so many that the others suffice when one zone is reclaimed. Firm ones
+// gets so many that the others suffice when two zones are reclaimed. Firm ones
 // stand in for those that are not there.
 func (c *Core) distribute(now time.Time, s *catalog.Scaling, zones []string, servers []fleet.Server) map[Subject]int {
 	wanted := make(map[Subject]int)
 	perZone := 0
 	if s.SpotPrice > 0 {
-		perZone = min((c.need.value+max(len(zones)-1, 1)-1)/max(len(zones)-1, 1), s.Max)
+		others := max(len(zones)-zonesAtRisk, 1)
+		perZone = min((c.need.value+others-1)/others, s.Max)
 	}
 	c.firm.set(now, max(c.need.value-c.ready(servers), 0), firmLowerAfter)
 	left := c.firm.value
