Let three hubs follow the store and pass records on

Change: up to 12 daemons still talk to all; beyond it each talks to one of three hubs (heaviest hosts first), which pass on the newest record of every daemon. Only hubs read servers from the store and take part in the lease of the duties; the others are told of changed servers and read themselves when no hub tells them.

--- a/pkg/edge/daemon.go
+++ b/pkg/edge/daemon.go
@@ -104,16 +104,35 @@
 	for _, loop := range []func(context.Context){d.followCatalog, d.followServers, d.register, d.exchangeLoop, d.janitor} {
 		running.Go(func() { loop(ctx) })
 	}
-	u := newDuties(d)
 	dutiesCtx, stopDuties := context.WithCancel(ctx)
-	running.Go(func() { u.run(dutiesCtx) })
+	running.Go(func() { d.doDuties(dutiesCtx) })
 	d.await(signals)
 	stopDuties()
-	go u.manager.Close()
 	d.drain(front)
 	return nil
 }
 
+// doDuties takes part in the lease of the duties from when this daemon is a
+// hub, and gives it back when the context ends.
+func (d *Daemon) doDuties(ctx context.Context) {
+	pause(ctx, dutiesAfter)
+	for !d.isHub() {
+		pause(ctx, dutyTick)
+		if ctx.Err() != nil {
+			return
+		}
+	}
+	u := newDuties(d)
+	u.run(ctx)
+	u.manager.Close()
+}
+
+func (d *Daemon) isHub() bool {
+	d.state.mu.Lock()
+	defer d.state.mu.Unlock()
+	return d.state.peers.IsHub(bootNow())
+}
+
 // await returns when the daemon is to stop.
 func (d *Daemon) await(signals <-chan os.Signal) {
 	for s := range signals {
--- a/pkg/edge/duties.go
+++ b/pkg/edge/duties.go
@@ -29,6 +29,9 @@
 	// orderDeadline bounds how long a call of a former holder may be on its way:
 	// the time-out of a call and a trip through the network.
 	orderDeadline = 1200 * time.Millisecond
+	// dutiesAfter is how long after its start a daemon knows the others well
+	// enough to tell whether it is a hub.
+	dutiesAfter = 2 * time.Second
 	// dutyTick is how often the duties are looked at.
 	dutyTick = 500 * time.Millisecond
 	// usageSettle is the time after the end of a window in which all daemons
--- a/pkg/edge/exchange.go
+++ b/pkg/edge/exchange.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math"
 	"time"
 
 	"k8s.io/klog/v2"
@@ -13,37 +12,58 @@
 )
 
 const (
-	// exchangeInterval is the age that the load and usage of peers may have;
-	// an engine reads several thousand prompt tokens in that time.
+	// exchangeInterval is the time between two exchanges with one neighbor; an
+	// engine reads some ten thousand prompt tokens in that time.
 	exchangeInterval = 250 * time.Millisecond
-	// exchangeTick is how often peers are looked at.
+	// exchangeTick is how often neighbors are looked at.
 	exchangeTick = 50 * time.Millisecond
 	// exchangeTimeout is many round trips between zones.
 	exchangeTimeout = 700 * time.Millisecond
-	// peerGoneAfter is when a daemon that neither speaks nor refreshes its row
-	// in the store is forgotten; rows are refreshed three times within it.
-	peerGoneAfter = 30 * time.Second
+	// peerGoneAfter is when a daemon that states nothing and does not refresh
+	// its row in the store is forgotten; rows are refreshed within it.
+	peerGoneAfter = 45 * time.Second
+	// meshLimit is the number of daemons up to which all talk to all: beyond it
+	// the exchanges would take over a hundredth of a small host's processor.
+	meshLimit = 12
+	// hubs is how many daemons follow the store for all and pass records on;
+	// one is left when two hosts are lost at once.
+	hubs = 3
+	// crashNews is how long a crash is told to peers; it outlasts a short cut.
+	crashNews = 15 * time.Second
 )
 
-// digest returns what this daemon states to a peer.
-func (s *state) digest(catalogVersion int64, fleetVersion uint64, needsFleet bool) *mesh.Digest {
+// record states this daemon.
+func (s *state) record() mesh.Record {
+	s.sequence++
+	return mesh.Record{
+		Node: s.settings.Node, Incarnation: s.incarnation, Sequence: s.sequence, Loads: s.placement.Own(),
+		Quota: s.quota.Totals(bootNow()), Usage: s.usage.Own(), Placed: s.placement.News(time.Now()), Stopping: s.stopping,
+	}
+}
+
+// message returns what this daemon tells a neighbor.
+func (s *state) message(node string) *mesh.Message {
 	now := bootNow()
-	d := &mesh.Digest{
-		Node: s.settings.Node, Incarnation: s.incarnation, Address: s.settings.PeerAddress,
-		WallUnixMilli: time.Now().UnixMilli(), StoreReachable: s.serversCurrent(), FleetVersion: s.fleet.Version(),
-		Loads: s.placement.Own(), Quota: s.quota.Totals(now), Usage: s.usage.Own(),
-		Placed: s.placement.News(time.Now()), Quarantine: s.recentCrashes(), Stopping: s.stopping,
+	neighbor, _ := s.peers.Neighbor(node)
+	m := &mesh.Message{
+		Record: s.record(), Address: s.settings.PeerAddress, WallUnixMilli: time.Now().UnixMilli(),
+		Records: s.peers.RecordsFor(now, node), Stamp: s.peers.Stamp(), Since: s.peers.SinceOf(node),
+		FleetCurrent: s.fleetCurrent(), FleetVersion: s.fleet.Version(), Quarantine: s.recentCrashes(),
 	}
 	if s.catalog != nil {
-		d.CatalogVersion = s.catalog.Version
-		if s.catalog.Version > catalogVersion {
-			d.Catalog = s.catalog.Source
+		m.CatalogVersion = s.catalog.Version
+		if s.catalog.Version > neighbor.CatalogVersion {
+			m.Catalog = s.catalog.Source
 		}
 	}
-	if needsFleet && s.serversCurrent() && s.fleet.Known() && s.fleet.Version() > fleetVersion {
-		d.Fleet = s.fleet.Entries()
+	if s.fleet.Known() && m.FleetCurrent && (neighbor.FleetVersion == 0 || s.fleet.Changed() > neighbor.FleetVersion) {
+		entries, partial := s.fleet.EntriesSince(neighbor.FleetVersion)
+		m.Fleet, m.HasFleet = entries, true
+		if partial {
+			m.FleetSince = neighbor.FleetVersion
+		}
 	}
-	return d
+	return m
 }
 
 // recentCrashes returns what peers may not know yet of requests that crash
@@ -58,58 +78,83 @@
 	return recent
 }
 
-// crashNews is how long a crash is told to peers; it outlasts a short cut.
-const crashNews = 15 * time.Second
-
-// take takes the digest of a peer.
-func (d *Daemon) take(digest *mesh.Digest) {
-	if len(digest.Catalog) > 0 {
-		c, err := d.platform.DecodeCatalog(digest.Catalog)
+// take takes the message of a neighbor.
+func (d *Daemon) take(m *mesh.Message, asked bool) {
+	if len(m.Catalog) > 0 {
+		c, err := d.platform.DecodeCatalog(m.Catalog)
 		if err != nil {
-			klog.ErrorS(err, "configuration of a peer cannot be read", "peer", digest.Node)
+			klog.ErrorS(err, "configuration of a peer cannot be read", "peer", m.Record.Node)
 		} else {
-			d.state.putInForce(c, "peer "+digest.Node)
+			d.state.putInForce(c, "peer "+m.Record.Node)
 		}
 	}
 	s := d.state
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.peers.Heard(bootNow(), m, asked)
+	s.takeRecord(&m.Record)
+	for i := range m.Records {
+		s.takeRecord(&m.Records[i])
+	}
+	s.placement.PeersChanged(time.Now())
+	for _, entry := range m.Quarantine {
+		s.quarantine.Merge(time.Now(), entry)
+	}
+	s.takeFleet(m)
+}
+
+// takeRecord takes what a daemon states of itself.
+func (s *state) takeRecord(r *mesh.Record) {
 	now := bootNow()
-	if digest.Stopping {
-		s.peers.Remove(digest.Node)
-		s.quota.Forget(digest.Node)
-		s.usage.SetPeer(digest.Node, digest.Incarnation, digest.Usage)
+	if !s.peers.Take(now, r) {
 		return
 	}
-	if s.peers.Heard(now, digest) {
-		klog.InfoS("peer", "peer", digest.Node, "address", digest.Address, "configuration", digest.CatalogVersion)
+	s.usage.SetPeer(r.Node, r.Incarnation, r.Usage)
+	if r.Stopping {
+		s.quota.Forget(r.Node)
+		s.placement.SetPeer(time.Now(), r.Node, nil)
+		return
 	}
-	s.placement.SetPeer(time.Now(), digest.Node, digest.Loads)
-	s.placement.TakeNews(time.Now(), digest.Node, digest.Incarnation, digest.Placed)
-	s.quota.SetPeer(now, digest.Node, digest.Incarnation, digest.Quota)
-	s.usage.SetPeer(digest.Node, digest.Incarnation, digest.Usage)
-	for _, entry := range digest.Quarantine {
-		s.quarantine.Merge(time.Now(), entry)
+	s.placement.SetPeer(time.Now(), r.Node, r.Loads)
+	s.placement.TakeNews(time.Now(), r.Node, r.Incarnation, r.Placed)
+	s.quota.SetPeer(now, r.Node, r.Incarnation, r.Quota)
+}
+
+// takeFleet takes a neighbor's view of servers unless the store tells this
+// daemon itself.
+func (s *state) takeFleet(m *mesh.Message) {
+	if s.storeCurrent() || !m.FleetCurrent || m.FleetVersion < s.fleet.Version() {
+		return
 	}
-	if !s.serversCurrent() && len(digest.Fleet) > 0 {
-		s.follow(s.fleet.Snapshot(now, digest.FleetVersion, digest.Fleet), "peer "+digest.Node)
+	now := bootNow()
+	source := "peer " + m.Record.Node
+	switch {
+	case m.HasFleet && m.FleetSince == 0:
+		s.follow(s.fleet.Snapshot(now, m.FleetVersion, m.Fleet), source)
+	case m.HasFleet && m.FleetSince <= s.fleet.Version():
+		s.follow(s.fleet.Apply(now, m.FleetVersion, m.Fleet), source)
+	case m.HasFleet || !s.fleet.Known():
+		return
+	default:
+		s.follow(s.fleet.Apply(now, m.FleetVersion, nil), source)
 	}
+	s.fleetToldAt = now
 }
 
-// Fetch answers a peer's digest with the own one.
-func (d *Daemon) answerDigest(_ context.Context, payload []byte) ([]byte, error) {
-	digest, err := mesh.DecodeDigest(payload)
+// answerMessage answers a neighbor's message with the own one.
+func (d *Daemon) answerMessage(_ context.Context, payload []byte) ([]byte, error) {
+	m, err := mesh.DecodeMessage(payload)
 	if err != nil {
 		return nil, err
 	}
-	d.take(digest)
+	d.take(m, true)
 	s := d.state
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.digest(digest.CatalogVersion, digest.FleetVersion, !digest.StoreReachable).Encode()
+	return s.message(m.Record.Node).Encode()
 }
 
-// exchangeLoop exchanges digests with all peers.
+// exchangeLoop exchanges messages with all neighbors.
 func (d *Daemon) exchangeLoop(ctx context.Context) {
 	tick := time.NewTicker(exchangeTick)
 	defer tick.Stop()
@@ -120,10 +165,12 @@
 		case <-tick.C:
 		case <-d.state.urgent:
 		}
-		d.state.mu.Lock()
-		due := d.state.peers.Due(bootNow())
-		d.state.mu.Unlock()
-		d.state.expireServers()
+		s := d.state
+		s.mu.Lock()
+		due := append(s.told, s.peers.Due(bootNow())...)
+		s.told = nil
+		s.follow(s.fleet.Tick(bootNow()), "grace period")
+		s.mu.Unlock()
 		for i := range due {
 			go d.exchange(ctx, due[i])
 		}
@@ -135,7 +182,7 @@
 	defer cancel()
 	s := d.state
 	s.mu.Lock()
-	payload, err := s.digest(p.CatalogVersion, p.FleetVersion, !p.StoreReachable).Encode()
+	payload, err := s.message(p.Node).Encode()
 	s.mu.Unlock()
 	if err == nil {
 		err = d.exchangePayload(ctx, p, payload)
@@ -156,32 +203,35 @@
 		d.peerPool.Drop(p.Address)
 		return err
 	}
-	digest, err := mesh.DecodeDigest(answer)
+	m, err := mesh.DecodeMessage(answer)
 	if err != nil {
 		return err
 	}
-	d.take(digest)
+	d.take(m, false)
 	return nil
 }
 
-// sayGoodbye tells peers that this daemon stops.
+// sayGoodbye tells neighbors that this daemon stops.
 func (d *Daemon) sayGoodbye(ctx context.Context) {
 	s := d.state
 	s.mu.Lock()
 	s.stopping = true
-	peers := s.peers.All()
-	payload, err := s.digest(math.MaxInt64, math.MaxUint64, false).Encode()
-	s.mu.Unlock()
-	if err != nil {
-		klog.ErrorS(err, "last digest")
-		return
+	neighbors := s.peers.Neighbors()
+	payloads := make([][]byte, len(neighbors))
+	for i := range neighbors {
+		payload, err := s.message(neighbors[i].Node).Encode()
+		if err != nil {
+			klog.ErrorS(err, "last message", "peer", neighbors[i].Node)
+		}
+		payloads[i] = payload
 	}
-	for _, p := range peers {
-		if _, err := d.peerPool.Fetch(ctx, p.Address, payload); err != nil {
-			klog.V(1).InfoS("peer did not take the last digest", "peer", p.Node, "err", err)
+	s.mu.Unlock()
+	for i := range neighbors {
+		if _, err := d.peerPool.Fetch(ctx, neighbors[i].Address, payloads[i]); err != nil {
+			klog.V(1).InfoS("peer did not take the last message", "peer", neighbors[i].Node, "err", err)
 		}
 	}
 }
 
 // peerHandlers answers the calls of peers.
-func (d *Daemon) peerHandlers() peer.Handlers { return peer.Handlers{Fetch: d.answerDigest} }
+func (d *Daemon) peerHandlers() peer.Handlers { return peer.Handlers{Fetch: d.answerMessage} }
--- a/pkg/edge/follow.go
+++ b/pkg/edge/follow.go
@@ -24,10 +24,17 @@
 	// serversStale is the age of the view of servers from which on a peer that
 	// has read more recently is believed.
 	serversStale = 1200 * time.Millisecond
+	// toldStale is the age of a hub's view from which on a daemon asks the
+	// store itself; hubs tell several times within it.
+	toldStale = 900 * time.Millisecond
+	// leafCatalogWait is how long a watch lasts at daemons that hubs tell of a
+	// new configuration as well.
+	leafCatalogWait = 8 * time.Second
 	// storeRetry is the pause after a failed call.
 	storeRetry = 250 * time.Millisecond
-	// registerInterval is how often a daemon refreshes its row.
-	registerInterval = 10 * time.Second
+	// registerInterval is how often a daemon refreshes its row and reads those
+	// of the others.
+	registerInterval = 15 * time.Second
 	// registerFirst is how often it reads the rows just after its start, when
 	// all daemons appear.
 	registerFirst = 1500 * time.Millisecond
@@ -97,7 +104,11 @@
 }
 
 func (d *Daemon) watchCatalog(ctx context.Context, after uint64) (uint64, error) {
-	c, version, err := d.platform.WatchCatalog(ctx, after, catalogWait)
+	wait := catalogWait
+	if !d.state.followsStore() {
+		wait = leafCatalogWait
+	}
+	c, version, err := d.platform.WatchCatalog(ctx, after, wait)
 	if err != nil {
 		return after, err
 	}
@@ -110,6 +121,12 @@
 	s := d.state
 	known := false
 	for ctx.Err() == nil {
+		if !s.followsStore() {
+			// Where hubs tell, the own view is caught up by changes later.
+			known = false
+			pause(ctx, serversPause/2)
+			continue
+		}
 		err := d.readServers(ctx, known)
 		if ctx.Err() != nil {
 			return
@@ -132,16 +149,24 @@
 	}
 }
 
-// serversCurrent reports whether the store tells this daemon of servers.
-func (s *state) serversCurrent() bool {
+// storeCurrent reports whether the store itself tells this daemon of servers.
+func (s *state) storeCurrent() bool {
 	return s.storeUp && bootNow().Sub(s.serversReadAt) < serversStale
 }
 
-// expireServers removes the servers whose entries did not come back.
-func (s *state) expireServers() {
+// fleetCurrent reports whether the view of servers is up to date, from the
+// store or from a peer that follows it.
+func (s *state) fleetCurrent() bool {
+	return s.storeCurrent() || bootNow().Sub(s.fleetToldAt) < toldStale
+}
+
+// followsStore reports whether this daemon reads the servers from the store: as
+// a hub, or because no hub tells it.
+func (s *state) followsStore() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.follow(s.fleet.Tick(bootNow()), "grace period")
+	now := bootNow()
+	return s.peers.IsHub(now) || now.Sub(s.fleetToldAt) >= toldStale
 }
 
 func (d *Daemon) readServers(ctx context.Context, known bool) error {
@@ -176,6 +201,8 @@
 type daemonRow struct {
 	Address     string `json:"address"`
 	Incarnation uint64 `json:"incarnation"`
+	// Cores is the processor share of the daemon's host.
+	Cores float64 `json:"cores"`
 	// Refreshed makes every refresh another value.
 	Refreshed uint64 `json:"refreshed"`
 }
@@ -220,7 +247,7 @@
 		return nil
 	}
 	// Strings and integers always encode.
-	value, _ := json.Marshal(daemonRow{Address: d.settings.PeerAddress, Incarnation: d.state.incarnation, Refreshed: refreshed})
+	value, _ := json.Marshal(daemonRow{Address: d.settings.PeerAddress, Incarnation: d.state.incarnation, Cores: d.settings.Cores, Refreshed: refreshed})
 	err = d.platform.Transact(ctx, []table.Write{{Key: own, Version: version, Value: value}})
 	if err == nil {
 		d.refreshedAt = time.Now()
@@ -232,7 +259,7 @@
 	s := d.state
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.peers.List(bootNow(), node, row.Address, version) {
+	if s.peers.List(bootNow(), node, row.Address, row.Cores, version) {
 		s.quota.Expect(node)
 	}
 }
--- a/pkg/edge/settings.go
+++ b/pkg/edge/settings.go
@@ -17,6 +17,8 @@
 	PeerAddress    string
 	MetricsAddress string
 	MemoryBytes    int64
+	// Cores is the processor share of the host.
+	Cores float64
 	// HeartbeatInterval is how often servers refresh their entries.
 	HeartbeatInterval time.Duration
 	// DrainTimeout is when a leaving server may get no more requests.
--- a/pkg/edge/state.go
+++ b/pkg/edge/state.go
@@ -47,14 +47,20 @@
 	placement  *placement.Core
 	quota      *quota.Core
 	usage      *usage.Core
-	peers      *mesh.Peers
+	peers      *mesh.Directory
 	quarantine *quarantine.Core
 	retries    map[string]*retry.Budget
 	storeUp    bool
 	// serversReadAt is when the store last told of servers.
 	serversReadAt time.Time
-	stopping      bool
-	// urgent wakes the exchange of digests.
+	// fleetToldAt is when a peer last told of servers.
+	fleetToldAt time.Time
+	stopping    bool
+	// told are the daemons that are to hear of news at once.
+	told []mesh.Peer
+	// sequence counts the records that this daemon has stated.
+	sequence uint64
+	// urgent wakes the exchange of messages.
 	urgent chan struct{}
 }
 
@@ -70,10 +76,11 @@
 		placement:   placement.NewCore(placement.Options{}),
 		quota:       quota.New(now),
 		usage:       usage.New(settings.UsageWindow),
-		peers:       mesh.NewPeers(settings.Node, mesh.Options{Interval: exchangeInterval, GoneAfter: peerGoneAfter}),
-		quarantine:  quarantine.New(options),
-		retries:     make(map[string]*retry.Budget),
-		urgent:      make(chan struct{}, 1),
+		peers: mesh.NewDirectory(settings.Node, settings.Cores, mesh.Options{Interval: exchangeInterval,
+			GoneAfter: peerGoneAfter, MeshLimit: meshLimit, Hubs: hubs}),
+		quarantine: quarantine.New(options),
+		retries:    make(map[string]*retry.Budget),
+		urgent:     make(chan struct{}, 1),
 	}
 }
 
@@ -112,7 +119,7 @@
 }
 
 func (s *state) wakeExchange() {
-	s.peers.Urgent(bootNow())
+	s.told = append(s.told, s.peers.Urgent(bootNow())...)
 	select {
 	case s.urgent <- struct{}{}:
 	default:
@@ -238,7 +245,7 @@
 func (s *state) budget(service string) *retry.Budget {
 	b, ok := s.retries[service]
 	if !ok {
-		share := retryMargin * s.settings.RetrySlack / float64(max(len(s.peers.All())+1, minDaemons))
+		share := retryMargin * s.settings.RetrySlack / float64(max(s.peers.Size(), minDaemons))
 		b = retry.NewBudget(retry.Options{Ratio: retryMargin * s.settings.RetryRatio, Initial: share, Max: share})
 		s.retries[service] = b
 	}
@@ -259,7 +266,7 @@
 			limit = c.MaxConnections
 		}
 	}
-	daemons := len(s.peers.All()) + 1
+	daemons := s.peers.Size()
 	// Requests are not spread evenly over daemons; half of them may be idle.
 	return max(int(connectionMargin*float64(limit))/max(daemons/2, 1), 1)
 }
--- a/pkg/fleet/fleet.go
+++ b/pkg/fleet/fleet.go
@@ -62,11 +62,16 @@
 
 type member struct {
 	server Server
-	// lapsedAt is set while the entry is missing and the server is kept.
+	// changed is the store's version at which the entry changed last.
+	changed uint64
+	// lapsed is set while the entry is missing and the server is kept.
 	lapsed   bool
 	removeAt time.Time
 }
 
+// maxTombstones bounds the removed IDs that are remembered for peers.
+const maxTombstones = 512
+
 // Core is the state of one daemon. It is not safe for concurrent use.
 //
 // Invariant: version never falls, so that an older view of a peer does not
@@ -76,6 +81,12 @@
 	members map[string]*member
 	version uint64
 	known   bool
+	// changed is the version of the last change that matters to peers.
+	changed uint64
+	// removed holds the versions at which IDs were removed; what was removed
+	// before horizon is forgotten.
+	removed map[string]uint64
+	horizon uint64
 	// storeLost is set while the store does not answer this daemon.
 	storeLost  bool
 	returnedAt time.Time
@@ -85,7 +96,7 @@
 
 // New returns an empty Core.
 func New(options Options) *Core {
-	return &Core{options: options, members: make(map[string]*member)}
+	return &Core{options: options, members: make(map[string]*member), removed: make(map[string]uint64)}
 }
 
 // Known reports whether a full list was ever seen.
@@ -94,6 +105,9 @@
 // Version returns the store's version of the view.
 func (c *Core) Version() uint64 { return c.version }
 
+// Changed returns the version of the last change of a server.
+func (c *Core) Changed() uint64 { return c.changed }
+
 // Lost says that the store stopped answering.
 func (c *Core) Lost() { c.storeLost = true }
 
@@ -109,6 +123,10 @@
 	if c.known && version < c.version {
 		return nil
 	}
+	if !c.known {
+		// What was removed before is not known.
+		c.horizon = version
+	}
 	c.known, c.version = true, version
 	present := make(map[string]bool, len(entries))
 	var events []Event
@@ -150,9 +168,13 @@
 	case m == nil:
 		m = &member{server: *e.Server}
 		c.members[e.ID] = m
+		c.touch(m)
 		return append(events, Event{Server: m.server, Change: changeOf(e.Server)})
 	}
 	before := m.server
+	if before != *e.Server || m.lapsed {
+		c.touch(m)
+	}
 	m.server, m.lapsed = *e.Server, false
 	switch {
 	case before.StartedUnixMilli != m.server.StartedUnixMilli, before.Address != m.server.Address, before.Service != m.server.Service:
@@ -163,6 +185,18 @@
 	return events
 }
 
+// touch marks a member as changed at the present version.
+func (c *Core) touch(m *member) { m.changed, c.changed = c.version, c.version }
+
+// remove deletes a member and remembers that for peers.
+func (c *Core) remove(id string) {
+	delete(c.members, id)
+	c.removed[id], c.changed = c.version, c.version
+	if len(c.removed) > maxTombstones {
+		c.removed, c.horizon = make(map[string]uint64), c.version
+	}
+}
+
 func changeOf(s *Server) Change {
 	if s.Leaving {
 		return Left
@@ -181,7 +215,7 @@
 		m.lapsed, m.removeAt = true, c.returnedAt.Add(c.options.ReturnGrace)
 		return events
 	}
-	delete(c.members, m.server.ID)
+	c.remove(m.server.ID)
 	return append(events, Event{Server: m.server, Change: Gone})
 }
 
@@ -194,7 +228,7 @@
 	var events []Event
 	for id, m := range c.members {
 		if m.lapsed && !c.storeLost && !now.Before(m.removeAt) {
-			delete(c.members, id)
+			c.remove(id)
 			events = append(events, Event{Server: m.server, Change: Gone})
 		}
 	}
@@ -210,15 +244,25 @@
 	return servers
 }
 
-// Entries returns the view in the form that Snapshot of a peer takes.
-func (c *Core) Entries() []Entry {
-	entries := make([]Entry, 0, len(c.members))
+// EntriesSince returns the entries that changed after a version, for Apply of a
+// peer whose view is of that version. If that can no longer be told it returns
+// all of them and false, for Snapshot.
+func (c *Core) EntriesSince(version uint64) (entries []Entry, partial bool) {
+	partial = version != 0 && version >= c.horizon
 	for id, m := range c.members {
-		if m.lapsed {
+		if m.lapsed || partial && m.changed <= version {
 			continue
 		}
 		server := m.server
 		entries = append(entries, Entry{ID: id, Server: &server})
 	}
-	return entries
+	if !partial {
+		return entries, false
+	}
+	for id, at := range c.removed {
+		if _, back := c.members[id]; !back && at > version {
+			entries = append(entries, Entry{ID: id})
+		}
+	}
+	return entries, true
 }
--- a/pkg/fleet/fleet_test.go
+++ b/pkg/fleet/fleet_test.go
@@ -82,3 +82,24 @@
 	c.Returned(at(5000))
 	g.Expect(c.Snapshot(at(5010), 20, []fleet.Entry{server("a")})).To(gomega.HaveLen(1))
 }
+
+// Answers daemons that are told of servers by a peer: changes and removals
+// reach them, also from a peer that has just started.
+func TestPeersAreToldWhatChanged(t *testing.T) {
+	g := gomega.NewWithT(t)
+	hub, leaf := newCore(), newCore()
+	hub.Apply(at(10), 11, []fleet.Entry{server("c"), {ID: "a"}})
+	entries, partial := hub.EntriesSince(leaf.Version())
+	g.Expect(partial).To(gomega.BeTrue())
+	leaf.Apply(at(20), hub.Version(), entries)
+	g.Expect(leaf.Servers()).To(gomega.ConsistOf(hub.Servers()))
+	hub.Apply(at(30), 12, []fleet.Entry{server("b")})
+	g.Expect(hub.Changed()).To(gomega.Equal(uint64(11)), "a heartbeat changes nothing for peers")
+
+	fresh := fleet.New(fleet.Options{ReturnGrace: time.Second})
+	fresh.Snapshot(at(40), 13, []fleet.Entry{server("c")})
+	entries, partial = fresh.EntriesSince(leaf.Version())
+	g.Expect(partial).To(gomega.BeFalse())
+	leaf.Snapshot(at(50), fresh.Version(), entries)
+	g.Expect(leaf.Servers()).To(gomega.HaveLen(1))
+}
--- /dev/null
+++ b/pkg/mesh/directory.go
@@ -0,0 +1,344 @@
+package mesh
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Options configure a Directory.
+type Options struct {
+	// Interval is the time between two exchanges with one neighbor.
+	Interval time.Duration
+	// GoneAfter is when a daemon that states nothing and does not refresh its
+	// entry in the store is forgotten.
+	GoneAfter time.Duration
+	// MeshLimit is the number of daemons up to which all talk to all.
+	MeshLimit int
+	// Hubs is the number of hubs beyond it, and of daemons that follow the
+	// store for the others in any case.
+	Hubs int
+}
+
+const (
+	// maxBackoff bounds how much rarer a neighbor that does not answer is asked.
+	maxBackoff = 4
+	// unresponsive is the number of failed exchanges after which a daemon is
+	// not taken for a hub.
+	unresponsive = 2
+	// askedWithin is how long a daemon that is asked by others acts as a hub.
+	askedWithin = 2 * time.Second
+	// clockMaxAge is how long a neighbor's time of day counts.
+	clockMaxAge = 3 * time.Second
+	// recordMaxAge is how long a record is passed on that is not renewed.
+	recordMaxAge = 5 * time.Second
+)
+
+// Peer is what is known of one daemon.
+type Peer struct {
+	Node    string
+	Address string
+	// Weight is the processor share of its host; heavier daemons become hubs.
+	Weight float64
+	// Record is the newest record, RecordAt when it came, and Stamp its place
+	// among all records taken.
+	Record   Record
+	RecordAt time.Time
+	Stamp    uint64
+	// The rest is known of neighbors only: what the last exchange told.
+	CatalogVersion int64
+	FleetVersion   uint64
+	FleetCurrent   bool
+	// Has is the own stamp up to which the neighbor has all records, Since the
+	// neighbor's stamp up to which this daemon has them.
+	Has, Since uint64
+
+	listed   uint64
+	listedAt time.Time
+	heardAt  time.Time
+	ahead    time.Duration
+	nextAt   time.Time
+	inFlight bool
+	failures int
+	triedAt  time.Time
+}
+
+// Directory is the set of other daemons and of their records. It is not safe
+// for concurrent use.
+type Directory struct {
+	options Options
+	self    string
+	weight  float64
+	peers   map[string]*Peer
+	// gone keeps the versions of the store's entries of forgotten peers, whose
+	// entries stay behind.
+	gone    map[string]uint64
+	stamp   uint64
+	askedAt time.Time
+}
+
+// NewDirectory returns a Directory that knows nobody.
+func NewDirectory(self string, weight float64, options Options) *Directory {
+	return &Directory{options: options, self: self, weight: weight, peers: make(map[string]*Peer), gone: make(map[string]uint64)}
+}
+
+// List takes a daemon's entry in the store. Version tells changes apart. It
+// reports whether the daemon counts as alive.
+func (d *Directory) List(now time.Time, node, address string, weight float64, version uint64) bool {
+	if left, ok := d.gone[node]; node == d.self || ok && left == version {
+		return false
+	}
+	p := d.peer(now, node)
+	if p.listed != version {
+		p.listed, p.listedAt = version, now
+	}
+	p.Weight = weight
+	if p.heardAt.IsZero() {
+		p.Address = address
+	}
+	return true
+}
+
+func (d *Directory) peer(now time.Time, node string) *Peer {
+	p, ok := d.peers[node]
+	if !ok {
+		p = &Peer{Node: node, nextAt: now, listedAt: now}
+		d.peers[node] = p
+	}
+	return p
+}
+
+// Heard takes what a neighbor's message says of the neighbor. Asked says that
+// the neighbor began the exchange.
+func (d *Directory) Heard(now time.Time, m *Message, asked bool) {
+	if m.Record.Node == d.self {
+		return
+	}
+	p := d.peer(now, m.Record.Node)
+	if p.Record.Incarnation != m.Record.Incarnation {
+		// Stamps of an earlier start mean nothing.
+		p.Has, p.Since = 0, 0
+	} else {
+		p.Has = m.Since
+	}
+	p.Since = m.Stamp
+	p.Address, p.heardAt, p.failures = m.Address, now, 0
+	p.CatalogVersion, p.FleetVersion, p.FleetCurrent = m.CatalogVersion, m.FleetVersion, m.FleetCurrent
+	p.ahead = time.UnixMilli(m.WallUnixMilli).Sub(now)
+	p.nextAt = now.Add(d.options.Interval)
+	if asked {
+		d.askedAt = now
+	}
+}
+
+// Take takes a record. It reports whether it is news.
+func (d *Directory) Take(now time.Time, r *Record) bool {
+	if r.Node == d.self {
+		return false
+	}
+	p := d.peer(now, r.Node)
+	old := p.Record
+	if r.Incarnation < old.Incarnation || r.Incarnation == old.Incarnation && r.Sequence <= old.Sequence {
+		return false
+	}
+	d.stamp++
+	p.Record, p.RecordAt, p.Stamp = *r, now, d.stamp
+	return true
+}
+
+// Stamp counts the records taken.
+func (d *Directory) Stamp() uint64 { return d.stamp }
+
+// RecordsFor returns the records that a neighbor may not have. Only hubs pass
+// records on.
+func (d *Directory) RecordsFor(now time.Time, node string) []Record {
+	p, ok := d.peers[node]
+	if !ok || d.meshed() {
+		return nil
+	}
+	var records []Record
+	for _, other := range d.peers {
+		if other != p && other.Stamp > p.Has && now.Sub(other.RecordAt) < recordMaxAge {
+			records = append(records, other.Record)
+		}
+	}
+	return records
+}
+
+// SinceOf returns the stamp of a neighbor up to which all records are here.
+func (d *Directory) SinceOf(node string) uint64 {
+	if p, ok := d.peers[node]; ok {
+		return p.Since
+	}
+	return 0
+}
+
+// Neighbor returns what is known of a daemon.
+func (d *Directory) Neighbor(node string) (Peer, bool) {
+	p, ok := d.peers[node]
+	if !ok {
+		return Peer{}, false
+	}
+	return *p, true
+}
+
+func (d *Directory) meshed() bool { return len(d.peers)+1 <= d.options.MeshLimit }
+
+// ranked returns the daemons in the order in which they become hubs: by weight,
+// then by the hash of their names, which is the same everywhere.
+func (d *Directory) ranked() []string {
+	type candidate struct {
+		node   string
+		weight float64
+		hash   uint64
+	}
+	list := []candidate{{d.self, d.weight, xxhash.Sum64String(d.self)}}
+	for node, p := range d.peers {
+		if p.failures < unresponsive {
+			list = append(list, candidate{node, p.Weight, xxhash.Sum64String(node)})
+		}
+	}
+	slices.SortFunc(list, func(a, b candidate) int {
+		return cmp.Or(cmp.Compare(b.weight, a.weight), cmp.Compare(a.hash, b.hash))
+	})
+	hubs := make([]string, 0, d.options.Hubs)
+	for i := range min(len(list), d.options.Hubs) {
+		hubs = append(hubs, list[i].node)
+	}
+	return hubs
+}
+
+// IsHub reports whether this daemon follows the store and passes news on: it
+// ranks among the first, or others take it for a hub.
+func (d *Directory) IsHub(now time.Time) bool {
+	if slices.Contains(d.ranked(), d.self) {
+		return true
+	}
+	return !d.meshed() && now.Sub(d.askedAt) < askedWithin
+}
+
+// neighbors returns the daemons to exchange messages with.
+func (d *Directory) neighbors() []string {
+	if d.meshed() {
+		nodes := make([]string, 0, len(d.peers))
+		for node := range d.peers {
+			nodes = append(nodes, node)
+		}
+		return nodes
+	}
+	hubs := d.ranked()
+	if slices.Contains(hubs, d.self) {
+		return slices.DeleteFunc(hubs, func(node string) bool { return node == d.self })
+	}
+	// Leaves are spread over the hubs; each keeps to its own as long as that
+	// answers.
+	slices.SortFunc(hubs, func(a, b string) int {
+		return cmp.Compare(xxhash.Sum64String(d.self+"\x00"+a), xxhash.Sum64String(d.self+"\x00"+b))
+	})
+	return hubs[:min(len(hubs), 1)]
+}
+
+// Due returns the neighbors to exchange messages with now and marks them as
+// asked.
+func (d *Directory) Due(now time.Time) []Peer {
+	var due []Peer
+	for _, node := range d.neighbors() {
+		p := d.peers[node]
+		if !p.inFlight && !now.Before(p.nextAt) && p.Address != "" {
+			p.inFlight = true
+			due = append(due, *p)
+		}
+	}
+	for _, p := range d.peers {
+		// Daemons that did not answer are tried again from time to time.
+		if p.failures >= unresponsive && !p.inFlight && !now.Before(p.nextAt) && !d.meshed() && p.Weight >= d.weight &&
+			now.Sub(p.triedAt) > askedWithin {
+			p.inFlight, p.triedAt = true, now
+			due = append(due, *p)
+			break
+		}
+	}
+	return due
+}
+
+// Done says that an exchange has ended.
+func (d *Directory) Done(now time.Time, node string, failed bool) {
+	p, ok := d.peers[node]
+	if !ok {
+		return
+	}
+	p.inFlight = false
+	wait := d.options.Interval
+	if failed {
+		p.failures++
+		wait *= time.Duration(min(p.failures, maxBackoff))
+		p.Has, p.Since = 0, 0
+	}
+	p.nextAt = now.Add(wait)
+}
+
+// Urgent makes an exchange with every neighbor due, and with every daemon that
+// asks this hub.
+func (d *Directory) Urgent(now time.Time) []Peer {
+	var told []Peer
+	for _, p := range d.peers {
+		p.nextAt = now
+		if !d.meshed() && now.Sub(p.heardAt) < askedWithin && p.Address != "" && !p.inFlight {
+			p.inFlight = true
+			told = append(told, *p)
+		}
+	}
+	return told
+}
+
+// Expire forgets the daemons that are gone and returns their names.
+func (d *Directory) Expire(now time.Time) []string {
+	var gone []string
+	for node, p := range d.peers {
+		last := p.RecordAt
+		if p.listedAt.After(last) {
+			last = p.listedAt
+		}
+		if now.Sub(last) > d.options.GoneAfter {
+			d.Remove(node)
+			gone = append(gone, node)
+		}
+	}
+	return gone
+}
+
+// Remove forgets a daemon that has said that it stops.
+func (d *Directory) Remove(node string) {
+	if p, ok := d.peers[node]; ok {
+		d.gone[node] = p.listed
+		delete(d.peers, node)
+	}
+}
+
+// Size returns the number of daemons, this one included.
+func (d *Directory) Size() int { return len(d.peers) + 1 }
+
+// Neighbors returns the daemons that are talked to directly.
+func (d *Directory) Neighbors() []Peer {
+	var list []Peer
+	for _, node := range d.neighbors() {
+		list = append(list, *d.peers[node])
+	}
+	return list
+}
+
+// ClockAhead returns the middle of the neighbors' times of day against the own
+// steady clock, so that the steps of a few clocks do not count. Own is this
+// daemon's.
+func (d *Directory) ClockAhead(now time.Time, own time.Duration) time.Duration {
+	ahead := []time.Duration{own}
+	for _, p := range d.peers {
+		if now.Sub(p.heardAt) < clockMaxAge {
+			ahead = append(ahead, p.ahead)
+		}
+	}
+	slices.Sort(ahead)
+	return ahead[len(ahead)/2]
+}
--- /dev/null
+++ b/pkg/mesh/directory_test.go
@@ -0,0 +1,218 @@
+package mesh_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"github.com/monsooncrank/monsooncrank/pkg/fleet"
+	"github.com/monsooncrank/monsooncrank/pkg/mesh"
+	"github.com/monsooncrank/monsooncrank/pkg/usage"
+)
+
+var epoch = time.Unix(1000, 0)
+
+func at(ms int) time.Time { return epoch.Add(time.Duration(ms) * time.Millisecond) }
+
+var options = mesh.Options{Interval: 250 * time.Millisecond, GoneAfter: 30 * time.Second, MeshLimit: 4, Hubs: 3}
+
+func newDirectory() *mesh.Directory { return mesh.NewDirectory("self", 1, options) }
+
+func message(node string, wall time.Time) *mesh.Message {
+	return &mesh.Message{Record: mesh.Record{Node: node, Incarnation: 1, Sequence: 1}, Address: node + ":1", WallUnixMilli: wall.UnixMilli()}
+}
+
+// Answers hosts that are removed for good: their entries in the store stay
+// behind and must not bring them back.
+func TestEntriesOfDeadDaemonsDoNotBringThemBack(t *testing.T) {
+	g := gomega.NewWithT(t)
+	d := newDirectory()
+	g.Expect(d.List(at(0), "dead", "10.0.0.1:1", 1, 5)).To(gomega.BeTrue())
+	g.Expect(d.Expire(at(31_000))).To(gomega.ConsistOf("dead"))
+	g.Expect(d.List(at(32_000), "dead", "10.0.0.1:1", 1, 5)).To(gomega.BeFalse())
+	g.Expect(d.Size()).To(gomega.Equal(1))
+	g.Expect(d.List(at(33_000), "dead", "10.0.0.1:1", 1, 6)).To(gomega.BeTrue())
+}
+
+// Answers the steps of the time of day on some hosts: the middle one counts.
+func TestStepsOfAFewClocksDoNotCount(t *testing.T) {
+	g := gomega.NewWithT(t)
+	d := newDirectory()
+	d.Heard(at(0), message("a", at(100)), false)
+	d.Heard(at(0), message("b", at(90)), false)
+	d.Heard(at(0), message("stepped", at(5000)), false)
+	g.Expect(d.ClockAhead(at(0), 95*time.Millisecond)).To(gomega.BeNumerically("<=", 100*time.Millisecond))
+	// The own clock steps.
+	g.Expect(d.ClockAhead(at(0), -3*time.Second)).To(gomega.BeNumerically("~", 95*time.Millisecond, 10*time.Millisecond))
+}
+
+// Answers a neighbor that does not answer: it is asked more rarely, and at once
+// when there is news.
+func TestExchangesBackOff(t *testing.T) {
+	g := gomega.NewWithT(t)
+	d := newDirectory()
+	d.Heard(at(0), message("a", at(0)), false)
+	g.Expect(d.Due(at(249))).To(gomega.BeEmpty())
+	g.Expect(d.Due(at(250))).To(gomega.HaveLen(1))
+	g.Expect(d.Due(at(260))).To(gomega.BeEmpty(), "one exchange at a time")
+	d.Done(at(300), "a", true)
+	d.Due(at(550))
+	d.Done(at(600), "a", true)
+	g.Expect(d.Due(at(900))).To(gomega.BeEmpty())
+	d.Urgent(at(900))
+	g.Expect(d.Due(at(900))).To(gomega.HaveLen(1))
+}
+
+// Answers records that arrive late, twice or from an earlier start.
+func TestOlderRecordsAreNoNews(t *testing.T) {
+	g := gomega.NewWithT(t)
+	d := newDirectory()
+	take := func(incarnation, sequence uint64) bool {
+		return d.Take(at(0), &mesh.Record{Node: "a", Incarnation: incarnation, Sequence: sequence})
+	}
+	g.Expect(take(1, 5)).To(gomega.BeTrue())
+	g.Expect(take(1, 5)).To(gomega.BeFalse())
+	g.Expect(take(1, 4)).To(gomega.BeFalse())
+	g.Expect(take(2, 1)).To(gomega.BeTrue())
+	g.Expect(take(1, 9)).To(gomega.BeFalse())
+}
+
+// cluster passes messages between directories without a network.
+type cluster struct {
+	nodes map[string]*mesh.Directory
+	seq   map[string]uint64
+	down  map[string]bool
+	sent  int
+}
+
+func newCluster(n int) *cluster {
+	c := &cluster{nodes: make(map[string]*mesh.Directory), seq: make(map[string]uint64), down: make(map[string]bool)}
+	for i := range n {
+		name := fmt.Sprintf("d%02d", i)
+		weight := 0.2
+		if i < 5 {
+			weight = 0.8
+		}
+		c.nodes[name] = mesh.NewDirectory(name, weight, options)
+	}
+	for name, d := range c.nodes {
+		for other := range c.nodes {
+			weight := 0.2
+			if other < "d05" {
+				weight = 0.8
+			}
+			d.List(at(0), other, other+":1", weight, 1)
+		}
+		_ = name
+	}
+	return c
+}
+
+func (c *cluster) message(now time.Time, from, to string) *mesh.Message {
+	d := c.nodes[from]
+	c.seq[from]++
+	return &mesh.Message{Record: mesh.Record{Node: from, Incarnation: 1, Sequence: c.seq[from]}, Address: from + ":1",
+		WallUnixMilli: now.UnixMilli(), Records: d.RecordsFor(now, to), Stamp: d.Stamp(), Since: d.SinceOf(to)}
+}
+
+func (c *cluster) deliver(now time.Time, to string, m *mesh.Message, asked bool) {
+	d := c.nodes[to]
+	d.Heard(now, m, asked)
+	d.Take(now, &m.Record)
+	for i := range m.Records {
+		d.Take(now, &m.Records[i])
+	}
+}
+
+func (c *cluster) run(from, to int) {
+	for ms := from; ms < to; ms += 50 {
+		now := at(ms)
+		for name, d := range c.nodes {
+			if c.down[name] {
+				continue
+			}
+			for _, p := range d.Due(now) {
+				c.sent++
+				if c.down[p.Node] {
+					d.Done(now, p.Node, true)
+					continue
+				}
+				c.deliver(now, p.Node, c.message(now, name, p.Node), true)
+				c.deliver(now, name, c.message(now, p.Node, name), false)
+				d.Done(now, p.Node, false)
+			}
+		}
+	}
+}
+
+// age returns the greatest age of a record that a daemon has of a living one.
+func (c *cluster) age(now time.Time) time.Duration {
+	var oldest time.Duration
+	for name, d := range c.nodes {
+		for other := range c.nodes {
+			if c.down[name] || c.down[other] || name == other {
+				continue
+			}
+			p, ok := d.Neighbor(other)
+			if !ok || p.RecordAt.IsZero() {
+				return time.Hour
+			}
+			oldest = max(oldest, now.Sub(p.RecordAt))
+		}
+	}
+	return oldest
+}
+
+// Answers growth: the exchanges grow with the number of daemons, and all hear
+// of all within a second.
+func TestHubsPassRecordsOn(t *testing.T) {
+	g := gomega.NewWithT(t)
+	small, large := newCluster(20), newCluster(80)
+	small.run(0, 4000)
+	large.run(0, 4000)
+	g.Expect(large.age(at(4000))).To(gomega.BeNumerically("<=", time.Second))
+	g.Expect(float64(large.sent) / float64(small.sent)).To(gomega.BeNumerically("<=", 4.5))
+	hubs := 0
+	for _, d := range large.nodes {
+		if d.IsHub(at(4000)) {
+			hubs++
+		}
+	}
+	g.Expect(hubs).To(gomega.Equal(3))
+}
+
+// Answers the loss of all hubs at once: others take their place, and the old
+// ones come back.
+func TestOthersTakeThePlaceOfHubs(t *testing.T) {
+	g := gomega.NewWithT(t)
+	c := newCluster(40)
+	c.run(0, 2000)
+	for name, d := range c.nodes {
+		if d.IsHub(at(2000)) {
+			c.down[name] = true
+		}
+	}
+	g.Expect(c.down).To(gomega.HaveLen(3))
+	c.run(2000, 9000)
+	g.Expect(c.age(at(9000))).To(gomega.BeNumerically("<=", time.Second))
+	c.down = make(map[string]bool)
+	c.run(9000, 16_000)
+	g.Expect(c.age(at(16_000))).To(gomega.BeNumerically("<=", time.Second))
+}
+
+// A message survives its encoding, and damaged bytes are refused.
+func TestMessagesAreEncoded(t *testing.T) {
+	g := gomega.NewWithT(t)
+	m := message("a", at(0))
+	m.Fleet = []fleet.Entry{{ID: "s", Server: &fleet.Server{ID: "s", Address: "10.0.0.1:80", Leaving: true}}}
+	m.Records = []mesh.Record{{Node: "b", Usage: usage.Windows{7: {"account": 3}}}}
+	encoded, err := m.Encode()
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	decoded, err := mesh.DecodeMessage(encoded)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(decoded).To(gomega.Equal(m))
+	_, err = mesh.DecodeMessage(encoded[:len(encoded)/2])
+	g.Expect(err).To(gomega.HaveOccurred())
+}
--- a/pkg/placement/core.go
+++ b/pkg/placement/core.go
@@ -157,9 +157,14 @@
 	return now.Sub(s.aliveAt)
 }
 
-// SetPeer takes the load that a peer has given to servers.
+// SetPeer takes the load that a peer has given to servers; PeersChanged makes it
+// count.
 func (c *Core) SetPeer(now time.Time, peer string, loads map[string]Load) {
 	c.peers[peer] = peerLoad{at: now, loads: loads}
+}
+
+// PeersChanged takes the loads set since the last call into account.
+func (c *Core) PeersChanged(now time.Time) {
 	c.expirePeers(now)
 	c.sumPeers()
 }
