--- a/pkg/edge/exchange.go
+++ b/pkg/edge/exchange.go
@@ -48,7 +48,7 @@
 	m := &mesh.Message{
 		Record: s.record(), Address: s.settings.PeerAddress, WallUnixMilli: time.Now().UnixMilli(),
 		Records: s.peers.RecordsFor(now, node), Stamp: s.peers.Stamp(), Since: s.peers.SinceOf(node),
-		FleetCurrent: s.fleetCurrent(), FleetVersion: s.fleet.Version(), Quarantine: s.recentCrashes(),
+		FleetAgeMillis: s.fleetAge().Milliseconds(), FleetVersion: s.fleet.Version(), Quarantine: s.recentCrashes(),
 	}
 	if s.catalog != nil {
 		m.CatalogVersion = s.catalog.Version
@@ -56,7 +56,7 @@
 			m.Catalog = s.catalog.Source
 		}
 	}
-	if s.fleet.Known() && m.FleetCurrent && (neighbor.FleetVersion == 0 || s.fleet.Changed() > neighbor.FleetVersion) {
+	if s.fleet.Known() && s.fleetAge() < toldStale && (neighbor.FleetVersion == 0 || s.fleet.Changed() > neighbor.FleetVersion) {
 		entries, partial := s.fleet.EntriesSince(neighbor.FleetVersion)
 		m.Fleet, m.HasFleet = entries, true
 		if partial {
@@ -121,12 +121,21 @@
 }
 
 // takeFleet takes a neighbor's view of servers unless the store tells this
-// daemon itself.
+// daemon itself. The age of a view only grows on its way, so that daemons that
+// the store does not answer do not confirm one another.
 func (s *state) takeFleet(m *mesh.Message) {
-	if s.storeCurrent() || !m.FleetCurrent || m.FleetVersion < s.fleet.Version() {
+	if m.FleetAgeMillis < 0 {
 		return
 	}
 	now := bootNow()
+	confirmed := now.Add(-time.Duration(m.FleetAgeMillis) * time.Millisecond)
+	if s.storeCurrent() || m.FleetVersion < s.fleet.Version() {
+		// Known already; but the neighbor could tell.
+		if confirmed.After(s.toldConfirmed) {
+			s.toldConfirmed = confirmed
+		}
+		return
+	}
 	source := "peer " + m.Record.Node
 	switch {
 	case m.HasFleet && m.FleetSince == 0:
@@ -138,7 +147,9 @@
 	default:
 		s.follow(s.fleet.Apply(now, m.FleetVersion, nil), source)
 	}
-	s.fleetToldAt = now
+	if confirmed.After(s.toldConfirmed) {
+		s.toldConfirmed = confirmed
+	}
 }
 
 // answerMessage answers a neighbor's message with the own one.
--- a/pkg/edge/follow.go
+++ b/pkg/edge/follow.go
@@ -24,9 +24,10 @@
 	// serversStale is the age of the view of servers from which on a peer that
 	// has read more recently is believed.
 	serversStale = 1200 * time.Millisecond
-	// toldStale is the age of a hub's view from which on a daemon asks the
-	// store itself; hubs tell several times within it.
-	toldStale = 900 * time.Millisecond
+	// toldStale is the age of what a hub tells from which on a daemon asks the
+	// store itself: a hub reads every 0.75 s at the latest and tells every
+	// 0.25 s.
+	toldStale = 1300 * time.Millisecond
 	// leafCatalogWait is how long a watch lasts at daemons that hubs tell of a
 	// new configuration as well.
 	leafCatalogWait = 8 * time.Second
@@ -154,10 +155,17 @@
 	return s.storeUp && bootNow().Sub(s.serversReadAt) < serversStale
 }
 
-// fleetCurrent reports whether the view of servers is up to date, from the
-// store or from a peer that follows it.
-func (s *state) fleetCurrent() bool {
-	return s.storeCurrent() || bootNow().Sub(s.fleetToldAt) < toldStale
+// fleetAge is how long ago the store confirmed the view of servers, or negative
+// if it never did.
+func (s *state) fleetAge() time.Duration {
+	confirmed := s.serversReadAt
+	if s.toldConfirmed.After(confirmed) {
+		confirmed = s.toldConfirmed
+	}
+	if confirmed.IsZero() {
+		return -time.Millisecond
+	}
+	return bootNow().Sub(confirmed)
 }
 
 // followsStore reports whether this daemon reads the servers from the store: as
@@ -166,7 +174,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := bootNow()
-	return s.peers.IsHub(now) || now.Sub(s.fleetToldAt) >= toldStale
+	return s.peers.IsHub(now) || now.Sub(s.toldConfirmed) >= toldStale
 }
 
 func (d *Daemon) readServers(ctx context.Context, known bool) error {
--- a/pkg/edge/state.go
+++ b/pkg/edge/state.go
@@ -53,8 +53,9 @@
 	storeUp    bool
 	// serversReadAt is when the store last told of servers.
 	serversReadAt time.Time
-	// fleetToldAt is when a peer last told of servers.
-	fleetToldAt time.Time
+	// toldConfirmed is when the store confirmed the newest view that a peer
+	// has told of.
+	toldConfirmed time.Time
 	stopping    bool
 	// told are the daemons that are to hear of news at once.
 	told []mesh.Peer
--- a/pkg/mesh/directory.go
+++ b/pkg/mesh/directory.go
@@ -50,7 +50,6 @@
 	// The rest is known of neighbors only: what the last exchange told.
 	CatalogVersion int64
 	FleetVersion   uint64
-	FleetCurrent   bool
 	// Has is the own stamp up to which the neighbor has all records, Since the
 	// neighbor's stamp up to which this daemon has them.
 	Has, Since uint64
@@ -125,7 +124,7 @@
 	}
 	p.Since = m.Stamp
 	p.Address, p.heardAt, p.failures = m.Address, now, 0
-	p.CatalogVersion, p.FleetVersion, p.FleetCurrent = m.CatalogVersion, m.FleetVersion, m.FleetCurrent
+	p.CatalogVersion, p.FleetVersion = m.CatalogVersion, m.FleetVersion
 	p.ahead = time.UnixMilli(m.WallUnixMilli).Sub(now)
 	p.nextAt = now.Add(d.options.Interval)
 	if asked {
--- a/pkg/mesh/message.go
+++ b/pkg/mesh/message.go
@@ -50,10 +50,11 @@
 	// is sent to a receiver that has an older one.
 	CatalogVersion int64  `cbor:"7,keyasint"`
 	Catalog        []byte `cbor:"8,keyasint,omitempty"`
-	// FleetCurrent says that the sender's view of servers is up to date as far
-	// as it knows; FleetVersion is the store's version of the view.
-	FleetCurrent bool   `cbor:"9,keyasint,omitempty"`
-	FleetVersion uint64 `cbor:"10,keyasint"`
+	// FleetAgeMillis is how long ago the store confirmed the sender's view of
+	// servers, to the sender or to whoever told it; negative means unknown.
+	// FleetVersion is the store's version of the view.
+	FleetAgeMillis int64  `cbor:"9,keyasint"`
+	FleetVersion   uint64 `cbor:"10,keyasint"`
 	// Fleet holds the entries that changed after FleetSince, or all if
 	// FleetSince is 0.
 	Fleet      []fleet.Entry      `cbor:"11,keyasint,omitempty"`
