Plan engines by the flow of prompts; keep a service's size in the store

Change: the need follows from prompt tokens per second and from slots in use; before there is load 0.7 of the servers present are kept; the size stands in the table for the next holder.

--- a/pkg/edge/duties.go
+++ b/pkg/edge/duties.go
@@ -39,6 +39,8 @@
 	usageSettle = 1200 * time.Millisecond
 	// usagePartition holds the final figure of each window.
 	usagePartition = "usage"
+	// sizePartition holds the size of each service.
+	sizePartition = "size"
 	// usageRowsKept is how many figures remain for a successor.
 	usageRowsKept = 12
 )
@@ -50,8 +52,10 @@
 	// reported are the windows that need no report any more.
 	reported map[int64]bool
 	scaling  map[string]*scaling.Core
-	number   uint64
-	cleaned  int64
+	// sizes are the sizes of services as they stand in the table.
+	sizes   map[string]size
+	number  uint64
+	cleaned int64
 	// actedAt is when this host may have acted last.
 	actedAt time.Time
 }
@@ -70,7 +74,14 @@
 		OnLost: func(l lease.Lost) { klog.InfoS("duties lost", "number", l.Number, "lapsed", l.Lapsed) },
 	})
 	// An earlier process of this host may have acted until now.
-	return &duties{daemon: d, manager: manager, actedAt: bootNow(), reported: make(map[int64]bool), scaling: make(map[string]*scaling.Core)}
+	return &duties{daemon: d, manager: manager, actedAt: bootNow(), reported: make(map[int64]bool), scaling: make(map[string]*scaling.Core),
+		sizes: make(map[string]size)}
+}
+
+// size is the size of a service in the table.
+type size struct {
+	present int
+	version uint64
 }
 
 // run does the duties while the lease is held.
@@ -96,6 +107,7 @@
 			// What an earlier holder ordered since is not known.
 			u.number = number
 			u.scaling = make(map[string]*scaling.Core)
+			u.sizes = make(map[string]size)
 			u.reported = make(map[int64]bool)
 		}
 		u.actedAt = bootNow()
@@ -237,14 +249,23 @@
 	core, ok := u.scaling[name]
 	if !ok {
 		core = scaling.New(name, scaling.DefaultOptions())
+		if err := u.inherit(ctx, name, core); err != nil {
+			klog.InfoS("size of a service not read", "service", name, "err", err)
+			return
+		}
 		u.scaling[name] = core
 	}
+	u.bequeath(ctx, name, core)
 	s := u.daemon.state
 	s.mu.Lock()
 	summary := s.placement.Summarize(name)
+	work := make(map[string]scaling.Work)
+	for daemon, w := range s.placement.WorkOf(name) {
+		work[daemon] = scaling.Work(w)
+	}
 	s.mu.Unlock()
 	now := bootNow()
-	core.Observe(now, scaling.Load{Running: summary.Running, Prefill: summary.Prefill, PrefillRate: summary.PrefillRate})
+	core.Observe(now, scaling.Load{Running: summary.Running, Slots: summary.Slots, PrefillRate: summary.PrefillRate, Work: work})
 	for _, order := range core.Plan(now, limits, zonesOf(limits), servers) {
 		number, ok := u.held()
 		if !ok {
@@ -266,6 +287,54 @@
 	}
 }
 
+// sizeRow is what the holder of the duty leaves to the next one: the size of a
+// service cannot be told from the servers that reclaims have left.
+type sizeRow struct {
+	Present int `json:"present"`
+}
+
+func sizeKey(service string) table.Key { return table.Key{Partition: sizePartition, Sort: service} }
+
+// inherit reads what an earlier holder knew of a service.
+func (u *duties) inherit(ctx context.Context, service string, core *scaling.Core) error {
+	item, err := u.daemon.platform.Get(ctx, sizeKey(service))
+	var missing *table.NotFoundError
+	if errors.As(err, &missing) {
+		return nil
+	}
+	if err != nil {
+		return err
+	}
+	var row sizeRow
+	if err := json.Unmarshal(item.Value, &row); err != nil {
+		return errors.Annotatef(err, "size of service %s", service)
+	}
+	core.Inherit(bootNow(), row.Present)
+	u.sizes[service] = size{present: row.Present, version: item.Version}
+	klog.InfoS("size of a service inherited", "service", service, "present", row.Present)
+	return nil
+}
+
+// bequeath writes the size of a service when it is known or has changed.
+func (u *duties) bequeath(ctx context.Context, service string, core *scaling.Core) {
+	known := u.sizes[service]
+	if !core.Trusts(bootNow()) || core.Present() == known.present {
+		return
+	}
+	// An integer always encodes.
+	value, _ := json.Marshal(sizeRow{Present: core.Present()})
+	err := u.daemon.platform.Transact(ctx, []table.Write{{Key: sizeKey(service), Version: known.version, Value: value}})
+	if err != nil {
+		klog.InfoS("size of a service not written", "service", service, "err", err)
+		if item, err := u.daemon.platform.Get(ctx, sizeKey(service)); err == nil {
+			// Another holder or a lost answer has moved the row's version.
+			u.sizes[service] = size{present: known.present, version: item.Version}
+		}
+		return
+	}
+	u.sizes[service] = size{present: core.Present(), version: known.version + 1}
+}
+
 func zonesOf(limits *catalog.Scaling) []string {
 	zones := make([]string, 0, len(limits.ZonePrices))
 	for zone := range limits.ZonePrices {
--- a/pkg/edge/exchange.go
+++ b/pkg/edge/exchange.go
@@ -37,6 +37,7 @@
 	s.sequence++
 	return mesh.Record{
 		Node: s.settings.Node, Incarnation: s.incarnation, Sequence: s.sequence, Loads: s.placement.Own(),
+		Work:  s.placement.OwnWork(),
 		Quota: s.quota.Totals(bootNow()), Usage: s.usage.Own(), Placed: s.placement.News(time.Now()), Stopping: s.stopping,
 	}
 }
@@ -112,10 +113,10 @@
 	s.usage.SetPeer(r.Node, r.Incarnation, r.Usage)
 	if r.Stopping {
 		s.quota.Forget(r.Node)
-		s.placement.SetPeer(time.Now(), r.Node, nil)
+		s.placement.SetPeer(time.Now(), r.Node, nil, nil)
 		return
 	}
-	s.placement.SetPeer(time.Now(), r.Node, r.Loads)
+	s.placement.SetPeer(time.Now(), r.Node, r.Loads, r.Work)
 	s.placement.TakeNews(time.Now(), r.Node, r.Incarnation, r.Placed)
 	s.quota.SetPeer(now, r.Node, r.Incarnation, r.Quota)
 }
--- a/pkg/edge/state.go
+++ b/pkg/edge/state.go
@@ -56,7 +56,7 @@
 	// toldConfirmed is when the store confirmed the newest view that a peer
 	// has told of.
 	toldConfirmed time.Time
-	stopping    bool
+	stopping      bool
 	// told are the daemons that are to hear of news at once.
 	told []mesh.Peer
 	// sequence counts the records that this daemon has stated.
--- a/pkg/mesh/message.go
+++ b/pkg/mesh/message.go
@@ -29,6 +29,8 @@
 	Usage    usage.Windows             `cbor:"6,keyasint,omitempty"`
 	// Placed are the newest placements of prompt parts.
 	Placed []placement.Placed `cbor:"7,keyasint,omitempty"`
+	// Work is what the daemon gave to each service since its start.
+	Work map[string]placement.Work `cbor:"9,keyasint,omitempty"`
 	// Stopping daemons take no part in shares any more.
 	Stopping bool `cbor:"8,keyasint,omitempty"`
 }
--- a/pkg/placement/core.go
+++ b/pkg/placement/core.go
@@ -17,6 +17,8 @@
 	attempts map[string]*attempt
 	peers    map[string]peerLoad
 	placed   placements
+	// work is what this daemon has given to each service since its start.
+	work map[string]Work
 }
 
 type service struct {
@@ -71,6 +73,7 @@
 type peerLoad struct {
 	at    time.Time
 	loads map[string]Load
+	work  map[string]Work
 }
 
 // NewCore returns a Core without servers.
@@ -79,7 +82,7 @@
 		options.PrefillRate = defaultPrefillRate
 	}
 	return &Core{options: options, services: make(map[string]*service), servers: make(map[string]*server),
-		attempts: make(map[string]*attempt), peers: make(map[string]peerLoad)}
+		attempts: make(map[string]*attempt), peers: make(map[string]peerLoad), work: make(map[string]Work)}
 }
 
 // SetEngine states the size of the engines of a service.
@@ -159,8 +162,27 @@
 
 // SetPeer takes the load that a peer has given to servers; PeersChanged makes it
 // count.
-func (c *Core) SetPeer(now time.Time, peer string, loads map[string]Load) {
-	c.peers[peer] = peerLoad{at: now, loads: loads}
+func (c *Core) SetPeer(now time.Time, peer string, loads map[string]Load, work map[string]Work) {
+	c.peers[peer] = peerLoad{at: now, loads: loads, work: work}
+}
+
+// OwnWork returns what this daemon has given to each service since its start.
+func (c *Core) OwnWork() map[string]Work {
+	work := make(map[string]Work, len(c.work))
+	for name, w := range c.work {
+		work[name] = w
+	}
+	return work
+}
+
+// WorkOf returns what each daemon has given to a service since its start; the
+// own share stands under the empty name.
+func (c *Core) WorkOf(service string) map[string]Work {
+	work := map[string]Work{"": c.work[service]}
+	for name, p := range c.peers {
+		work[name] = p.work[service]
+	}
+	return work
 }
 
 // PeersChanged takes the loads set since the last call into account.
@@ -421,6 +443,10 @@
 		a.ahead = s.total().Prefill + uncached
 		shared := chains(q.Parts)
 		s.remember(now, shared, uncached)
+		w := c.work[q.Service]
+		w.Requests++
+		w.Prefill += uncached
+		c.work[q.Service] = w
 		c.placed.add(Placed{Server: s.ID, Chains: shared, Uncached: uncached}, now)
 	}
 	s.own.add(a.load)
@@ -536,6 +562,8 @@
 	// Running and Prefill are summed over all daemons.
 	Load
 	Servers int
+	// Slots is how many requests one engine runs at once.
+	Slots int
 	// PrefillRate is in tokens per millisecond of one engine.
 	PrefillRate float64
 }
@@ -546,7 +574,7 @@
 	if !ok {
 		return Summary{}
 	}
-	summary := Summary{Servers: len(s.servers), PrefillRate: s.prefillRate}
+	summary := Summary{Servers: len(s.servers), Slots: s.slots, PrefillRate: s.prefillRate}
 	for _, o := range s.servers {
 		summary.add(o.total())
 	}
--- a/pkg/placement/types.go
+++ b/pkg/placement/types.go
@@ -80,6 +80,13 @@
 	Memory int `cbor:"3,keyasint,omitempty"`
 }
 
+// Work is what was given to the engines of a service since a daemon's start.
+type Work struct {
+	Requests int `cbor:"1,keyasint"`
+	// Prefill counts prompt tokens that were not expected in memory.
+	Prefill int `cbor:"2,keyasint"`
+}
+
 func (l *Load) add(o Load) {
 	l.Running += o.Running
 	l.Prefill += o.Prefill
--- a/pkg/scaling/scaling.go
+++ b/pkg/scaling/scaling.go
@@ -25,29 +25,46 @@
 	Desired int
 }
 
-// Load is the work of a service over all daemons.
+// Work is what one daemon has given to a service since its start.
+type Work struct {
+	Requests int
+	// Prefill counts prompt tokens that engines had to read.
+	Prefill int
+}
+
+// Load is the load of a service over all daemons.
 type Load struct {
-	Running     int
-	Prefill     int
+	// Running counts requests at engines, Slots is how many one engine runs.
+	Running int
+	Slots   int
+	// PrefillRate is in prompt tokens per millisecond of one engine.
 	PrefillRate float64
+	// Work is by daemon.
+	Work map[string]Work
 }
 
 // Options configure a Core.
 type Options struct {
-	// RunningPerServer is how many requests an engine runs at the latency
-	// target.
-	RunningPerServer float64
-	// PrefillWait is the backlog of prompts that one engine may have.
-	PrefillWait time.Duration
+	// SlotShare is the part of an engine's slots that is to be in use.
+	SlotShare float64
+	// PrefillShare is the part of an engine's time that is to go into reading
+	// prompts; what generates tokens meanwhile is slowed down.
+	PrefillShare float64
 	// MinServers is the smallest number of a service.
 	MinServers int
+	// RateWindow is the time over which the flow of work is taken.
+	RateWindow time.Duration
 	// LoadMemory is how long the highest load is remembered.
 	LoadMemory time.Duration
+	// Trust is how long load has to be seen before fewer servers than there
+	// were at first are ordered.
+	Trust time.Duration
 }
 
 // DefaultOptions suit engines that run a few dozen requests at once.
 func DefaultOptions() Options {
-	return Options{RunningPerServer: 9, PrefillWait: 250 * time.Millisecond, MinServers: 8, LoadMemory: 12 * time.Second}
+	return Options{SlotShare: 0.3, PrefillShare: 0.5, MinServers: 4, RateWindow: 3 * time.Second,
+		LoadMemory: 12 * time.Second, Trust: 4 * time.Second}
 }
 
 const (
@@ -68,11 +85,17 @@
 	// zonesAtRisk is how many zones may be reclaimed before firm servers have
 	// booted in their place.
 	zonesAtRisk = 2
-	// growth bounds the need in relation to the servers that are there.
-	growth = 1.5
-	// backlogFactor bounds what a backlog of prompts can add to the need: it
-	// grows without limit when there are too few servers.
-	backlogFactor = 1.5
+	// presentShare is the part of the servers present at first that is kept
+	// until there is load: operators provide for their peak.
+	presentShare = 0.7
+	// peakShare bounds the need in relation to the servers present at first.
+	peakShare = 1.25
+	// firmShare is the part of the need that firm servers make up for: they
+	// cost several times as much, and reclaimable ones come back in seconds.
+	firmShare = 0.75
+	// raiseAfter is how long the need is at its bound before that is raised: an
+	// overload after reclaims ends sooner.
+	raiseAfter = 20 * time.Second
 )
 
 // Core is the scaling of one service. It is not safe for concurrent use.
@@ -83,6 +106,20 @@
 	loads   []loadSample
 	need    held
 	firm    held
+	// work is the last total of each daemon, flow the tokens since.
+	work map[string]Work
+	flow []flowSample
+	// loadedAt is when requests were first seen, present how many servers
+	// there were at first.
+	loadedAt time.Time
+	present  int
+	// cappedAt is since when the need has been at its bound.
+	cappedAt time.Time
+}
+
+type flowSample struct {
+	at     time.Time
+	tokens int
 }
 
 type orderState struct {
@@ -122,33 +159,55 @@
 
 // New returns a Core that has ordered nothing.
 func New(service string, options Options) *Core {
-	return &Core{options: options, service: service, orders: make(map[Subject]*orderState)}
+	return &Core{options: options, service: service, orders: make(map[Subject]*orderState), work: make(map[string]Work)}
 }
 
 // Observe takes the present load.
 func (c *Core) Observe(now time.Time, load Load) {
-	need := float64(load.Running) / c.options.RunningPerServer
-	if load.PrefillRate > 0 {
-		wait := float64(c.options.PrefillWait) / float64(time.Millisecond)
-		backlog := float64(load.Prefill) / (load.PrefillRate * wait)
-		need = math.Max(need, math.Min(backlog, backlogFactor*math.Max(need, float64(c.options.MinServers))))
+	tokens, requests := 0, 0
+	for daemon, w := range load.Work {
+		// The total of a daemon that has restarted begins anew.
+		last := c.work[daemon]
+		if w.Requests < last.Requests {
+			last = Work{}
+		}
+		if _, known := c.work[daemon]; known {
+			tokens += w.Prefill - last.Prefill
+			requests += w.Requests - last.Requests
+		}
+		c.work[daemon] = w
+	}
+	if requests > 0 && c.loadedAt.IsZero() {
+		c.loadedAt = now
+	}
+	c.flow = append(c.flow, flowSample{at: now, tokens: tokens})
+	for now.Sub(c.flow[0].at) > c.options.RateWindow {
+		c.flow = c.flow[1:]
 	}
-	c.loads = append(c.loads, loadSample{at: now, need: need})
-	for len(c.loads) > 0 && now.Sub(c.loads[0].at) > c.options.LoadMemory {
+	c.loads = append(c.loads, loadSample{at: now, need: c.needFor(load)})
+	for now.Sub(c.loads[0].at) > c.options.LoadMemory {
 		c.loads = c.loads[1:]
 	}
 }
 
+// needFor returns how many engines the load asks for: those that read the
+// prompts, and those whose slots the requests take.
+func (c *Core) needFor(load Load) float64 {
+	sum := 0
+	for _, f := range c.flow {
+		sum += f.tokens
+	}
+	need := 0.0
+	if load.PrefillRate > 0 {
+		perMillisecond := float64(sum) / float64(c.options.RateWindow.Milliseconds())
+		need += perMillisecond / (load.PrefillRate * c.options.PrefillShare)
+	}
+	return need + float64(load.Running)/(float64(max(load.Slots, 1))*c.options.SlotShare)
+}
+
 // Plan returns the orders to give now.
 func (c *Core) Plan(now time.Time, s *catalog.Scaling, zones []string, servers []fleet.Server) []Order {
-	highest := 0.0
-	for _, l := range c.loads {
-		highest = math.Max(highest, l.need)
-	}
-	// Requests pile up where servers are missing, so that the load of few
-	// servers overstates how many would do.
-	most := growth * float64(max(c.ready(servers), c.options.MinServers))
-	c.need.set(now, max(int(math.Ceil(math.Min(highest, most))), c.options.MinServers), lowerAfter)
+	c.updateNeed(now, servers)
 	wanted := c.distribute(now, s, zones, servers)
 	var orders []Order
 	for subject, desired := range wanted {
@@ -163,6 +222,69 @@
 	return orders
 }
 
+func (c *Core) updateNeed(now time.Time, servers []fleet.Server) {
+	trusted := c.Trusts(now)
+	if !trusted {
+		// Servers that start together appear one after another.
+		c.present = max(c.present, c.count(servers))
+	}
+	highest := 0.0
+	for _, l := range c.loads {
+		highest = math.Max(highest, l.need)
+	}
+	// Requests pile up where servers are missing, so that the load of few
+	// servers overstates how many would do.
+	most := peakShare * float64(c.present)
+	if highest > most && trusted {
+		c.raisePresent(now)
+	} else {
+		c.cappedAt = now
+	}
+	need := max(int(math.Ceil(math.Min(highest, most))), c.options.MinServers)
+	if !trusted {
+		// What the operator has started is the best estimate before there is
+		// any load.
+		need = max(need, int(math.Ceil(presentShare*float64(c.present))))
+	}
+	c.need.set(now, need, lowerAfter)
+}
+
+// raisePresent lets the need grow when it has been at its bound for long.
+func (c *Core) raisePresent(now time.Time) {
+	if now.Sub(c.cappedAt) >= raiseAfter {
+		c.present = int(math.Ceil(peakShare * float64(c.present)))
+		c.cappedAt = now
+	}
+}
+
+// Present returns how many servers the operator provides for the peak, as far
+// as is known.
+func (c *Core) Present() int { return c.present }
+
+// Trusts reports whether load has been seen for long enough to plan by it.
+func (c *Core) Trusts(now time.Time) bool {
+	return !c.loadedAt.IsZero() && now.Sub(c.loadedAt) >= c.options.Trust
+}
+
+// Inherit takes over what an earlier holder of the duty knew of the service's
+// size. It has seen load.
+func (c *Core) Inherit(now time.Time, present int) {
+	c.present = max(c.present, present)
+	c.loadedAt = now.Add(-c.options.Trust)
+	c.cappedAt = now
+}
+
+// count returns how many servers take work.
+func (c *Core) count(servers []fleet.Server) int {
+	n := 0
+	for i := range servers {
+		if f := &servers[i]; f.Service == c.service && !f.Leaving {
+			n++
+		}
+	}
+	return n
+}
+
 // Need returns the number of servers that the load asks for.
 func (c *Core) Need() int { return c.need.value }
 
@@ -176,7 +298,11 @@
 		others := max(len(zones)-zonesAtRisk, 1)
 		perZone = min((c.need.value+others-1)/others, s.Max)
 	}
-	c.firm.set(now, max(c.need.value-c.ready(servers), 0), firmLowerAfter)
+	essential := int(math.Ceil(firmShare * math.Min(float64(c.need.value), float64(c.present))))
+	ready := c.ready(servers)
+	// Firm servers that are there stay until others take their place.
+	kept := min(c.count(servers)-ready, c.need.value-ready)
+	c.firm.set(now, max(essential-ready, kept, 0), firmLowerAfter)
 	left := c.firm.value
 	byPrice := slices.Clone(zones)
 	slices.SortStableFunc(byPrice, func(a, b string) int { return cmp.Compare(s.ZonePrices[a], s.ZonePrices[b]) })
