Take the size of a service when no more servers appear, and write it at once

Ruled out: the bound of the need itself (with the right size it suffices). Change: no order before no further server appeared for 1.5 s; the size is written then; a successor sees load for 6 s before it orders fewer.

--- a/pkg/edge/duties.go
+++ b/pkg/edge/duties.go
@@ -318,7 +318,7 @@
 // bequeath writes the size of a service when it is known or has changed.
 func (u *duties) bequeath(ctx context.Context, service string, core *scaling.Core) {
 	known := u.sizes[service]
-	if !core.Trusts(bootNow()) || core.Present() == known.present {
+	if !core.Settled(bootNow()) || core.Present() == known.present {
 		return
 	}
 	// An integer always encodes.
--- a/pkg/scaling/scaling.go
+++ b/pkg/scaling/scaling.go
@@ -64,7 +64,7 @@
 // DefaultOptions suit engines that run a few dozen requests at once.
 func DefaultOptions() Options {
 	return Options{SlotShare: 0.3, PrefillShare: 0.5, MinServers: 4, RateWindow: 3 * time.Second,
-		LoadMemory: 12 * time.Second, Trust: 4 * time.Second}
+		LoadMemory: 12 * time.Second, Trust: 6 * time.Second}
 }
 
 const (
@@ -76,6 +76,9 @@
 	// reclaimedAfter is when an order is given again after servers were
 	// reclaimed.
 	reclaimedAfter = 2 * time.Second
+	// settleTime is how long no further server appears before the size of a
+	// service is taken for known: a server writes its entry every second or so.
+	settleTime = 1500 * time.Millisecond
 	// lowerAfter is how long a lower number has to be enough before it is
 	// ordered.
 	lowerAfter = 6 * time.Second
@@ -113,6 +116,10 @@
 	// there were at first.
 	loadedAt time.Time
 	present  int
+	// grownAt is when more servers appeared than were known.
+	grownAt time.Time
+	// inherited says that present was told by an earlier holder.
+	inherited bool
 	// cappedAt is since when the need has been at its bound.
 	cappedAt time.Time
 }
@@ -208,6 +215,9 @@
 // Plan returns the orders to give now.
 func (c *Core) Plan(now time.Time, s *catalog.Scaling, zones []string, servers []fleet.Server) []Order {
 	c.updateNeed(now, servers)
+	if !c.Settled(now) {
+		return nil
+	}
 	wanted := c.distribute(now, s, zones, servers)
 	var orders []Order
 	for subject, desired := range wanted {
@@ -224,9 +234,16 @@
 
 func (c *Core) updateNeed(now time.Time, servers []fleet.Server) {
 	trusted := c.Trusts(now)
-	if !trusted {
-		// Servers that start together appear one after another.
-		c.present = max(c.present, c.count(servers))
+	if !trusted && !c.inherited {
+		// Servers that start together appear one after another. Those that
+		// were ordered meanwhile do not count.
+		size := c.count(servers) - c.ready(servers)
+		if size == 0 && c.present == 0 {
+			size = c.ready(servers)
+		}
+		if size > c.present {
+			c.present, c.grownAt = size, now
+		}
 	}
 	highest := 0.0
 	for _, l := range c.loads {
@@ -261,17 +278,20 @@
 // as is known.
 func (c *Core) Present() int { return c.present }
 
+// Settled reports whether the size of the service is known.
+func (c *Core) Settled(now time.Time) bool {
+	return c.inherited || c.present > 0 && now.Sub(c.grownAt) >= settleTime
+}
+
 // Trusts reports whether load has been seen for long enough to plan by it.
 func (c *Core) Trusts(now time.Time) bool {
 	return !c.loadedAt.IsZero() && now.Sub(c.loadedAt) >= c.options.Trust
 }
 
 // Inherit takes over what an earlier holder of the duty knew of the service's
-// size. It has seen load.
+// size. The load has to be seen anew before fewer servers are ordered.
 func (c *Core) Inherit(now time.Time, present int) {
-	c.present = max(c.present, present)
-	c.loadedAt = now.Add(-c.options.Trust)
-	c.cappedAt = now
+	c.present, c.inherited, c.cappedAt = present, true, now
 }
 
 // count returns how many servers take work.
--- a/pkg/scaling/scaling_test.go
+++ b/pkg/scaling/scaling_test.go
@@ -199,6 +199,21 @@
 	g.Expect(len(m.servers)).To(gomega.BeNumerically("<=", 40), "load that needs few engines is trusted in the end")
 }
 
+// Answers a start at which servers appear one after another (kodiclub-enrol
+// trouble-3: seven of twelve were taken for the whole service).
+func TestTheSizeIsTakenWhenNoMoreServersAppear(t *testing.T) {
+	g := gomega.NewWithT(t)
+	m := &market{now: epoch, core: scaling.New(service, scaling.DefaultOptions())}
+	for i := range 12 {
+		m.add(zones[i%4], false)
+		m.step(0)
+		g.Expect(m.orders).To(gomega.BeZero())
+	}
+	m.run(12, 0)
+	g.Expect(m.core.Present()).To(gomega.Equal(12))
+	g.Expect(m.count("", false)).To(gomega.BeZero())
+}
+
 // Answers traffic that asks for more engines than there are.
 func TestMoreLoadOrdersMoreServers(t *testing.T) {
 	g := gomega.NewWithT(t)
