--- a/pkg/edge/duties.go
+++ b/pkg/edge/duties.go
@@ -69,7 +69,7 @@
 		Store: d.platform,
 		Clock: bootClock{},
 		OnAcquired: func(a lease.Acquired) {
-			klog.InfoS("duties taken", "number", a.Number, "firstOrderInMs", a.EarliestOrder.Sub(bootNow()).Milliseconds())
+			klog.InfoS("duties taken", "number", a.Number, "firstOrderInMs", max(a.EarliestOrder.Sub(bootNow()), 0).Milliseconds())
 		},
 		OnLost: func(l lease.Lost) { klog.InfoS("duties lost", "number", l.Number, "lapsed", l.Lapsed) },
 	})
--- a/pkg/edge/state.go
+++ b/pkg/edge/state.go
@@ -164,7 +164,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	q.Zone = s.settings.AvailabilityZone
-	return s.placement.Pick(time.Now(), q)
+	d, err := s.placement.Pick(time.Now(), q)
+	d.FleetVersion, d.FleetAge = s.fleet.Version(), s.fleetAge()
+	return d, err
 }
 
 // Started records an attempt.
--- a/pkg/placement/types.go
+++ b/pkg/placement/types.go
@@ -48,6 +48,9 @@
 	Candidates int
 	// LoadAge is the age of the oldest peer report that was used.
 	LoadAge time.Duration
+	// FleetVersion and FleetAge tell which view of the servers was used.
+	FleetVersion uint64
+	FleetAge     time.Duration
 }
 
 // RefusalReason says why no server takes a request.
--- a/pkg/relay/run.go
+++ b/pkg/relay/run.go
@@ -45,6 +45,11 @@
 	outcomeFailed
 )
 
+// String returns the name of the outcome in logs.
+func (o outcome) String() string {
+	return [...]string{"done", "not sent", "not run", "broken", "failed"}[o]
+}
+
 // spread maps a request's ID to a point between 0 and 1.
 func spread(id string) float64 { return float64(xxhash.Sum64String(id)>>11) / (1 << 53) }
 
@@ -66,9 +71,10 @@
 		x.attempts++
 		result, answer := x.attempt(&decision)
 		klog.InfoS("attempt", "request", x.ID, "attempt", x.attempts, "server", decision.Server.ID,
-			"zone", decision.Server.AvailabilityZone, "service", x.service, "outcome", int(result),
+			"zone", decision.Server.AvailabilityZone, "service", x.service, "outcome", result.String(),
 			"expectedMs", decision.Wait.Milliseconds(), "cached", decision.Cached, "candidates", decision.Candidates,
-			"loadAgeMs", decision.LoadAge.Milliseconds(), "status", x.status)
+			"loadAgeMs", decision.LoadAge.Milliseconds(), "fleetVersion", decision.FleetVersion,
+			"fleetAgeMs", decision.FleetAge.Milliseconds(), "configuration", x.version, "status", x.status)
 		if answer != nil {
 			kept = answer
 		}
@@ -124,7 +130,12 @@
 	if errors.As(err, &refused) {
 		after, detail = refused.RetryAfter, string(refused.Reason)
 	}
-	klog.InfoS("refused", "request", x.ID, "service", x.service, "reason", detail, "retryAfterMs", after.Milliseconds())
+	wait := time.Duration(0)
+	if refused != nil {
+		wait = refused.Wait
+	}
+	klog.InfoS("refused", "request", x.ID, "service", x.service, "reason", detail, "waitMs", wait.Milliseconds(),
+		"leftMs", time.Until(x.deadline).Milliseconds(), "retryAfterMs", after.Milliseconds(), "configuration", x.version)
 	x.notRun(api.NotRun(api.ProblemOverloaded, http.StatusServiceUnavailable, detail).After(after))
 }
 
