--- a/pkg/edge/state.go
+++ b/pkg/edge/state.go
@@ -274,13 +274,6 @@
 	return max(int(connectionMargin*float64(limit))/max(daemons/2, 1), 1)
 }
 
-// Leaving reports whether a server takes no new work.
-func (s *state) Leaving(server string) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return !s.placement.Usable(server)
-}
-
 // Verdict tells whether a request may run.
 func (s *state) Verdict(f quarantine.Fingerprint) quarantine.Verdict {
 	s.mu.Lock()
--- a/pkg/placement/core.go
+++ b/pkg/placement/core.go
@@ -138,12 +138,6 @@
 	}
 }
 
-// Usable reports whether a server would still be given work.
-func (c *Core) Usable(id string) bool {
-	s, ok := c.servers[id]
-	return ok && !s.unusable
-}
-
 // Alive records that a server sent something.
 func (c *Core) Alive(now time.Time, id string) {
 	if s, ok := c.servers[id]; ok {
--- a/pkg/placement/types.go
+++ b/pkg/placement/types.go
@@ -31,8 +31,6 @@
 	Target   time.Duration
 	Received time.Time
 	Deadline time.Time
-	// Rank is the urgency among requests of the service; 0 is the highest.
-	Rank int
 	// Exclude names servers that have already been tried.
 	Exclude []string
 }
--- a/pkg/relay/front.go
+++ b/pkg/relay/front.go
@@ -128,6 +128,9 @@
 			return api.NotRun(api.ProblemUnauthorized, http.StatusUnauthorized, "unknown API key")
 		}
 	}
+	if c.Limits.MaxHeaderBytes > 0 && headerBytes(r) > c.Limits.MaxHeaderBytes {
+		return api.NotRun(api.ProblemTooLarge, http.StatusRequestHeaderFieldsTooLarge, "header too large")
+	}
 	if problem := x.readBody(r, c.Limits); problem != nil {
 		return problem
 	}
@@ -144,6 +147,17 @@
 	return nil
 }
 
+// headerBytes is the size of a request's header fields.
+func headerBytes(r *http.Request) int {
+	n := len(r.RequestURI)
+	for key, values := range r.Header {
+		for _, value := range values {
+			n += len(key) + len(value) + len(": \r\n")
+		}
+	}
+	return n
+}
+
 // hostname returns a host without its port; routes name no ports.
 func hostname(host string) string {
 	if name, _, err := net.SplitHostPort(host); err == nil {
@@ -256,14 +270,14 @@
 }
 
 // query describes the request for placement.
-func (x *exchange) query(zone string, exclude []string) *placement.Query {
+func (x *exchange) query(exclude []string) *placement.Query {
 	output := x.OutputTokens
 	if x.OutputHint > 0 {
 		output = min(output, 2*x.OutputHint)
 	}
-	return &placement.Query{Service: x.service, Zone: zone, Parts: x.Parts, PromptTokens: x.PromptTokens,
+	return &placement.Query{Service: x.service, Parts: x.Parts, PromptTokens: x.PromptTokens,
 		OutputTokens: output, Target: x.route.LatencyTarget, Received: x.received, Deadline: x.deadline,
-		Rank: x.rank(), Exclude: exclude}
+		Exclude: exclude}
 }
 
 // rank is the urgency at an engine.
--- a/pkg/relay/relay_test.go
+++ b/pkg/relay/relay_test.go
@@ -108,7 +108,6 @@
 func (d *desk) Arrived(string)                     {}
 func (d *desk) Retry(string) bool                  { d.mu.Lock(); defer d.mu.Unlock(); d.retries++; return true }
 func (d *desk) ConnectionLimit(string, string) int { return 10 }
-func (d *desk) Leaving(string) bool                { return false }
 func (d *desk) Verdict(quarantine.Fingerprint) quarantine.Verdict {
 	return quarantine.VerdictRun
 }
--- a/pkg/relay/run.go
+++ b/pkg/relay/run.go
@@ -108,7 +108,7 @@
 }
 
 func (x *exchange) place(exclude []string) (placement.Decision, error) {
-	decision, err := x.front.desk.Place(x.query("", exclude))
+	decision, err := x.front.desk.Place(x.query(exclude))
 	if err != nil && len(exclude) > 0 {
 		klog.V(1).InfoS("no other server", "request", x.ID, "tried", len(exclude), "err", err)
 	}
@@ -209,7 +209,7 @@
 	desk := x.front.desk
 	conn, err := x.front.pool.Get(x.caller, d.Server.ID, d.Server.Address, desk.ConnectionLimit(d.Server.ID, x.service))
 	if err != nil {
-		q := x.query("", nil)
+		q := x.query(nil)
 		id := x.attemptID()
 		desk.Started(id, d, q)
 		result := placement.ResultFailed
@@ -220,6 +220,6 @@
 		klog.InfoS("no connection to server", "request", x.ID, "server", d.Server.ID, "err", err)
 		return nil, err
 	}
-	desk.Started(x.attemptID(), d, x.query("", nil))
+	desk.Started(x.attemptID(), d, x.query(nil))
 	return conn, nil
 }
--- a/pkg/relay/types.go
+++ b/pkg/relay/types.go
@@ -96,8 +96,6 @@
 	Retry(service string) bool
 	// ConnectionLimit is how many connections this daemon may have to a server.
 	ConnectionLimit(server, service string) int
-	// Leaving reports whether a server is known to be leaving or gone.
-	Leaving(server string) bool
 	Verdict(f quarantine.Fingerprint) quarantine.Verdict
 	Crashed(f quarantine.Fingerprint, server string, advanced bool)
 	Cleared(f quarantine.Fingerprint)
