--- a/pkg/edge/daemon.go
+++ b/pkg/edge/daemon.go
@@ -112,25 +112,19 @@
 	return nil
 }
 
-// doDuties takes part in the lease of the duties from when this daemon is a
-// hub, and gives it back when the context ends.
+// doDuties takes part in the lease of the duties while this daemon ranks among
+// the hubs: each candidate costs the store a few calls a second.
 func (d *Daemon) doDuties(ctx context.Context) {
 	pause(ctx, dutiesAfter)
-	for !d.isHub() {
-		pause(ctx, dutyTick)
-		if ctx.Err() != nil {
-			return
+	for ctx.Err() == nil {
+		if !d.ranks() {
+			pause(ctx, dutyTick)
+			continue
 		}
+		u := newDuties(d)
+		u.run(ctx)
+		u.manager.Close()
 	}
-	u := newDuties(d)
-	u.run(ctx)
-	u.manager.Close()
-}
-
-func (d *Daemon) isHub() bool {
-	d.state.mu.Lock()
-	defer d.state.mu.Unlock()
-	return d.state.peers.IsHub(bootNow())
 }
 
 // await returns when the daemon is to stop.
@@ -146,6 +140,12 @@
 	}
 }
 
+func (d *Daemon) ranks() bool {
+	d.state.mu.Lock()
+	defer d.state.mu.Unlock()
+	return d.state.peers.Ranks()
+}
+
 // listen opens the addresses that are served.
 func (d *Daemon) listen() (*http.Server, error) {
 	front := &http.Server{
--- a/pkg/edge/duties.go
+++ b/pkg/edge/duties.go
@@ -31,7 +31,10 @@
 	orderDeadline = 1200 * time.Millisecond
 	// dutiesAfter is how long after its start a daemon knows the others well
 	// enough to tell whether it is a hub.
-	dutiesAfter = 2 * time.Second
+	dutiesAfter = 2500 * time.Millisecond
+	// unrankedAfter is how long a daemon that others have overtaken keeps its
+	// part in the duties, so that they do not move to and fro.
+	unrankedAfter = 5 * time.Second
 	// dutyTick is how often the duties are looked at.
 	dutyTick = 500 * time.Millisecond
 	// usageSettle is the time after the end of a window in which all daemons
@@ -84,16 +87,23 @@
 	version uint64
 }
 
-// run does the duties while the lease is held.
+// run does the duties while the lease is held. It returns when the context ends
+// or this daemon has not ranked among the hubs for a while.
 func (u *duties) run(ctx context.Context) {
 	tick := time.NewTicker(dutyTick)
 	defer tick.Stop()
+	rankedAt := bootNow()
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-tick.C:
 		}
+		if u.daemon.ranks() {
+			rankedAt = bootNow()
+		} else if bootNow().Sub(rankedAt) > unrankedAfter {
+			return
+		}
 		number, held := u.held()
 		if !held {
 			continue
--- a/pkg/edge/follow.go
+++ b/pkg/edge/follow.go
@@ -38,7 +38,7 @@
 	registerInterval = 15 * time.Second
 	// registerFirst is how often it reads the rows just after its start, when
 	// all daemons appear.
-	registerFirst = 1500 * time.Millisecond
+	registerFirst = 2 * time.Second
 	// registerSoon is how long that lasts.
 	registerSoon = 6 * time.Second
 	// daemonPartition holds a row for each daemon.
--- a/pkg/mesh/directory.go
+++ b/pkg/mesh/directory.go
@@ -212,12 +212,15 @@
 // IsHub reports whether this daemon follows the store and passes news on: it
 // ranks among the first, or others take it for a hub.
 func (d *Directory) IsHub(now time.Time) bool {
-	if slices.Contains(d.ranked(), d.self) {
+	if d.Ranks() {
 		return true
 	}
 	return !d.meshed() && now.Sub(d.askedAt) < askedWithin
 }
 
+// Ranks reports whether this daemon is among the first that answer.
+func (d *Directory) Ranks() bool { return slices.Contains(d.ranked(), d.self) }
+
 // neighbors returns the daemons to exchange messages with.
 func (d *Directory) neighbors() []string {
 	if d.meshed() {
