Add a soak of real processes under faults from outside

Four daemons before stand-ins of store, cloud, servers and callers; loopback proxies silence, cut one way, delay and reset; signals stop, pause, kill and restart; store and servers misbehave.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 
 MODULES = ./... ./coordination/...
 
-.PHONY: all build format vet lint test race random mutants fault-matrix measure bench
+.PHONY: all build format vet lint test race random mutants fault-matrix measure bench soak
 
 all: format vet lint build test
 
@@ -53,3 +53,9 @@
 
 bench:
 	go test -short -run NONE -bench . -benchmem -benchtime 300ms $(MODULES) 2>/dev/null | grep -E '^(Benchmark|FAIL|ok|pkg:)'
+
+# Real daemons as separate processes under faults; RUNS seeds from SEED on.
+RUNS ?= 5
+
+soak:
+	SOAK_SEED=$(SEED) SOAK_RUNS=$(RUNS) go test -count=1 -timeout 60m -v -run TestSoak ./soak
--- /dev/null
+++ b/soak/daemon.go
@@ -0,0 +1,132 @@
+package soak
+
+import (
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/monsooncrank/monsooncrank/platform/standin"
+)
+
+// grace is the time from SIGTERM to SIGKILL.
+const grace = 8 * time.Second
+
+// daemon is one real process.
+type daemon struct {
+	settings standin.DaemonSettings
+	binary   string
+	folder   string
+
+	mu      sync.Mutex
+	process *os.Process
+	exited  chan struct{}
+	starts  int
+	// stoppingAt is set from SIGTERM to the next start.
+	stoppingAt time.Time
+	// disturbedAt is when the process was last killed or paused.
+	disturbedAt time.Time
+}
+
+// freePorts returns ports of loopback that nothing listens on.
+func freePorts(n int) ([]int, error) {
+	ports := make([]int, 0, n)
+	for range n {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return nil, err
+		}
+		defer func() { _ = l.Close() }()
+		ports = append(ports, l.Addr().(*net.TCPAddr).Port)
+	}
+	return ports, nil
+}
+
+func newDaemon(binary, folder, node, zone, store, cloud string) (*daemon, error) {
+	ports, err := freePorts(4)
+	if err != nil {
+		return nil, err
+	}
+	address := func(i int) string { return net.JoinHostPort("127.0.0.1", strconv.Itoa(ports[i])) }
+	// The pair of internal ports is a range, so that the lower one comes first.
+	lower, upper := min(ports[2], ports[3]), max(ports[2], ports[3])
+	return &daemon{binary: binary, folder: folder, settings: standin.DaemonSettings{Node: node, Zone: zone, Front: address(0),
+		Ready: address(1), PeerPort: lower, MetricsPort: upper, StoreAddress: store, CloudAPI: cloud, Grace: grace,
+		UsageWindow: 2 * time.Second}}, nil
+}
+
+// start starts the process; its log goes to a file of its own.
+func (d *daemon) start() error {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.starts++
+	settings := filepath.Join(d.folder, d.settings.Node+".toml")
+	file, err := os.Create(settings)
+	if err != nil {
+		return err
+	}
+	err = standin.WriteSettings(file, d.settings)
+	if closeErr := file.Close(); err != nil || closeErr != nil {
+		return err
+	}
+	log, err := os.Create(filepath.Join(d.folder, d.settings.Node+"-"+strconv.Itoa(d.starts)+".log"))
+	if err != nil {
+		return err
+	}
+	command := exec.Command(d.binary, "--platform")
+	command.Env = append(os.Environ(), standin.SettingsVariable+"="+settings, "GOMAXPROCS=1")
+	command.Stdout, command.Stderr = log, log
+	if err := command.Start(); err != nil {
+		return err
+	}
+	d.process, d.exited, d.stoppingAt = command.Process, make(chan struct{}), time.Time{}
+	exited := d.exited
+	go func() {
+		_ = command.Wait()
+		_ = log.Close()
+		close(exited)
+	}()
+	return nil
+}
+
+func (d *daemon) signal(s syscall.Signal) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	switch s {
+	case syscall.SIGTERM:
+		d.stoppingAt = time.Now()
+	case syscall.SIGKILL, syscall.SIGSTOP:
+		d.disturbedAt = time.Now()
+	}
+	// A process that has ended takes no signal.
+	_ = d.process.Signal(s)
+}
+
+// wait returns when the process has ended, or kills it after the grace period.
+func (d *daemon) wait() {
+	d.mu.Lock()
+	exited := d.exited
+	d.mu.Unlock()
+	select {
+	case <-exited:
+	case <-time.After(grace):
+		d.signal(syscall.SIGKILL)
+		<-exited
+	}
+}
+
+func (d *daemon) restart(s syscall.Signal) error {
+	d.signal(s)
+	d.wait()
+	return d.start()
+}
+
+func (d *daemon) state() (starts int, stoppingAt time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.starts, d.stoppingAt
+}
--- /dev/null
+++ b/soak/proxy.go
@@ -0,0 +1,131 @@
+package soak
+
+import (
+	"io"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// Mode is what a Proxy does to its connections.
+type Mode int32
+
+// The modes.
+const (
+	// Pass forwards both ways.
+	Pass Mode = iota
+	// Silent forwards nothing and closes nothing.
+	Silent
+	// OneWay forwards requests only.
+	OneWay
+	// Slow delays every piece.
+	Slow
+)
+
+// slowDelay is the delay of each piece in mode Slow.
+const slowDelay = 40 * time.Millisecond
+
+// pollInterval is how often a silenced connection looks at the mode.
+const pollInterval = 20 * time.Millisecond
+
+// Proxy stands between two processes on loopback and harms what passes.
+type Proxy struct {
+	target   string
+	listener net.Listener
+	mode     atomic.Int32
+
+	mu    sync.Mutex
+	conns map[net.Conn]struct{}
+}
+
+// NewProxy listens on loopback and forwards to target.
+func NewProxy(target string) (*Proxy, error) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	p := &Proxy{target: target, listener: listener, conns: make(map[net.Conn]struct{})}
+	go p.accept()
+	return p, nil
+}
+
+// Address is where callers connect.
+func (p *Proxy) Address() string { return p.listener.Addr().String() }
+
+// SetMode changes what happens to all connections.
+func (p *Proxy) SetMode(m Mode) { p.mode.Store(int32(m)) }
+
+// Reset resets all open connections.
+func (p *Proxy) Reset() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for conn := range p.conns {
+		if tcp, ok := conn.(*net.TCPConn); ok {
+			_ = tcp.SetLinger(0)
+		}
+		_ = conn.Close()
+	}
+}
+
+// Close ends the proxy.
+func (p *Proxy) Close() {
+	_ = p.listener.Close()
+	p.Reset()
+}
+
+func (p *Proxy) accept() {
+	for {
+		conn, err := p.listener.Accept()
+		if err != nil {
+			return
+		}
+		go p.serve(conn)
+	}
+}
+
+func (p *Proxy) serve(from net.Conn) {
+	to, err := net.DialTimeout("tcp", p.target, time.Second)
+	if err != nil {
+		_ = from.Close()
+		return
+	}
+	p.mu.Lock()
+	p.conns[from], p.conns[to] = struct{}{}, struct{}{}
+	p.mu.Unlock()
+	var done sync.WaitGroup
+	done.Go(func() { p.forward(to, from, true) })
+	done.Go(func() { p.forward(from, to, false) })
+	done.Wait()
+	p.mu.Lock()
+	delete(p.conns, from)
+	delete(p.conns, to)
+	p.mu.Unlock()
+}
+
+func (p *Proxy) forward(to, from net.Conn, request bool) {
+	defer func() { _ = to.Close(); _ = from.Close() }()
+	buffer := make([]byte, 16<<10)
+	for {
+		n, err := from.Read(buffer)
+		for p.held(request) {
+			time.Sleep(pollInterval)
+		}
+		if Mode(p.mode.Load()) == Slow {
+			time.Sleep(slowDelay)
+		}
+		if n > 0 {
+			if _, err := to.Write(buffer[:n]); err != nil {
+				return
+			}
+		}
+		if err == io.EOF || err != nil {
+			return
+		}
+	}
+}
+
+func (p *Proxy) held(request bool) bool {
+	m := Mode(p.mode.Load())
+	return m == Silent || m == OneWay && !request
+}
