--- /dev/null
+++ b/pkg/backendconn/pool_test.go
@@ -0,0 +1,115 @@
+package backendconn_test
+
+import (
+	"context"
+	"errors"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"github.com/monsooncrank/monsooncrank/pkg/backendconn"
+)
+
+// listen accepts connections and hands them out.
+func listen(t *testing.T) (string, chan net.Conn) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	conns := make(chan net.Conn, 10)
+	go func() {
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			conns <- conn
+		}
+	}()
+	return l.Addr().String(), conns
+}
+
+func get(t *testing.T, p *backendconn.Pool, address string, limit int) *backendconn.Conn {
+	t.Helper()
+	c, err := p.Get(context.Background(), "s", address, limit)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return c
+}
+
+// Answers the price of connections: one whose answer was read is used again.
+func TestConnectionsAreUsedAgain(t *testing.T) {
+	g := gomega.NewWithT(t)
+	address, _ := listen(t)
+	p := backendconn.NewPool()
+	first := get(t, p, address, 2)
+	p.Put(first, 5*time.Second)
+	second := get(t, p, address, 2)
+	g.Expect(second).To(gomega.BeIdenticalTo(first))
+	g.Expect(second.Reused).To(gomega.BeTrue())
+}
+
+// Answers servers that close idle connections, and late answers on them.
+func TestClosedAndTalkingConnectionsAreNotUsedAgain(t *testing.T) {
+	g := gomega.NewWithT(t)
+	address, conns := listen(t)
+	p := backendconn.NewPool()
+	for _, spoil := range []func(net.Conn){
+		func(c net.Conn) { _ = c.Close() },
+		func(c net.Conn) { _, _ = c.Write([]byte("late answer")) },
+	} {
+		first := get(t, p, address, 2)
+		server := <-conns
+		p.Put(first, 5*time.Second)
+		spoil(server)
+		time.Sleep(20 * time.Millisecond)
+		second := get(t, p, address, 2)
+		<-conns
+		g.Expect(second.Reused).To(gomega.BeFalse())
+		p.Discard(second)
+	}
+}
+
+// Answers servers that state how long they keep a connection, or that it is
+// less than a second.
+func TestConnectionsAreNotUsedNearTheirEnd(t *testing.T) {
+	g := gomega.NewWithT(t)
+	address, _ := listen(t)
+	p := backendconn.NewPool()
+	p.Put(get(t, p, address, 2), 0)
+	time.Sleep(450 * time.Millisecond)
+	g.Expect(get(t, p, address, 2).Reused).To(gomega.BeFalse())
+}
+
+// Answers servers that reset connections beyond their limit.
+func TestConnectionsAreBounded(t *testing.T) {
+	g := gomega.NewWithT(t)
+	address, _ := listen(t)
+	p := backendconn.NewPool()
+	held := get(t, p, address, 1)
+	_, err := p.Get(context.Background(), "s", address, 1)
+	var limit *backendconn.LimitError
+	g.Expect(errors.As(err, &limit)).To(gomega.BeTrue())
+	p.Discard(held)
+	p.Discard(get(t, p, address, 1))
+}
+
+// A failed dial is told from everything else: no byte was sent.
+func TestAFailedDialIsTyped(t *testing.T) {
+	g := gomega.NewWithT(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	address := l.Addr().String()
+	_ = l.Close()
+	p := backendconn.NewPool()
+	for range 3 {
+		_, err = p.Get(context.Background(), "s", address, 1)
+		var dial *backendconn.DialError
+		g.Expect(errors.As(err, &dial)).To(gomega.BeTrue(), "a failed dial holds no place")
+	}
+}
--- /dev/null
+++ b/pkg/edge/edge_test.go
@@ -0,0 +1,155 @@
+package edge
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"github.com/monsooncrank/monsooncrank/coordination/table"
+	"github.com/monsooncrank/monsooncrank/coordination/table/memtable"
+	"github.com/monsooncrank/monsooncrank/pkg/backendconn"
+	"github.com/monsooncrank/monsooncrank/pkg/catalog"
+	"github.com/monsooncrank/monsooncrank/pkg/fleet"
+	"github.com/monsooncrank/monsooncrank/pkg/mesh"
+	"github.com/monsooncrank/monsooncrank/pkg/scaling"
+	"github.com/monsooncrank/monsooncrank/pkg/usage"
+)
+
+var settings = Settings{Node: "self", PeerAddress: "127.0.0.1:1", RetryRatio: 0.2, RetrySlack: 50, UsageWindow: 5 * time.Second,
+	UsageLateness: 10 * time.Second, MinHolderInterval: 3 * time.Second, ReportsUsage: true}
+
+func newTestState() *state { return newState(settings, backendconn.NewPool()) }
+
+func configuration(version int64) *catalog.Catalog {
+	c := &catalog.Catalog{Version: version, Source: []byte{byte(version)}, Services: map[string]*catalog.Service{
+		"s": {Name: "s", MaxConnections: 100}}}
+	c.Index()
+	return c
+}
+
+// Answers a peer or a late answer of the store that tells of an older
+// configuration.
+func TestAConfigurationNeverReverts(t *testing.T) {
+	g := gomega.NewWithT(t)
+	s := newTestState()
+	s.putInForce(configuration(5), "store")
+	s.putInForce(configuration(4), "peer")
+	s.putInForce(nil, "store")
+	g.Expect(s.Catalog().Version).To(gomega.Equal(int64(5)))
+}
+
+// Answers daemons that are cut off from the store together: the age of a view
+// only grows on its way, so that they do not confirm one another.
+func TestCutOffDaemonsDoNotConfirmOneAnother(t *testing.T) {
+	g := gomega.NewWithT(t)
+	s := newTestState()
+	tell := func(age time.Duration) {
+		s.takeFleet(&mesh.Message{Record: mesh.Record{Node: "peer"}, FleetVersion: 7, FleetAgeMillis: age.Milliseconds(), HasFleet: true,
+			Fleet: []fleet.Entry{{ID: "x", Server: &fleet.Server{ID: "x", Service: "s", Address: "10.0.0.1:80"}}}})
+	}
+	tell(200 * time.Millisecond)
+	g.Expect(s.fleet.Known()).To(gomega.BeTrue())
+	g.Expect(s.fleetAge()).To(gomega.BeNumerically("~", 200*time.Millisecond, 100*time.Millisecond))
+	tell(5 * time.Second)
+	g.Expect(s.fleetAge()).To(gomega.BeNumerically("<", time.Second), "an older confirmation does not replace a newer one")
+	other := newTestState()
+	other.takeFleet(&mesh.Message{Record: mesh.Record{Node: "peer"}, FleetVersion: 7, FleetAgeMillis: 5000, HasFleet: true})
+	g.Expect(other.followsStore()).To(gomega.BeTrue())
+}
+
+// Answers a server that is told to be leaving by a peer while the store does
+// not answer this daemon.
+func TestLeavingServersAreLearnedFromPeers(t *testing.T) {
+	g := gomega.NewWithT(t)
+	s := newTestState()
+	server := fleet.Server{ID: "x", Service: "s", Address: "10.0.0.1:80"}
+	s.follow(s.fleet.Snapshot(bootNow(), 5, []fleet.Entry{{ID: "x", Server: &server}}), "store")
+	leaving := server
+	leaving.Leaving = true
+	s.takeFleet(&mesh.Message{Record: mesh.Record{Node: "peer"}, FleetVersion: 6, FleetSince: 5, HasFleet: true,
+		Fleet: []fleet.Entry{{ID: "x", Server: &leaving}}})
+	g.Expect(s.fleet.Servers()[0].Leaving).To(gomega.BeTrue())
+}
+
+// Answers a service that fails all requests: repeats stay within the daemon's
+// part of the budget.
+func TestRepeatsStayWithinThePartOfTheBudget(t *testing.T) {
+	g := gomega.NewWithT(t)
+	s := newTestState()
+	allowed := 0
+	for range 1000 {
+		s.Arrived("s")
+		if s.Retry("s") {
+			allowed++
+		}
+	}
+	// A quarter of the slack, as if there were four daemons, and the ratio.
+	g.Expect(allowed).To(gomega.BeNumerically("<=", 50/4+0.2*1000))
+	g.Expect(allowed).To(gomega.BeNumerically(">", 100))
+}
+
+// fakePlatform keeps its table in memory and records the calls of the duties.
+type fakePlatform struct {
+	table.Store
+	mu      sync.Mutex
+	reports []usage.Counts
+}
+
+func (*fakePlatform) ReadCatalog(context.Context) (*catalog.Catalog, uint64, error) { return nil, 0, nil }
+func (*fakePlatform) WatchCatalog(context.Context, uint64, time.Duration) (*catalog.Catalog, uint64, error) {
+	return nil, 0, nil
+}
+func (*fakePlatform) ReadServers(context.Context) ([]fleet.Entry, uint64, error) { return nil, 0, nil }
+func (*fakePlatform) WatchServers(context.Context, uint64, time.Duration) ([]fleet.Entry, uint64, error) {
+	return nil, 0, nil
+}
+func (*fakePlatform) DecodeCatalog([]byte) (*catalog.Catalog, error) { return nil, nil }
+func (p *fakePlatform) ReportUsage(_ context.Context, _ uint64, _ int64, counts usage.Counts) error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.reports = append(p.reports, counts)
+	return nil
+}
+func (*fakePlatform) OrderServers(context.Context, uint64, scaling.Order) error { return nil }
+
+func newTestDuties(p *fakePlatform) *duties {
+	d := &Daemon{settings: settings, platform: p, state: newTestState()}
+	return newDuties(d)
+}
+
+// Answers a holder that dies after it has fixed the figure of a window, or after
+// it has sent it: its successor, who counted otherwise, sends the same figure.
+func TestASuccessorReportsTheSameFigure(t *testing.T) {
+	g := gomega.NewWithT(t)
+	p := &fakePlatform{Store: memtable.New()}
+	first, second := newTestDuties(p), newTestDuties(p)
+	defer first.manager.Close()
+	defer second.manager.Close()
+	ctx := context.Background()
+	final, err := first.settle(ctx, 7, usage.Counts{"account": 10})
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(final).To(gomega.Equal(usage.Counts{"account": 10}))
+	final, err = second.settle(ctx, 7, usage.Counts{"account": 8})
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(final).To(gomega.Equal(usage.Counts{"account": 10}))
+}
+
+// Answers a takeover after reclaims: the successor reads the size of the
+// service that its predecessor wrote.
+func TestTheSizeOfAServiceIsInherited(t *testing.T) {
+	g := gomega.NewWithT(t)
+	p := &fakePlatform{Store: memtable.New()}
+	first, second := newTestDuties(p), newTestDuties(p)
+	defer first.manager.Close()
+	defer second.manager.Close()
+	ctx := context.Background()
+	core := scaling.New("s", scaling.DefaultOptions())
+	core.Inherit(bootNow(), 12)
+	first.bequeath(ctx, "s", core)
+	successor := scaling.New("s", scaling.DefaultOptions())
+	g.Expect(second.inherit(ctx, "s", successor)).To(gomega.Succeed())
+	g.Expect(successor.Present()).To(gomega.Equal(12))
+}
