Send less between hubs and the others

Cause: a message with the records of 64 daemons had 107 KB and took 2.7 ms on a busy machine, four times a second. Change: usage and work go to hubs only, levels of buckets to neighbors only, and leaves exchange every 0.4 s.

--- a/pkg/edge/exchange.go
+++ b/pkg/edge/exchange.go
@@ -15,6 +15,9 @@
 	// exchangeInterval is the time between two exchanges with one neighbor; an
 	// engine reads some ten thousand prompt tokens in that time.
 	exchangeInterval = 250 * time.Millisecond
+	// leafInterval is the same between a hub and the other daemons: a message
+	// with the records of all takes a small host a millisecond.
+	leafInterval = 400 * time.Millisecond
 	// exchangeTick is how often neighbors are looked at.
 	exchangeTick = 50 * time.Millisecond
 	// exchangeTimeout is many round trips between zones.
--- a/pkg/edge/state.go
+++ b/pkg/edge/state.go
@@ -77,7 +77,7 @@
 		placement:   placement.NewCore(placement.Options{}),
 		quota:       quota.New(now),
 		usage:       usage.New(settings.UsageWindow),
-		peers: mesh.NewDirectory(settings.Node, settings.Cores, mesh.Options{Interval: exchangeInterval,
+		peers: mesh.NewDirectory(settings.Node, settings.Cores, mesh.Options{Interval: exchangeInterval, LeafInterval: leafInterval,
 			GoneAfter: peerGoneAfter, MeshLimit: meshLimit, Hubs: hubs}),
 		quarantine: quarantine.New(options),
 		retries:    make(map[string]*retry.Budget),
--- a/pkg/mesh/directory.go
+++ b/pkg/mesh/directory.go
@@ -10,8 +10,10 @@
 
 // Options configure a Directory.
 type Options struct {
-	// Interval is the time between two exchanges with one neighbor.
-	Interval time.Duration
+	// Interval is the time between two exchanges with one neighbor, LeafInterval
+	// that between a hub and a daemon that is none.
+	Interval     time.Duration
+	LeafInterval time.Duration
 	// GoneAfter is when a daemon that states nothing and does not refresh its
 	// entry in the store is forgotten.
 	GoneAfter time.Duration
@@ -126,7 +128,7 @@
 	p.Address, p.heardAt, p.failures = m.Address, now, 0
 	p.CatalogVersion, p.FleetVersion = m.CatalogVersion, m.FleetVersion
 	p.ahead = time.UnixMilli(m.WallUnixMilli).Sub(now)
-	p.nextAt = now.Add(d.options.Interval)
+	p.nextAt = now.Add(d.interval(p.Node))
 	if asked {
 		d.askedAt = now
 	}
@@ -147,6 +149,17 @@
 	return true
 }
 
+// interval is the time between two exchanges with a neighbor.
+func (d *Directory) interval(node string) time.Duration {
+	if d.meshed() {
+		return d.options.Interval
+	}
+	if hubs := d.ranked(); slices.Contains(hubs, node) && slices.Contains(hubs, d.self) {
+		return d.options.Interval
+	}
+	return d.options.LeafInterval
+}
+
 // Stamp counts the records taken.
 func (d *Directory) Stamp() uint64 { return d.stamp }
 
@@ -157,11 +170,20 @@
 	if !ok || d.meshed() {
 		return nil
 	}
+	toHub := slices.Contains(d.ranked(), node)
 	var records []Record
 	for _, other := range d.peers {
-		if other != p && other.Stamp > p.Has && now.Sub(other.RecordAt) < recordMaxAge {
-			records = append(records, other.Record)
+		if other == p || other.Stamp <= p.Has || now.Sub(other.RecordAt) >= recordMaxAge {
+			continue
+		}
+		r := other.Record
+		// A daemon that has just started takes the levels of its neighbors.
+		r.Quota.Level = nil
+		if !toHub {
+			// Only hubs do the duties.
+			r.Usage, r.Work = nil, nil
 		}
+		records = append(records, r)
 	}
 	return records
 }
@@ -272,7 +294,7 @@
 		return
 	}
 	p.inFlight = false
-	wait := d.options.Interval
+	wait := d.interval(node)
 	if failed {
 		p.failures++
 		wait *= time.Duration(min(p.failures, maxBackoff))
--- a/pkg/mesh/directory_test.go
+++ b/pkg/mesh/directory_test.go
@@ -16,7 +16,7 @@
 
 func at(ms int) time.Time { return epoch.Add(time.Duration(ms) * time.Millisecond) }
 
-var options = mesh.Options{Interval: 250 * time.Millisecond, GoneAfter: 30 * time.Second, MeshLimit: 4, Hubs: 3}
+var options = mesh.Options{Interval: 250 * time.Millisecond, LeafInterval: 400 * time.Millisecond, GoneAfter: 30 * time.Second, MeshLimit: 4, Hubs: 3}
 
 func newDirectory() *mesh.Directory { return mesh.NewDirectory("self", 1, options) }
 
--- a/soak/daemon.go
+++ b/soak/daemon.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"math/rand/v2"
 	"net"
 	"os"
 	"os/exec"
@@ -32,20 +33,38 @@
 	disturbedAt time.Time
 }
 
+// The ports of daemons lie below those that systems give to outgoing
+// connections, which could take a port between its choice and its use.
+const (
+	firstPort = 15000
+	lastPort  = 31000
+)
+
 // freePorts returns ports of loopback that nothing listens on.
 func freePorts(n int) ([]int, error) {
 	ports := make([]int, 0, n)
-	for range n {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
+	var last error
+	for tries := 0; len(ports) < n && tries < 100*n; tries++ {
+		port := firstPort + rand.IntN(lastPort-firstPort)
+		l, err := net.Listen("tcp", net.JoinHostPort("127.0.0.1", strconv.Itoa(port)))
 		if err != nil {
-			return nil, err
+			last = err
+			continue
 		}
 		defer func() { _ = l.Close() }()
-		ports = append(ports, l.Addr().(*net.TCPAddr).Port)
+		ports = append(ports, port)
+	}
+	if len(ports) < n {
+		return nil, &NoPortsError{Cause: last}
 	}
 	return ports, nil
 }
 
+// NoPortsError reports that there are too few free ports.
+type NoPortsError struct{ Cause error }
+
+func (e *NoPortsError) Error() string { return "no free ports on loopback: " + e.Cause.Error() }
+
 func newDaemon(binary, folder, node, zone, store, cloud string) (*daemon, error) {
 	ports, err := freePorts(4)
 	if err != nil {
