Keep firm servers while reclaimable ones are missing

Ruled out: the size of the service, which it had inherited. Change: firm servers stay, zone by zone, until nine in ten of the possible reclaimable ones are there.

--- a/pkg/relay/front.go
+++ b/pkg/relay/front.go
@@ -258,7 +258,10 @@
 // record logs and counts the outcome of a request.
 func (x *exchange) record() {
 	took := time.Since(x.received)
-	route, kind := "", ""
+	route, kind, left := "", "", time.Duration(0)
+	if !x.deadline.IsZero() {
+		left = time.Until(x.deadline)
+	}
 	if x.route != nil {
 		route, kind = x.route.Name, x.route.Kind.String()
 	}
@@ -266,7 +269,7 @@
 	x.front.metrics.duration.WithLabelValues(kind).Observe(took.Seconds())
 	klog.InfoS("request", "request", x.ID, "route", route, "account", x.accountName(), "configuration", x.version,
 		"status", x.status, "cause", x.cause, "ran", x.ran, "attempts", x.attempts, "event", x.lastEvent,
-		"tookMs", took.Milliseconds(), "leftMs", time.Until(x.deadline).Milliseconds())
+		"tookMs", took.Milliseconds(), "leftMs", left.Milliseconds())
 }
 
 // query describes the request for placement.
--- a/pkg/scaling/scaling.go
+++ b/pkg/scaling/scaling.go
@@ -96,6 +96,9 @@
 	// firmShare is the part of the need that firm servers make up for: they
 	// cost several times as much, and reclaimable ones come back in seconds.
 	firmShare = 0.75
+	// completeShare is the part of the reclaimable servers that have to be there
+	// before firm ones are given up.
+	completeShare = 0.9
 	// raiseAfter is how long the need is at its bound before that is raised: an
 	// overload after reclaims ends sooner.
 	raiseAfter = 20 * time.Second
@@ -321,15 +324,25 @@
 	essential := int(math.Ceil(firmShare * math.Min(float64(c.need.value), float64(c.present))))
 	ready := c.ready(servers)
 	// Firm servers that are there stay until others take their place.
-	kept := min(c.count(servers)-ready, c.need.value-ready)
-	c.firm.set(now, max(essential-ready, kept, 0), firmLowerAfter)
+	c.firm.set(now, max(essential-ready, min(c.count(servers)-ready, c.need.value-ready), 0), firmLowerAfter)
 	left := c.firm.value
 	byPrice := slices.Clone(zones)
 	slices.SortStableFunc(byPrice, func(a, b string) int { return cmp.Compare(s.ZonePrices[a], s.ZonePrices[b]) })
+	have := c.firmByZone(servers)
 	firm, room := make(map[string]int), make(map[string]int)
+	possible := 0
 	for _, zone := range zones {
-		firm[zone] = max(s.Min-perZone, 0)
 		room[zone] = s.Max - reclaimableIn(c.service, zone, servers)
+		possible += max(min(perZone, s.Max-have[zone]), 0)
+	}
+	missing := float64(ready) < completeShare*float64(possible)
+	for _, zone := range zones {
+		firm[zone] = max(s.Min-perZone, 0)
+		if missing {
+			// What is left of the reclaimable ones may go next.
+			firm[zone] = max(firm[zone], have[zone])
+			left -= have[zone]
+		}
 	}
 	for placed := true; placed && left > 0; {
 		placed = false
@@ -350,6 +363,17 @@
 	return wanted
 }
 
+// firmByZone counts the firm servers of each zone, leaving ones too.
+func (c *Core) firmByZone(servers []fleet.Server) map[string]int {
+	firm := make(map[string]int)
+	for i := range servers {
+		if f := &servers[i]; f.Service == c.service && !f.Reclaimable {
+			firm[f.AvailabilityZone]++
+		}
+	}
+	return firm
+}
+
 // reclaimableIn counts the reclaimable servers of a zone, leaving ones too:
 // they still count against the zone's limit.
 func reclaimableIn(service, zone string, servers []fleet.Server) int {
--- a/pkg/scaling/scaling_test.go
+++ b/pkg/scaling/scaling_test.go
@@ -241,3 +241,20 @@
 	m.run(8, 120)
 	g.Expect(len(m.servers)).To(gomega.BeNumerically(">=", 8))
 }
+
+// Answers a takeover of the duty while reclaimable servers are refused (ganda-ho
+// trouble-3: the firm servers were given up, and the next reclaim left seven).
+func TestFirmServersStayWhileReclaimableOnesAreRefused(t *testing.T) {
+	g := gomega.NewWithT(t)
+	m := newMarket()
+	m.run(4, 20)
+	m.reclaim("d", 30*time.Second)
+	size, firm := m.core.Present(), m.count("", false)
+	m.core = scaling.New(service, scaling.DefaultOptions())
+	m.core.Inherit(m.now, size)
+	m.run(6, 60)
+	g.Expect(m.count("", false)).To(gomega.BeNumerically(">=", min(firm, 6)))
+	m.reclaim("c", 30*time.Second)
+	m.run(1, 60)
+	g.Expect(len(m.servers)).To(gomega.BeNumerically(">=", 8))
+}
