--- a/pkg/edge/exchange.go
+++ b/pkg/edge/exchange.go
@@ -101,6 +101,7 @@
 		s.takeRecord(&m.Records[i])
 	}
 	s.placement.PeersChanged(time.Now())
+	s.quota.SetStaleness(s.peers.Staleness())
 	for _, entry := range m.Quarantine {
 		s.quarantine.Merge(time.Now(), entry)
 	}
--- a/pkg/edge/state.go
+++ b/pkg/edge/state.go
@@ -75,7 +75,7 @@
 		pool:        pool,
 		fleet:       fleet.New(fleet.Options{ReturnGrace: returnGrace}),
 		placement:   placement.NewCore(placement.Options{}),
-		quota:       quota.New(now),
+		quota:       quota.New(now, quota.Options{Window: settings.QuotaWindow, Overage: settings.QuotaOverage, Slack: settings.QuotaSlack}),
 		usage:       usage.New(settings.UsageWindow),
 		peers: mesh.NewDirectory(settings.Node, settings.Cores, mesh.Options{Interval: exchangeInterval, LeafInterval: leafInterval,
 			GoneAfter: peerGoneAfter, MeshLimit: meshLimit, Hubs: hubs}),
--- a/pkg/mesh/directory.go
+++ b/pkg/mesh/directory.go
@@ -160,6 +160,17 @@
 	return d.options.LeafInterval
 }
 
+// Staleness is how old a record may be when it arrives.
+func (d *Directory) Staleness() time.Duration {
+	if d.meshed() {
+		return d.options.Interval + deliveryTime
+	}
+	return d.options.Interval + 2*d.options.LeafInterval + deliveryTime
+}
+
+// deliveryTime is the time of an exchange, with the pause until it is due.
+const deliveryTime = 100 * time.Millisecond
+
 // Stamp counts the records taken.
 func (d *Directory) Stamp() uint64 { return d.stamp }
 
--- a/pkg/quota/quota.go
+++ b/pkg/quota/quota.go
@@ -30,8 +30,30 @@
 	at    time.Time
 	// used is the total that this daemon has let through.
 	used float64
+	// own and others are the recent spending of this daemon and of its peers,
+	// decayed with shareHalfLife.
+	own, others float64
+	recent      []spending
 }
 
+// spending is what was let through at a time.
+type spending struct {
+	at   time.Time
+	cost float64
+}
+
+const (
+	// shareHalfLife is the time over which a daemon's share of an account's
+	// requests is taken.
+	shareHalfLife = 2 * time.Second
+	// tolerancePart is the part of what is tolerated beyond a limit that daemons
+	// may spend together before they hear of one another; the rest covers what
+	// they spend beyond a bucket that has run empty meanwhile.
+	tolerancePart = 0.5
+	// defaultStaleness is the age of the peers' totals until it is set.
+	defaultStaleness = 350 * time.Millisecond
+)
+
 type peer struct {
 	incarnation uint64
 	heardAt     time.Time
@@ -40,16 +62,27 @@
 	assumed map[string]float64
 }
 
+// Options say how exactly limits have to hold: in a window of time an account
+// may spend its limit, a part of it more, and a fixed amount besides.
+type Options struct {
+	Window  time.Duration
+	Overage float64
+	Slack   float64
+}
+
 // Core is the state of one daemon. It is not safe for concurrent use.
 type Core struct {
+	options   Options
 	startedAt time.Time
+	// staleness is how old the totals of peers may be.
+	staleness time.Duration
 	buckets   map[string]*bucket
 	peers     map[string]*peer
 }
 
 // New returns a Core without limits.
-func New(now time.Time) *Core {
-	return &Core{startedAt: now, buckets: make(map[string]*bucket), peers: make(map[string]*peer)}
+func New(now time.Time, o Options) *Core {
+	return &Core{options: o, startedAt: now, staleness: defaultStaleness, buckets: make(map[string]*bucket), peers: make(map[string]*peer)}
 }
 
 // SetLimits replaces the limits. A lower burst takes effect at once.
@@ -82,11 +115,44 @@
 	if need := math.Min(cost, b.limit.Burst); b.level < need {
 		return time.Duration((need - b.level) / b.limit.Rate * float64(time.Second)), false
 	}
+	if !c.withinPortion(now, b, cost) {
+		return c.staleness, false
+	}
 	b.level -= cost
 	b.used += cost
+	b.recent = append(b.recent, spending{at: now, cost: cost})
 	return 0, true
 }
 
+// SetStaleness sets how old the totals of peers may be.
+func (c *Core) SetStaleness(d time.Duration) { c.staleness = d }
+
+// withinPortion reports whether a daemon may spend cost before it hears of its
+// peers, who may all be spending from the same bucket at this moment: it has a
+// portion of the bucket by its share of the account's recent requests.
+func (c *Core) withinPortion(now time.Time, b *bucket, cost float64) bool {
+	for len(b.recent) > 0 && now.Sub(b.recent[0].at) > c.staleness {
+		// The share compares what is as old as what peers have stated.
+		b.own += b.recent[0].cost
+		b.recent = b.recent[1:]
+	}
+	if len(c.peers) == 0 || len(b.recent) == 0 {
+		return true
+	}
+	spent := 0.0
+	for _, r := range b.recent {
+		spent += r.cost
+	}
+	share := 1 / float64(len(c.peers)+1)
+	if total := b.own + b.others; total > 0 {
+		share = math.Max(share, b.own/total)
+	}
+	refill := b.limit.Rate * c.staleness.Seconds()
+	tolerated := c.options.Overage*(b.limit.Rate*c.options.Window.Seconds()+b.limit.Burst) + c.options.Slack
+	factor := 1 + tolerancePart*tolerated/(b.limit.Burst+refill)
+	return spent+cost <= factor*share*(math.Max(b.level+spent, 0)+refill)
+}
+
 // Return gives back the cost of a request that did not run.
 func (c *Core) Return(now time.Time, account string, cost float64) {
 	b, ok := c.buckets[account]
@@ -96,6 +162,9 @@
 	c.refill(now, account, b)
 	b.level = math.Min(b.level+cost, b.limit.Burst)
 	b.used -= cost
+	if n := len(b.recent); n > 0 {
+		b.recent[n-1].cost = math.Max(b.recent[n-1].cost-cost, 0)
+	}
 }
 
 // Level returns the balance of an account's bucket.
@@ -115,6 +184,8 @@
 	}
 	b.at = now
 	b.level += b.limit.Rate * elapsed
+	remains := math.Exp2(-elapsed / shareHalfLife.Seconds())
+	b.own, b.others = b.own*remains, b.others*remains
 	share := b.limit.Rate * elapsed / float64(len(c.peers)+1)
 	for _, p := range c.peers {
 		if now.Sub(p.heardAt) > silentAfter {
@@ -174,6 +245,7 @@
 		// What was assumed while the peer was silent has been drained already.
 		drained := math.Min(math.Max(spent, 0), p.assumed[account])
 		b.level = math.Min(b.level-(spent-drained), b.limit.Burst)
+		b.others += math.Max(spent, 0)
 		delete(p.assumed, account)
 	}
 	p.used, p.heardAt = totals.Used, now
--- a/pkg/quota/quota_test.go
+++ b/pkg/quota/quota_test.go
@@ -1,6 +1,7 @@
 package quota_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -13,8 +14,11 @@
 
 func at(ms int) time.Time { return epoch.Add(time.Duration(ms) * time.Millisecond) }
 
+// tolerance is that of the smaller deployments, with limits of 1,000 a second.
+var tolerance = quota.Options{Window: 8 * time.Second, Overage: 0.1, Slack: 770}
+
 func newCore(start int) *quota.Core {
-	c := quota.New(at(start))
+	c := quota.New(at(start), tolerance)
 	c.SetLimits(at(start), map[string]quota.Limit{"account": {Rate: 1000, Burst: 1000}})
 	return c
 }
@@ -64,12 +68,11 @@
 	c.Expect("b")
 	c.Expect("c")
 	c.Expect("d")
-	spend(c, 0)
-	total := 0.0
+	total := spend(c, 0)
 	for ms := 50; ms <= 8000; ms += 50 {
 		total += spend(c, ms)
 	}
-	g.Expect(total).To(gomega.BeNumerically("~", 8000.0/4, 300))
+	g.Expect(total).To(gomega.BeNumerically("~", 1000+8000.0/4, 300))
 }
 
 // Answers a daemon that is killed and comes back: its bucket is not full again.
@@ -112,3 +115,56 @@
 	_, ok = c.Take(at(1500), "account", 10)
 	g.Expect(ok).To(gomega.BeFalse())
 }
+
+// Answers a deployment of many daemons that hear of one another late, and an
+// account that sends many times its usual from one moment to the next
+// (ganda-ho-grown scale-2: a fifth more than tolerated ran in eight seconds).
+func TestManyDaemonsThatHearLateKeepTheLimit(t *testing.T) {
+	g := gomega.NewWithT(t)
+	const daemons, rate, cost = 60, 60_000.0, 800.0
+	cores := make([]*quota.Core, daemons)
+	totals := make([][]quota.Totals, 0)
+	for i := range cores {
+		cores[i] = quota.New(at(-10_000), quota.Options{Window: 8 * time.Second, Overage: 0.1, Slack: 0.15 * rate})
+		cores[i].SetStaleness(time.Second)
+		cores[i].SetLimits(at(-10_000), map[string]quota.Limit{"account": {Rate: rate, Burst: rate}})
+	}
+	total, usual := 0.0, 0.0
+	for ms := -3000; ms < 8000; ms += 100 {
+		// Every daemon sees a fiftieth or so of what is asked: half of the limit
+		// before the burst, sixteen times as much in it.
+		asked := 0.5 * rate / daemons / 10
+		if ms >= 0 {
+			asked *= 16
+		}
+		now := make([]quota.Totals, daemons)
+		for i, c := range cores {
+			for spent := 0.0; spent < asked*float64(1+i%3)/2; spent += cost / 8 {
+				if _, ok := c.Take(at(ms), "account", cost/8); !ok {
+					break
+				}
+				if ms >= 0 {
+					total += cost / 8
+				} else {
+					usual += cost / 8
+				}
+			}
+			now[i] = c.Totals(at(ms))
+		}
+		totals = append(totals, now)
+		if len(totals) <= 8 {
+			continue
+		}
+		for i, c := range cores {
+			for j, stated := range totals[len(totals)-9] {
+				if i != j {
+					c.SetPeer(at(ms), fmt.Sprint(j), 1, stated)
+				}
+			}
+		}
+	}
+	g.Expect(usual).To(gomega.BeNumerically(">=", 0.95*0.5*rate*3), "what is within the limit runs")
+	limit := rate + 8*rate
+	g.Expect(total).To(gomega.BeNumerically("<=", 1.1*limit+0.15*rate))
+	g.Expect(total).To(gomega.BeNumerically(">=", 0.85*limit))
+}
--- a/pkg/scaling/scaling.go
+++ b/pkg/scaling/scaling.go
@@ -96,9 +96,9 @@
 	// firmShare is the part of the need that firm servers make up for: they
 	// cost several times as much, and reclaimable ones come back in seconds.
 	firmShare = 0.75
-	// completeShare is the part of the reclaimable servers that have to be there
-	// before firm ones are given up.
-	completeShare = 0.9
+	// scarceTime is how long a refusal tells that there are few reclaimable
+	// servers to be had; zones are reclaimed within seconds of one another.
+	scarceTime = 10 * time.Second
 	// raiseAfter is how long the need is at its bound before that is raised: an
 	// overload after reclaims ends sooner.
 	raiseAfter = 20 * time.Second
@@ -109,9 +109,11 @@
 	options Options
 	service string
 	orders  map[Subject]*orderState
-	loads   []loadSample
-	need    held
-	firm    held
+	// seen are the servers at the last plan.
+	seen  map[Subject]int
+	loads []loadSample
+	need  held
+	firm  held
 	// work is the last total of each daemon, flow the tokens since.
 	work map[string]Work
 	flow []flowSample
@@ -218,6 +220,12 @@
 // Plan returns the orders to give now.
 func (c *Core) Plan(now time.Time, s *catalog.Scaling, zones []string, servers []fleet.Server) []Order {
 	c.updateNeed(now, servers)
+	c.seen = make(map[Subject]int)
+	for i := range servers {
+		if f := &servers[i]; f.Service == c.service && !f.Leaving {
+			c.seen[Subject{c.service, f.AvailabilityZone, f.Reclaimable}]++
+		}
+	}
 	if !c.Settled(now) {
 		return nil
 	}
@@ -228,7 +236,10 @@
 			orders = append(orders, Order{Subject: subject, Desired: desired})
 		}
 	}
-	// Servers are added before others are taken away.
+	// Servers are added before others are taken away, and what becomes of those
+	// orders is known first.
+	raises := slices.ContainsFunc(orders, func(o Order) bool { return c.change(o) > 0 })
+	orders = slices.DeleteFunc(orders, func(o Order) bool { return raises && c.change(o) < 0 })
 	slices.SortFunc(orders, func(a, b Order) int {
 		return cmp.Or(cmp.Compare(c.change(b), c.change(a)), cmp.Compare(a.Zone, b.Zone), cmp.Compare(b.Desired, a.Desired))
 	})
@@ -330,16 +341,14 @@
 	slices.SortStableFunc(byPrice, func(a, b string) int { return cmp.Compare(s.ZonePrices[a], s.ZonePrices[b]) })
 	have := c.firmByZone(servers)
 	firm, room := make(map[string]int), make(map[string]int)
-	possible := 0
 	for _, zone := range zones {
 		room[zone] = s.Max - reclaimableIn(c.service, zone, servers)
-		possible += max(min(perZone, s.Max-have[zone]), 0)
 	}
-	missing := float64(ready) < completeShare*float64(possible)
+	// What is left of the reclaimable ones may go next.
+	missing := c.scarce(now) && ready-c.largestZone(servers) < c.need.value
 	for _, zone := range zones {
 		firm[zone] = max(s.Min-perZone, 0)
 		if missing {
-			// What is left of the reclaimable ones may go next.
 			firm[zone] = max(firm[zone], have[zone])
 			left -= have[zone]
 		}
@@ -363,6 +372,30 @@
 	return wanted
 }
 
+// scarce reports whether reclaimable servers were refused lately: what is left of
+// them may be reclaimed without others to be had.
+func (c *Core) scarce(now time.Time) bool {
+	for _, o := range c.orders {
+		if !o.refusedAt.IsZero() && now.Sub(o.refusedAt) < scarceTime {
+			return true
+		}
+	}
+	return false
+}
+
+// largestZone returns the number of reclaimable servers in the zone that has
+// most of them.
+func (c *Core) largestZone(servers []fleet.Server) int {
+	byZone, most := make(map[string]int), 0
+	for i := range servers {
+		if f := &servers[i]; f.Service == c.service && f.Reclaimable && !f.Leaving {
+			byZone[f.AvailabilityZone]++
+			most = max(most, byZone[f.AvailabilityZone])
+		}
+	}
+	return most
+}
+
 // firmByZone counts the firm servers of each zone, leaving ones too.
 func (c *Core) firmByZone(servers []fleet.Server) map[string]int {
 	firm := make(map[string]int)
@@ -426,12 +459,13 @@
 	return o.desired != desired || have != desired && now.Sub(o.at) > wait
 }
 
-// change is how much an order adds to the last one.
+// change is how much an order adds to the last one, or to the servers that were
+// there when none had been given.
 func (c *Core) change(o Order) int {
 	if last, ok := c.orders[o.Subject]; ok {
 		return o.Desired - last.desired
 	}
-	return o.Desired
+	return o.Desired - c.seen[o.Subject]
 }
 
 // Ordered records that an order was accepted.
