Cut a stream that no other server takes on

Ruled out: the end of the first engine's answer (it broke off; both tests fail without the change). Change: what ran before stays known; a refusal never follows an answer that has begun.

--- a/pkg/relay/front.go
+++ b/pkg/relay/front.go
@@ -233,6 +233,10 @@
 
 // refuse sends a failure of our own.
 func (x *exchange) refuse(p *api.Problem) {
+	if x.sentHeader {
+		// The answer has begun, so that nothing else can be said.
+		x.broken(p.Detail)
+	}
 	x.status, x.cause = p.Status, string(p.Name)+": "+p.Detail
 	header := x.w.Header()
 	if p.RetryAfter > 0 {
--- a/pkg/relay/relay_test.go
+++ b/pkg/relay/relay_test.go
@@ -426,6 +426,34 @@
 	g.Expect(a.count() + b.count()).To(gomega.Equal(1))
 }
 
+// Answers a crash in the middle of a resumable stream when the next engine
+// refuses it (ganda-ho-grown scale-2: the refusal was written behind the events
+// and the answer looked complete).
+func TestAStreamThatNobodyTakesOnIsCut(t *testing.T) {
+	g := gomega.NewWithT(t)
+	crashing := newBackend(t, func(_ int, r *http.Request, c net.Conn) bool {
+		events(c, r.Header.Get("Id"), 1, 3, false)
+		return false
+	})
+	full := newBackend(t, func(_ int, r *http.Request, c net.Conn) bool { notRun(c, r.Header.Get("Id")); return true })
+	w := newWorld(t, crashing, full)
+	_, body, _, err := w.post("/stream/x", "1")
+	g.Expect(err).To(gomega.HaveOccurred())
+	g.Expect(body).NotTo(gomega.ContainSubstring("problem"))
+	g.Expect(w.refunded).To(gomega.BeZero())
+}
+
+// Answers a look-up that broke at one server and was refused by the next: it may
+// have run, and the caller is not told otherwise.
+func TestARefusalAfterARunDoesNotSayThatNothingRan(t *testing.T) {
+	g := gomega.NewWithT(t)
+	breaking := newBackend(t, func(int, *http.Request, net.Conn) bool { return false })
+	full := newBackend(t, func(_ int, r *http.Request, c net.Conn) bool { notRun(c, r.Header.Get("Id")); return true })
+	status, _, _, err := newWorld(t, breaking, full).post("/look/x", "1")
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(status).To(gomega.Equal(http.StatusBadGateway))
+}
+
 // Answers an engine that goes dark in the middle of a resumable stream, and one
 // that is only busy with other requests.
 func TestAStreamLeavesASilentEngineAndWaitsForABusyOne(t *testing.T) {
--- a/pkg/relay/sending.go
+++ b/pkg/relay/sending.go
@@ -53,6 +53,8 @@
 	id        string
 	startedAt time.Time
 	result    placement.Result
+	// ranBefore is set if an earlier server may have begun to run the request.
+	ranBefore bool
 	// written receives the result of a write that goes on beside the reading.
 	written chan error
 	// reusable is set when the answer was read to its end and the connection
@@ -86,7 +88,7 @@
 	}
 	out.WriteString("\r\n")
 	out.Write(s.Body)
-	s.exchange.ran = true
+	s.ranBefore, s.exchange.ran = s.exchange.ran, true
 	if out.Len() <= wholeWriteBytes {
 		_, err := s.conn.Write(out.Bytes())
 		return err == nil
@@ -212,7 +214,7 @@
 // refused handles an answer that says the request did not run.
 func (s *sending) refused(response *http.Response) outcome {
 	s.result = placement.ResultRefused
-	s.exchange.ran = false
+	s.exchange.ran = s.ranBefore
 	if response.StatusCode == http.StatusMisdirectedRequest {
 		s.front.desk.Misdirected(s.decision.Server.ID)
 		s.result = placement.ResultFailed
