--- a/pkg/catalog/catalog.go
+++ b/pkg/catalog/catalog.go
@@ -96,17 +96,11 @@
 type Engine struct {
 	Slots            int
 	KVCapacityTokens int
-	KVTokenBytes     float64
-	// Moves says that a running request can be moved between engines.
-	Moves bool
-	// EventTokens is the number of tokens in one event of a stream.
-	EventTokens int
 }
 
 // Scaling bounds the number of BackendServers of a service in a zone.
 type Scaling struct {
 	Min, Max int
-	BootTime time.Duration
 	// SpotPrice is the price of a reclaimable server relative to an on-demand
 	// one; 0 means that there are none.
 	SpotPrice  float64
--- a/pkg/edge/settings.go
+++ b/pkg/edge/settings.go
@@ -19,17 +19,11 @@
 	MemoryBytes    int64
 	// Cores is the processor share of the host.
 	Cores float64
-	// HeartbeatInterval is how often servers refresh their entries.
-	HeartbeatInterval time.Duration
-	// DrainTimeout is when a leaving server may get no more requests.
-	DrainTimeout time.Duration
 	// GracePeriod is the time from SIGTERM to SIGKILL.
 	GracePeriod time.Duration
-	// RetryRatio and RetrySlack bound repeats to servers per RetryWindow, over
-	// all daemons.
-	RetryRatio  float64
-	RetryWindow time.Duration
-	RetrySlack  float64
+	// RetryRatio and RetrySlack bound repeats to servers, over all daemons.
+	RetryRatio float64
+	RetrySlack float64
 	// QuotaWindow, QuotaOverage and QuotaSlack say how exactly usage limits
 	// have to hold.
 	QuotaWindow  time.Duration
--- a/pkg/placement/placement_test.go
+++ b/pkg/placement/placement_test.go
@@ -43,11 +43,11 @@
 func letter(now time.Time, group string, own int) *placement.Query {
 	return &placement.Query{Service: models, Zone: "a",
 		Parts:        []placement.Part{{ID: group, Tokens: 13_000}, {ID: "own", Tokens: own}},
-		PromptTokens: 13_000 + own, OutputTokens: 100, Target: time.Second, Received: now, Deadline: now.Add(8 * time.Second)}
+		PromptTokens: 13_000 + own, OutputTokens: 100, Target: time.Second, Deadline: now.Add(8 * time.Second)}
 }
 
 func booking(now time.Time, exclude ...string) *placement.Query {
-	return &placement.Query{Service: bookings, Zone: "a", Target: 150 * time.Millisecond, Received: now,
+	return &placement.Query{Service: bookings, Zone: "a", Target: 150 * time.Millisecond,
 		Deadline: now.Add(time.Second), Exclude: exclude}
 }
 
--- a/pkg/placement/types.go
+++ b/pkg/placement/types.go
@@ -26,10 +26,8 @@
 	// PromptTokens and OutputTokens are 0 for requests to plain services.
 	PromptTokens int
 	OutputTokens int
-	// Target is how long the first part of the answer may take, counted from
-	// Received.
+	// Target is how long the first part of the answer may take.
 	Target   time.Duration
-	Received time.Time
 	Deadline time.Time
 	// Exclude names servers that have already been tried.
 	Exclude []string
--- a/pkg/relay/front.go
+++ b/pkg/relay/front.go
@@ -283,7 +283,7 @@
 		output = min(output, 2*x.OutputHint)
 	}
 	return &placement.Query{Service: x.service, Parts: x.Parts, PromptTokens: x.PromptTokens,
-		OutputTokens: output, Target: x.route.LatencyTarget, Received: x.received, Deadline: x.deadline,
+		OutputTokens: output, Target: x.route.LatencyTarget, Deadline: x.deadline,
 		Exclude: exclude}
 }
 
