Wait for a stream that cannot go on elsewhere

Change: an engine has to be silent to the daemon for four targeted pauses, and a stream is given up only while a retry is left.

--- a/pkg/edge/state.go
+++ b/pkg/edge/state.go
@@ -243,6 +243,13 @@
 	return ok
 }
 
+// RetryLeft reports whether a retry of a service could be spent now.
+func (s *state) RetryLeft(service string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.budget(service).Balance() >= 1
+}
+
 // budget is this daemon's part of a service's retries: what its own requests
 // earn and an equal share of the slack.
 func (s *state) budget(service string) *retry.Budget {
--- a/pkg/relay/relay_test.go
+++ b/pkg/relay/relay_test.go
@@ -61,6 +61,7 @@
 	denied   bool
 	results  []placement.Result
 	silence  time.Duration
+	spent    bool
 }
 
 func (d *desk) Catalog() *catalog.Catalog { return d.catalog }
@@ -107,6 +108,7 @@
 func (d *desk) Began(string)                       { d.mu.Lock(); defer d.mu.Unlock(); d.began++ }
 func (d *desk) Arrived(string)                     {}
 func (d *desk) Retry(string) bool                  { d.mu.Lock(); defer d.mu.Unlock(); d.retries++; return true }
+func (d *desk) RetryLeft(string) bool              { return !d.spent }
 func (d *desk) ConnectionLimit(string, string) int { return 10 }
 func (d *desk) Verdict(quarantine.Fingerprint) quarantine.Verdict {
 	return quarantine.VerdictRun
@@ -481,6 +483,26 @@
 	g.Expect(dark.count()).To(gomega.Equal(2))
 }
 
+// Answers an overloaded engine that pauses for seconds when the retry budget is
+// spent (kodiclub-enrol-grown scale-2: streams were cut at 85 daemons that could
+// not send them elsewhere): the stream is waited for.
+func TestAStreamThatCannotGoOnElsewhereIsWaitedFor(t *testing.T) {
+	g := gomega.NewWithT(t)
+	slow := newBackend(t, func(_ int, r *http.Request, c net.Conn) bool {
+		events(c, r.Header.Get("Id"), 1, 2, false)
+		time.Sleep(1200 * time.Millisecond)
+		event := "id: 3\ndata: e3\n\n"
+		fmt.Fprintf(c, "%x\r\n%s\r\n0\r\n\r\n", len(event), event)
+		return true
+	})
+	w := newWorld(t, slow, slow)
+	w.spent = true
+	_, body, _, err := w.post("/stream/x", "1")
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(body).To(gomega.ContainSubstring("e3"))
+	g.Expect(slow.count()).To(gomega.Equal(1))
+}
+
 // Answers callers that leave before their deadline: the server's connection is
 // closed within half a second, so that it stops.
 func TestWorkStopsWhenTheCallerLeaves(t *testing.T) {
--- a/pkg/relay/sending.go
+++ b/pkg/relay/sending.go
@@ -40,6 +40,10 @@
 	// gapPatience is the multiple of the targeted pause between events after
 	// which a resumable stream goes on at another server.
 	gapPatience = 3.0
+	// silencePatience is the multiple of the targeted pause between events for
+	// which an engine may be silent to a daemon: where there are many daemons,
+	// one of them may have a single request at an engine.
+	silencePatience = 4.0
 	// aliveWithin is how long an engine that runs anything at all may be silent
 	// to a daemon; its steps take milliseconds.
 	aliveWithin = 1200 * time.Millisecond
@@ -130,11 +134,17 @@
 }
 
 // stall ends the wait for a silent server. An engine that serves others is busy
-// with more urgent requests: to start elsewhere would read the prompt again.
+// with more urgent requests: to start elsewhere would read the prompt again. A
+// stream that could not go on elsewhere is not given up.
 func (s *sending) stall() {
 	if s.route.Kind == catalog.KindStream {
-		if silent := s.front.desk.SilentFor(s.decision.Server.ID); silent < aliveWithin {
-			s.patienceTimer().Reset(aliveWithin - silent)
+		alive := max(aliveWithin, time.Duration(silencePatience*float64(s.route.EventGapTarget)))
+		if silent := s.front.desk.SilentFor(s.decision.Server.ID); silent < alive {
+			s.patienceTimer().Reset(alive - silent)
+			return
+		}
+		if !s.front.desk.RetryLeft(s.service) {
+			s.patienceTimer().Reset(alive)
 			return
 		}
 	}
--- a/pkg/relay/types.go
+++ b/pkg/relay/types.go
@@ -91,9 +91,11 @@
 	Misdirected(server string)
 	// Began counts a request that began to run.
 	Began(account string)
-	// Arrived credits the retry budget of a service, Retry spends it.
+	// Arrived credits the retry budget of a service, Retry spends it, and
+	// RetryLeft tells whether there is something to spend.
 	Arrived(service string)
 	Retry(service string) bool
+	RetryLeft(service string) bool
 	// ConnectionLimit is how many connections this daemon may have to a server.
 	ConnectionLimit(server, service string) int
 	Verdict(f quarantine.Fingerprint) quarantine.Verdict
