--- a/pkg/edge/duties.go
+++ b/pkg/edge/duties.go
@@ -243,9 +243,9 @@
 	s := u.daemon.state
 	s.mu.Lock()
 	c := s.catalog
-	servers := s.fleet.Servers()
+	servers, known := s.fleet.Servers(), s.fleet.Known()
 	s.mu.Unlock()
-	if c == nil || !s.fleet.Known() {
+	if c == nil || !known {
 		return
 	}
 	for name, service := range c.Services {
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -28,16 +28,16 @@
 func (w *world) pick() func(context.Context) {
 	d := w.daemons[w.random.IntN(len(w.daemons))]
 	length := time.Duration(500+w.random.IntN(3000)) * time.Millisecond
+	name, server := w.pickServer()
 	planned := []func(context.Context){
 		func(context.Context) { w.publish() },
 		func(context.Context) { d.signal(syscall.SIGHUP) },
 		func(context.Context) { w.restart(d, syscall.SIGTERM) },
-		func(context.Context) { w.replaceServer() },
+		func(context.Context) { w.replaceServer(name, server) },
 	}
 	if w.planned {
 		return planned[w.random.IntN(len(planned))]
 	}
-	name, server := w.pickServer()
 	share := 0.1 + 0.4*w.random.Float64()
 	status := []int{http.StatusServiceUnavailable, http.StatusTooManyRequests}[w.random.IntN(2)]
 	mode := []Mode{Silent, OneWay, Slow}[w.random.IntN(3)]
@@ -137,11 +137,14 @@
 }
 
 // replaceServer starts a server and lets an older one of its service leave.
-func (w *world) replaceServer() {
-	name, s := w.pickServer()
+func (w *world) replaceServer(name string, s *standin.Server) {
 	w.mu.Lock()
+	_, there := w.servers[name]
 	delete(w.servers, name)
 	w.mu.Unlock()
+	if !there {
+		return
+	}
 	if err := w.addServer(s.Service); err != nil {
 		w.find("server does not start: %v", err)
 	}
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -1,6 +1,7 @@
 // Package soak runs real daemons as separate processes on one machine, harms
 // them from outside and checks the promises from what callers and
-// BackendServers see. Everything random comes from the seed.
+// BackendServers see. The seed decides which faults come, when and where; which
+// requests a faulty server harms is drawn by the server.
 package soak
 
 import (
@@ -142,9 +143,9 @@
 func (w *world) addServer(service string) error {
 	w.mu.Lock()
 	w.next++
-	id := fmt.Sprintf("%s-%d", service, w.next)
+	id, zone := fmt.Sprintf("%s-%d", service, w.next), fmt.Sprintf("zone-%d", w.next%3)
 	w.mu.Unlock()
-	s := &standin.Server{ID: id, Service: service, Zone: fmt.Sprintf("zone-%d", w.next%3), Work: 15 * time.Millisecond, Events: 12}
+	s := &standin.Server{ID: id, Service: service, Zone: zone, Work: 15 * time.Millisecond, Events: 12}
 	err := standin.StartServer(s, w.store, w.ledger, func(address string) (string, error) {
 		proxy, err := NewProxy(address)
 		if err != nil {
