--- a/pkg/edge/follow.go
+++ b/pkg/edge/follow.go
@@ -26,7 +26,7 @@
 	serversStale = 1200 * time.Millisecond
 	// toldStale is the age of what a hub tells from which on a daemon asks the
 	// store itself: a hub reads every 0.75 s at the latest and tells every
-	// 0.25 s.
+	// 0.4 s at the latest.
 	toldStale = 1500 * time.Millisecond
 	// leafCatalogWait is how long a watch lasts at daemons that hubs tell of a
 	// new configuration as well.
