Tell suspects of a crash apart before one is quarantined

Ruled out: a lost answer at the daemon's stop (the finding names the quarantine); two suspects at one daemon (those are kept apart already).

Change: a request is quarantined when it has crashed two servers and no other suspect was present at all of its crashes; verdicts wait 300 ms for the suspects of other daemons; after four shared crashes both are refused. Isolated requests go to a random server of those with nearly the least load, since all daemons see the same reports.

--- a/coordination/quarantine/quarantine.go
+++ b/coordination/quarantine/quarantine.go
@@ -4,7 +4,9 @@
 // A request is known by the fingerprint of its ClientAccount and body, so that
 // a resend by its caller is recognised. After the first crash the request is a
 // suspect and its next attempt runs isolated; after the second it is
-// quarantined. The core does no I/O.
+// quarantined, unless another suspect was present at the same crashes: then both
+// run on until one of them has crashed a server without the other. The core does
+// no I/O.
 package quarantine
 
 import (
@@ -12,6 +14,7 @@
 	"encoding/binary"
 	"encoding/hex"
 	"fmt"
+	"slices"
 	"sort"
 	"time"
 )
@@ -65,6 +68,9 @@
 	SuspectRetention time.Duration
 	// MaxEntries bounds the memory; the oldest suspects go first.
 	MaxEntries int
+	// Settle is how long after a crash a request is not quarantined yet: by
+	// then other daemons have told of their suspects of the same crash.
+	Settle time.Duration
 }
 
 // DefaultOptions quarantine a request after its second crash.
@@ -86,9 +92,11 @@
 // Check returns how a request may be run now.
 func (c *Core) Check(now time.Time, fingerprint Fingerprint) Verdict {
 	e, ok := c.entries[fingerprint]
-	switch {
-	case !ok || c.forgotten(now, e):
+	if !ok || c.forgotten(now, e) {
 		return VerdictRun
+	}
+	c.settle(now, e)
+	switch {
 	case e.Quarantined:
 		return VerdictRefuse
 	case len(e.Servers) > 0:
@@ -115,7 +123,7 @@
 	}
 	e.Servers = union(e.Servers, []string{server})
 	before := e.Quarantined
-	e.Quarantined = e.Quarantined || len(e.Servers) >= c.options.Crashes
+	c.settle(now, e)
 	c.evict()
 	return e.copy(), e.Quarantined && !before
 }
@@ -150,7 +158,7 @@
 		*e = other.copy()
 	} else {
 		e.Servers = union(e.Servers, other.Servers)
-		e.Quarantined = e.Quarantined || other.Quarantined || len(e.Servers) >= c.options.Crashes
+		e.Quarantined = e.Quarantined || other.Quarantined
 	}
 	if other.LastCrash.After(e.LastCrash) {
 		e.LastCrash = other.LastCrash
@@ -160,11 +168,55 @@
 		e.LastCrash = now
 	}
 	c.entries[other.Fingerprint] = e
+	c.settle(now, e)
 	c.evict()
 	return !known || len(before.Servers) != len(e.Servers) ||
 		before.Quarantined != e.Quarantined || before.Generation != e.Generation
 }
 
+// Pending reports whether a request has crashed enough servers to be
+// quarantined, but other daemons may not have told of their suspects yet.
+func (c *Core) Pending(now time.Time, fingerprint Fingerprint) bool {
+	e, ok := c.entries[fingerprint]
+	return ok && !e.Quarantined && len(e.Servers) >= c.options.Crashes && now.Sub(e.LastCrash) < c.options.Settle
+}
+
+// settle quarantines a request that has crashed enough servers. Another suspect
+// that was present at all of its crashes may have caused them instead.
+func (c *Core) settle(now time.Time, e *Entry) {
+	switch {
+	case e.Quarantined || len(e.Servers) < c.options.Crashes || now.Sub(e.LastCrash) < c.options.Settle:
+	case len(e.Servers) >= c.options.Crashes+maxShared:
+		e.Quarantined = true
+	default:
+		e.Quarantined = !c.explained(now, e)
+	}
+}
+
+// maxShared is how many crashes beyond the usual number a request may share with
+// another suspect: requests that always crash servers together go as well.
+const maxShared = 2
+
+// explained reports whether another suspect was present at all crashes of e.
+func (c *Core) explained(now time.Time, e *Entry) bool {
+	for _, o := range c.entries {
+		if o != e && !c.forgotten(now, o) && len(o.Servers) >= len(e.Servers) && subset(e.Servers, o.Servers) {
+			return true
+		}
+	}
+	return false
+}
+
+// subset reports whether all names of a are in b.
+func subset(a, b []string) bool {
+	for _, name := range a {
+		if !slices.Contains(b, name) {
+			return false
+		}
+	}
+	return true
+}
+
 // Release lets a request run again and returns the entry to spread.
 func (c *Core) Release(fingerprint Fingerprint) (Entry, error) {
 	e, ok := c.entries[fingerprint]
--- a/coordination/quarantine/quarantine_test.go
+++ b/coordination/quarantine/quarantine_test.go
@@ -179,3 +179,52 @@
 	g := NewWithT(t)
 	g.Expect(quarantine.FingerprintOf("ab", []byte("c"))).NotTo(Equal(quarantine.FingerprintOf("a", []byte("bc"))))
 }
+
+// Guards against an innocent request that is refused because it met, at another
+// daemon, the request that crashes servers a second time (TestShortDemo: both ran
+// isolated on the same server, and both were quarantined).
+func TestSuspectsThatCrashedTogetherAreToldApart(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Unix(1000, 0)
+	options := quarantine.DefaultOptions()
+	options.Settle = 300 * time.Millisecond
+	one, two := quarantine.New(options), quarantine.New(options)
+	crash := func(at, other *quarantine.Core, f quarantine.Fingerprint, server string) {
+		entry, quarantined := at.Crashed(now, f, server, false)
+		g.Expect(quarantined).To(BeFalse(), "before other daemons have told of their suspects")
+		other.Merge(now, entry)
+	}
+	for _, server := range []string{"s1", "s2"} {
+		crash(one, two, "innocent", server)
+		crash(two, one, "guilty", server)
+	}
+	g.Expect(one.Pending(now, "innocent")).To(BeTrue())
+	now = now.Add(options.Settle)
+	for _, core := range []*quarantine.Core{one, two} {
+		g.Expect(core.Check(now, "innocent")).To(Equal(quarantine.VerdictIsolate))
+		g.Expect(core.Check(now, "guilty")).To(Equal(quarantine.VerdictIsolate))
+	}
+	crash(two, one, "guilty", "s3")
+	now = now.Add(options.Settle)
+	for _, core := range []*quarantine.Core{one, two} {
+		g.Expect(core.Check(now, "guilty")).To(Equal(quarantine.VerdictRefuse))
+		g.Expect(core.Check(now, "innocent")).To(Equal(quarantine.VerdictIsolate))
+	}
+	_, cleared := one.Succeeded(now, "innocent")
+	g.Expect(cleared).To(BeTrue())
+}
+
+// Guards against requests that hide behind each other: two that always crash
+// servers together are both refused in the end.
+func TestSuspectsThatAlwaysCrashTogetherAreRefused(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Unix(1000, 0)
+	core := quarantine.New(quarantine.DefaultOptions())
+	for i := range 4 {
+		for _, f := range []quarantine.Fingerprint{"a", "b"} {
+			core.Crashed(now, f, fmt.Sprint("s", i), false)
+		}
+	}
+	g.Expect(core.Check(now, "a")).To(Equal(quarantine.VerdictRefuse))
+	g.Expect(core.Check(now, "b")).To(Equal(quarantine.VerdictRefuse))
+}
--- a/pkg/daemon/quarantine.go
+++ b/pkg/daemon/quarantine.go
@@ -29,6 +29,9 @@
 	// advancedTokens is the output after which an attempt counts as having gone
 	// further than the one before. One token may be that at which it crashes.
 	advancedTokens = 2
+	// quarantineSettle is the time in which the announcement of a crash has
+	// reached all daemons, with room for one that is sent again.
+	quarantineSettle = 300 * time.Millisecond
 )
 
 // spreader announces news to all daemons.
@@ -52,9 +55,11 @@
 }
 
 func newQuarantineDuty(store table.Store, spread spreader, clock clock.WithTicker, recorder *decision.Recorder, registry prometheus.Registerer) (*quarantineDuty, error) {
+	options := quarantine.DefaultOptions()
+	options.Settle = quarantineSettle
 	q := &quarantineDuty{
 		store: store, spread: spread, clock: clock, recorder: recorder,
-		core: quarantine.New(quarantine.DefaultOptions()),
+		core: quarantine.New(options),
 		size: prometheus.NewGauge(prometheus.GaugeOpts{
 			Name: "monsooncrank_quarantine_entries",
 			Help: "Requests in quarantine.",
@@ -137,14 +142,28 @@
 	}
 }
 
-// ReportCrash implements streaming.Quarantine.
-func (q *quarantineDuty) ReportCrash(_ context.Context, report streaming.CrashReport) streaming.Verdict {
+// ReportCrash implements streaming.Quarantine. A verdict against a request waits
+// until other daemons have told of their suspects of the same crash.
+func (q *quarantineDuty) ReportCrash(ctx context.Context, report streaming.CrashReport) streaming.Verdict {
 	server := fmt.Sprintf("%s#%d", report.Backend.Name, report.Backend.Incarnation)
 	q.mu.Lock()
 	now := q.clock.Now()
 	advanced := report.TokensReceived >= advancedTokens
 	entry, quarantined := q.core.Crashed(now, quarantine.Fingerprint(report.Fingerprint), server, advanced)
-	verdict := verdictOf(q.core.Check(now, entry.Fingerprint))
+	pending := q.core.Pending(now, entry.Fingerprint)
+	q.mu.Unlock()
+	if pending {
+		q.publish(entry, false)
+		select {
+		case <-q.clock.After(quarantineSettle):
+		case <-ctx.Done():
+		}
+	}
+	q.mu.Lock()
+	verdict := verdictOf(q.core.Check(q.clock.Now(), entry.Fingerprint))
+	if settled, known := q.core.Entry(entry.Fingerprint); pending && known {
+		entry, quarantined = settled, settled.Quarantined
+	}
 	q.size.Set(float64(len(q.core.List())))
 	q.mu.Unlock()
 	reason := "suspect after a crash"
--- a/pkg/routing/pick.go
+++ b/pkg/routing/pick.go
@@ -14,6 +14,10 @@
 	// isolatedSampled is how many servers are compared for an isolated
 	// request.
 	isolatedSampled = MaxCandidates
+	// isolatedMargin is by how many requests the load of the server of an
+	// isolated request may exceed the least one: less than one request, which
+	// is what a server has to lose more.
+	isolatedMargin = 1.0
 	// sampleTries is how many servers a sample passes that may not be picked
 	// or were drawn before.
 	sampleTries = 8
@@ -81,11 +85,32 @@
 			bestIndex = i
 		}
 	}
+	if q.Isolated {
+		bestIndex = r.isolate(r.candidates[bestIndex].load)
+	}
 	chosen := &r.candidates[bestIndex]
 	d.Server, d.Reason, d.ExpectedCachedTokens = chosen.server.BackendServer, chosen.reason, int(chosen.hit)
 	return d
 }
 
+// isolate returns one of the candidates with nearly the least load, at random.
+// All daemons see the same reports: if each took the very least loaded server,
+// the suspects of one crash would meet there, and the one that crashes servers
+// would get the others blamed.
+func (r *Router) isolate(least float64) int {
+	chosen, equals := 0, 0
+	for i := range r.candidates[:r.count] {
+		if r.candidates[i].load >= least+isolatedMargin {
+			continue
+		}
+		equals++
+		if r.random.IntN(equals) == 0 {
+			chosen = i
+		}
+	}
+	return chosen
+}
+
 // addHolders adds the likely holders of the longest known prefix.
 func (r *Router) addHolders(g *group, q *Query, at time.Duration) {
 	for i := r.levels - 1; i >= 0; i-- {
--- a/pkg/routing/router_test.go
+++ b/pkg/routing/router_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -111,6 +112,30 @@
 		Expect(d.Reason).To(Equal(routing.ReasonIsolated))
 	})
 
+	// Suspects of one crash at two daemons went to the one server that the load
+	// reports showed as least loaded, and the innocent one was blamed for its
+	// second crash.
+	It("does not send the suspects of all daemons to one server", func() {
+		picked := map[string]int{}
+		for i := range 60 {
+			random := rand.New(rand.NewPCG(uint64(i), 0))
+			r := routing.NewRouter(epoch, random, routing.Options{Daemon: fmt.Sprint("daemon-", i)})
+			r.Update(epoch, group(servers(6)))
+			for j := range 6 {
+				load := engine.Load{MeasuredAt: epoch.Add(time.Second), Running: min(j, 1)}
+				r.LoadReported(epoch.Add(time.Second), fmt.Sprint("engine-", j), load)
+			}
+			// The reports are a second old: what they saw has partly ended.
+			d, err := r.Pick(epoch.Add(2*time.Second), &routing.Query{Group: "chat", Isolated: true})
+			Expect(err).NotTo(HaveOccurred())
+			picked[d.Server.Name]++
+		}
+		// Six servers share 60 picks.
+		for name, n := range picked {
+			Expect(n).To(BeNumerically("<", 30), name)
+		}
+	})
+
 	It("counts an attempt once", func() {
 		Expect(r.Started(epoch, "a", "engine-0", chat)).To(Succeed())
 		Expect(r.Started(epoch, "a", "engine-0", chat)).To(Equal(&routing.DuplicateAttemptError{AttemptID: "a"}))
