Bound an engine's queue by the request's target

Change: a stream is refused at once when the shortest wait exceeds 1.5 targets; Retry-After says when the queue will have moved.

--- a/pkg/placement/score.go
+++ b/pkg/placement/score.go
@@ -152,8 +152,11 @@
 		}
 		return nil
 	}
-	left := q.Deadline.Sub(now)
-	if best.Wait > time.Duration(float64(left)*latestStart) {
+	latest := time.Duration(float64(q.Deadline.Sub(now)) * latestStart)
+	if q.Target > 0 {
+		latest = min(latest, time.Duration(targetQueue*float64(q.Target)))
+	}
+	if best.Wait > latest {
 		return &RefusedError{Reason: RefusedOverloaded, Wait: best.Wait, RetryAfter: max(best.Wait-q.Target, q.Target/2)}
 	}
 	return nil
@@ -162,3 +165,9 @@
 // latestStart is the part of the remaining time by which a stream has to start
 // to be whole before its deadline.
 const latestStart = 0.6
+
+// targetQueue bounds the wait for an engine in relation to the request's target.
+// Where engines are overloaded for seconds, a longer queue makes every answer
+// late; refused callers are told when to come back, and those taken are served
+// in time.
+const targetQueue = 1.5
