Add a budget of repeats that counts over a window

Change: repeats are bounded as the platform states it, by the requests and repeats of the last 10 s, with a tenth of slack for the edges of the window.

--- a/coordination/retry/retry.go
+++ b/coordination/retry/retry.go
@@ -60,15 +60,6 @@
 
 func (b *Budget) spend() { b.balance-- }
 
-// Spend takes one retry from the budget if it covers it.
-func (b *Budget) Spend() bool {
-	if !b.covers() {
-		return false
-	}
-	b.spend()
-	return true
-}
-
 // Backoff returns the delay before attempt (1 is the first retry): uniform
 // between 0 and the exponentially growing bound.
 func (o *Options) Backoff(random *rand.Rand, attempt int) time.Duration {
--- /dev/null
+++ b/coordination/retry/window_test.go
@@ -0,0 +1,63 @@
+package retry_test
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/monsooncrank/monsooncrank/coordination/retry"
+)
+
+var windowOptions = retry.WindowOptions{Length: 10 * time.Second, Ratio: 0.2}
+
+// Answers a zone's engines that go at once: the streams that break together may
+// all be repeated, as far as the requests of the last seconds allow.
+func TestRepeatsOfAWindowMayComeAtOnce(t *testing.T) {
+	g := NewWithT(t)
+	w := retry.NewWindow(windowOptions)
+	now := time.Unix(1000, 0)
+	for i := range 100 {
+		w.Arrived(now.Add(time.Duration(i) * 90 * time.Millisecond))
+	}
+	now = now.Add(9 * time.Second)
+	made := 0
+	for w.Spend(now, 2) {
+		made++
+	}
+	g.Expect(made).To(Equal(22))
+	g.Expect(w.Left(now.Add(30*time.Second), 2)).To(Equal(2.0))
+}
+
+// Guards against a storm of repeats: no window, wherever it begins, holds more
+// of them than the requests before its last repeat allow.
+func TestNoWindowHoldsMoreRepeats(t *testing.T) {
+	g := NewWithT(t)
+	random := rand.New(rand.NewPCG(7, 7))
+	w := retry.NewWindow(windowOptions)
+	now := time.Unix(1000, 0)
+	var requests, repeats []time.Time
+	for range 5000 {
+		now = now.Add(time.Duration(random.IntN(40)) * time.Millisecond)
+		w.Arrived(now)
+		requests = append(requests, now)
+		for random.IntN(3) == 0 && w.Spend(now, 4) {
+			repeats = append(repeats, now)
+		}
+	}
+	within := func(times []time.Time, from, to time.Time) int {
+		n := 0
+		for _, at := range times {
+			if at.After(from) && !at.After(to) {
+				n++
+			}
+		}
+		return n
+	}
+	g.Expect(len(repeats)).To(BeNumerically(">", 500))
+	for _, end := range repeats {
+		from := end.Add(-windowOptions.Length)
+		g.Expect(float64(within(repeats, from, end))).To(BeNumerically("<=", 0.2*float64(within(requests, from, end))+4))
+	}
+}
