Use the window of repeats; read configurations from hubs; count calls

Retries: a daemon makes 0.8 of the repeats that its requests of the last 10 s allow, and its share of the slack.

Explaining failures: calls to the platform are counted with their times, and a summary every 10 s tells what the daemon knows.

--- a/cmd/monsooncrankd/platform.go
+++ b/cmd/monsooncrankd/platform.go
@@ -5,6 +5,7 @@
 	"os"
 	"strconv"
 
+	"github.com/prometheus/client_golang/prometheus"
 	"k8s.io/klog/v2"
 
 	"github.com/monsooncrank/monsooncrank/pkg/edge"
@@ -22,12 +23,13 @@
 	if err != nil || checkOnly {
 		return err
 	}
-	client, err := platform.NewClient()
+	registry := prometheus.NewRegistry()
+	client, err := platform.NewClient(registry)
 	if err != nil {
 		return err
 	}
 	d, err := edge.New(edge.Options{Settings: settings, Platform: client, Codec: platform.Codec{},
-		ReadyPath: platform.ReadyPath, Reload: platform.LoadSettings})
+		Registry: registry, ReadyPath: platform.ReadyPath, Reload: platform.LoadSettings})
 	if err != nil {
 		return err
 	}
--- a/pkg/edge/daemon.go
+++ b/pkg/edge/daemon.go
@@ -40,6 +40,8 @@
 	defaultIdleTimeout   = 15 * time.Second
 	// janitorInterval is how often idle connections are looked at.
 	janitorInterval = time.Second
+	// summaryInterval is how often the log tells what this daemon knows.
+	summaryInterval = 10 * time.Second
 	// maxHeaderBytes is above the limits that configurations state.
 	maxHeaderBytes = 64 << 10
 )
@@ -49,6 +51,8 @@
 	Settings Settings
 	Platform Platform
 	Codec    relay.Codec
+	// Registry holds the metrics that are served.
+	Registry *prometheus.Registry
 	// ReadyPath is the path of the balancer's question.
 	ReadyPath string
 	// Reload reads the settings again, for the log.
@@ -75,7 +79,7 @@
 	debug.SetMemoryLimit(int64(memoryPart * float64(o.Settings.MemoryBytes)))
 	pool := backendconn.NewPool()
 	d := &Daemon{options: o, settings: o.Settings, platform: o.Platform, pool: pool, state: newState(o.Settings, pool),
-		registry: prometheus.NewRegistry(), idle: newIdleConnections()}
+		registry: o.Registry, idle: newIdleConnections()}
 	d.registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	d.front = relay.NewFront(relay.Options{Codec: o.Codec, Desk: d.state, Pool: pool, Metrics: relay.NewMetrics(d.registry)})
 	d.peerPool = peer.NewPool(peer.PoolOptions{})
@@ -215,10 +219,11 @@
 	klog.InfoS("stop", "active", d.front.Active())
 }
 
-// janitor closes idle connections.
+// janitor closes idle connections and logs what this daemon knows.
 func (d *Daemon) janitor(ctx context.Context) {
 	tick := time.NewTicker(janitorInterval)
 	defer tick.Stop()
+	summarizedAt := time.Now()
 	for {
 		select {
 		case <-ctx.Done():
@@ -230,6 +235,10 @@
 			}
 			d.idle.close(now, limit)
 			d.pool.Expire(now)
+			if now.Sub(summarizedAt) >= summaryInterval {
+				summarizedAt = now
+				d.state.summarize(d.front.Active())
+			}
 		}
 	}
 }
--- a/pkg/edge/edge_test.go
+++ b/pkg/edge/edge_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"sync"
 	"testing"
 	"time"
@@ -18,7 +19,7 @@
 	"github.com/monsooncrank/monsooncrank/pkg/usage"
 )
 
-var settings = Settings{Node: "self", PeerAddress: "127.0.0.1:1", RetryRatio: 0.2, RetrySlack: 50, UsageWindow: 5 * time.Second,
+var settings = Settings{Node: "self", PeerAddress: "127.0.0.1:1", RetryRatio: 0.2, RetrySlack: 50, RetryWindow: 10 * time.Second, UsageWindow: 5 * time.Second,
 	UsageLateness: 10 * time.Second, MinHolderInterval: 3 * time.Second, ReportsUsage: true}
 
 func newTestState() *state { return newState(settings, backendconn.NewPool()) }
@@ -155,3 +156,25 @@
 	g.Expect(second.inherit(ctx, "s", successor)).To(gomega.Succeed())
 	g.Expect(successor.Present()).To(gomega.Equal(12))
 }
+
+// Answers a storm of changes on a deployment of dozens of daemons: where hubs
+// tell of new configurations, each change costs the store no call per daemon;
+// where they fall silent, the daemon watches the store itself.
+func TestDaemonsThatHubsTellDoNotWatchTheStore(t *testing.T) {
+	g := gomega.NewWithT(t)
+	s := newTestState()
+	for i := range 2 * meshLimit {
+		node := fmt.Sprint("peer-", i)
+		s.peers.List(bootNow(), node, "127.0.0.1:1", 1, 1)
+		s.peers.Heard(bootNow(), &mesh.Message{Record: mesh.Record{Node: node, Incarnation: 1}}, false)
+	}
+	d := &Daemon{settings: settings, platform: &fakePlatform{}, state: s}
+	s.toldConfirmed = bootNow()
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	startedAt := time.Now()
+	g.Expect(d.awaitCatalogTurn(ctx)).To(gomega.BeZero())
+	g.Expect(time.Since(startedAt)).To(gomega.BeNumerically(">=", time.Second))
+	s.toldConfirmed = bootNow().Add(-toldStale)
+	g.Expect(d.awaitCatalogTurn(context.Background())).To(gomega.Equal(catalogWait))
+}
--- a/pkg/edge/follow.go
+++ b/pkg/edge/follow.go
@@ -28,9 +28,10 @@
 	// store itself: a hub reads every 0.75 s at the latest and tells every
 	// 0.4 s at the latest.
 	toldStale = 1500 * time.Millisecond
-	// leafCatalogWait is how long a watch lasts at daemons that hubs tell of a
-	// new configuration as well.
-	leafCatalogWait = 8 * time.Second
+	// leafCatalogInterval is the time between two reads of the configuration at
+	// daemons that hubs tell of a new one at once; the reads find what no hub has
+	// told. A watch would cost a call per daemon and change.
+	leafCatalogInterval = 8 * time.Second
 	// storeRetry is the pause after a failed call.
 	storeRetry = 250 * time.Millisecond
 	// registerInterval is how often a daemon refreshes its row and reads those
@@ -74,7 +75,7 @@
 		if !known {
 			version, err = d.readCatalog(ctx)
 		} else {
-			version, err = d.watchCatalog(ctx, version)
+			version, err = d.watchCatalog(ctx, version, d.awaitCatalogTurn(ctx))
 		}
 		if ctx.Err() != nil {
 			return
@@ -104,11 +105,7 @@
 	return version, err
 }
 
-func (d *Daemon) watchCatalog(ctx context.Context, after uint64) (uint64, error) {
-	wait := catalogWait
-	if !d.state.followsStore() {
-		wait = leafCatalogWait
-	}
+func (d *Daemon) watchCatalog(ctx context.Context, after uint64, wait time.Duration) (uint64, error) {
 	c, version, err := d.platform.WatchCatalog(ctx, after, wait)
 	if err != nil {
 		return after, err
@@ -117,6 +114,21 @@
 	return max(version, after), nil
 }
 
+// awaitCatalogTurn waits while hubs tell this daemon of configurations, and
+// returns how long the next watch may last.
+func (d *Daemon) awaitCatalogTurn(ctx context.Context) time.Duration {
+	for waited := time.Duration(0); waited < leafCatalogInterval; waited += serversPause {
+		if d.state.followsStore() {
+			return catalogWait
+		}
+		pause(ctx, serversPause)
+		if ctx.Err() != nil {
+			break
+		}
+	}
+	return 0
+}
+
 // followServers keeps the view of the BackendServers up to date.
 func (d *Daemon) followServers(ctx context.Context) {
 	s := d.state
--- a/pkg/edge/settings.go
+++ b/pkg/edge/settings.go
@@ -21,9 +21,11 @@
 	Cores float64
 	// GracePeriod is the time from SIGTERM to SIGKILL.
 	GracePeriod time.Duration
-	// RetryRatio and RetrySlack bound repeats to servers, over all daemons.
-	RetryRatio float64
-	RetrySlack float64
+	// RetryRatio and RetrySlack bound the repeats to servers in any RetryWindow,
+	// over all daemons.
+	RetryRatio  float64
+	RetrySlack  float64
+	RetryWindow time.Duration
 	// QuotaWindow, QuotaOverage and QuotaSlack say how exactly usage limits
 	// have to hold.
 	QuotaWindow  time.Duration
--- a/pkg/edge/state.go
+++ b/pkg/edge/state.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"cmp"
 	"sync"
 	"time"
 
@@ -22,8 +23,12 @@
 	// write their entries again, with the time of one read added.
 	returnGrace = 2300 * time.Millisecond
 	// retryMargin is the part of the shared retry budget that is spent; the
-	// rest covers daemons that do not know of one another yet.
+	// rest covers daemons that do not know of one another yet, and requests
+	// that become fewer after a burst of repeats.
 	retryMargin = 0.8
+	// defaultRetryWindow is used when the settings name no window: the
+	// platform's example has 10 s.
+	defaultRetryWindow = 10 * time.Second
 	// quarantineCrashes is how many servers a request may crash before it is
 	// refused everywhere.
 	quarantineCrashes = 2
@@ -49,7 +54,7 @@
 	usage      *usage.Core
 	peers      *mesh.Directory
 	quarantine *quarantine.Core
-	retries    map[string]*retry.Budget
+	retries    map[string]*retry.Window
 	storeUp    bool
 	// serversReadAt is when the store last told of servers.
 	serversReadAt time.Time
@@ -67,20 +72,21 @@
 
 func newState(settings Settings, pool *backendconn.Pool) *state {
 	now := bootNow()
+	incarnation := uint64(time.Now().UnixNano())
 	options := quarantine.DefaultOptions()
 	options.Crashes = quarantineCrashes
 	return &state{
 		settings:    settings,
-		incarnation: uint64(time.Now().UnixNano()),
+		incarnation: incarnation,
 		pool:        pool,
 		fleet:       fleet.New(fleet.Options{ReturnGrace: returnGrace}),
-		placement:   placement.NewCore(placement.Options{}),
+		placement:   placement.NewCore(placement.Options{Seed: incarnation}),
 		quota:       quota.New(now, quota.Options{Window: settings.QuotaWindow, Overage: settings.QuotaOverage, Slack: settings.QuotaSlack}),
 		usage:       usage.New(settings.UsageWindow),
 		peers: mesh.NewDirectory(settings.Node, settings.Cores, mesh.Options{Interval: exchangeInterval, LeafInterval: leafInterval,
 			GoneAfter: peerGoneAfter, MeshLimit: meshLimit, Hubs: hubs}),
 		quarantine: quarantine.New(options),
-		retries:    make(map[string]*retry.Budget),
+		retries:    make(map[string]*retry.Window),
 		urgent:     make(chan struct{}, 1),
 	}
 }
@@ -225,20 +231,20 @@
 	return now.Add(s.peers.ClockAhead(now, time.Now().Round(0).Sub(now)))
 }
 
-// Arrived credits the retry budget of a service.
+// Arrived counts a request towards the retry budget of its service.
 func (s *state) Arrived(service string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.budget(service).Succeeded()
+	s.budget(service).Arrived(bootNow())
 }
 
 // Retry spends one retry of a service.
 func (s *state) Retry(service string) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	ok := s.budget(service).Spend()
+	ok := s.budget(service).Spend(bootNow(), s.retrySlack())
 	if !ok {
-		klog.InfoS("retry budget spent", "service", service)
+		klog.InfoS("retry budget spent", "service", service, "slack", s.retrySlack(), "daemons", s.peers.Size())
 	}
 	return ok
 }
@@ -247,21 +253,27 @@
 func (s *state) RetryLeft(service string) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.budget(service).Balance() >= 1
+	return s.budget(service).Left(bootNow(), s.retrySlack()) >= 1
 }
 
 // budget is this daemon's part of a service's retries: what its own requests
-// earn and an equal share of the slack.
-func (s *state) budget(service string) *retry.Budget {
+// earn, beside an equal share of the slack.
+func (s *state) budget(service string) *retry.Window {
 	b, ok := s.retries[service]
 	if !ok {
-		share := retryMargin * s.settings.RetrySlack / float64(max(s.peers.Size(), minDaemons))
-		b = retry.NewBudget(retry.Options{Ratio: retryMargin * s.settings.RetryRatio, Initial: share, Max: share})
+		b = retry.NewWindow(retry.WindowOptions{
+			Length: cmp.Or(s.settings.RetryWindow, defaultRetryWindow), Ratio: retryMargin * s.settings.RetryRatio,
+		})
 		s.retries[service] = b
 	}
 	return b
 }
 
+// retrySlack is this daemon's share of the repeats that need no requests.
+func (s *state) retrySlack() float64 {
+	return retryMargin * s.settings.RetrySlack / float64(max(s.peers.Size(), minDaemons))
+}
+
 // minDaemons is the least number of daemons that shares are taken for, while
 // not all of them are known.
 const minDaemons = 4
@@ -307,3 +319,18 @@
 		s.quarantine.Succeeded(time.Now(), f)
 	}
 }
+
+// summarize logs what this daemon knows, so that a later failure can be read
+// against it.
+func (s *state) summarize(active int64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := bootNow()
+	version := int64(0)
+	if s.catalog != nil {
+		version = s.catalog.Version
+	}
+	klog.InfoS("summary", "active", active, "configuration", version, "servers", len(s.fleet.Servers()),
+		"fleetVersion", s.fleet.Version(), "fleetAgeMs", s.fleetAge().Milliseconds(), "storeAnswers", s.storeUp,
+		"daemons", s.peers.Size(), "hub", s.peers.IsHub(now), "peersAgeMs", s.peers.Staleness().Milliseconds())
+}
