--- a/pkg/placement/core.go
+++ b/pkg/placement/core.go
@@ -6,6 +6,8 @@
 	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/monsooncrank/monsooncrank/pkg/fleet"
 )
 
@@ -31,10 +33,14 @@
 	prefillRate float64
 	// work is the mean run time of plain requests.
 	work time.Duration
+	// keepers are the servers that have read a shared prompt part, by its chain.
+	keepers map[uint64][]*server
 }
 
 type server struct {
 	fleet.Server
+	// hash is that of the ID.
+	hash    uint64
 	service *service
 	own     Load
 	others  Load
@@ -95,7 +101,7 @@
 func (c *Core) service(name string) *service {
 	s, ok := c.services[name]
 	if !ok {
-		s = &service{prefillRate: c.options.PrefillRate, work: plainWork}
+		s = &service{prefillRate: c.options.PrefillRate, work: plainWork, keepers: make(map[uint64][]*server)}
 		c.services[name] = s
 	}
 	return s
@@ -117,19 +123,18 @@
 	if s, ok := c.servers[f.ID]; ok {
 		s.service.remove(s)
 	}
-	s := &server{Server: f, service: c.service(f.Service), slowness: 1, cached: make(map[uint64]cachedPart)}
+	s := &server{Server: f, hash: xxhash.Sum64String(f.ID), service: c.service(f.Service), slowness: 1,
+		cached: make(map[uint64]cachedPart)}
 	c.servers[f.ID] = s
 	s.service.servers = append(s.service.servers, s)
 	c.sumPeers()
 }
 
 func (s *service) remove(gone *server) {
-	for i, o := range s.servers {
-		if o == gone {
-			s.servers = append(s.servers[:i], s.servers[i+1:]...)
-			return
-		}
+	for chain := range gone.cached {
+		gone.forget(chain)
 	}
+	s.servers = slices.DeleteFunc(s.servers, func(o *server) bool { return o == gone })
 }
 
 // Misdirected says that the address of a server belongs to another one now.
@@ -227,8 +232,7 @@
 	var best Decision
 	bestScore, candidates := math.Inf(1), 0
 	home := s.home(q.Parts)
-	usable := s.usable(q.Exclude)
-	for _, o := range c.candidates(usable, home, q.Parts) {
+	for _, o := range c.candidates(s, home, q) {
 		candidates++
 		wait, cached := o.wait(now, q, o == home)
 		score := float64(wait) + o.penalty(now, q) + reread(q, cached, s.prefillRate)
@@ -248,48 +252,59 @@
 	return best, nil
 }
 
-// usable returns the servers that a request may go to.
-func (s *service) usable(exclude []string) []*server {
-	list := make([]*server, 0, len(s.servers))
-	for _, o := range s.servers {
-		if !o.unusable && !excluded(exclude, o.ID) {
-			list = append(list, o)
-		}
-	}
-	return list
-}
-
 // candidates returns the servers to compare. Where there are many, so are the
 // daemons, and the load that they state is older than the time in which a server
 // gets its next requests: if all daemons took the least loaded of all servers,
 // they would meet there. Each compares those that have read all shared parts of
 // the prompt and a few at random.
-func (c *Core) candidates(usable []*server, home *server, parts []Part) []*server {
-	if len(usable) <= comparedServers {
-		// Daemons that know of nothing else must not all take the first of
-		// equals.
-		if len(usable) > 1 {
-			first := c.random.IntN(len(usable))
-			usable = append(slices.Clone(usable[first:]), usable[:first]...)
-		}
-		return usable
-	}
-	shared := uint64(0)
-	if names := chains(parts); len(names) > 0 {
-		shared = names[len(names)-1]
+func (c *Core) candidates(s *service, home *server, q *Query) []*server {
+	if len(s.servers) <= comparedServers {
+		return c.rotated(s.usable(q))
 	}
 	list := make([]*server, 0, 2*sampledServers)
-	for _, o := range usable {
-		if _, keeps := o.cached[shared]; keeps || o == home {
+	if names := chains(q.Parts); len(names) > 0 {
+		list = append(list, s.keepers[names[len(names)-1]]...)
+	}
+	if home != nil && !slices.Contains(list, home) {
+		list = append(list, home)
+	}
+	for range sampledServers {
+		if o := s.servers[c.random.IntN(len(s.servers))]; !slices.Contains(list, o) {
 			list = append(list, o)
 		}
 	}
-	for range sampledServers {
-		list = append(list, usable[c.random.IntN(len(usable))])
+	list = slices.DeleteFunc(list, func(o *server) bool { return !o.takes(q) })
+	if len(list) == 0 {
+		// Nearly all servers are excluded.
+		return c.rotated(s.usable(q))
 	}
 	return list
 }
 
+// takes reports whether a request may go to the server.
+func (s *server) takes(q *Query) bool { return !s.unusable && !slices.Contains(q.Exclude, s.ID) }
+
+// usable returns the servers that a request may go to.
+func (s *service) usable(q *Query) []*server {
+	list := make([]*server, 0, len(s.servers))
+	for _, o := range s.servers {
+		if o.takes(q) {
+			list = append(list, o)
+		}
+	}
+	return list
+}
+
+// rotated begins the list anywhere: daemons that know of nothing else must not
+// all take the first of equals.
+func (c *Core) rotated(list []*server) []*server {
+	if len(list) < 2 {
+		return list
+	}
+	first := c.random.IntN(len(list))
+	return append(list[first:len(list):len(list)], list[:first]...)
+}
+
 func (c *Core) loadAge(now time.Time) time.Duration {
 	var age time.Duration
 	for _, p := range c.peers {
@@ -298,15 +313,6 @@
 	return age
 }
 
-func excluded(ids []string, id string) bool {
-	for _, e := range ids {
-		if e == id {
-			return true
-		}
-	}
-	return false
-}
-
 // Summary describes a service for scaling.
 type Summary struct {
 	// Running and Prefill are summed over all daemons.
--- a/pkg/placement/learn.go
+++ b/pkg/placement/learn.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 )
 
@@ -34,17 +35,31 @@
 func (s *server) remember(now time.Time, chains []uint64, uncached int) {
 	s.inserted += uncached
 	for _, chain := range chains {
+		if _, known := s.cached[chain]; !known {
+			s.service.keepers[chain] = append(s.service.keepers[chain], s)
+		}
 		s.cached[chain] = cachedPart{at: now, inserted: s.inserted}
 	}
 	if len(s.cached) > maxCachedParts {
 		for chain, p := range s.cached {
 			if !s.kept(now, p) {
-				delete(s.cached, chain)
+				s.forget(chain)
 			}
 		}
 	}
 }
 
+// forget removes a part that the server does not keep any more.
+func (s *server) forget(chain uint64) {
+	delete(s.cached, chain)
+	left := slices.DeleteFunc(s.service.keepers[chain], func(o *server) bool { return o == s })
+	if len(left) == 0 {
+		delete(s.service.keepers, chain)
+		return
+	}
+	s.service.keepers[chain] = left
+}
+
 // chains names the shared parts of a prompt.
 func chains(parts []Part) []uint64 {
 	if len(parts) < 2 {
--- a/pkg/placement/placement_test.go
+++ b/pkg/placement/placement_test.go
@@ -304,3 +304,21 @@
 	g.Expect(errors.As(err, &refused)).To(gomega.BeTrue())
 	g.Expect(refused.Reason).To(gomega.Equal(placement.RefusedNoServer))
 }
+
+// Answers servers that leave, on a deployment where not all are compared: a
+// prompt that only they have read goes elsewhere.
+func TestServersThatAreGoneAreNotCompared(t *testing.T) {
+	g := gomega.NewWithT(t)
+	c := newCore(60, 0)
+	for i := range 20 {
+		group := fmt.Sprintf("g%d", i%4)
+		d := place(t, c, at(i), fmt.Sprint(i), letter(at(i), group, 100))
+		gone := joined(d.Server.ID, models, 64)
+		gone.Change = fleet.Left
+		c.Handle(gone)
+		again, err := c.Pick(at(i), letter(at(i), group, 100))
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		g.Expect(again.Server.ID).NotTo(gomega.Equal(d.Server.ID))
+		g.Expect(again.Candidates).To(gomega.BeNumerically("<=", 8))
+	}
+}
--- a/pkg/placement/score.go
+++ b/pkg/placement/score.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"encoding/binary"
 	"math"
 	"time"
 
@@ -24,11 +25,14 @@
 	}
 	var best *server
 	var highest uint64
+	var pair [16]byte
+	binary.LittleEndian.PutUint64(pair[:8], xxhash.Sum64String(key))
 	for _, o := range s.servers {
 		if o.unusable {
 			continue
 		}
-		if h := xxhash.Sum64String(key + "\x00" + o.ID); best == nil || h > highest {
+		binary.LittleEndian.PutUint64(pair[8:], o.hash)
+		if h := xxhash.Sum64(pair[:]); best == nil || h > highest {
 			best, highest = o, h
 		}
 	}
--- a/pkg/scaling/plan.go
+++ b/pkg/scaling/plan.go
@@ -152,17 +152,6 @@
 	return wanted
 }
 
-// booting reports whether reclaimable servers are still to come for which their
-// zone has room.
-func (c *Core) booting(s *catalog.Scaling, perZone int, firm map[string]int, servers []fleet.Server) bool {
-	for zone := range s.ZonePrices {
-		if reclaimableIn(c.service, zone, servers) < min(perZone, s.Max-firm[zone]) {
-			return true
-		}
-	}
-	return false
-}
-
 // scarce reports whether reclaimable servers were taken away or refused lately:
 // what is left of them may be reclaimed without others to be had.
 func (c *Core) scarce(now time.Time) bool {
--- a/pkg/scaling/scaling.go
+++ b/pkg/scaling/scaling.go
@@ -67,9 +67,6 @@
 	// repeatAfter is when an order is given again that the fleet does not show:
 	// a server boots and writes its entry well within that time.
 	repeatAfter = 10 * time.Second
-	// keepForZones is how many zones may be reclaimed before the firm servers
-	// that are there have been missed: zones go within a second of one another.
-	keepForZones = 2
 	// reclaimedAfter is when an order is given again after servers were
 	// reclaimed.
 	reclaimedAfter = 2 * time.Second
