--- a/pkg/relay/front.go
+++ b/pkg/relay/front.go
@@ -189,9 +189,14 @@
 	if x.TimeLeft > 0 {
 		wait = x.TimeLeft
 	}
-	_ = control.SetReadDeadline(x.received.Add(wait))
+	if err := control.SetReadDeadline(x.received.Add(wait)); err != nil {
+		// The connection is closed; the read tells the same.
+		klog.InfoS("body not bounded in time", "request", x.ID, "err", err)
+	}
 	body, err := io.ReadAll(http.MaxBytesReader(x.w, r.Body, limit))
-	_ = control.SetReadDeadline(time.Time{})
+	if unbound := control.SetReadDeadline(time.Time{}); unbound != nil && err == nil {
+		err = unbound
+	}
 	if err != nil {
 		if _, tooLarge := err.(*http.MaxBytesError); tooLarge {
 			return api.NotRun(api.ProblemTooLarge, http.StatusRequestEntityTooLarge, "body too large")
