Send configurations packed from one hub; take no version without its changes

Two changes to what daemons tell one another, found on the grown deployments.

Configurations. Change: a configuration is packed (zstd), one hub sends it to a daemon, the others and the store follow when it does not come within 0.7 s; a version that is in force already is not decoded.

A hub whose view is too old to tell, as one that was frozen, still stated its version, and a daemon took that version over without the changes before it, so that no other hub told it of them any more. Ruled out: older entries that overwrite newer ones (Apply refuses older versions). Change: the version of the last change is stated, and a version without entries is taken over only if the own view has that change. TestAStaleHubDoesNotHideChanges fails without it.

--- a/pkg/edge/edge_test.go
+++ b/pkg/edge/edge_test.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"sync"
@@ -75,6 +76,31 @@
 	g.Expect(s.fleet.Servers()[0].Leaving).To(gomega.BeTrue())
 }
 
+// Answers a hub that was frozen or slow (ganda-ho-grown hunt,
+// duties-under-cloud-faults: a request reached a server 3.1 s after it had said
+// that it leaves): its view is too old to tell, and its version must not make
+// this daemon skip what changed before it.
+func TestAStaleHubDoesNotHideChanges(t *testing.T) {
+	g := gomega.NewWithT(t)
+	server := fleet.Server{ID: "x", Service: "s", Address: "10.0.0.1:80"}
+	own := settings
+	own.Node = "hub"
+	hub, s := newState(own, backendconn.NewPool()), newTestState()
+	for _, d := range []*state{hub, s} {
+		d.follow(d.fleet.Snapshot(bootNow(), 5, []fleet.Entry{{ID: "x", Server: &server}}), "store")
+	}
+	hub.peers.Heard(bootNow(), &mesh.Message{Record: mesh.Record{Node: "self", Incarnation: 1}, FleetVersion: 5}, false)
+	leaving := server
+	leaving.Leaving = true
+	hub.follow(hub.fleet.Apply(bootNow(), 6, []fleet.Entry{{ID: "x", Server: &leaving}}), "store")
+	hub.serversReadAt = bootNow().Add(-toldStale)
+	s.takeFleet(hub.message("self"))
+	hub.peers.Heard(bootNow(), s.message("hub"), false)
+	hub.serversReadAt = bootNow()
+	s.takeFleet(hub.message("self"))
+	g.Expect(s.fleet.Servers()[0].Leaving).To(gomega.BeTrue())
+}
+
 // Answers a service that fails all requests: repeats stay within the daemon's
 // part of the budget.
 func TestRepeatsStayWithinThePartOfTheBudget(t *testing.T) {
@@ -163,11 +189,7 @@
 func TestDaemonsThatHubsTellDoNotWatchTheStore(t *testing.T) {
 	g := gomega.NewWithT(t)
 	s := newTestState()
-	for i := range 2 * meshLimit {
-		node := fmt.Sprint("peer-", i)
-		s.peers.List(bootNow(), node, "127.0.0.1:1", 1, 1)
-		s.peers.Heard(bootNow(), &mesh.Message{Record: mesh.Record{Node: node, Incarnation: 1}}, false)
-	}
+	addPeers(s, 2*meshLimit)
 	d := &Daemon{settings: settings, platform: &fakePlatform{}, state: s}
 	s.toldConfirmed = bootNow()
 	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
@@ -177,4 +199,74 @@
 	g.Expect(time.Since(startedAt)).To(gomega.BeNumerically(">=", time.Second))
 	s.toldConfirmed = bootNow().Add(-toldStale)
 	g.Expect(d.awaitCatalogTurn(context.Background())).To(gomega.Equal(catalogWait))
+	s.putInForce(configuration(3), "store")
+	s.toldConfirmed = bootNow()
+	s.hearCatalog(bootNow(), 4)
+	startedAt = time.Now()
+	g.Expect(d.awaitCatalogTurn(context.Background())).To(gomega.BeZero())
+	g.Expect(time.Since(startedAt)).To(gomega.BeNumerically("~", catalogPatience, 2*catalogTurn), "a hub tells of a version that does not come")
+}
+
+func addPeers(s *state, n int) {
+	for i := range n {
+		node := fmt.Sprint("peer-", i)
+		s.peers.List(bootNow(), node, "127.0.0.1:1", 1, 1)
+		s.peers.Heard(bootNow(), &mesh.Message{Record: mesh.Record{Node: node, Incarnation: 1}}, false)
+	}
+}
+
+// Answers large configurations in a row on dozens of daemons
+// (kodiclub-enrol-grown scale-1: three copies of each version to every daemon
+// filled links of 10 Mbit/s): one of the hubs sends a daemon what it lacks, and
+// the others only when it does not come.
+func TestOneHubSendsAConfiguration(t *testing.T) {
+	g := gomega.NewWithT(t)
+	var hubs []*state
+	for _, node := range []string{"hub-0", "hub-1", "hub-2"} {
+		own := settings
+		own.Node, own.Cores = node, 9
+		s := newState(own, backendconn.NewPool())
+		addPeers(s, 2*meshLimit)
+		for _, other := range []string{"hub-0", "hub-1", "hub-2"} {
+			s.peers.List(bootNow(), other, "127.0.0.1:1", 9, 1)
+		}
+		s.putInForce(configuration(3), "store")
+		hubs = append(hubs, s)
+	}
+	now := bootNow()
+	sending := func(node string, version int64) int {
+		n := 0
+		for _, s := range hubs {
+			if s.sendsCatalog(now, node, version) {
+				n++
+			}
+		}
+		return n
+	}
+	for i := range 2 * meshLimit {
+		node := fmt.Sprint("peer-", i)
+		g.Expect(sending(node, 2)).To(gomega.Equal(1))
+		g.Expect(sending(node, 2)).To(gomega.BeZero(), "on its way")
+	}
+	now = now.Add(catalogPatience)
+	g.Expect(sending("peer-0", 3)).To(gomega.BeZero())
+	g.Expect(sending("peer-1", 2)).To(gomega.Equal(3), "lost on its way, or the hub that serves it is gone")
+	few := newTestState()
+	addPeers(few, 3)
+	few.putInForce(configuration(3), "store")
+	g.Expect(few.sendsCatalog(now, "peer-1", 2)).To(gomega.BeTrue(), "a few daemons tell one another at once")
+}
+
+// Guards against a configuration that is changed on its way between daemons.
+func TestAPackedConfigurationIsTheSame(t *testing.T) {
+	g := gomega.NewWithT(t)
+	source := bytes.Repeat([]byte(`{"name":"r-dhbjphp","host":"ficu95.example"},`), 10_000)
+	packed, err := mesh.Pack(source)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(len(packed)).To(gomega.BeNumerically("<", len(source)/5))
+	unpacked, err := mesh.Unpack(packed)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(unpacked).To(gomega.Equal(source))
+	_, err = mesh.Unpack(source)
+	g.Expect(err).To(gomega.HaveOccurred())
 }
--- a/pkg/edge/exchange.go
+++ b/pkg/edge/exchange.go
@@ -7,6 +7,7 @@
 	"k8s.io/klog/v2"
 
 	"github.com/monsooncrank/monsooncrank/coordination/quarantine"
+	"github.com/monsooncrank/monsooncrank/pkg/catalog"
 	"github.com/monsooncrank/monsooncrank/pkg/mesh"
 	"github.com/monsooncrank/monsooncrank/pkg/peer"
 )
@@ -31,6 +32,11 @@
 	// hubs is how many daemons follow the store for all and pass records on;
 	// one is left when two hosts are lost at once.
 	hubs = 3
+	// catalogPatience is how long a daemon waits for a configuration that it has
+	// heard of before it reads the store, and a hub for a neighbor that another
+	// hub serves. With a message of 0.4 s before it and one after it, or a read
+	// of 0.3 s, the configuration is in force within two seconds.
+	catalogPatience = 700 * time.Millisecond
 	// crashNews is how long a crash is told to peers; it outlasts a short cut.
 	crashNews = 15 * time.Second
 )
@@ -52,12 +58,13 @@
 	m := &mesh.Message{
 		Record: s.record(), Address: s.settings.PeerAddress, WallUnixMilli: time.Now().UnixMilli(),
 		Records: s.peers.RecordsFor(now, node), Stamp: s.peers.Stamp(), Since: s.peers.SinceOf(node),
-		FleetAgeMillis: s.fleetAge().Milliseconds(), FleetVersion: s.fleet.Version(), Quarantine: s.recentCrashes(),
+		FleetAgeMillis: s.fleetAge().Milliseconds(), FleetVersion: s.fleet.Version(), FleetChanged: s.fleet.Changed(),
+		Quarantine: s.recentCrashes(),
 	}
 	if s.catalog != nil {
 		m.CatalogVersion = s.catalog.Version
-		if s.catalog.Version > neighbor.CatalogVersion {
-			m.Catalog = s.catalog.Source
+		if s.sendsCatalog(now, node, neighbor.CatalogVersion) {
+			m.Catalog = s.packedCatalog()
 		}
 	}
 	if s.fleet.Known() && s.fleetAge() < toldStale && (neighbor.FleetVersion == 0 || s.fleet.Changed() > neighbor.FleetVersion) {
@@ -70,6 +77,52 @@
 	return m
 }
 
+// packedCatalog returns the configuration in force as it is sent to peers, or
+// nothing if it cannot be packed; they read the store then.
+func (s *state) packedCatalog() []byte {
+	if s.packed != nil {
+		return s.packed
+	}
+	packed, err := mesh.Pack(s.catalog.Source)
+	if err != nil {
+		klog.ErrorS(err, "configuration cannot be packed", "version", s.catalog.Version)
+		return nil
+	}
+	s.packed = packed
+	return packed
+}
+
+// behind is a neighbor that has not had the newest configuration since a time.
+type behind struct {
+	version int64
+	since   time.Time
+}
+
+// sendsCatalog reports whether a neighbor is to be sent the configuration in
+// force. Of several hubs one sends it at once; the others do when the neighbor
+// makes no progress: copies of a large configuration from all of them would fill
+// a small host's link.
+func (s *state) sendsCatalog(now time.Time, node string, version int64) bool {
+	if s.catalog.Version <= version {
+		delete(s.behind, node)
+		return false
+	}
+	if s.peers.Meshed() {
+		return true
+	}
+	known, ok := s.behind[node]
+	if !ok || known.version != version {
+		s.behind[node] = behind{version: version, since: now}
+		return s.peers.Serves(node)
+	}
+	if now.Sub(known.since) < catalogPatience {
+		return false
+	}
+	// Sent again if it gets lost.
+	s.behind[node] = behind{version: version, since: now}
+	return true
+}
+
 // recentCrashes returns what peers may not know yet of requests that crash
 // servers.
 func (s *state) recentCrashes() []quarantine.Entry {
@@ -84,8 +137,8 @@
 
 // take takes the message of a neighbor.
 func (d *Daemon) take(m *mesh.Message, asked bool) {
-	if len(m.Catalog) > 0 {
-		c, err := d.platform.DecodeCatalog(m.Catalog)
+	if len(m.Catalog) > 0 && d.state.lacks(m.CatalogVersion) {
+		c, err := d.unpackCatalog(m.Catalog)
 		if err != nil {
 			klog.ErrorS(err, "configuration of a peer cannot be read", "peer", m.Record.Node)
 		} else {
@@ -96,6 +149,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.peers.Heard(bootNow(), m, asked)
+	s.hearCatalog(bootNow(), m.CatalogVersion)
 	s.takeRecord(&m.Record)
 	for i := range m.Records {
 		s.takeRecord(&m.Records[i])
@@ -108,6 +162,14 @@
 	s.takeFleet(m)
 }
 
+func (d *Daemon) unpackCatalog(packed []byte) (*catalog.Catalog, error) {
+	source, err := mesh.Unpack(packed)
+	if err != nil {
+		return nil, err
+	}
+	return d.platform.DecodeCatalog(source)
+}
+
 // takeRecord takes what a daemon states of itself.
 func (s *state) takeRecord(r *mesh.Record) {
 	now := bootNow()
@@ -147,7 +209,8 @@
 		s.follow(s.fleet.Snapshot(now, m.FleetVersion, m.Fleet), source)
 	case m.HasFleet && m.FleetSince <= s.fleet.Version():
 		s.follow(s.fleet.Apply(now, m.FleetVersion, m.Fleet), source)
-	case m.HasFleet || !s.fleet.Known():
+	case m.HasFleet || !s.fleet.Known() || m.FleetChanged > s.fleet.Version():
+		// What has changed since the own view is not told.
 		return
 	default:
 		s.follow(s.fleet.Apply(now, m.FleetVersion, nil), source)
--- a/pkg/edge/follow.go
+++ b/pkg/edge/follow.go
@@ -30,8 +30,11 @@
 	toldStale = 1500 * time.Millisecond
 	// leafCatalogInterval is the time between two reads of the configuration at
 	// daemons that hubs tell of a new one at once; the reads find what no hub has
-	// told. A watch would cost a call per daemon and change.
+	// told. Changes that come while a daemon reads cost it one call together.
 	leafCatalogInterval = 8 * time.Second
+	// catalogTurn is how often a daemon looks whether a hub has told of a new
+	// configuration: a small part of the time in which it has to be in force.
+	catalogTurn = 200 * time.Millisecond
 	// storeRetry is the pause after a failed call.
 	storeRetry = 250 * time.Millisecond
 	// registerInterval is how often a daemon refreshes its row and reads those
@@ -115,14 +118,15 @@
 }
 
 // awaitCatalogTurn waits while hubs tell this daemon of configurations, and
-// returns how long the next watch may last.
+// returns how long the next watch may last: not at all when one that they told of
+// is overdue.
 func (d *Daemon) awaitCatalogTurn(ctx context.Context) time.Duration {
-	for waited := time.Duration(0); waited < leafCatalogInterval; waited += serversPause {
+	for waited := time.Duration(0); waited < leafCatalogInterval; waited += catalogTurn {
 		if d.state.followsStore() {
 			return catalogWait
 		}
-		pause(ctx, serversPause)
-		if ctx.Err() != nil {
+		pause(ctx, catalogTurn)
+		if ctx.Err() != nil || d.state.catalogOverdue(bootNow()) {
 			break
 		}
 	}
@@ -291,6 +295,7 @@
 	for _, node := range s.peers.Expire(bootNow()) {
 		klog.InfoS("peer is gone", "peer", node)
 		s.quota.Forget(node)
+		delete(s.behind, node)
 	}
 }
 
--- a/pkg/edge/state.go
+++ b/pkg/edge/state.go
@@ -61,7 +61,16 @@
 	// toldConfirmed is when the store confirmed the newest view that a peer
 	// has told of.
 	toldConfirmed time.Time
-	stopping      bool
+	// toldCatalog is the newest configuration that a peer has in force, and
+	// lacksSince is since when a newer one than the own has been known.
+	toldCatalog int64
+	lacksSince  time.Time
+	// packed is the source of the configuration in force as peers are sent it,
+	// once one was.
+	packed []byte
+	// behind are the neighbors that have an older configuration.
+	behind   map[string]behind
+	stopping bool
 	// told are the daemons that are to hear of news at once.
 	told []mesh.Peer
 	// sequence counts the records that this daemon has stated.
@@ -87,6 +96,7 @@
 			GoneAfter: peerGoneAfter, MeshLimit: meshLimit, Hubs: hubs}),
 		quarantine: quarantine.New(options),
 		retries:    make(map[string]*retry.Window),
+		behind:     make(map[string]behind),
 		urgent:     make(chan struct{}, 1),
 	}
 }
@@ -98,6 +108,32 @@
 	return s.catalog
 }
 
+// lacks reports whether a version is newer than the one in force.
+func (s *state) lacks(version int64) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.catalog == nil || version > s.catalog.Version
+}
+
+// hearCatalog takes the version of a peer's configuration.
+func (s *state) hearCatalog(now time.Time, version int64) {
+	if s.catalog == nil || version <= s.toldCatalog {
+		return
+	}
+	if s.toldCatalog <= s.catalog.Version {
+		s.lacksSince = now
+	}
+	s.toldCatalog = version
+}
+
+// catalogOverdue reports whether a configuration that a peer has told of has not
+// come in time.
+func (s *state) catalogOverdue(now time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.catalog != nil && s.toldCatalog > s.catalog.Version && now.Sub(s.lacksSince) >= catalogPatience
+}
+
 // putInForce takes a configuration unless it is older than the one in force.
 func (s *state) putInForce(c *catalog.Catalog, source string) {
 	s.mu.Lock()
@@ -110,6 +146,8 @@
 		before = s.catalog.Version
 	}
 	s.catalog = c
+	s.lacksSince = bootNow()
+	s.packed = nil
 	limits := make(map[string]quota.Limit, len(c.Accounts))
 	for _, a := range c.Accounts {
 		limits[a.Name] = quota.Limit{Rate: a.Rate, Burst: a.Burst}
--- a/pkg/mesh/directory.go
+++ b/pkg/mesh/directory.go
@@ -216,6 +216,16 @@
 	return *p, true
 }
 
+// Serves reports whether this daemon is the hub that sends large news to a
+// daemon first; each daemon has one of the hubs.
+func (d *Directory) Serves(node string) bool {
+	hubs := d.ranked()
+	return len(hubs) > 0 && hubs[xxhash.Sum64String(node)%uint64(len(hubs))] == d.self
+}
+
+// Meshed reports whether all daemons talk to all.
+func (d *Directory) Meshed() bool { return d.meshed() }
+
 func (d *Directory) meshed() bool { return len(d.peers)+1 <= d.options.MeshLimit }
 
 // ranked returns the daemons in the order in which they become hubs: by weight,
--- a/pkg/mesh/message.go
+++ b/pkg/mesh/message.go
@@ -48,10 +48,10 @@
 	// the receiver up to which the sender has everything.
 	Stamp uint64 `cbor:"5,keyasint"`
 	Since uint64 `cbor:"6,keyasint"`
-	// CatalogVersion is the configuration in force; Catalog is its source and
-	// is sent to a receiver that has an older one.
+	// CatalogVersion is the configuration in force; Catalog is its source as
+	// packed by Pack, for a receiver that has an older one.
 	CatalogVersion int64  `cbor:"7,keyasint"`
-	Catalog        []byte `cbor:"8,keyasint,omitempty"`
+	Catalog        []byte `cbor:"15,keyasint,omitempty"`
 	// FleetAgeMillis is how long ago the store confirmed the sender's view of
 	// servers, to the sender or to whoever told it; negative means unknown.
 	// FleetVersion is the store's version of the view.
@@ -59,10 +59,14 @@
 	FleetVersion   uint64 `cbor:"10,keyasint"`
 	// Fleet holds the entries that changed after FleetSince, or all if
 	// FleetSince is 0.
-	Fleet      []fleet.Entry      `cbor:"11,keyasint,omitempty"`
-	FleetSince uint64             `cbor:"12,keyasint,omitempty"`
-	HasFleet   bool               `cbor:"13,keyasint,omitempty"`
-	Quarantine []quarantine.Entry `cbor:"14,keyasint,omitempty"`
+	Fleet      []fleet.Entry `cbor:"11,keyasint,omitempty"`
+	FleetSince uint64        `cbor:"12,keyasint,omitempty"`
+	HasFleet   bool          `cbor:"13,keyasint,omitempty"`
+	// FleetChanged is the version of the last change in the sender's view.
+	// Without entries a receiver may take over FleetVersion only if its own
+	// view is of that change or a later one.
+	FleetChanged uint64             `cbor:"16,keyasint,omitempty"`
+	Quarantine   []quarantine.Entry `cbor:"14,keyasint,omitempty"`
 }
 
 // Encode returns the message as bytes.
