--- a/pkg/placement/core.go
+++ b/pkg/placement/core.go
@@ -88,8 +88,8 @@
 	if options.PrefillRate == 0 {
 		options.PrefillRate = defaultPrefillRate
 	}
-	return &Core{options: options, random: rand.New(rand.NewPCG(options.Seed, 0)), services: make(map[string]*service), servers: make(map[string]*server),
-		attempts: make(map[string]*attempt), peers: make(map[string]peerLoad), work: make(map[string]Work)}
+	return &Core{options: options, random: rand.New(rand.NewPCG(options.Seed, 0)),
+		services: make(map[string]*service), servers: make(map[string]*server), attempts: make(map[string]*attempt), peers: make(map[string]peerLoad), work: make(map[string]Work)}
 }
 
 // SetEngine states the size of the engines of a service.
--- a/pkg/quota/quota.go
+++ b/pkg/quota/quota.go
@@ -130,8 +130,8 @@
 	if need := math.Min(cost, b.limit.Burst); b.level < need {
 		return time.Duration((need - b.level) / b.limit.Rate * float64(time.Second)), false
 	}
-	usual := c.usual(now, b, cost)
-	if !c.withinPortion(now, b, cost) && !usual {
+	asked := b.ask(now, cost)
+	if !c.withinPortion(now, b, cost) && !c.usual(b, asked, cost) {
 		return c.staleness, false
 	}
 	b.level -= cost
@@ -169,11 +169,9 @@
 	return spent+cost <= factor*share*(math.Max(b.level+spent, 0)+refill)
 }
 
-// usual reports whether an account asks this daemon for about its share and is
-// not near its limit. One request may cost more than a daemon's portion of the
-// bucket where there are dozens of daemons, though all of them together are asked
-// for far less than there is.
-func (c *Core) usual(now time.Time, b *bucket, cost float64) bool {
+// ask notes what a daemon is asked for and returns what it was asked for within
+// usualWindow before.
+func (b *bucket) ask(now time.Time, cost float64) float64 {
 	for len(b.asked) > 0 && now.Sub(b.asked[0].at) > usualWindow {
 		b.asked = b.asked[1:]
 	}
@@ -182,6 +180,14 @@
 		asked += a.cost
 	}
 	b.asked = append(b.asked, spending{at: now, cost: cost})
+	return asked
+}
+
+// usual reports whether an account asks this daemon for about its share and is
+// not near its limit. One request may cost more than a daemon's portion of the
+// bucket where there are dozens of daemons, though all of them together are asked
+// for far less than there is.
+func (c *Core) usual(b *bucket, asked, cost float64) bool {
 	share := b.limit.Rate * usualWindow.Seconds() / float64(len(c.peers)+1)
 	return b.level >= usualLevel*b.limit.Burst && asked+cost <= max(cost, usualFactor*share)
 }
