--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -9,6 +9,12 @@
 	"testing"
 	"time"
 
+	// The daemon is built while the test runs. Its packages are linked in, so
+	// that a result in the test cache does not outlive a change of them.
+	_ "github.com/monsooncrank/monsooncrank/pkg/edge"
+	_ "github.com/monsooncrank/monsooncrank/pkg/logging"
+	_ "github.com/monsooncrank/monsooncrank/platform"
+
 	"github.com/monsooncrank/monsooncrank/soak"
 )
 
