Log what a daemon knows of requests that crash servers

Change: "server broke off" and "request" hold the fingerprint, and the former whether the break counted as a crash; each change of a suspect is a line with its source and count; a counter of breaks by connection, silence and whether they counted. No decision is changed. Measured: tests of relay, edge and quarantine pass.

--- a/coordination/quarantine/quarantine.go
+++ b/coordination/quarantine/quarantine.go
@@ -33,6 +33,12 @@
 	return Fingerprint(hex.EncodeToString(h.Sum(nil)))
 }
 
+// shortLength is the length of a shortened fingerprint in hexadecimal digits.
+const shortLength = 12
+
+// Short returns the beginning of the fingerprint, for logs.
+func (f Fingerprint) Short() string { return string(f[:min(len(f), shortLength)]) }
+
 // Verdict states whether and how a request may run.
 type Verdict int
 
--- a/pkg/edge/exchange.go
+++ b/pkg/edge/exchange.go
@@ -169,7 +169,9 @@
 	s.placement.ApplyPeerLoads(time.Now())
 	s.quota.SetStaleness(s.peers.MaxStaleness())
 	for _, entry := range m.Quarantine {
-		s.quarantine.Merge(time.Now(), entry)
+		if s.quarantine.Merge(time.Now(), entry) {
+			s.logSuspect(&entry, "peer "+m.Record.Node)
+		}
 	}
 	s.applyFleet(m)
 }
--- a/pkg/edge/state.go
+++ b/pkg/edge/state.go
@@ -358,6 +358,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	entry, quarantined := s.quarantine.RecordCrash(time.Now(), f, server, advanced)
+	s.logSuspect(&entry, "own attempt")
 	if quarantined {
 		klog.InfoS("request quarantined", "fingerprint", string(f), "servers", entry.Servers)
 		s.wakeExchange()
@@ -370,10 +371,19 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if _, suspected := s.quarantine.Entry(f); suspected {
-		s.quarantine.RecordSuccess(time.Now(), f)
+		if entry, cleared := s.quarantine.RecordSuccess(time.Now(), f); cleared {
+			s.logSuspect(&entry, "completed")
+		}
 	}
 }
 
+// logSuspect logs a change of what this daemon knows of a request that may crash
+// servers.
+func (s *state) logSuspect(e *quarantine.Entry, source string) {
+	klog.InfoS("suspect", "fingerprint", e.Fingerprint.Short(), "source", source, "crashes", len(e.Servers), "servers", e.Servers,
+		"quarantined", e.Quarantined, "generation", e.Generation, "ageMs", time.Since(e.LastCrash).Milliseconds())
+}
+
 // logSummary logs a summary of the daemon's state as context for the analysis of
 // later failures.
 func (s *state) logSummary(active int64) {
--- a/pkg/relay/attempt.go
+++ b/pkg/relay/attempt.go
@@ -268,9 +268,13 @@
 		return outcomeDone
 	}
 	s.result = placement.ResultFailed
-	klog.InfoS("server broke off", "request", s.ID, "server", s.decision.Server.ID, "stalled", s.stalled.Load(),
-		"reused", s.conn.Reused, "event", s.lastSentEventID, "cause", s.cause, "afterMs", time.Since(s.startedAt).Milliseconds())
-	if !s.stalled.Load() && !s.conn.Reused {
+	crashed := !s.stalled.Load() && !s.conn.Reused
+	klog.InfoS("server broke off", "request", s.ID, "fingerprint", s.fingerprint.Short(), "server", s.decision.Server.ID,
+		"stalled", s.stalled.Load(), "reused", s.conn.Reused, "countedAsCrash", crashed, "event", s.lastSentEventID, "cause", s.cause,
+		"afterMs", time.Since(s.startedAt).Milliseconds())
+	s.handler.metrics.brokenAttempts.WithLabelValues(strconv.FormatBool(s.conn.Reused), strconv.FormatBool(s.stalled.Load()),
+		strconv.FormatBool(crashed)).Inc()
+	if crashed {
 		s.handler.controller.Crashed(s.fingerprint, s.decision.Server.ID, s.sentHeader)
 	}
 	return outcomeIncomplete
--- a/pkg/relay/metrics.go
+++ b/pkg/relay/metrics.go
@@ -9,6 +9,8 @@
 	requests  *prometheus.CounterVec
 	duration  *prometheus.HistogramVec
 	firstPart *prometheus.HistogramVec
+	// brokenAttempts counts the attempts whose server broke off.
+	brokenAttempts *prometheus.CounterVec
 }
 
 // NewMetrics creates the metrics and registers them.
@@ -22,6 +24,9 @@
 		firstPart: prometheus.NewHistogramVec(prometheus.HistogramOpts{Name: "monsooncrank_relay_first_part_seconds",
 			Help: "Time from the request to the first part of its answer.", Buckets: buckets}, []string{"kind"}),
 	}
-	registry.MustRegister(m.requests, m.duration, m.firstPart)
+	m.brokenAttempts = prometheus.NewCounterVec(prometheus.CounterOpts{Name: "monsooncrank_relay_broken_attempts_total",
+		Help: "Attempts whose server broke off, by use of the connection, silence, and whether they counted as a crash."},
+		[]string{"reused", "silent", "crash"})
+	registry.MustRegister(m.requests, m.duration, m.firstPart, m.brokenAttempts)
 	return m
 }
