--- a/soak/checks.go
+++ b/soak/checks.go
@@ -131,6 +131,9 @@
 	for _, violation := range h.cloud.Violations() {
 		h.addFinding("duty violation: %s", violation)
 	}
+	for _, c := range h.crashRequests {
+		c.check(h)
+	}
 	client := &http.Client{}
 	for _, d := range h.daemons {
 		for v := 1; v <= h.version; v++ {
--- a/soak/daemon.go
+++ b/soak/daemon.go
@@ -31,8 +31,9 @@
 	starts int
 	// stoppingAt is the time of the last SIGTERM; it is zero after the next start.
 	stoppingAt time.Time
-	// disturbedAt is when the process was last killed or paused.
-	disturbedAt time.Time
+	// disturbances holds when the process was stopped, paused, continued or
+	// started.
+	disturbances []time.Time
 }
 
 // The ports of daemons are below the range of ephemeral ports. An outgoing
@@ -77,6 +78,15 @@
 	return ports, nil
 }
 
+// freeAddress returns a loopback address with a port that is not in use.
+func freeAddress() (string, error) {
+	ports, err := freePorts(1)
+	if err != nil {
+		return "", err
+	}
+	return net.JoinHostPort("127.0.0.1", strconv.Itoa(ports[0])), nil
+}
+
 // NoPortsError reports that not enough free ports were found.
 type NoPortsError struct{ Cause error }
 
@@ -121,6 +131,7 @@
 		return err
 	}
 	d.process, d.exited, d.stoppingAt = command.Process, make(chan struct{}), time.Time{}
+	d.disturbances = append(d.disturbances, time.Now())
 	exited := d.exited
 	go func() {
 		_ = command.Wait()
@@ -134,11 +145,11 @@
 func (d *daemon) signal(s syscall.Signal) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	switch s {
-	case syscall.SIGTERM:
+	if s == syscall.SIGTERM {
 		d.stoppingAt = time.Now()
-	case syscall.SIGKILL, syscall.SIGSTOP:
-		d.disturbedAt = time.Now()
+	}
+	if s != syscall.SIGHUP {
+		d.disturbances = append(d.disturbances, time.Now())
 	}
 	// Signaling a process that has ended fails, which is expected here.
 	_ = d.process.Signal(s)
@@ -170,3 +181,16 @@
 	defer d.mu.Unlock()
 	return d.starts, d.stoppingAt
 }
+
+// disturbedBetween reports whether the process was stopped, paused, continued or
+// started in a span of time.
+func (d *daemon) disturbedBetween(from, to time.Time) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, at := range d.disturbances {
+		if at.After(from) && at.Before(to) {
+			return true
+		}
+	}
+	return false
+}
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -44,6 +44,7 @@
 	mode := []Mode{Blackhole, RequestsOnly, Slow}[h.random.IntN(3)]
 	faults := append(planned,
 		func(context.Context) { h.restart(d, syscall.SIGKILL) },
+		func(context.Context) { h.restartAll() },
 		func(ctx context.Context) {
 			d.signal(syscall.SIGSTOP)
 			sleep(ctx, duration)
@@ -89,6 +90,15 @@
 	}
 }
 
+// restartAll kills all daemons at once and starts them again.
+func (h *harness) restartAll() {
+	var running sync.WaitGroup
+	for _, d := range h.daemons {
+		running.Go(func() { h.restart(d, syscall.SIGKILL) })
+	}
+	running.Wait()
+}
+
 // stopping returns the number of daemons that are being stopped.
 func (h *harness) stopping() int {
 	n := 0
--- a/soak/proxy.go
+++ b/soak/proxy.go
@@ -32,28 +32,65 @@
 // Proxy is a TCP proxy between two processes on loopback that injects network
 // faults.
 type Proxy struct {
-	target   string
-	listener net.Listener
-	mode     atomic.Int32
+	target  string
+	address string
+	mode    atomic.Int32
 
-	mu sync.Mutex
+	mu       sync.Mutex
+	listener net.Listener
+	closed   bool
 	// conns holds both ends of every open connection.
 	conns map[net.Conn]struct{}
 }
 
 // NewProxy listens on loopback and forwards to target.
 func NewProxy(target string) (*Proxy, error) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	address, err := freeAddress()
 	if err != nil {
 		return nil, err
 	}
-	p := &Proxy{target: target, listener: listener, conns: make(map[net.Conn]struct{})}
-	go p.accept()
-	return p, nil
+	p := &Proxy{target: target, address: address, conns: make(map[net.Conn]struct{})}
+	return p, p.listen()
+}
+
+// listen starts to accept connections.
+func (p *Proxy) listen() error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.closed || p.listener != nil {
+		return nil
+	}
+	listener, err := net.Listen("tcp", p.address)
+	if err != nil {
+		return err
+	}
+	p.listener = listener
+	go p.accept(listener)
+	return nil
 }
 
 // Address returns the address that callers connect to.
-func (p *Proxy) Address() string { return p.listener.Addr().String() }
+func (p *Proxy) Address() string { return p.address }
+
+// Refuse resets all open connections and refuses new ones, as if the target's
+// process had ended. With refuse unset, connections are accepted again.
+func (p *Proxy) Refuse(refuse bool) error {
+	if !refuse {
+		return p.listen()
+	}
+	p.stopListening()
+	p.Reset()
+	return nil
+}
+
+func (p *Proxy) stopListening() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.listener != nil {
+		_ = p.listener.Close()
+		p.listener = nil
+	}
+}
 
 // SetMode sets the mode of all present and future connections.
 func (p *Proxy) SetMode(m Mode) { p.mode.Store(int32(m)) }
@@ -72,13 +109,16 @@
 
 // Close stops listening and resets all open connections.
 func (p *Proxy) Close() {
-	_ = p.listener.Close()
+	p.mu.Lock()
+	p.closed = true
+	p.mu.Unlock()
+	p.stopListening()
 	p.Reset()
 }
 
-func (p *Proxy) accept() {
+func (p *Proxy) accept(listener net.Listener) {
 	for {
-		conn, err := p.listener.Accept()
+		conn, err := listener.Accept()
 		if err != nil {
 			return
 		}
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -27,7 +27,14 @@
 	Binary, Folder string
 	Daemons        int
 	Callers        int
-	Duration       time.Duration
+	// CrashRequests is the number of different requests that crash servers in
+	// runs with unplanned faults.
+	CrashRequests int
+	Duration      time.Duration
+	// NoFaults leaves out all faults but the crash requests and RestartAllAt.
+	NoFaults bool
+	// RestartAllAt holds the times at which all daemons are killed at once.
+	RestartAllAt []time.Duration
 }
 
 const (
@@ -55,7 +62,8 @@
 	proxies map[string]*Proxy
 	daemons []*daemon
 	// planned limits the run to planned stops and changes, without other faults.
-	planned bool
+	planned       bool
+	crashRequests []*crashRequest
 
 	mu             sync.Mutex
 	servers        map[string]*standin.Server
@@ -99,7 +107,22 @@
 	for i := range options.Callers {
 		running.Go(func() { h.runCaller(ctx, i) })
 	}
-	h.injectFaults(ctx)
+	for i := range h.options.CrashRequests {
+		if !h.planned {
+			c := newCrashRequest(h.options.Seed, i)
+			h.crashRequests = append(h.crashRequests, c)
+			running.Go(func() { c.sendRepeatedly(ctx, h, i) })
+		}
+	}
+	for _, at := range h.options.RestartAllAt {
+		running.Go(func() {
+			sleep(ctx, at)
+			h.restartAll()
+		})
+	}
+	if !h.options.NoFaults {
+		h.injectFaults(ctx)
+	}
 	running.Wait()
 	h.recover()
 	h.checkFinalState()
@@ -156,10 +179,21 @@
 func (h *harness) addServer(service string) error {
 	h.mu.Lock()
 	h.startedServers++
-	id, zone := fmt.Sprintf("%s-%d", service, h.startedServers), fmt.Sprintf("zone-%d", h.startedServers%3)
+	number := h.startedServers
 	h.mu.Unlock()
-	s := &standin.Server{ID: id, Service: service, Zone: zone, WorkTime: 15 * time.Millisecond, EventCount: 12}
-	err := standin.StartServer(s, h.store, h.ledger, func(address string) (string, error) {
+	id, zone := fmt.Sprintf("%s-%d", service, number), fmt.Sprintf("zone-%d", number%3)
+	address, err := freeAddress()
+	if err != nil {
+		return err
+	}
+	s := &standin.Server{ID: id, Service: service, Zone: zone, WorkTime: 15 * time.Millisecond, EventCount: 12, Address: address,
+		DownTime: minDownTime + time.Duration(number)*downTimeStep%(maxDownTime-minDownTime)}
+	s.OnDown = func(down bool) {
+		if err := h.proxy(id).Refuse(down); err != nil {
+			h.addFinding("proxy of server %s failed to listen again: %v", id, err)
+		}
+	}
+	err = standin.StartServer(s, h.store, h.ledger, func(address string) (string, error) {
 		proxy, err := NewProxy(address)
 		if err != nil {
 			return "", err
@@ -175,6 +209,9 @@
 	return err
 }
 
+// downTimeStep makes the down times of servers differ.
+const downTimeStep = 700 * time.Millisecond
+
 // publish publishes the next configuration. Each version adds a marker route,
 // by which checkFinalState recognizes that it is in force.
 func (h *harness) publish() {
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -27,10 +27,7 @@
 // first seed and SOAK_RUNS the number of seeds; the folder of a failed seed is
 // kept with its logs.
 func TestSoak(t *testing.T) {
-	binary := filepath.Join(t.TempDir(), "monsooncrankd")
-	if out, err := exec.Command("go", "build", "-o", binary, "../cmd/monsooncrankd").CombinedOutput(); err != nil {
-		t.Fatalf("build the daemon: %v\n%s", err, out)
-	}
+	binary := buildDaemon(t)
 	seeds, duration := fixedSeeds, 6*time.Second
 	if first, err := strconv.ParseUint(os.Getenv("SOAK_SEED"), 10, 64); err == nil {
 		runs, err := strconv.Atoi(os.Getenv("SOAK_RUNS"))
@@ -43,17 +40,46 @@
 		}
 	}
 	for _, seed := range seeds {
-		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) { runSeed(t, binary, seed, duration) })
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			runSeed(t, soak.Options{Seed: seed, Binary: binary, Daemons: 4, Callers: 24, CrashRequests: 2, Duration: duration})
+		})
+	}
+}
+
+// TestRequestsThatCrashServersAreContained guards against a request that crashes
+// one server after another because its caller sends it again to any daemon: once
+// it has crashed three servers, the daemons must keep it from further ones.
+func TestRequestsThatCrashServersAreContained(t *testing.T) {
+	// The seed draws each kind of crash, on routes of each kind.
+	runSeed(t, soak.Options{Seed: 1, Binary: buildDaemon(t), Daemons: 7, Callers: 14, CrashRequests: 4, Duration: 9 * time.Second, NoFaults: true})
+}
+
+// TestRestartedDaemonsKnowRequestsThatCrashServers guards against daemons that
+// forget such requests when all of them are killed at the same time, and crash
+// further servers after each restart.
+func TestRestartedDaemonsKnowRequestsThatCrashServers(t *testing.T) {
+	runSeed(t, soak.Options{Seed: 10, Binary: buildDaemon(t), Daemons: 7, Callers: 14, CrashRequests: 3, Duration: 16 * time.Second, NoFaults: true,
+		RestartAllAt: []time.Duration{4 * time.Second, 9 * time.Second}})
+}
+
+func buildDaemon(t *testing.T) string {
+	t.Helper()
+	binary := filepath.Join(t.TempDir(), "monsooncrankd")
+	if out, err := exec.Command("go", "build", "-o", binary, "../cmd/monsooncrankd").CombinedOutput(); err != nil {
+		t.Fatalf("build the daemon: %v\n%s", err, out)
 	}
+	return binary
 }
 
 // runSeed runs one seed and reports its findings as test errors.
-func runSeed(t *testing.T, binary string, seed uint64, duration time.Duration) {
+func runSeed(t *testing.T, options soak.Options) {
+	seed := options.Seed
 	folder, err := os.MkdirTemp("", fmt.Sprintf("soak-%d-", seed))
 	if err != nil {
 		t.Fatal(err)
 	}
-	report, err := soak.Run(soak.Options{Seed: seed, Binary: binary, Folder: folder, Daemons: 4, Callers: 24, Duration: duration})
+	options.Folder = folder
+	report, err := soak.Run(options)
 	if err != nil {
 		t.Fatal(err)
 	}
