Count crashes at the same point of an answer, also when it is sent again

Cause: any output of an attempt cleared all earlier crashes. An attempt that begins the answer anew produces the same output again before it crashes at the same point, so the count stayed at 1 (lines "suspect" ... crashes=1 with a generation that rises by one each time). The chat gateway had the same rule with two tokens instead of one event. Change: a crash has a position in the whole answer. Those at the furthest one count; four crashes in all always end in quarantine. Merging stays a union, so that clearing at one daemon no longer discards what others know. Evidence: TestAnswersThatAlwaysEndAtTheSamePointAreCounted; the same steps fail on the old core.

--- a/coordination/quarantine/quarantine.go
+++ b/coordination/quarantine/quarantine.go
@@ -14,6 +14,7 @@
 	"encoding/binary"
 	"encoding/hex"
 	"fmt"
+	"maps"
 	"slices"
 	"sort"
 	"time"
@@ -58,7 +59,11 @@
 	Fingerprint Fingerprint `json:"fingerprint"`
 	// Servers lists the distinct BackendServers (name and incarnation) that
 	// crashed while they ran the request.
-	Servers     []string  `json:"servers"`
+	Servers []string `json:"servers"`
+	// Positions holds how many parts of the answer (tokens or events) had been
+	// produced at each crash, by server. Crashes before the first part are left
+	// out.
+	Positions   map[string]int `json:"positions,omitempty"`
 	Quarantined bool      `json:"quarantined"`
 	Released    bool      `json:"released"`
 	LastCrash   time.Time `json:"last_crash"`
@@ -117,28 +122,65 @@
 	}
 }
 
-// RecordCrash records that server crashed while it ran the request. It returns the
-// entry to send to other daemons, and whether this call quarantined the request.
+// RecordCrash records that server crashed while it ran the request, after position
+// parts of the answer in total. It returns the entry to send to other daemons, and
+// whether this call quarantined the request.
 //
-// producedOutput is set if the attempt had produced new output before the crash.
 // A request that crashes servers always does so at the same point of its answer.
-// New output therefore shows that the request did not cause its earlier crashes
-// but was only running at the time, and they are cleared.
-func (c *Core) RecordCrash(now time.Time, fingerprint Fingerprint, server string, producedOutput bool) (Entry, bool) {
+// Crashes at earlier positions than the furthest one therefore do not count: the
+// request was only running at the time.
+func (c *Core) RecordCrash(now time.Time, fingerprint Fingerprint, server string, position int) (Entry, bool) {
 	e := c.getOrCreateEntry(now, fingerprint)
 	e.LastCrash = now
 	e.Released = false
-	if producedOutput && !e.Quarantined && len(e.Servers) > 0 {
-		e.Generation++
-		e.Servers = nil
-	}
-	e.Servers = union(e.Servers, []string{server})
+	e.addCrashes([]string{server}, map[string]int{server: position})
 	before := e.Quarantined
 	c.updateQuarantine(now, e)
 	c.evict()
 	return e.copy(), e.Quarantined && !before
 }
 
+// addCrashes adds crashes of servers to those of the entry. Of two positions for
+// one server, the further one is kept.
+func (e *Entry) addCrashes(servers []string, positions map[string]int) {
+	e.Servers = union(e.Servers, servers)
+	for server, position := range positions {
+		if position > e.Positions[server] {
+			if e.Positions == nil {
+				e.Positions = make(map[string]int)
+			}
+			e.Positions[server] = position
+		}
+	}
+}
+
+// clear removes all crashes of the entry.
+func (e *Entry) clear() {
+	e.Generation++
+	e.Servers, e.Positions = nil, nil
+}
+
+// positionTolerance is the number of parts by which the positions of two crashes
+// at the same point may differ: the last part may be the one that crashes the
+// server.
+const positionTolerance = 1
+
+// countedServers returns the servers whose crashes count against the request:
+// those at the furthest position.
+func (e *Entry) countedServers() []string {
+	furthest := 0
+	for _, position := range e.Positions {
+		furthest = max(furthest, position)
+	}
+	var counted []string
+	for _, server := range e.Servers {
+		if e.Positions[server]+positionTolerance >= furthest {
+			counted = append(counted, server)
+		}
+	}
+	return counted
+}
+
 // RecordSuccess clears the crashes of a suspect that has run to completion: they had
 // another cause, such as a failed Host. Without this, a request that many callers
 // send in identical form would be quarantined because of unrelated failures. It
@@ -149,8 +191,7 @@
 	if !ok || e.Quarantined || len(e.Servers) == 0 {
 		return Entry{}, false
 	}
-	e.Generation++
-	e.Servers = nil
+	e.clear()
 	e.LastCrash = now
 	return e.copy(), true
 }
@@ -169,7 +210,7 @@
 	if other.Generation > e.Generation {
 		*e = other.copy()
 	} else {
-		e.Servers = union(e.Servers, other.Servers)
+		e.addCrashes(other.Servers, other.Positions)
 		e.Quarantined = e.Quarantined || other.Quarantined
 	}
 	if other.LastCrash.After(e.LastCrash) {
@@ -183,7 +224,7 @@
 	c.entries[other.Fingerprint] = e
 	c.updateQuarantine(now, e)
 	c.evict()
-	return !known || len(before.Servers) != len(e.Servers) ||
+	return !known || len(before.Servers) != len(e.Servers) || !maps.Equal(before.Positions, e.Positions) ||
 		before.Quarantined != e.Quarantined || before.Generation != e.Generation
 }
 
@@ -192,32 +233,35 @@
 // suspects.
 func (c *Core) Pending(now time.Time, fingerprint Fingerprint) bool {
 	e, ok := c.entries[fingerprint]
-	return ok && !e.Quarantined && len(e.Servers) >= c.options.Crashes && now.Sub(e.LastCrash) < c.options.SettleDelay
+	return ok && !e.Quarantined && len(e.countedServers()) >= c.options.Crashes && now.Sub(e.LastCrash) < c.options.SettleDelay
 }
 
 // updateQuarantine quarantines a request that has crashed enough servers, unless
 // another suspect that was running at all of its crashes may have caused them
 // instead.
 func (c *Core) updateQuarantine(now time.Time, e *Entry) {
-	switch {
-	case e.Quarantined || len(e.Servers) < c.options.Crashes || now.Sub(e.LastCrash) < c.options.SettleDelay:
-	case len(e.Servers) >= c.options.Crashes+maxSharedCrashes:
+	if e.Quarantined || now.Sub(e.LastCrash) < c.options.SettleDelay {
+		return
+	}
+	if len(e.Servers) >= c.options.Crashes+maxSharedCrashes {
 		e.Quarantined = true
-	default:
-		e.Quarantined = !c.hasAlternativeSuspect(now, e)
+		return
 	}
+	counted := e.countedServers()
+	e.Quarantined = len(counted) >= c.options.Crashes && !c.hasAlternativeSuspect(now, e, counted)
 }
 
 // maxSharedCrashes is how many crashes beyond Options.Crashes a request may share
-// with another suspect before it is quarantined. The limit ensures that requests
-// that always crash servers together are quarantined as well.
+// with another suspect, or outlive with a longer answer, before it is quarantined.
+// The limit ensures that requests that always crash servers together, or at
+// varying points of their answers, are quarantined as well.
 const maxSharedCrashes = 2
 
-// hasAlternativeSuspect reports whether another suspect was running at all crashes
-// of e.
-func (c *Core) hasAlternativeSuspect(now time.Time, e *Entry) bool {
+// hasAlternativeSuspect reports whether the counted crashes of another suspect
+// include those of e.
+func (c *Core) hasAlternativeSuspect(now time.Time, e *Entry, counted []string) bool {
 	for _, o := range c.entries {
-		if o != e && !c.expired(now, o) && len(o.Servers) >= len(e.Servers) && isSubset(e.Servers, o.Servers) {
+		if o != e && !c.expired(now, o) && len(o.Servers) >= len(counted) && isSubset(counted, o.countedServers()) {
 			return true
 		}
 	}
@@ -241,8 +285,7 @@
 	if !ok {
 		return Entry{}, &NotQuarantinedError{Fingerprint: fingerprint}
 	}
-	e.Generation++
-	e.Servers = nil
+	e.clear()
 	e.Quarantined = false
 	e.Released = true
 	return e.copy(), nil
@@ -289,7 +332,7 @@
 		c.entries[fingerprint] = e
 	}
 	if ok && c.expired(now, e) {
-		e.Servers = nil
+		e.Servers, e.Positions = nil, nil
 	}
 	return e
 }
@@ -320,7 +363,7 @@
 
 func (e *Entry) copy() Entry {
 	c := *e
-	c.Servers = append([]string(nil), e.Servers...)
+	c.Servers, c.Positions = slices.Clone(e.Servers), maps.Clone(e.Positions)
 	return c
 }
 
--- a/coordination/quarantine/quarantine_test.go
+++ b/coordination/quarantine/quarantine_test.go
@@ -52,7 +52,7 @@
 				}
 				crashes++
 				report.Fault("crash")
-				e, _ := core.RecordCrash(now, fingerprint, fmt.Sprintf("engine-%d", crashes), false)
+				e, _ := core.RecordCrash(now, fingerprint, fmt.Sprintf("engine-%d", crashes), 0)
 				sent = append(sent, e)
 				key := [2]uint64{uint64(daemon), e.Generation}
 				if crashesByGeneration[key]++; crashesByGeneration[key] > 2 {
@@ -99,15 +99,15 @@
 	core := quarantine.New(quarantine.DefaultOptions())
 	f := quarantine.FingerprintOf("a", []byte("body"))
 	g.Expect(core.Check(now, f)).To(Equal(quarantine.VerdictRun))
-	_, quarantined := core.RecordCrash(now, f, "engine-1#1", false)
+	_, quarantined := core.RecordCrash(now, f, "engine-1#1", 0)
 	g.Expect(quarantined).To(BeFalse())
 	g.Expect(core.Check(now, f)).To(Equal(quarantine.VerdictIsolate))
 
 	// Several attempts on one engine that crashed once count as one crash.
-	_, quarantined = core.RecordCrash(now, f, "engine-1#1", false)
+	_, quarantined = core.RecordCrash(now, f, "engine-1#1", 0)
 	g.Expect(quarantined).To(BeFalse())
 
-	_, quarantined = core.RecordCrash(now, f, "engine-2#1", false)
+	_, quarantined = core.RecordCrash(now, f, "engine-2#1", 0)
 	g.Expect(quarantined).To(BeTrue())
 	g.Expect(core.Check(now.Add(24*time.Hour), f)).To(Equal(quarantine.VerdictRefuse))
 	g.Expect(core.List()).To(HaveLen(1))
@@ -126,18 +126,46 @@
 	now := time.Unix(1000, 0)
 	local, remote := quarantine.New(quarantine.DefaultOptions()), quarantine.New(quarantine.DefaultOptions())
 	harmless, crashing := quarantine.FingerprintOf("a", []byte("brief")), quarantine.FingerprintOf("a", []byte("crash"))
-	for _, server := range []string{"engine-1", "engine-2", "engine-3"} {
-		e, quarantined := local.RecordCrash(now, harmless, server, true)
+	for i, server := range []string{"engine-1", "engine-2", "engine-3"} {
+		e, quarantined := local.RecordCrash(now, harmless, server, 10*(i+1))
 		g.Expect(quarantined).To(BeFalse())
 		remote.Merge(now, e)
 	}
 	g.Expect(remote.Check(now, harmless)).To(Equal(quarantine.VerdictIsolate))
-	_, quarantined := local.RecordCrash(now, crashing, "engine-1", true)
+	_, quarantined := local.RecordCrash(now, crashing, "engine-1", 10)
 	g.Expect(quarantined).To(BeFalse())
-	_, quarantined = local.RecordCrash(now, crashing, "engine-2", false)
+	_, quarantined = local.RecordCrash(now, crashing, "engine-2", 10)
 	g.Expect(quarantined).To(BeTrue())
 }
 
+// TestAnswersThatAlwaysEndAtTheSamePointAreCounted guards against a request that
+// crashes its server after the first parts of its answer and is sent again from
+// the start: each of its attempts produces output, but none gets any further. Its
+// crashes were cleared by every attempt.
+func TestAnswersThatAlwaysEndAtTheSamePointAreCounted(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Unix(1000, 0)
+	one, two := quarantine.New(quarantine.DefaultOptions()), quarantine.New(quarantine.DefaultOptions())
+	f := quarantine.FingerprintOf("a", []byte("crash"))
+	crash, _ := one.RecordCrash(now, f, "engine-1", 5)
+	two.Merge(now, crash)
+	_, quarantined := two.RecordCrash(now, f, "engine-2", 5)
+	g.Expect(quarantined).To(BeTrue())
+}
+
+// TestCrashesAtVaryingPointsAreLimited guards against a request whose crashes
+// never count because each of its answers gets further than the one before.
+func TestCrashesAtVaryingPointsAreLimited(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Unix(1000, 0)
+	core := quarantine.New(quarantine.DefaultOptions())
+	for i := range 4 {
+		g.Expect(core.Check(now, "f")).NotTo(Equal(quarantine.VerdictRefuse))
+		core.RecordCrash(now, "f", fmt.Sprint("s", i), 10*i)
+	}
+	g.Expect(core.Check(now, "f")).To(Equal(quarantine.VerdictRefuse))
+}
+
 // TestSuccessClearsSuspicion guards against the quarantine of a frequent request
 // because two Hosts that ran it failed for other reasons.
 func TestSuccessClearsSuspicion(t *testing.T) {
@@ -145,13 +173,13 @@
 	now := time.Unix(1000, 0)
 	local, remote := quarantine.New(quarantine.DefaultOptions()), quarantine.New(quarantine.DefaultOptions())
 	f := quarantine.FingerprintOf("a", []byte("hi"))
-	crash, _ := local.RecordCrash(now, f, "engine-1", false)
+	crash, _ := local.RecordCrash(now, f, "engine-1", 0)
 	remote.Merge(now, crash)
 	cleared, ok := local.RecordSuccess(now, f)
 	g.Expect(ok).To(BeTrue())
 	remote.Merge(now, cleared)
 	remote.Merge(now, crash)
-	_, quarantined := remote.RecordCrash(now, f, "engine-2", false)
+	_, quarantined := remote.RecordCrash(now, f, "engine-2", 0)
 	g.Expect(quarantined).To(BeFalse())
 }
 
@@ -163,14 +191,14 @@
 	core := quarantine.New(options)
 	now := time.Unix(1000, 0)
 	f := quarantine.FingerprintOf("a", []byte("body"))
-	core.RecordCrash(now, f, "engine-1", false)
+	core.RecordCrash(now, f, "engine-1", 0)
 	now = now.Add(2 * time.Minute)
 	g.Expect(core.Check(now, f)).To(Equal(quarantine.VerdictRun))
-	_, quarantined := core.RecordCrash(now, f, "engine-2", false)
+	_, quarantined := core.RecordCrash(now, f, "engine-2", 0)
 	g.Expect(quarantined).To(BeFalse())
-	core.RecordCrash(now, f, "engine-3", false)
+	core.RecordCrash(now, f, "engine-3", 0)
 	for i := range 10 {
-		core.RecordCrash(now.Add(time.Second), quarantine.FingerprintOf("b", []byte{byte(i)}), "engine-4", false)
+		core.RecordCrash(now.Add(time.Second), quarantine.FingerprintOf("b", []byte{byte(i)}), "engine-4", 0)
 	}
 	g.Expect(core.Check(now, f)).To(Equal(quarantine.VerdictRefuse), "suspects are evicted before a quarantined request")
 }
@@ -193,7 +221,7 @@
 	options.SettleDelay = 300 * time.Millisecond
 	one, two := quarantine.New(options), quarantine.New(options)
 	crash := func(at, other *quarantine.Core, f quarantine.Fingerprint, server string) {
-		entry, quarantined := at.RecordCrash(now, f, server, false)
+		entry, quarantined := at.RecordCrash(now, f, server, 0)
 		g.Expect(quarantined).To(BeFalse(), "quarantined before other daemons have reported their suspects")
 		other.Merge(now, entry)
 	}
@@ -226,7 +254,7 @@
 	core := quarantine.New(quarantine.DefaultOptions())
 	for i := range 4 {
 		for _, f := range []quarantine.Fingerprint{"a", "b"} {
-			core.RecordCrash(now, f, fmt.Sprint("s", i), false)
+			core.RecordCrash(now, f, fmt.Sprint("s", i), 0)
 		}
 	}
 	g.Expect(core.Check(now, "a")).To(Equal(quarantine.VerdictRefuse))
--- a/pkg/daemon/quarantine.go
+++ b/pkg/daemon/quarantine.go
@@ -26,10 +26,6 @@
 	// the write conflicts with those of other daemons.
 	maxQuarantineWrites      = 5
 	quarantineReloadInterval = 30 * time.Second
-	// minProgressTokens is the number of new tokens from which an attempt counts as
-	// having made progress over the previous one. A single token does not count,
-	// since it may be the one that crashes the server.
-	minProgressTokens = 2
 	// quarantineSettleDelay is the time that the announcement of a crash takes to
 	// reach all daemons, including one retransmission.
 	quarantineSettleDelay = 300 * time.Millisecond
@@ -153,8 +149,7 @@
 	server := fmt.Sprintf("%s#%d", report.Backend.Name, report.Backend.Incarnation)
 	q.mu.Lock()
 	now := q.clock.Now()
-	advanced := report.TokensReceived >= minProgressTokens
-	entry, quarantined := q.core.RecordCrash(now, quarantine.Fingerprint(report.Fingerprint), server, advanced)
+	entry, quarantined := q.core.RecordCrash(now, quarantine.Fingerprint(report.Fingerprint), server, report.Position)
 	pending := q.core.Pending(now, entry.Fingerprint)
 	q.mu.Unlock()
 	if pending {
--- a/pkg/edge/state.go
+++ b/pkg/edge/state.go
@@ -354,10 +354,10 @@
 }
 
 // Crashed records that a server failed while it was running a request.
-func (s *state) Crashed(f quarantine.Fingerprint, server string, advanced bool) {
+func (s *state) Crashed(f quarantine.Fingerprint, server string, position int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	entry, quarantined := s.quarantine.RecordCrash(time.Now(), f, server, advanced)
+	entry, quarantined := s.quarantine.RecordCrash(time.Now(), f, server, position)
 	s.logSuspect(&entry, "own attempt")
 	if quarantined {
 		klog.InfoS("request quarantined", "fingerprint", string(f), "servers", entry.Servers)
--- a/pkg/relay/attempt.go
+++ b/pkg/relay/attempt.go
@@ -275,11 +275,20 @@
 	s.handler.metrics.brokenAttempts.WithLabelValues(strconv.FormatBool(s.conn.Reused), strconv.FormatBool(s.stalled.Load()),
 		strconv.FormatBool(crashed)).Inc()
 	if crashed {
-		s.handler.controller.Crashed(s.fingerprint, s.decision.Server.ID, s.sentHeader)
+		s.handler.controller.Crashed(s.fingerprint, s.decision.Server.ID, s.position())
 	}
 	return outcomeIncomplete
 }
 
+// position returns how many events of the answer the caller has received, from
+// this and earlier attempts.
+func (s *serverAttempt) position() int {
+	if n, err := strconv.Atoi(s.resumeEventID()); err == nil {
+		return n
+	}
+	return s.eventsSent
+}
+
 // recordStart records the first part of the response and counts the request
 // towards the account's usage unless it is already counted.
 func (s *serverAttempt) recordStart() {
--- a/pkg/relay/handler.go
+++ b/pkg/relay/handler.go
@@ -98,6 +98,8 @@
 	firstPartAfter time.Duration
 	// lastSentEventID is the ID of the last event sent to the caller.
 	lastSentEventID string
+	// eventsSent is the number of events sent to the caller.
+	eventsSent int
 	// status and cause are logged when the request ends.
 	status int
 	cause  string
--- a/pkg/relay/relay_test.go
+++ b/pkg/relay/relay_test.go
@@ -113,7 +113,7 @@
 func (f *fake) Verdict(quarantine.Fingerprint) quarantine.Verdict {
 	return quarantine.VerdictRun
 }
-func (f *fake) Crashed(quarantine.Fingerprint, string, bool) {
+func (f *fake) Crashed(quarantine.Fingerprint, string, int) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.crashed++
--- a/pkg/relay/stream.go
+++ b/pkg/relay/stream.go
@@ -42,6 +42,7 @@
 			return s.callerDisconnected()
 		}
 		s.exchange.lastSentEventID = event.id
+		s.exchange.eventsSent++
 		s.handler.controller.Alive(s.decision.Server.ID)
 		s.resetEventGapTimer()
 	}
--- a/pkg/relay/types.go
+++ b/pkg/relay/types.go
@@ -116,9 +116,9 @@
 	ConnectionLimit(server, service string) int
 	// Verdict returns whether a request may run or is quarantined.
 	Verdict(f quarantine.Fingerprint) quarantine.Verdict
-	// Crashed records that a server failed while it ran a request; advanced is
-	// set if part of the response had been forwarded.
-	Crashed(f quarantine.Fingerprint, server string, advanced bool)
+	// Crashed records that a server failed while it ran a request, after position
+	// events of its response.
+	Crashed(f quarantine.Fingerprint, server string, position int)
 	// Completed records that a request ran to its end, which clears the
 	// crashes recorded for it.
 	Completed(f quarantine.Fingerprint)
--- a/pkg/streaming/attempt.go
+++ b/pkg/streaming/attempt.go
@@ -29,7 +29,7 @@
 	}
 	s.d.metrics.attempts.WithLabelValues("failed").Inc()
 	s.d.opts.Router.Failed(a.id, err, now)
-	s.post(s.classifyFailure(ctx, a, received, err))
+	s.post(s.classifyFailure(ctx, a, len(req.ResumeTokens)+received, err))
 }
 
 // receive posts the tokens of an attempt to the stream and returns the number
@@ -62,8 +62,9 @@
 	return Fingerprint(s.request.ClientAccount, s.request.Model, s.request.Messages)
 }
 
-// classifyFailure converts the error of an attempt to a Failed event.
-func (s *stream) classifyFailure(ctx context.Context, a *runningAttempt, received int, err error) Failed {
+// classifyFailure converts the error of an attempt, after position tokens of the
+// answer, to a Failed event.
+func (s *stream) classifyFailure(ctx context.Context, a *runningAttempt, position int, err error) Failed {
 	failed := Failed{AttemptID: a.id, Kind: FailureBroken, Detail: err.Error()}
 	var notSent *engine.NotSentError
 	var refused *engine.RefusedError
@@ -76,7 +77,7 @@
 	case errors.As(err, &broken) && broken.Silent:
 		failed.Kind = FailureSilent
 	default:
-		s.checkCrash(ctx, a, received, &failed)
+		s.checkCrash(ctx, a, position, &failed)
 	}
 	return failed
 }
@@ -96,7 +97,7 @@
 // checkCrash probes the engine, because a crashed engine does not respond,
 // unlike one whose connection has only broken. It reports a crash to the
 // quarantine. An engine whose shutdown was announced is not counted as crashed.
-func (s *stream) checkCrash(ctx context.Context, a *runningAttempt, received int, failed *Failed) {
+func (s *stream) checkCrash(ctx context.Context, a *runningAttempt, position int, failed *Failed) {
 	if _, announced := s.d.noticeDeadline(a.backend.Name); announced {
 		return
 	}
@@ -108,7 +109,7 @@
 	failed.Kind = FailureCrashed
 	verdict := s.d.opts.Quarantine.ReportCrash(ctx, CrashReport{
 		Fingerprint: s.fingerprint(), ClientAccount: s.request.ClientAccount, RequestID: s.request.ID,
-		Backend: a.backend, TokensReceived: received,
+		Backend: a.backend, Position: position,
 	})
 	failed.Isolate, failed.Quarantined = verdict.Isolate, verdict.Quarantined
 }
--- a/pkg/streaming/options.go
+++ b/pkg/streaming/options.go
@@ -111,8 +111,9 @@
 	ClientAccount string
 	RequestID     string
 	Backend       membership.BackendServer
-	// TokensReceived is the number of tokens received before the crash.
-	TokensReceived int
+	// Position is the number of tokens of the answer produced before the crash, by
+	// this and earlier attempts.
+	Position int
 }
 
 // Quarantine tracks requests that crash engines.
