--- /dev/null
+++ b/coordination/quarantine/manager.go
@@ -0,0 +1,608 @@
+package quarantine
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"sync"
+	"time"
+
+	"golang.org/x/sync/singleflight"
+	"k8s.io/utils/clock"
+
+	"github.com/monsooncrank/monsooncrank/coordination/table"
+)
+
+const (
+	// partition is the table partition that holds the entries.
+	partition = "quarantine"
+	// pageSize is the maximum number of rows in one read of the table.
+	pageSize = 100
+	// maxWriteConflicts is the maximum number of attempts to write an entry if the
+	// write conflicts with those of other daemons.
+	maxWriteConflicts = 5
+	// reloadInterval is the time between two reads of the table, and
+	// isolatedReloadInterval that of a daemon which receives nothing from others.
+	reloadInterval         = 30 * time.Second
+	isolatedReloadInterval = 2 * time.Second
+	// retryInterval is the pause after a failed read or write of the table.
+	retryInterval = time.Second
+	// storeTimeout is the timeout of one call to the table.
+	storeTimeout = 2 * time.Second
+	// DefaultSettleDelay is the time that a crash takes to reach all daemons,
+	// including one retransmission.
+	DefaultSettleDelay = 300 * time.Millisecond
+	// maxSettleWaits limits how often a request waits for a decision that is put
+	// off by further crashes.
+	maxSettleWaits = 2
+)
+
+// ServerState is the result of a probe.
+type ServerState int
+
+// Results of a probe.
+const (
+	// ServerRuns means that the server accepted a new connection.
+	ServerRuns ServerState = iota + 1
+	// ServerDown means that no process accepts connections at the address.
+	ServerDown
+	// ServerSilent means that there was no answer, which may be due to the
+	// network.
+	ServerSilent
+)
+
+// Source says how a daemon learned of a change.
+type Source string
+
+// Sources of changes.
+const (
+	SourceCrash   Source = "crash"
+	SourceSuccess Source = "success"
+	SourceSettled Source = "settled"
+	SourceRelease Source = "release"
+	SourcePeer    Source = "peer"
+	SourceStore   Source = "store"
+)
+
+// Change is a change of an entry.
+type Change struct {
+	Entry  Entry
+	Source Source
+	// From is the daemon that sent the change, and Request the request whose
+	// server crashed; both may be empty.
+	From, Request string
+	// Urgent is set if other daemons need the change to decide about the request.
+	Urgent bool
+}
+
+// Local reports whether the change was made by this daemon.
+func (c *Change) Local() bool { return c.Source != SourcePeer && c.Source != SourceStore }
+
+// Crash is a crash of a server that this daemon has discovered.
+type Crash struct {
+	Server string
+	// Evidence says what showed the crash.
+	Evidence Evidence
+	Suspects int
+}
+
+// Evidence says how a crash was discovered.
+type Evidence string
+
+// Kinds of evidence.
+const (
+	EvidenceRefusedConnection Evidence = "refused connection"
+	EvidenceRemovedEntry      Evidence = "removed entry"
+	EvidenceNewIncarnation    Evidence = "new incarnation"
+	EvidenceAddressReused     Evidence = "address reused"
+)
+
+// ManagerOptions configures a Manager. Store, Clock and Probe are required.
+type ManagerOptions struct {
+	Core  Options
+	Store table.Store
+	Clock clock.WithTicker
+	// Probe checks on a new connection whether a server runs.
+	Probe func(ctx context.Context, address string) ServerState
+	// OnChange is called after each change of an entry, and OnCrash after each
+	// crash that was discovered. They may call the Manager.
+	OnChange func(Change)
+	OnCrash  func(Crash)
+	// OnError is called if the table cannot be read or written; the call is
+	// repeated later.
+	OnError func(error)
+	// Isolated reports whether this daemon receives nothing from other daemons.
+	Isolated func() bool
+}
+
+func (o ManagerOptions) withDefaults() ManagerOptions {
+	if o.OnChange == nil {
+		o.OnChange = func(Change) {}
+	}
+	if o.OnCrash == nil {
+		o.OnCrash = func(Crash) {}
+	}
+	if o.OnError == nil {
+		o.OnError = func(error) {}
+	}
+	if o.Isolated == nil {
+		o.Isolated = func() bool { return false }
+	}
+	return o
+}
+
+// Manager keeps requests that crash servers from running again. It discovers
+// crashes, decides together with the other daemons which request caused them, and
+// stores the entries from which a daemon needs to decide after a restart. It is
+// safe for concurrent use.
+type Manager struct {
+	options ManagerOptions
+	probes  singleflight.Group
+	ctx     context.Context
+	stop    context.CancelFunc
+	tasks   sync.WaitGroup
+	// wake makes the loop write unsaved entries.
+	wake chan struct{}
+
+	mu       sync.Mutex
+	closed   bool
+	core     *Core
+	attempts *Attempts
+	// unsaved holds the entries that must be written to the table, and saved those
+	// that it contains.
+	unsaved, saved map[Fingerprint]struct{}
+}
+
+// NewManager returns a running Manager. The caller must Close it.
+func NewManager(options ManagerOptions) *Manager {
+	m := &Manager{options: options.withDefaults(), wake: make(chan struct{}, 1), core: New(options.Core), attempts: NewAttempts(),
+		unsaved: make(map[Fingerprint]struct{}), saved: make(map[Fingerprint]struct{})}
+	m.ctx, m.stop = context.WithCancel(context.Background())
+	m.tasks.Go(m.run)
+	return m
+}
+
+// Close stops the Manager.
+func (m *Manager) Close() {
+	m.mu.Lock()
+	m.closed = true
+	m.mu.Unlock()
+	m.stop()
+	m.tasks.Wait()
+}
+
+// start runs a task in the background unless the Manager is closed.
+func (m *Manager) start(task func()) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if !m.closed {
+		m.tasks.Go(task)
+	}
+}
+
+// Check returns whether and how a request may run. If a decision on the request
+// is due, it waits until the other daemons have reported their suspects.
+func (m *Manager) Check(ctx context.Context, fingerprint Fingerprint) Verdict {
+	for range maxSettleWaits {
+		m.mu.Lock()
+		now := m.options.Clock.Now()
+		verdict, pending := m.core.Check(now, fingerprint), m.core.Pending(now, fingerprint)
+		m.mu.Unlock()
+		if !pending {
+			return verdict
+		}
+		select {
+		case <-m.options.Clock.After(m.options.Core.SettleDelay):
+		case <-ctx.Done():
+			return verdict
+		}
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.core.Check(m.options.Clock.Now(), fingerprint)
+}
+
+// Started records the start of an attempt.
+func (m *Manager) Started(a Attempt) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.attempts.Start(a)
+}
+
+// Resolved records that an attempt was answered, or that it did not run.
+func (m *Manager) Resolved(id string, answered bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.attempts.Resolve(id, answered)
+}
+
+// Succeeded clears a request that ran to completion of its crashes.
+func (m *Manager) Succeeded(fingerprint Fingerprint) {
+	m.mu.Lock()
+	entry, cleared := m.core.RecordSuccess(m.options.Clock.Now(), fingerprint)
+	if _, saved := m.saved[fingerprint]; cleared && saved {
+		m.unsaved[fingerprint] = struct{}{}
+	}
+	m.mu.Unlock()
+	if cleared {
+		m.options.OnChange(Change{Entry: entry, Source: SourceSuccess})
+	}
+}
+
+// Abandoned records that an attempt ended without an answer after position parts,
+// because the caller has gone or its deadline has passed. The server may have
+// crashed; that shows later.
+func (m *Manager) Abandoned(id string, position int) { m.endWithoutAnswer(id, position) }
+
+// Broken handles an attempt whose connection broke, or whose server was silent,
+// after position parts of the answer. It probes the server and reports whether it
+// has crashed.
+func (m *Manager) Broken(ctx context.Context, id string, position int) bool {
+	suspect, known, crashed := m.endWithoutAnswer(id, position)
+	if known {
+		return crashed
+	}
+	if m.probe(ctx, suspect.Server, suspect.Address) != ServerDown {
+		return false
+	}
+	m.serverCrashed(suspect.Server, EvidenceRefusedConnection)
+	return true
+}
+
+// endWithoutAnswer records the end of an attempt. It reports whether the end of
+// its server is known already, and whether that was a crash.
+func (m *Manager) endWithoutAnswer(id string, position int) (suspect Suspect, known, crashed bool) {
+	m.mu.Lock()
+	suspect, crashed, shutDown := m.attempts.EndWithoutAnswer(m.options.Clock.Now(), id, position)
+	var change Change
+	if crashed {
+		change = m.recordCrash(&suspect)
+	}
+	m.mu.Unlock()
+	if crashed {
+		m.crashRecorded(change)
+	}
+	return suspect, crashed || shutDown || suspect.ID == "", crashed
+}
+
+// probe checks whether a server runs. Concurrent probes of one server share one
+// connection.
+func (m *Manager) probe(ctx context.Context, server, address string) ServerState {
+	state, _, _ := m.probes.Do(server, func() (any, error) { return m.options.Probe(context.WithoutCancel(ctx), address), nil })
+	return state.(ServerState)
+}
+
+// serverCrashed suspects all requests that were running on a server that has
+// crashed.
+func (m *Manager) serverCrashed(server string, evidence Evidence) {
+	m.mu.Lock()
+	suspects := m.attempts.Crashed(m.options.Clock.Now(), server)
+	changes := make([]Change, len(suspects))
+	for i := range suspects {
+		changes[i] = m.recordCrash(&suspects[i])
+	}
+	m.mu.Unlock()
+	if len(suspects) > 0 {
+		m.options.OnCrash(Crash{Server: server, Evidence: evidence, Suspects: len(suspects)})
+	}
+	for _, change := range changes {
+		m.crashRecorded(change)
+	}
+}
+
+// recordCrash records the crash of a suspect's server.
+func (m *Manager) recordCrash(s *Suspect) Change {
+	entry, _ := m.core.RecordCrash(m.options.Clock.Now(), s.Fingerprint, s.Server, s.Position)
+	return m.changed(entry, Change{Entry: entry, Source: SourceCrash, Request: s.Request})
+}
+
+// changed completes a change. An entry that is needed to decide about the request
+// is written to the table by the daemon that recorded its last crash.
+func (m *Manager) changed(entry Entry, change Change) Change {
+	change.Urgent = m.core.deservesDecision(&entry) || entry.Released
+	if change.Urgent && change.Source == SourceCrash {
+		m.unsaved[entry.Fingerprint] = struct{}{}
+	}
+	return change
+}
+
+// crashRecorded reports a recorded crash and decides about the request once the
+// other daemons have reported their suspects.
+func (m *Manager) crashRecorded(change Change) {
+	m.options.OnChange(change)
+	if !change.Urgent {
+		return
+	}
+	m.requestSave()
+	if !change.Entry.Quarantined {
+		m.decideLater(change.Entry.Fingerprint)
+	}
+}
+
+// decideLater decides about a request after the settle delay.
+func (m *Manager) decideLater(fingerprint Fingerprint) {
+	m.start(func() {
+		select {
+		case <-m.options.Clock.After(m.options.Core.SettleDelay):
+		case <-m.ctx.Done():
+			return
+		}
+		m.mu.Lock()
+		refused := m.core.Check(m.options.Clock.Now(), fingerprint) == VerdictRefuse
+		entry, _ := m.core.Entry(fingerprint)
+		change := Change{}
+		if refused {
+			change = m.changed(entry, Change{Entry: entry, Source: SourceSettled})
+		}
+		m.mu.Unlock()
+		if refused {
+			m.options.OnChange(change)
+			m.requestSave()
+		}
+	})
+}
+
+// ServerJoined records that a server has an entry. If another server was known at
+// its address, that one has ended.
+func (m *Manager) ServerJoined(server, address string) {
+	m.mu.Lock()
+	m.attempts.Joined(server)
+	earlier := m.attempts.ServersAt(address)
+	m.mu.Unlock()
+	for _, other := range earlier {
+		if other != server {
+			m.serverCrashedLater(other, EvidenceAddressReused)
+		}
+	}
+}
+
+// ServerLeaving records that a server is being shut down as planned.
+func (m *Manager) ServerLeaving(server string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.attempts.ShutDown(m.options.Clock.Now(), server)
+}
+
+// ServerRestarted records that a server has started again under its name.
+func (m *Manager) ServerRestarted(server string) {
+	m.serverCrashedLater(server, EvidenceNewIncarnation)
+}
+
+// serverCrashedLater calls serverCrashed without holding up the caller, which may
+// hold locks that OnChange needs.
+func (m *Manager) serverCrashedLater(server string, evidence Evidence) {
+	m.start(func() { m.serverCrashed(server, evidence) })
+}
+
+// ServerRemoved records that the entry of a server was removed although the
+// server had not announced its shutdown. A server that still runs shuts down
+// without notice; otherwise it has crashed.
+func (m *Manager) ServerRemoved(server, address string) {
+	m.mu.Lock()
+	inDoubt := m.attempts.InDoubt(server)
+	m.mu.Unlock()
+	if !inDoubt {
+		return
+	}
+	m.start(func() {
+		if m.probe(m.ctx, server, address) == ServerRuns {
+			m.ServerLeaving(server)
+			return
+		}
+		m.serverCrashed(server, EvidenceRemovedEntry)
+	})
+}
+
+// MergeFrom merges entries that were received from another daemon.
+func (m *Manager) MergeFrom(from string, entries ...Entry) { m.merge(from, SourcePeer, entries) }
+
+func (m *Manager) merge(from string, source Source, entries []Entry) {
+	var changes []Change
+	m.mu.Lock()
+	now := m.options.Clock.Now()
+	for _, e := range entries {
+		if e.Fingerprint == "" || !m.core.MergeFrom(now, from, e) {
+			continue
+		}
+		merged, known := m.core.Entry(e.Fingerprint)
+		if known {
+			changes = append(changes, m.changed(merged, Change{Entry: merged, Source: source, From: from}))
+		}
+	}
+	m.mu.Unlock()
+	for _, change := range changes {
+		m.options.OnChange(change)
+		if change.Urgent && !change.Entry.Quarantined {
+			m.decideLater(change.Entry.Fingerprint)
+		}
+	}
+}
+
+// EntriesFor returns the entries to send to a daemon that has those up to a
+// revision, and the revision up to which it will then have them. Entries received
+// from other daemons are included if forward is set or the daemon has none yet.
+func (m *Manager) EntriesFor(daemon string, revision uint64, forward bool, limit int) ([]Entry, uint64) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.core.Since(revision, daemon, forward, limit)
+}
+
+// Entry returns the entry of a request.
+func (m *Manager) Entry(fingerprint Fingerprint) (Entry, bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.core.Entry(fingerprint)
+}
+
+// List returns the entries of the quarantined requests.
+func (m *Manager) List() []Entry {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.core.List()
+}
+
+// Release removes a request from the quarantine, at this daemon at once and in the
+// table before it returns.
+func (m *Manager) Release(ctx context.Context, fingerprint Fingerprint) error {
+	m.mu.Lock()
+	entry, err := m.core.Release(m.options.Clock.Now(), fingerprint)
+	m.mu.Unlock()
+	if err != nil {
+		return err
+	}
+	m.options.OnChange(Change{Entry: entry, Source: SourceRelease, Urgent: true})
+	return m.save(ctx, fingerprint)
+}
+
+// requestSave makes the loop write the unsaved entries.
+func (m *Manager) requestSave() {
+	select {
+	case m.wake <- struct{}{}:
+	default:
+	}
+}
+
+// run loads the table at the start and periodically, and writes unsaved entries.
+func (m *Manager) run() {
+	ticker := m.options.Clock.NewTicker(retryInterval)
+	defer ticker.Stop()
+	loadedAt := time.Time{}
+	for {
+		if m.loadDue(loadedAt) {
+			if err := m.load(); err != nil {
+				m.options.OnError(err)
+			} else {
+				loadedAt = m.options.Clock.Now()
+			}
+			m.mu.Lock()
+			m.core.Expire(m.options.Clock.Now())
+			m.mu.Unlock()
+		}
+		m.saveAll()
+		select {
+		case <-m.wake:
+		case <-ticker.C():
+		case <-m.ctx.Done():
+			return
+		}
+	}
+}
+
+// loadDue reports whether the table must be read. A daemon that receives nothing
+// from others learns of their entries from the table only.
+func (m *Manager) loadDue(loadedAt time.Time) bool {
+	age := m.options.Clock.Since(loadedAt)
+	return loadedAt.IsZero() || age >= reloadInterval || age >= isolatedReloadInterval && m.options.Isolated()
+}
+
+// load reads all entries from the table and merges them. Entries that a daemon
+// needs after a restart and that the table lacks are marked as unsaved: the daemon
+// that was to write them may have ended.
+func (m *Manager) load() error {
+	loaded := make(map[Fingerprint]struct{})
+	for after := ""; ; {
+		ctx, cancel := context.WithTimeout(m.ctx, storeTimeout)
+		items, err := m.options.Store.Query(ctx, partition, after, pageSize)
+		cancel()
+		if err != nil {
+			return err
+		}
+		for _, item := range items {
+			after = item.Key.Sort
+			loaded[Fingerprint(item.Key.Sort)] = struct{}{}
+			m.mergeItem(item)
+		}
+		if len(items) < pageSize {
+			break
+		}
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.saved = loaded
+	for fingerprint, e := range m.core.entries {
+		if _, ok := loaded[fingerprint]; !ok && m.core.deservesDecision(e) {
+			m.unsaved[fingerprint] = struct{}{}
+		}
+	}
+	return nil
+}
+
+func (m *Manager) mergeItem(item table.Item) {
+	var entry Entry
+	if err := json.Unmarshal(item.Value, &entry); err != nil {
+		m.options.OnError(&MalformedEntryError{Key: item.Key.Sort, Cause: err})
+		return
+	}
+	m.merge("", SourceStore, []Entry{entry})
+}
+
+// saveAll writes the unsaved entries. Those that cannot be written stay unsaved.
+func (m *Manager) saveAll() {
+	m.mu.Lock()
+	fingerprints := make([]Fingerprint, 0, len(m.unsaved))
+	for f := range m.unsaved {
+		fingerprints = append(fingerprints, f)
+	}
+	m.mu.Unlock()
+	for _, f := range fingerprints {
+		if err := m.save(m.ctx, f); err != nil {
+			m.options.OnError(err)
+			return
+		}
+	}
+}
+
+// save merges an entry with its row in the table and writes it back. It retries on
+// conflicts, because other daemons may write the same row.
+func (m *Manager) save(ctx context.Context, fingerprint Fingerprint) error {
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	key := table.Key{Partition: partition, Sort: string(fingerprint)}
+	var err error
+	for range maxWriteConflicts {
+		var item table.Item
+		item, err = m.options.Store.Get(ctx, key)
+		var missing *table.NotFoundError
+		if err != nil && !errors.As(err, &missing) {
+			return err
+		}
+		if err == nil {
+			m.mergeItem(item)
+		}
+		m.mu.Lock()
+		delete(m.unsaved, fingerprint)
+		entry, known := m.core.Entry(fingerprint)
+		m.mu.Unlock()
+		if !known {
+			return nil
+		}
+		var value []byte
+		if value, err = json.Marshal(entry); err != nil {
+			return err
+		}
+		err = m.options.Store.Transact(ctx, []table.Write{{Key: key, Version: item.Version, Value: value}})
+		if err == nil {
+			m.mu.Lock()
+			m.saved[fingerprint] = struct{}{}
+			m.mu.Unlock()
+			return nil
+		}
+		m.mu.Lock()
+		m.unsaved[fingerprint] = struct{}{}
+		m.mu.Unlock()
+	}
+	return err
+}
+
+// MalformedEntryError reports an entry in the table that cannot be decoded.
+type MalformedEntryError struct {
+	Key   string
+	Cause error
+}
+
+func (e *MalformedEntryError) Error() string {
+	return "malformed quarantine entry " + e.Key + ": " + e.Cause.Error()
+}
+
+// Unwrap returns the cause.
+func (e *MalformedEntryError) Unwrap() error { return e.Cause }
--- a/coordination/quarantine/quarantine.go
+++ b/coordination/quarantine/quarantine.go
@@ -10,6 +10,7 @@
 package quarantine
 
 import (
+	"cmp"
 	"crypto/sha256"
 	"encoding/binary"
 	"encoding/hex"
@@ -64,13 +65,20 @@
 	// produced at each crash, by server. Crashes before the first part are left
 	// out.
 	Positions   map[string]int `json:"positions,omitempty"`
-	Quarantined bool      `json:"quarantined"`
-	Released    bool      `json:"released"`
-	LastCrash   time.Time `json:"last_crash"`
+	Quarantined bool           `json:"quarantined"`
+	Released    bool           `json:"released"`
+	LastCrash   time.Time      `json:"last_crash"`
 	// Generation increases whenever the crashes of the entry are cleared, such as
 	// by a release, so that a daemon that missed the release cannot restore the
 	// old entry.
 	Generation uint64 `json:"generation"`
+
+	// revision is the Core's revision at the last change of the entry, and
+	// changedAt the local time of that change.
+	revision  uint64
+	changedAt time.Time
+	// from is the daemon that sent the last change, or empty if it was made here.
+	from string
 }
 
 // Options configures a Core.
@@ -85,6 +93,10 @@
 	// SettleDelay is the time between a crash and the quarantine decision. It
 	// allows other daemons to report their suspects of the same crash.
 	SettleDelay time.Duration
+	// FirstRevision is the revision from which changes are numbered. It must
+	// increase with each start of a daemon, so that peers can tell changes of an
+	// earlier run apart.
+	FirstRevision uint64
 }
 
 // DefaultOptions returns options that quarantine a request after its second
@@ -98,11 +110,51 @@
 type Core struct {
 	options Options
 	entries map[Fingerprint]*Entry
+	// revision numbers the changes of all entries.
+	revision uint64
 }
 
 // New returns an empty Core.
 func New(options Options) *Core {
-	return &Core{options: options, entries: make(map[Fingerprint]*Entry)}
+	return &Core{options: options, entries: make(map[Fingerprint]*Entry), revision: options.FirstRevision}
+}
+
+// markChanged numbers a change of an entry that was received from a daemon, or
+// made here if from is empty.
+func (c *Core) markChanged(now time.Time, e *Entry, from string) {
+	c.revision++
+	e.revision, e.changedAt, e.from = c.revision, now, from
+}
+
+// Since returns up to limit entries that changed after a revision, oldest change
+// first, and the revision up to which they are complete. Entries received from
+// the daemon to are left out. Entries received from other daemons are included
+// only if forward is set, or if the revision is from before the first change.
+func (c *Core) Since(revision uint64, to string, forward bool, limit int) ([]Entry, uint64) {
+	if revision > c.revision {
+		revision = 0
+	}
+	if revision == c.revision {
+		return nil, revision
+	}
+	forward = forward || revision <= c.options.FirstRevision
+	var changed []*Entry
+	for _, e := range c.entries {
+		if e.revision > revision && (e.from == "" || forward && e.from != to) {
+			changed = append(changed, e)
+		}
+	}
+	slices.SortFunc(changed, func(a, b *Entry) int { return cmp.Compare(a.revision, b.revision) })
+	upTo := c.revision
+	if len(changed) > limit {
+		changed = changed[:limit]
+		upTo = changed[limit-1].revision
+	}
+	entries := make([]Entry, len(changed))
+	for i, e := range changed {
+		entries[i] = e.copy()
+	}
+	return entries, upTo
 }
 
 // Check returns whether and how a request may run now.
@@ -134,6 +186,7 @@
 	e.LastCrash = now
 	e.Released = false
 	e.addCrashes([]string{server}, map[string]int{server: position})
+	c.markChanged(now, e, "")
 	before := e.Quarantined
 	c.updateQuarantine(now, e)
 	c.evict()
@@ -193,12 +246,17 @@
 	}
 	e.clear()
 	e.LastCrash = now
+	c.markChanged(now, e, "")
 	return e.copy(), true
 }
 
 // Merge merges an entry from another daemon or the table and reports whether the
 // local entry changed. Crashes that different daemons recorded add up.
-func (c *Core) Merge(now time.Time, other Entry) bool {
+func (c *Core) Merge(now time.Time, other Entry) bool { return c.MergeFrom(now, "", other) }
+
+// MergeFrom merges an entry as Merge does. The entry was received from the given
+// daemon.
+func (c *Core) MergeFrom(now time.Time, from string, other Entry) bool {
 	e, known := c.entries[other.Fingerprint]
 	if !known {
 		e = &Entry{Fingerprint: other.Fingerprint}
@@ -209,6 +267,7 @@
 	before := e.copy()
 	if other.Generation > e.Generation {
 		*e = other.copy()
+		e.revision, e.changedAt, e.from = before.revision, before.changedAt, before.from
 	} else {
 		e.addCrashes(other.Servers, other.Positions)
 		e.Quarantined = e.Quarantined || other.Quarantined
@@ -222,10 +281,13 @@
 		e.LastCrash = now
 	}
 	c.entries[other.Fingerprint] = e
+	crashesChanged := !known || len(before.Servers) != len(e.Servers) || !maps.Equal(before.Positions, e.Positions)
+	if crashesChanged || before.Quarantined != e.Quarantined || before.Generation != e.Generation {
+		c.markChanged(now, e, from)
+	}
 	c.updateQuarantine(now, e)
 	c.evict()
-	return !known || len(before.Servers) != len(e.Servers) || !maps.Equal(before.Positions, e.Positions) ||
-		before.Quarantined != e.Quarantined || before.Generation != e.Generation
+	return e.revision != before.revision
 }
 
 // Pending reports whether a request has crashed enough servers to be quarantined
@@ -233,22 +295,28 @@
 // suspects.
 func (c *Core) Pending(now time.Time, fingerprint Fingerprint) bool {
 	e, ok := c.entries[fingerprint]
-	return ok && !e.Quarantined && len(e.countedServers()) >= c.options.Crashes && now.Sub(e.LastCrash) < c.options.SettleDelay
+	return ok && !e.Quarantined && c.deservesDecision(e) && now.Sub(e.changedAt) < c.options.SettleDelay
+}
+
+// deservesDecision reports whether a request has crashed enough servers to be
+// quarantined.
+func (c *Core) deservesDecision(e *Entry) bool {
+	return len(e.countedServers()) >= c.options.Crashes || len(e.Servers) >= c.options.Crashes+maxSharedCrashes
 }
 
 // updateQuarantine quarantines a request that has crashed enough servers, unless
 // another suspect that was running at all of its crashes may have caused them
 // instead.
 func (c *Core) updateQuarantine(now time.Time, e *Entry) {
-	if e.Quarantined || now.Sub(e.LastCrash) < c.options.SettleDelay {
-		return
-	}
-	if len(e.Servers) >= c.options.Crashes+maxSharedCrashes {
-		e.Quarantined = true
+	if e.Quarantined || now.Sub(e.changedAt) < c.options.SettleDelay {
 		return
 	}
 	counted := e.countedServers()
-	e.Quarantined = len(counted) >= c.options.Crashes && !c.hasAlternativeSuspect(now, e, counted)
+	e.Quarantined = len(e.Servers) >= c.options.Crashes+maxSharedCrashes ||
+		len(counted) >= c.options.Crashes && !c.hasAlternativeSuspect(now, e, counted)
+	if e.Quarantined {
+		c.markChanged(now, e, "")
+	}
 }
 
 // maxSharedCrashes is how many crashes beyond Options.Crashes a request may share
@@ -280,7 +348,7 @@
 
 // Release removes a request from quarantine and returns the entry to send to other
 // daemons.
-func (c *Core) Release(fingerprint Fingerprint) (Entry, error) {
+func (c *Core) Release(now time.Time, fingerprint Fingerprint) (Entry, error) {
 	e, ok := c.entries[fingerprint]
 	if !ok {
 		return Entry{}, &NotQuarantinedError{Fingerprint: fingerprint}
@@ -288,6 +356,7 @@
 	e.clear()
 	e.Quarantined = false
 	e.Released = true
+	c.markChanged(now, e, "")
 	return e.copy(), nil
 }
 
--- a/coordination/quarantine/quarantine_test.go
+++ b/coordination/quarantine/quarantine_test.go
@@ -72,7 +72,7 @@
 					}
 				}
 			case 3:
-				if e, err := core.Release(fingerprint); err == nil {
+				if e, err := core.Release(now, fingerprint); err == nil {
 					sent = append(sent, e)
 				}
 			}
@@ -112,7 +112,7 @@
 	g.Expect(core.Check(now.Add(24*time.Hour), f)).To(Equal(quarantine.VerdictRefuse))
 	g.Expect(core.List()).To(HaveLen(1))
 
-	_, err := core.Release(f)
+	_, err := core.Release(now, f)
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Expect(core.Check(now, f)).To(Equal(quarantine.VerdictRun))
 }
--- a/pkg/daemon/build.go
+++ b/pkg/daemon/build.go
@@ -91,11 +91,11 @@
 		Clock:  d.clock, Random: random(randomRouting), Decisions: d.recorder,
 		Invariants: d.invariants, Registerer: d.registry,
 	})
-	d.quarantine, err = newQuarantineManager(d.platform.table, d.broadcast(membership.AnnounceQuarantine), d.clock, d.recorder, d.registry)
+	d.engines = engine.NewHTTPClient(engine.Options{})
+	d.quarantine, err = newStreamQuarantine(d.platform.table, d.broadcast(membership.AnnounceQuarantine), d.engines.Probe, d.clock, d.recorder, d.registry)
 	if err != nil {
 		return errors.Trace(err)
 	}
-	d.engines = engine.NewHTTPClient(engine.Options{})
 	d.services = service.NewClient(service.Options{})
 	d.services.Register(d.registry)
 	d.reconciler = &reconciler{
--- a/pkg/daemon/daemon.go
+++ b/pkg/daemon/daemon.go
@@ -79,7 +79,7 @@
 	balancer   *routing.Balancer
 	engines    *engine.HTTPClient
 	services   *service.HTTPClient
-	quarantine *quarantineManager
+	quarantine *streamQuarantine
 	streams    *streaming.Driver
 	deferred   *deferred.Driver
 	calls      *oncecall.Caller
--- a/pkg/daemon/operators.go
+++ b/pkg/daemon/operators.go
@@ -29,7 +29,7 @@
 		Status:        d.status,
 		Decisions:     d.recorder,
 		Drainer:       drainer{d},
-		Quarantine:    &operatorsQuarantine{manager: d.quarantine},
+		Quarantine:    &operatorsQuarantine{manager: d.quarantine.manager},
 		Metrics:       d.registry,
 		Ready:         d.ready,
 	})
@@ -94,7 +94,7 @@
 		newComponentHealth("leases", true, "%d ranges held", leases),
 		newComponentHealth("streams", true, "%d in progress", d.streams.Active()),
 		newComponentHealth("deferred", true, "%d running here", d.deferred.Running()),
-		newComponentHealth("quarantine", true, "%d requests", len(d.quarantine.List())),
+		newComponentHealth("quarantine", true, "%d requests", len(d.quarantine.manager.List())),
 		d.invariantsHealth(),
 	}
 }
@@ -109,7 +109,7 @@
 }
 
 // operatorsQuarantine implements operatorapi.Quarantine.
-type operatorsQuarantine struct{ manager *quarantineManager }
+type operatorsQuarantine struct{ manager *quarantine.Manager }
 
 // List returns the quarantined requests.
 func (q *operatorsQuarantine) List(context.Context) ([]operatorapi.QuarantineEntry, error) {
--- a/pkg/daemon/peer_handlers.go
+++ b/pkg/daemon/peer_handlers.go
@@ -21,7 +21,7 @@
 func (d *Daemon) handleAnnouncement(a membership.Announcement) {
 	switch a.Kind {
 	case membership.AnnounceQuarantine:
-		d.quarantine.mergeEncoded(a.Payload)
+		d.quarantine.handleAnnouncement(a.Payload)
 	case membership.AnnounceReclaim:
 		d.notices.handleAnnouncement(a.Payload)
 	}
@@ -32,14 +32,23 @@
 	d.follower.HandleAnnouncement(a.Revision, a.BodyHash)
 }
 
-// handleMemberChange updates the leases when the number of daemons changes, and
-// routing when a BackendServer is leaving.
+// handleMemberChange updates the leases when the number of daemons changes,
+// routing when a BackendServer is leaving, and the quarantine when a BackendServer
+// comes or goes.
 func (d *Daemon) handleMemberChange(a membership.ChangeAction) {
-	switch {
-	case a.Member.Kind == membership.KindDaemon:
+	if a.Member.Kind == membership.KindDaemon {
 		d.leases.SetDaemons(len(d.directory.Daemons(membership.StateAlive)) + 1)
-	case a.State == membership.StateLeaving:
+		return
+	}
+	server := serverRun(&a.Member)
+	switch a.State {
+	case membership.StateAlive:
+		d.quarantine.manager.ServerJoined(server, a.Member.Address)
+	case membership.StateLeaving:
 		d.balancer.NoticeReceived(a.Member.Name, a.Member.Incarnation)
+		d.quarantine.manager.ServerLeaving(server)
+	case membership.StateGone:
+		d.quarantine.manager.ServerRemoved(server, a.Member.Address)
 	}
 }
 
--- a/pkg/daemon/quarantine.go
+++ b/pkg/daemon/quarantine.go
@@ -4,7 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"sync"
+	"strings"
 	"time"
 
 	"github.com/juju/errors"
@@ -12,53 +12,37 @@
 	"k8s.io/klog/v2"
 	"k8s.io/utils/clock"
 
+	"github.com/monsooncrank/monsooncrank/coordination/membership"
 	"github.com/monsooncrank/monsooncrank/coordination/quarantine"
 	"github.com/monsooncrank/monsooncrank/coordination/table"
 	"github.com/monsooncrank/monsooncrank/pkg/decision"
 	"github.com/monsooncrank/monsooncrank/pkg/streaming"
 )
 
-const (
-	quarantinePartition = "quarantine"
-	// quarantinePageSize is the maximum number of rows in one read of the table.
-	quarantinePageSize = 100
-	// maxQuarantineWrites is the maximum number of attempts to write an entry if
-	// the write conflicts with those of other daemons.
-	maxQuarantineWrites      = 5
-	quarantineReloadInterval = 30 * time.Second
-	// quarantineSettleDelay is the time that the announcement of a crash takes to
-	// reach all daemons, including one retransmission.
-	quarantineSettleDelay = 300 * time.Millisecond
-)
+// probeTimeout is the timeout of a probe of an engine. It is many times the round
+// trip between AvailabilityZones.
+const probeTimeout = 300 * time.Millisecond
 
 // broadcastFunc sends an announcement to all daemons. Announcements with the same
 // id are sent only once.
 type broadcastFunc func(id string, payload []byte)
 
-// quarantineManager maintains the quarantine of requests that crash servers. It
-// broadcasts each change to the other daemons immediately and stores quarantined
-// entries in the table.
-type quarantineManager struct {
-	store     table.Store
+// streamQuarantine connects the streams of this daemon to the quarantine of
+// requests that crash servers, and broadcasts each change to the other daemons.
+type streamQuarantine struct {
+	manager   *quarantine.Manager
 	broadcast broadcastFunc
 	clock     clock.WithTicker
 	recorder  *decision.Recorder
 	size      prometheus.Gauge
-
-	mu   sync.Mutex
-	core *quarantine.Core
-
-	ctx   context.Context
-	stop  context.CancelFunc
-	tasks sync.WaitGroup
 }
 
-func newQuarantineManager(store table.Store, broadcast broadcastFunc, clock clock.WithTicker, recorder *decision.Recorder, registry prometheus.Registerer) (*quarantineManager, error) {
-	options := quarantine.DefaultOptions()
-	options.SettleDelay = quarantineSettleDelay
-	q := &quarantineManager{
-		store: store, broadcast: broadcast, clock: clock, recorder: recorder,
-		core: quarantine.New(options),
+// probeFunc checks on a new connection whether an engine responds.
+type probeFunc func(ctx context.Context, address string) error
+
+func newStreamQuarantine(store table.Store, broadcast broadcastFunc, probe probeFunc, clock clock.WithTicker, recorder *decision.Recorder, registry prometheus.Registerer) (*streamQuarantine, error) {
+	q := &streamQuarantine{
+		broadcast: broadcast, clock: clock, recorder: recorder,
 		size: prometheus.NewGauge(prometheus.GaugeOpts{
 			Name: "monsooncrank_quarantine_entries",
 			Help: "Requests in quarantine.",
@@ -67,195 +51,104 @@
 	if err := registry.Register(q.size); err != nil {
 		return nil, errors.Trace(err)
 	}
-	q.ctx, q.stop = context.WithCancel(context.Background())
-	q.tasks.Go(q.run)
+	options := quarantine.DefaultOptions()
+	options.SettleDelay = quarantine.DefaultSettleDelay
+	q.manager = quarantine.NewManager(quarantine.ManagerOptions{
+		Core: options, Store: store, Clock: clock, Probe: engineProbe(probe), OnChange: q.handleChange,
+		OnError: func(err error) { klog.V(1).InfoS("cannot read or write quarantine entries", "error", err) },
+	})
 	return q, nil
 }
 
-func (q *quarantineManager) close() {
-	q.stop()
-	q.tasks.Wait()
+// engineProbe returns a probe for which an engine that does not respond is down.
+func engineProbe(probe probeFunc) func(context.Context, string) quarantine.ServerState {
+	return func(ctx context.Context, address string) quarantine.ServerState {
+		ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+		defer cancel()
+		if probe(ctx, address) != nil {
+			return quarantine.ServerDown
+		}
+		return quarantine.ServerRuns
+	}
 }
 
-// run periodically loads the stored entries and removes expired ones. Loading is
-// needed on a daemon that has just started or has missed an announcement.
-func (q *quarantineManager) run() {
-	ticker := q.clock.NewTicker(quarantineReloadInterval)
-	defer ticker.Stop()
-	for {
-		if err := q.load(); err != nil {
-			klog.V(1).InfoS("cannot read quarantine entries", "error", err)
-		}
-		q.mu.Lock()
-		q.core.Expire(q.clock.Now())
-		q.mu.Unlock()
-		select {
-		case <-ticker.C():
-		case <-q.ctx.Done():
-			return
+func (q *streamQuarantine) close() { q.manager.Close() }
+
+// handleChange records a change and broadcasts it if it was made here.
+func (q *streamQuarantine) handleChange(c quarantine.Change) {
+	if c.Source == quarantine.SourceCrash || c.Source == quarantine.SourceSettled {
+		reason := "suspect after a crash"
+		if c.Entry.Quarantined {
+			reason = "quarantined after repeated crashes"
 		}
+		q.recorder.Record(decision.Decision{
+			Time: q.clock.Now(), Kind: decision.KindQuarantine, RequestID: c.Request, Chosen: fmt.Sprint(c.Entry.Servers), Reason: reason,
+		})
+	}
+	q.size.Set(float64(len(q.manager.List())))
+	if c.Local() {
+		q.announce(c.Entry)
 	}
 }
 
-// load reads all entries from the table and merges them.
-func (q *quarantineManager) load() error {
-	after := ""
-	for {
-		items, err := q.store.Query(q.ctx, quarantinePartition, after, quarantinePageSize)
-		if err != nil {
-			return errors.Trace(err)
-		}
-		for _, item := range items {
-			q.mergeEncoded(item.Value)
-			after = item.Key.Sort
-		}
-		if len(items) < quarantinePageSize {
-			return nil
-		}
+// announce broadcasts an entry to the other daemons.
+func (q *streamQuarantine) announce(entry quarantine.Entry) {
+	payload, err := json.Marshal(entry)
+	if err != nil {
+		klog.ErrorS(err, "cannot encode quarantine entry")
+		return
 	}
+	id := fmt.Sprintf("%s/%d/%s/%t", entry.Fingerprint, entry.Generation, strings.Join(entry.Servers, ","), entry.Quarantined)
+	q.broadcast(id, payload)
 }
 
-// mergeEncoded merges a JSON-encoded entry received from a peer or read from the
-// table.
-func (q *quarantineManager) mergeEncoded(payload []byte) {
+// handleAnnouncement merges an entry that another daemon has broadcast.
+func (q *streamQuarantine) handleAnnouncement(payload []byte) {
 	var entry quarantine.Entry
 	if err := json.Unmarshal(payload, &entry); err != nil {
 		klog.ErrorS(err, "malformed quarantine entry")
 		return
 	}
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	q.core.Merge(q.clock.Now(), entry)
-	q.size.Set(float64(len(q.core.List())))
+	q.manager.MergeFrom("", entry)
 }
 
 // Check implements streaming.Quarantine.
-func (q *quarantineManager) Check(fingerprint string) streaming.Verdict {
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	return streamingVerdict(q.core.Check(q.clock.Now(), quarantine.Fingerprint(fingerprint)))
-}
-
-func streamingVerdict(v quarantine.Verdict) streaming.Verdict {
+func (q *streamQuarantine) Check(ctx context.Context, fingerprint string) streaming.Verdict {
+	v := q.manager.Check(ctx, quarantine.Fingerprint(fingerprint))
 	return streaming.Verdict{
 		Isolate:     v == quarantine.VerdictIsolate,
 		Quarantined: v == quarantine.VerdictRefuse,
 	}
 }
 
-// ReportCrash implements streaming.Quarantine. Before a request is quarantined, it
-// waits for the announcements of other daemons about suspects of the same crash.
-func (q *quarantineManager) ReportCrash(ctx context.Context, report streaming.CrashReport) streaming.Verdict {
-	server := fmt.Sprintf("%s#%d", report.Backend.Name, report.Backend.Incarnation)
-	q.mu.Lock()
-	now := q.clock.Now()
-	entry, quarantined := q.core.RecordCrash(now, quarantine.Fingerprint(report.Fingerprint), server, report.Position)
-	pending := q.core.Pending(now, entry.Fingerprint)
-	q.mu.Unlock()
-	if pending {
-		q.announce(entry, false)
-		select {
-		case <-q.clock.After(quarantineSettleDelay):
-		case <-ctx.Done():
-		}
-	}
-	q.mu.Lock()
-	verdict := streamingVerdict(q.core.Check(q.clock.Now(), entry.Fingerprint))
-	if settled, known := q.core.Entry(entry.Fingerprint); pending && known {
-		entry, quarantined = settled, settled.Quarantined
-	}
-	q.size.Set(float64(len(q.core.List())))
-	q.mu.Unlock()
-	reason := "suspect after a crash"
-	if verdict.Quarantined {
-		reason = "quarantined after repeated crashes"
-	}
-	q.recorder.Record(decision.Decision{
-		Time: now, Kind: decision.KindQuarantine, RequestID: report.RequestID, Chosen: server, Reason: reason,
+// Started implements streaming.Quarantine.
+func (q *streamQuarantine) Started(a streaming.QuarantineAttempt) {
+	q.manager.Started(quarantine.Attempt{
+		ID: a.ID, Request: a.RequestID, Fingerprint: quarantine.Fingerprint(a.Fingerprint),
+		Server: serverRun(&a.Backend), Address: a.Backend.Address,
 	})
-	q.announce(entry, quarantined)
-	return verdict
 }
 
-// ReportSuccess implements streaming.Quarantine.
-func (q *quarantineManager) ReportSuccess(fingerprint string) {
-	q.mu.Lock()
-	entry, cleared := q.core.RecordSuccess(q.clock.Now(), quarantine.Fingerprint(fingerprint))
-	q.mu.Unlock()
-	if cleared {
-		q.announce(entry, false)
-	}
+// serverRun names a run of a BackendServer in the quarantine.
+func serverRun(m *membership.BackendServer) string {
+	return fmt.Sprintf("%s#%d", m.Name, m.Incarnation)
 }
 
-// List returns the entries of the quarantined requests.
-func (q *quarantineManager) List() []quarantine.Entry {
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	return q.core.List()
-}
+// Resolved implements streaming.Quarantine.
+func (q *streamQuarantine) Resolved(attemptID string) { q.manager.Resolved(attemptID, false) }
 
-// Release removes a request from the quarantine at all daemons and in the table.
-func (q *quarantineManager) Release(ctx context.Context, fingerprint quarantine.Fingerprint) error {
-	q.mu.Lock()
-	entry, err := q.core.Release(fingerprint)
-	q.size.Set(float64(len(q.core.List())))
-	q.mu.Unlock()
-	if err != nil {
-		return errors.Trace(err)
-	}
-	q.announce(entry, false)
-	return errors.Trace(q.persist(ctx, entry))
+// Completed implements streaming.Quarantine.
+func (q *streamQuarantine) Completed(attemptID, fingerprint string) {
+	q.manager.Resolved(attemptID, true)
+	q.manager.Succeeded(quarantine.Fingerprint(fingerprint))
 }
 
-// announce broadcasts the entry to the other daemons and, if store is set, writes it
-// to the table in the background.
-func (q *quarantineManager) announce(entry quarantine.Entry, store bool) {
-	payload, err := json.Marshal(entry)
-	if err != nil {
-		klog.ErrorS(err, "cannot encode quarantine entry")
-		return
-	}
-	id := fmt.Sprintf("%s/%d/%d/%t", entry.Fingerprint, entry.Generation, len(entry.Servers), entry.Quarantined)
-	q.broadcast(id, payload)
-	if !store {
-		return
-	}
-	q.tasks.Go(func() {
-		if err := q.persist(q.ctx, entry); err != nil {
-			klog.ErrorS(err, "cannot store quarantine entry", "fingerprint", entry.Fingerprint)
-		}
-	})
+// Abandoned implements streaming.Quarantine.
+func (q *streamQuarantine) Abandoned(attemptID string, position int) {
+	q.manager.Abandoned(attemptID, position)
 }
 
-// persist merges an entry with the stored row and writes it back. It retries on
-// conflicts, because other daemons may write the same row.
-func (q *quarantineManager) persist(ctx context.Context, entry quarantine.Entry) error {
-	key := table.Key{Partition: quarantinePartition, Sort: string(entry.Fingerprint)}
-	var err error
-	for range maxQuarantineWrites {
-		var item table.Item
-		item, err = q.store.Get(ctx, key)
-		var missing *table.NotFoundError
-		if err != nil && !errors.As(err, &missing) {
-			return errors.Trace(err)
-		}
-		if err == nil {
-			q.mergeEncoded(item.Value)
-		}
-		q.mu.Lock()
-		merged, known := q.core.Entry(entry.Fingerprint)
-		q.mu.Unlock()
-		if !known {
-			merged = entry
-		}
-		value, encodeErr := json.Marshal(merged)
-		if encodeErr != nil {
-			return errors.Trace(encodeErr)
-		}
-		err = q.store.Transact(ctx, []table.Write{{Key: key, Version: item.Version, Value: value}})
-		if err == nil {
-			return nil
-		}
-	}
-	return errors.Trace(err)
+// Broken implements streaming.Quarantine.
+func (q *streamQuarantine) Broken(ctx context.Context, attemptID string, position int) bool {
+	return q.manager.Broken(ctx, attemptID, position)
 }
--- a/pkg/streaming/attempt.go
+++ b/pkg/streaming/attempt.go
@@ -12,6 +12,7 @@
 // runAttempt runs one attempt, reports its result to the router, the retry
 // budget and the quarantine, and posts a failure to the stream.
 func (s *stream) runAttempt(ctx context.Context, a *runningAttempt, req *engine.Request) {
+	s.d.opts.Quarantine.Started(QuarantineAttempt{ID: a.id, RequestID: s.request.ID, Fingerprint: s.fingerprint(), Backend: a.backend})
 	received, last, err := s.receive(ctx, a, req)
 	now := s.d.opts.Clock.Now()
 	if err == nil {
@@ -19,11 +20,12 @@
 		usage := Usage{PromptTokens: last.PromptTokens, CachedTokens: last.CachedTokens, GeneratedTokens: received}
 		s.d.opts.Router.Finished(a.id, usage, now)
 		s.d.opts.RetryBudget.Deposit(s.request.ClientAccount, a.backend.Pool)
-		s.d.opts.Quarantine.ReportSuccess(s.fingerprint())
+		s.d.opts.Quarantine.Completed(a.id, s.fingerprint())
 		return
 	}
 	if ctx.Err() != nil {
 		s.d.metrics.attempts.WithLabelValues("cancelled").Inc()
+		s.d.opts.Quarantine.Abandoned(a.id, len(req.ResumeTokens)+received)
 		s.d.opts.Router.Failed(a.id, context.Cause(ctx), now)
 		return
 	}
@@ -72,13 +74,16 @@
 	switch {
 	case errors.As(err, &notSent):
 		failed.Kind = FailureNotSent
+		s.d.opts.Quarantine.Resolved(a.id)
+		return failed
 	case errors.As(err, &refused):
 		failed.Kind = s.refusalKind(a, refused)
+		s.d.opts.Quarantine.Resolved(a.id)
+		return failed
 	case errors.As(err, &broken) && broken.Silent:
 		failed.Kind = FailureSilent
-	default:
-		s.checkCrash(ctx, a, position, &failed)
 	}
+	s.checkCrash(ctx, a, position, &failed)
 	return failed
 }
 
@@ -94,22 +99,18 @@
 	return FailureRefused
 }
 
-// checkCrash probes the engine, because a crashed engine does not respond,
-// unlike one whose connection has only broken. It reports a crash to the
-// quarantine. An engine whose shutdown was announced is not counted as crashed.
+// checkCrash reports an attempt that broke off to the quarantine. A crashed engine
+// does not respond, unlike one whose connection has only broken or gone silent. An
+// engine whose shutdown was announced is not counted as crashed.
 func (s *stream) checkCrash(ctx context.Context, a *runningAttempt, position int, failed *Failed) {
 	if _, announced := s.d.noticeDeadline(a.backend.Name); announced {
+		s.d.opts.Quarantine.Resolved(a.id)
 		return
 	}
-	probeCtx, cancel := context.WithTimeout(ctx, s.d.opts.ProbeTimeout)
-	defer cancel()
-	if s.d.opts.Probe(probeCtx, a.backend.Address) == nil {
+	if !s.d.opts.Quarantine.Broken(ctx, a.id, position) {
 		return
 	}
 	failed.Kind = FailureCrashed
-	verdict := s.d.opts.Quarantine.ReportCrash(ctx, CrashReport{
-		Fingerprint: s.fingerprint(), ClientAccount: s.request.ClientAccount, RequestID: s.request.ID,
-		Backend: a.backend, Position: position,
-	})
+	verdict := s.d.opts.Quarantine.Check(ctx, s.fingerprint())
 	failed.Isolate, failed.Quarantined = verdict.Isolate, verdict.Quarantined
 }
--- a/pkg/streaming/driver.go
+++ b/pkg/streaming/driver.go
@@ -94,7 +94,7 @@
 		setDefault(&route.Timeout, defaultTimeout)
 		state.Request.Deadline = d.opts.Clock.Now().Add(route.Timeout)
 	}
-	verdict := d.opts.Quarantine.Check(Fingerprint(req.ClientAccount, req.Model, req.Messages))
+	verdict := d.opts.Quarantine.Check(ctx, Fingerprint(req.ClientAccount, req.Model, req.Messages))
 	if verdict.Quarantined {
 		return api.NewNotRunProblem(api.ProblemQuarantined, http.StatusUnprocessableEntity, "the request crashed backend servers and is in quarantine")
 	}
--- a/pkg/streaming/driver_policies_test.go
+++ b/pkg/streaming/driver_policies_test.go
@@ -14,31 +14,40 @@
 )
 
 // countingQuarantine isolates a request after its first crash and quarantines
-// it after the second.
+// it after the second. Every broken attempt counts as a crash.
 type countingQuarantine struct {
-	mu      sync.Mutex
-	crashes map[string]int
+	mu       sync.Mutex
+	attempts map[string]string
+	crashes  map[string]int
 }
 
-func (q *countingQuarantine) verdict(fingerprint string) streaming.Verdict {
+func newCountingQuarantine() *countingQuarantine {
+	return &countingQuarantine{attempts: make(map[string]string), crashes: make(map[string]int)}
+}
+
+func (q *countingQuarantine) Check(_ context.Context, fingerprint string) streaming.Verdict {
+	q.mu.Lock()
+	defer q.mu.Unlock()
 	n := q.crashes[fingerprint]
 	return streaming.Verdict{Isolate: n == 1, Quarantined: n > 1}
 }
 
-func (q *countingQuarantine) Check(fingerprint string) streaming.Verdict {
+func (q *countingQuarantine) Started(a streaming.QuarantineAttempt) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	return q.verdict(fingerprint)
+	q.attempts[a.ID] = a.Fingerprint
 }
 
-func (q *countingQuarantine) ReportCrash(_ context.Context, r streaming.CrashReport) streaming.Verdict {
+func (q *countingQuarantine) Broken(_ context.Context, attemptID string, _ int) bool {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	q.crashes[r.Fingerprint]++
-	return q.verdict(r.Fingerprint)
+	q.crashes[q.attempts[attemptID]]++
+	return true
 }
 
-func (q *countingQuarantine) ReportSuccess(string) {}
+func (q *countingQuarantine) Resolved(string)          {}
+func (q *countingQuarantine) Completed(string, string) {}
+func (q *countingQuarantine) Abandoned(string, int)    {}
 
 // limitedBudget counts the withdrawals and refuses the first three.
 type limitedBudget struct {
@@ -66,7 +75,7 @@
 	// Guards against a request that crashes one engine after another.
 	It("quarantines a request that crashes its engines", func() {
 		d := deploy(GinkgoTB(), standin.Options{CrashMarker: "poison"}, func(o *streaming.Options) {
-			o.Quarantine = &countingQuarantine{crashes: make(map[string]int)}
+			o.Quarantine = newCountingQuarantine()
 		})
 		req := chatRequest("r1", 16)
 		req.Messages[0].Content += " poison"
@@ -84,7 +93,7 @@
 	// Guards against reporting a crash for an engine whose connection went
 	// silent or whose host was reclaimed.
 	It("reports no crash for an announced shutdown", func() {
-		crashes := &countingQuarantine{crashes: make(map[string]int)}
+		crashes := newCountingQuarantine()
 		d := deploy(GinkgoTB(), slowEngine, func(o *streaming.Options) { o.Quarantine = crashes })
 		req := chatRequest("r1", 64)
 		out := &sink{hookAt: 10, hook: func() { d.reclaim("a", time.Millisecond) }}
--- a/pkg/streaming/options.go
+++ b/pkg/streaming/options.go
@@ -19,7 +19,6 @@
 	defaultRetention       = time.Minute
 	defaultTimeout         = time.Minute
 	defaultCancelTimeout   = 2 * time.Second
-	defaultProbeTimeout    = 300 * time.Millisecond
 	defaultHandOverTime    = time.Second
 	defaultFetchWait       = 2 * time.Second
 	defaultKVBytesPerToken = 128 << 10
@@ -105,22 +104,30 @@
 	Quarantined bool
 }
 
-// CrashReport describes a crash of an engine while it ran a request.
-type CrashReport struct {
-	Fingerprint   string
-	ClientAccount string
-	RequestID     string
-	Backend       membership.BackendServer
-	// Position is the number of tokens of the answer produced before the crash, by
-	// this and earlier attempts.
-	Position int
+// QuarantineAttempt is an attempt that the quarantine watches.
+type QuarantineAttempt struct {
+	ID          string
+	RequestID   string
+	Fingerprint string
+	Backend     membership.BackendServer
 }
 
 // Quarantine tracks requests that crash engines.
 type Quarantine interface {
-	Check(fingerprint string) Verdict
-	ReportCrash(ctx context.Context, report CrashReport) Verdict
-	ReportSuccess(fingerprint string)
+	// Check returns whether and how a request may run. It may wait until a decision
+	// has been made.
+	Check(ctx context.Context, fingerprint string) Verdict
+	// Started records the start of an attempt. It is followed by one call of
+	// Resolved (the attempt did not run, or its engine was shut down as announced),
+	// Completed, Abandoned or Broken.
+	Started(attempt QuarantineAttempt)
+	Resolved(attemptID string)
+	Completed(attemptID, fingerprint string)
+	// Abandoned records that the caller left after position tokens of the answer.
+	Abandoned(attemptID string, position int)
+	// Broken handles an attempt that broke off, or whose engine was silent, after
+	// position tokens of the answer. It reports whether the engine has crashed.
+	Broken(ctx context.Context, attemptID string, position int) bool
 }
 
 // AdmissionRequest describes a request that applies for admission.
@@ -182,16 +189,13 @@
 	Quarantine  Quarantine
 	Admission   Admission
 	Peer        Peer
-	// Probe checks on a new connection whether an engine responds.
-	Probe      func(ctx context.Context, address string) error
-	Clock      clock.WithTicker
-	Recorder   *decision.Recorder
-	Invariants *invariant.Reporter
-	Registerer prometheus.Registerer
+	Clock       clock.WithTicker
+	Recorder    *decision.Recorder
+	Invariants  *invariant.Reporter
+	Registerer  prometheus.Registerer
 	// Retention is how long the events of an ended stream stay available.
 	Retention     time.Duration
 	CancelTimeout time.Duration
-	ProbeTimeout  time.Duration
 	// HandOverTime is the timeout of one hand-over, and the time that a drain
 	// reserves for handing over the remaining streams.
 	HandOverTime time.Duration
@@ -204,14 +208,9 @@
 	Seed uint64
 }
 
-type prober interface {
-	Probe(ctx context.Context, address string) error
-}
-
 func (o Options) withDefaults() Options {
 	setDefault(&o.Retention, defaultRetention)
 	setDefault(&o.CancelTimeout, defaultCancelTimeout)
-	setDefault(&o.ProbeTimeout, defaultProbeTimeout)
 	setDefault(&o.HandOverTime, defaultHandOverTime)
 	setDefault(&o.FetchWait, defaultFetchWait)
 	setDefault(&o.Costs.KVBytesPerToken, int64(defaultKVBytesPerToken))
@@ -234,34 +233,22 @@
 	if o.Admission == nil {
 		o.Admission = noop{}
 	}
-	if o.Probe == nil {
-		o.Probe = defaultProbe(o.Client)
-	}
 	return o
 }
 
-// defaultProbe returns a probe that uses the Probe method of client if it has
-// one, and reads the engine's load otherwise.
-func defaultProbe(client engine.Client) func(context.Context, string) error {
-	if p, ok := client.(prober); ok {
-		return p.Probe
-	}
-	return func(ctx context.Context, address string) error {
-		_, err := client.Load(ctx, address)
-		return err
-	}
-}
-
 // noop implements Directory, RetryBudget, Quarantine and Admission without
 // limits. It is used for those that are not configured.
 type noop struct{}
 
-func (noop) ReportLeaving(string, uint64)                     {}
-func (noop) Withdraw(string, string) bool                     { return true }
-func (noop) Deposit(string, string)                           {}
-func (noop) Check(string) Verdict                             { return Verdict{} }
-func (noop) ReportCrash(context.Context, CrashReport) Verdict { return Verdict{} }
-func (noop) ReportSuccess(string)                             {}
+func (noop) ReportLeaving(string, uint64)             {}
+func (noop) Withdraw(string, string) bool             { return true }
+func (noop) Deposit(string, string)                   {}
+func (noop) Check(context.Context, string) Verdict    { return Verdict{} }
+func (noop) Started(QuarantineAttempt)                {}
+func (noop) Resolved(string)                          {}
+func (noop) Completed(string, string)                 {}
+func (noop) Abandoned(string, int)                    {}
+func (noop) Broken(context.Context, string, int) bool { return false }
 func (noop) Acquire(context.Context, *AdmissionRequest) (func(), error) {
 	return func() {}, nil
 }
