Discover crashes of servers on all connections of the platform's daemon

Cause: a break counted as a crash on new connections only and without a look at the server: on a kept connection it was taken for an idle connection that the server had closed. Silent servers, callers that had left and deadlines never counted, and a server that came back under its ID counted once. Change: pkg/edge uses the Manager that the chat gateway uses. Every attempt is known to it; after a break it probes the server on a new connection, and crashes that show later (new incarnation, address taken by another server, entry removed while nothing answers) are attributed to attempts given up before. Servers are named with the start of their run. A connection that breaks while its server runs on makes no suspect any more.

--- a/coordination/quarantine/quarantine.go
+++ b/coordination/quarantine/quarantine.go
@@ -57,21 +57,21 @@
 
 // Entry holds the crash history and quarantine state of one fingerprint.
 type Entry struct {
-	Fingerprint Fingerprint `json:"fingerprint"`
+	Fingerprint Fingerprint `json:"fingerprint" cbor:"1,keyasint"`
 	// Servers lists the distinct BackendServers (name and incarnation) that
 	// crashed while they ran the request.
-	Servers []string `json:"servers"`
+	Servers []string `json:"servers" cbor:"2,keyasint,omitempty"`
 	// Positions holds how many parts of the answer (tokens or events) had been
 	// produced at each crash, by server. Crashes before the first part are left
 	// out.
-	Positions   map[string]int `json:"positions,omitempty"`
-	Quarantined bool           `json:"quarantined"`
-	Released    bool           `json:"released"`
-	LastCrash   time.Time      `json:"last_crash"`
+	Positions   map[string]int `json:"positions,omitempty" cbor:"3,keyasint,omitempty"`
+	Quarantined bool           `json:"quarantined" cbor:"4,keyasint,omitempty"`
+	Released    bool           `json:"released" cbor:"5,keyasint,omitempty"`
+	LastCrash   time.Time      `json:"last_crash" cbor:"6,keyasint"`
 	// Generation increases whenever the crashes of the entry are cleared, such as
 	// by a release, so that a daemon that missed the release cannot restore the
 	// old entry.
-	Generation uint64 `json:"generation"`
+	Generation uint64 `json:"generation" cbor:"7,keyasint,omitempty"`
 
 	// revision is the Core's revision at the last change of the entry, and
 	// changedAt the local time of that change.
--- a/pkg/edge/daemon.go
+++ b/pkg/edge/daemon.go
@@ -87,7 +87,8 @@
 	d := &Daemon{options: o, settings: o.Settings, platform: o.Platform, pool: pool, state: newState(o.Settings, pool),
 		registry: o.Registry, idle: newIdleConnections()}
 	d.registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
-	d.front = relay.NewHandler(relay.Options{Codec: o.Codec, Controller: d.state, Pool: pool, Metrics: relay.NewMetrics(d.registry)})
+	d.state.startQuarantine(o.Platform, d.registry)
+	d.front = relay.NewHandler(relay.Options{Codec: o.Codec, Controller: d.state, Quarantine: d.state.quarantine, Pool: pool, Metrics: relay.NewMetrics(d.registry)})
 	d.peerPool = peer.NewPool(peer.PoolOptions{})
 	server, err := peer.NewServer(peer.ServerOptions{Address: o.Settings.PeerAddress, PlatformEndsTLS: true}, d.peerHandlers())
 	if err != nil {
@@ -231,6 +232,7 @@
 	leaveCtx, cancelLeave := context.WithTimeout(context.Background(), leaveMessageTimeout)
 	defer cancelLeave()
 	d.sendLeaveMessages(leaveCtx)
+	d.state.quarantine.Close()
 	klog.InfoS("stop", "active", d.front.Active())
 }
 
--- a/pkg/edge/edge_test.go
+++ b/pkg/edge/edge_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/onsi/gomega"
+	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/monsooncrank/monsooncrank/coordination/table"
 	"github.com/monsooncrank/monsooncrank/coordination/table/memtable"
@@ -23,7 +24,16 @@
 var settings = Settings{Node: "self", PeerAddress: "127.0.0.1:1", RetryRatio: 0.2, RetrySlack: 50, RetryWindow: 10 * time.Second, UsageWindow: 5 * time.Second,
 	MaxUsageReportDelay: 10 * time.Second, MinHolderInterval: 3 * time.Second, ReportsUsage: true}
 
-func newTestState() *state { return newState(settings, backendconn.NewPool()) }
+func newTestState(t *testing.T) *state { return newStateOf(t, settings) }
+
+// newStateOf returns the state of a daemon with its own table.
+func newStateOf(t *testing.T, settings Settings) *state {
+	t.Helper()
+	s := newState(settings, backendconn.NewPool())
+	s.startQuarantine(memtable.New(), prometheus.NewRegistry())
+	t.Cleanup(s.quarantine.Close)
+	return s
+}
 
 func configuration(version int64) *catalog.Catalog {
 	c := &catalog.Catalog{Version: version, Source: []byte{byte(version)}, Services: map[string]*catalog.Service{
@@ -36,7 +46,7 @@
 // in a late response of the store.
 func TestAConfigurationNeverReverts(t *testing.T) {
 	g := gomega.NewWithT(t)
-	s := newTestState()
+	s := newTestState(t)
 	s.activateCatalog(configuration(5), "store")
 	s.activateCatalog(configuration(4), "peer")
 	s.activateCatalog(nil, "store")
@@ -47,7 +57,7 @@
 // views as confirmed: the age of a view must only grow as it is forwarded.
 func TestIsolatedDaemonsDoNotRefreshEachOthersViews(t *testing.T) {
 	g := gomega.NewWithT(t)
-	s := newTestState()
+	s := newTestState(t)
 	deliver := func(age time.Duration) {
 		s.applyFleet(&mesh.Message{Record: mesh.Record{Node: "peer"}, FleetVersion: 7, FleetAgeMillis: age.Milliseconds(), HasFleet: true,
 			Fleet: []fleet.Entry{{ID: "x", Server: &fleet.Server{ID: "x", Service: "s", Address: "10.0.0.1:80"}}}})
@@ -57,7 +67,7 @@
 	g.Expect(s.fleetAge()).To(gomega.BeNumerically("~", 200*time.Millisecond, 100*time.Millisecond))
 	deliver(5 * time.Second)
 	g.Expect(s.fleetAge()).To(gomega.BeNumerically("<", time.Second), "an older confirmation must not replace a newer one")
-	other := newTestState()
+	other := newTestState(t)
 	other.applyFleet(&mesh.Message{Record: mesh.Record{Node: "peer"}, FleetVersion: 7, FleetAgeMillis: 5000, HasFleet: true})
 	g.Expect(other.followsStore()).To(gomega.BeTrue())
 }
@@ -66,7 +76,7 @@
 // this daemon: the change must be accepted from a peer.
 func TestLeavingServersAreLearnedFromPeers(t *testing.T) {
 	g := gomega.NewWithT(t)
-	s := newTestState()
+	s := newTestState(t)
 	server := fleet.Server{ID: "x", Service: "s", Address: "10.0.0.1:80"}
 	s.applyServerEvents(s.fleet.ApplySnapshot(bootNow(), 5, []fleet.Entry{{ID: "x", Server: &server}}), "store")
 	leaving := server
@@ -86,7 +96,7 @@
 	server := fleet.Server{ID: "x", Service: "s", Address: "10.0.0.1:80"}
 	own := settings
 	own.Node = "hub"
-	hub, s := newState(own, backendconn.NewPool()), newTestState()
+	hub, s := newStateOf(t, own), newTestState(t)
 	for _, d := range []*state{hub, s} {
 		d.applyServerEvents(d.fleet.ApplySnapshot(bootNow(), 5, []fleet.Entry{{ID: "x", Server: &server}}), "store")
 	}
@@ -106,7 +116,7 @@
 // must stay within the daemon's share of the budget.
 func TestRetriesStayWithinTheDaemonsShareOfTheBudget(t *testing.T) {
 	g := gomega.NewWithT(t)
-	s := newTestState()
+	s := newTestState(t)
 	allowed := 0
 	for range 1000 {
 		s.Arrived("s")
@@ -145,8 +155,8 @@
 }
 func (*fakePlatform) OrderServers(context.Context, uint64, scaling.Order) error { return nil }
 
-func newTestDuties(p *fakePlatform) *duties {
-	d := &Daemon{settings: settings, platform: p, state: newTestState()}
+func newTestDuties(t *testing.T, p *fakePlatform) *duties {
+	d := &Daemon{settings: settings, platform: p, state: newTestState(t)}
 	return newDuties(d)
 }
 
@@ -156,7 +166,7 @@
 func TestASuccessorReportsTheSameUsage(t *testing.T) {
 	g := gomega.NewWithT(t)
 	p := &fakePlatform{Store: memtable.New()}
-	first, second := newTestDuties(p), newTestDuties(p)
+	first, second := newTestDuties(t, p), newTestDuties(t, p)
 	defer first.manager.Close()
 	defer second.manager.Close()
 	ctx := context.Background()
@@ -173,7 +183,7 @@
 func TestASuccessorLoadsTheSizeOfAService(t *testing.T) {
 	g := gomega.NewWithT(t)
 	p := &fakePlatform{Store: memtable.New()}
-	first, second := newTestDuties(p), newTestDuties(p)
+	first, second := newTestDuties(t, p), newTestDuties(t, p)
 	defer first.manager.Close()
 	defer second.manager.Close()
 	ctx := context.Background()
@@ -191,7 +201,7 @@
 // store itself.
 func TestDaemonsServedByHubsDoNotWatchTheStore(t *testing.T) {
 	g := gomega.NewWithT(t)
-	s := newTestState()
+	s := newTestState(t)
 	addPeers(s, 2*fullMeshLimit)
 	d := &Daemon{settings: settings, platform: &fakePlatform{}, state: s}
 	s.peerConfirmedAt = bootNow()
@@ -229,7 +239,7 @@
 	for _, node := range []string{"hub-0", "hub-1", "hub-2"} {
 		own := settings
 		own.Node, own.Cores = node, 9
-		s := newState(own, backendconn.NewPool())
+		s := newStateOf(t, own)
 		addPeers(s, 2*fullMeshLimit)
 		for _, other := range []string{"hub-0", "hub-1", "hub-2"} {
 			s.peers.UpdateEntry(bootNow(), other, "127.0.0.1:1", 9, 1)
@@ -255,7 +265,7 @@
 	now = now.Add(catalogDeliveryTimeout)
 	g.Expect(countSenders("peer-0", 3)).To(gomega.BeZero())
 	g.Expect(countSenders("peer-1", 2)).To(gomega.Equal(3), "the configuration was lost, or the primary hub has failed")
-	small := newTestState()
+	small := newTestState(t)
 	addPeers(small, 3)
 	small.activateCatalog(configuration(3), "store")
 	g.Expect(small.shouldSendCatalog(now, "peer-1", 2)).To(gomega.BeTrue(), "in a full mesh, each daemon sends the configuration at once")
--- a/pkg/edge/exchange.go
+++ b/pkg/edge/exchange.go
@@ -158,6 +158,7 @@
 		}
 	}
 	s := d.state
+	s.quarantine.MergeFrom(m.Record.Node, m.Quarantine...)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.peers.UpdateNeighbor(bootNow(), m, initiatedByPeer)
@@ -168,11 +169,6 @@
 	}
 	s.placement.ApplyPeerLoads(time.Now())
 	s.quota.SetStaleness(s.peers.MaxStaleness())
-	for _, entry := range m.Quarantine {
-		if s.quarantine.Merge(time.Now(), entry) {
-			s.logSuspect(&entry, "peer "+m.Record.Node)
-		}
-	}
 	s.applyFleet(m)
 }
 
--- /dev/null
+++ b/pkg/edge/quarantine.go
@@ -0,0 +1,102 @@
+package edge
+
+import (
+	"context"
+	"syscall"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/prometheus/client_golang/prometheus"
+	"k8s.io/klog/v2"
+	"k8s.io/utils/clock"
+
+	"github.com/monsooncrank/monsooncrank/coordination/quarantine"
+	"github.com/monsooncrank/monsooncrank/coordination/table"
+	"github.com/monsooncrank/monsooncrank/pkg/backendconn"
+	"github.com/monsooncrank/monsooncrank/pkg/fleet"
+)
+
+// quarantineMetrics holds the metrics of the quarantine.
+type quarantineMetrics struct {
+	changes *prometheus.CounterVec
+	crashes *prometheus.CounterVec
+}
+
+func newQuarantineMetrics(registry prometheus.Registerer) *quarantineMetrics {
+	m := &quarantineMetrics{
+		changes: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "monsooncrank_quarantine_changes_total",
+			Help: "Changes to what this daemon knows of requests that crash servers, by source."}, []string{"source"}),
+		crashes: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "monsooncrank_quarantine_server_crashes_total",
+			Help: "Crashes of servers under requests of this daemon, by evidence."}, []string{"evidence"}),
+	}
+	registry.MustRegister(m.changes, m.crashes)
+	return m
+}
+
+// startQuarantine starts the quarantine of requests that crash servers. Its
+// callbacks lock the state, so that its methods that call them must not be called
+// with the state locked.
+func (s *state) startQuarantine(store table.Store, registry prometheus.Registerer) {
+	options := quarantine.DefaultOptions()
+	options.SettleDelay, options.FirstRevision = quarantine.DefaultSettleDelay, s.incarnation
+	metrics := newQuarantineMetrics(registry)
+	s.quarantine = quarantine.NewManager(quarantine.ManagerOptions{
+		Core: options, Store: store, Clock: clock.RealClock{}, Probe: probeServer,
+		OnChange: func(c quarantine.Change) {
+			metrics.changes.WithLabelValues(string(c.Source)).Inc()
+			s.handleQuarantineChange(&c)
+		},
+		OnCrash: func(c quarantine.Crash) {
+			metrics.crashes.WithLabelValues(string(c.Evidence)).Inc()
+			klog.InfoS("server crashed", "server", c.Server, "evidence", c.Evidence, "suspects", c.Suspects)
+		},
+		OnError: func(err error) { klog.InfoS("failed to read or write quarantine entries", "err", err) },
+	})
+}
+
+// probeServer checks on a new connection whether a server runs. A timeout says
+// little, because the network or a full queue of new connections may cause it.
+func probeServer(ctx context.Context, address string) quarantine.ServerState {
+	err := backendconn.Probe(ctx, address)
+	switch {
+	case err == nil:
+		return quarantine.ServerRuns
+	case errors.Is(err, syscall.ECONNREFUSED), errors.Is(err, syscall.ECONNRESET):
+		return quarantine.ServerDown
+	default:
+		return quarantine.ServerSilent
+	}
+}
+
+// handleQuarantineChange logs a change. If other daemons need it to decide about a
+// request, it is sent to them at once; hubs forward such changes.
+func (s *state) handleQuarantineChange(c *quarantine.Change) {
+	e := &c.Entry
+	klog.InfoS("suspect", "fingerprint", e.Fingerprint.Short(), "request", c.Request, "source", c.Source, "from", c.From,
+		"crashes", len(e.Servers), "servers", e.Servers, "positions", e.Positions, "quarantined", e.Quarantined,
+		"generation", e.Generation, "ageMs", time.Since(e.LastCrash).Milliseconds())
+	if !c.Urgent {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if c.Local() || !s.peers.IsFullMesh() {
+		s.wakeExchange()
+	}
+}
+
+// reportServerChange reports a change of a server to the quarantine. The parameter
+// restarted reports whether another run of the server follows a run that is gone.
+func (s *state) reportServerChange(e *fleet.Event, restarted bool) {
+	run := e.Server.RunID()
+	switch {
+	case e.Change == fleet.ServerJoined:
+		s.quarantine.ServerJoined(run, e.Server.Address)
+	case e.Change == fleet.ServerLeaving || e.Server.Leaving:
+		s.quarantine.ServerLeaving(run)
+	case restarted:
+		s.quarantine.ServerRestarted(run)
+	default:
+		s.quarantine.ServerRemoved(run, e.Server.Address)
+	}
+}
--- a/pkg/edge/state.go
+++ b/pkg/edge/state.go
@@ -29,9 +29,6 @@
 	// defaultRetryWindow applies if the settings contain no window. It equals the
 	// window in the platform's example settings.
 	defaultRetryWindow = 10 * time.Second
-	// crashesBeforeQuarantine is the number of servers that a request may crash
-	// before all daemons refuse it.
-	crashesBeforeQuarantine = 2
 	// connectionFraction is the fraction of a server's connection limit that is
 	// used.
 	connectionFraction = 0.85
@@ -54,7 +51,7 @@
 	quota        *quota.Core
 	usage        *usage.Core
 	peers        *mesh.Directory
-	quarantine   *quarantine.Core
+	quarantine   *quarantine.Manager
 	retryBudgets map[string]*retry.Window
 	storeUp      bool
 	// serversReadAt is when this daemon last read the servers from the store.
@@ -84,8 +81,6 @@
 func newState(settings Settings, pool *backendconn.Pool) *state {
 	now := bootNow()
 	incarnation := uint64(time.Now().UnixNano())
-	options := quarantine.DefaultOptions()
-	options.Crashes = crashesBeforeQuarantine
 	return &state{
 		settings:    settings,
 		incarnation: incarnation,
@@ -96,7 +91,6 @@
 		usage:       usage.New(settings.UsageWindow),
 		peers: mesh.NewDirectory(settings.Node, settings.Cores, mesh.Options{Interval: exchangeInterval, LeafInterval: leafInterval,
 			PeerExpiry: peerExpiry, FullMeshLimit: fullMeshLimit, HubCount: hubCount}),
-		quarantine:   quarantine.New(options),
 		retryBudgets: make(map[string]*retry.Window),
 		catalogLag:   make(map[string]catalogLag),
 		exchangeWake: make(chan struct{}, 1),
@@ -179,11 +173,13 @@
 // applyServerEvents logs server changes and applies them to the placement and
 // the connection pool.
 func (s *state) applyServerEvents(events []fleet.Event, source string) {
-	for _, e := range events {
+	for i := range events {
+		e := &events[i]
 		klog.InfoS("server", "server", e.Server.ID, "change", e.Change.String(), "service", e.Server.Service,
 			"address", e.Server.Address, "zone", e.Server.AvailabilityZone, "reclaimable", e.Server.Reclaimable,
 			"leavesInMs", e.Server.LeavesIn.Milliseconds(), "fleetVersion", s.fleet.Version(), "source", source)
-		s.placement.Handle(e)
+		s.placement.Handle(*e)
+		s.reportServerChange(e, i+1 < len(events) && events[i+1].Server.ID == e.Server.ID)
 		if e.Change != fleet.ServerJoined {
 			s.pool.CloseIdle(e.Server.ID)
 		}
@@ -346,44 +342,6 @@
 	return max(int(connectionFraction*float64(limit))/max(daemons/2, 1), 1)
 }
 
-// Verdict returns whether and how the quarantine allows a request to run.
-func (s *state) Verdict(f quarantine.Fingerprint) quarantine.Verdict {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.quarantine.Check(time.Now(), f)
-}
-
-// Crashed records that a server failed while it was running a request.
-func (s *state) Crashed(f quarantine.Fingerprint, server string, position int) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	entry, quarantined := s.quarantine.RecordCrash(time.Now(), f, server, position)
-	s.logSuspect(&entry, "own attempt")
-	if quarantined {
-		klog.InfoS("request quarantined", "fingerprint", string(f), "servers", entry.Servers)
-		s.wakeExchange()
-	}
-}
-
-// Completed records that a request has completed, which clears it of the
-// suspicion of crashing servers.
-func (s *state) Completed(f quarantine.Fingerprint) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if _, suspected := s.quarantine.Entry(f); suspected {
-		if entry, cleared := s.quarantine.RecordSuccess(time.Now(), f); cleared {
-			s.logSuspect(&entry, "completed")
-		}
-	}
-}
-
-// logSuspect logs a change of what this daemon knows of a request that may crash
-// servers.
-func (s *state) logSuspect(e *quarantine.Entry, source string) {
-	klog.InfoS("suspect", "fingerprint", e.Fingerprint.Short(), "source", source, "crashes", len(e.Servers), "servers", e.Servers,
-		"quarantined", e.Quarantined, "generation", e.Generation, "ageMs", time.Since(e.LastCrash).Milliseconds())
-}
-
 // logSummary logs a summary of the daemon's state as context for the analysis of
 // later failures.
 func (s *state) logSummary(active int64) {
--- a/pkg/fleet/fleet.go
+++ b/pkg/fleet/fleet.go
@@ -5,6 +5,7 @@
 package fleet
 
 import (
+	"fmt"
 	"time"
 )
 
@@ -28,6 +29,9 @@
 	StartedUnixMilli int64 `cbor:"9,keyasint,omitempty"`
 }
 
+// RunID identifies the run of the server.
+func (s *Server) RunID() string { return fmt.Sprintf("%s#%d", s.ID, s.StartedUnixMilli) }
+
 // Entry is the state of one ID in the store. Server is nil if the entry was
 // removed or cannot be decoded.
 type Entry struct {
--- a/pkg/relay/attempt.go
+++ b/pkg/relay/attempt.go
@@ -14,6 +14,7 @@
 
 	"k8s.io/klog/v2"
 
+	"github.com/monsooncrank/monsooncrank/coordination/quarantine"
 	"github.com/monsooncrank/monsooncrank/pkg/backendconn"
 	"github.com/monsooncrank/monsooncrank/pkg/catalog"
 	"github.com/monsooncrank/monsooncrank/pkg/placement"
@@ -90,6 +91,8 @@
 // send writes the request and reports whether the write has not failed so far.
 func (s *serverAttempt) send() bool {
 	s.startTimers()
+	server := &s.decision.Server
+	s.handler.quarantine.Started(quarantine.Attempt{ID: s.id, Request: s.ID, Fingerprint: s.fingerprint, Server: server.RunID(), Address: server.Address})
 	a := &Attempt{Server: s.decision.Server, Account: s.accountName(), EnginePriority: s.enginePriority(), LastEventID: s.resumeEventID(),
 		TimeLeft: time.Until(s.deadline)}
 	var out bytes.Buffer
@@ -241,6 +244,7 @@
 // handleRefusal handles a response which states that the request did not run.
 func (s *serverAttempt) handleRefusal(response *http.Response) outcome {
 	s.result = placement.ResultRefused
+	s.handler.quarantine.Resolved(s.id, false)
 	s.exchange.mayHaveRun = s.mayHaveRunBefore
 	if response.StatusCode == http.StatusMisdirectedRequest {
 		s.handler.controller.Misdirected(s.decision.Server.ID)
@@ -252,34 +256,39 @@
 	return outcomeNotRun
 }
 
-// handleIncomplete handles a response that is missing, incomplete or unsealed. It
-// counts as a crash of the server unless the attempt was stopped because the
-// server was silent, or used a pooled connection, which the server may have closed
-// when idle.
+// handleIncomplete handles a response that is missing, incomplete or unsealed. If
+// the server has crashed, the request is suspected of having caused that.
 func (s *serverAttempt) handleIncomplete() outcome {
 	switch {
 	case s.caller.Err() != nil:
-		s.result = placement.ResultAbandoned
-		s.status, s.cause = statusCallerDisconnected, "caller disconnected"
-		return outcomeDone
+		return s.callerDisconnected()
 	case s.deadlinePassed.Load():
+		s.handler.quarantine.Abandoned(s.id, s.position())
 		s.result = placement.ResultFailed
 		s.timedOut()
 		return outcomeDone
 	}
 	s.result = placement.ResultFailed
-	crashed := !s.stalled.Load() && !s.conn.Reused
+	crashed := s.checkCrash()
 	klog.InfoS("server broke off", "request", s.ID, "fingerprint", s.fingerprint.Short(), "server", s.decision.Server.ID,
-		"stalled", s.stalled.Load(), "reused", s.conn.Reused, "countedAsCrash", crashed, "event", s.lastSentEventID, "cause", s.cause,
+		"stalled", s.stalled.Load(), "reused", s.conn.Reused, "crashed", crashed, "event", s.lastSentEventID, "cause", s.cause,
 		"afterMs", time.Since(s.startedAt).Milliseconds())
 	s.handler.metrics.brokenAttempts.WithLabelValues(strconv.FormatBool(s.conn.Reused), strconv.FormatBool(s.stalled.Load()),
 		strconv.FormatBool(crashed)).Inc()
-	if crashed {
-		s.handler.controller.Crashed(s.fingerprint, s.decision.Server.ID, s.position())
-	}
 	return outcomeIncomplete
 }
 
+// checkCrash reports whether the server has crashed, as far as that shows at once.
+// A silent server is checked in the background, since that may take as long as a
+// connection attempt and another server can run the request meanwhile.
+func (s *serverAttempt) checkCrash() bool {
+	if s.stalled.Load() {
+		go s.handler.quarantine.Broken(context.WithoutCancel(s.caller), s.id, s.position())
+		return false
+	}
+	return s.handler.quarantine.Broken(s.caller, s.id, s.position())
+}
+
 // position returns how many events of the answer the caller has received, from
 // this and earlier attempts.
 func (s *serverAttempt) position() int {
--- a/pkg/relay/buffered.go
+++ b/pkg/relay/buffered.go
@@ -27,6 +27,7 @@
 		return s.handleIncomplete(), nil
 	}
 	s.reusable = !response.Close
+	s.handler.quarantine.Resolved(s.id, true)
 	s.result = placement.ResultAnswered
 	s.recordStart()
 	buffered := &bufferedResponse{status: response.StatusCode, header: response.Header, body: body}
@@ -37,7 +38,7 @@
 		s.result = placement.ResultFailed
 		return outcomeFailed, buffered
 	}
-	s.handler.controller.Completed(s.fingerprint)
+	s.handler.quarantine.Succeeded(s.fingerprint)
 	s.writeResponse(buffered)
 	return outcomeDone, nil
 }
--- a/pkg/relay/handler.go
+++ b/pkg/relay/handler.go
@@ -41,6 +41,7 @@
 type Options struct {
 	Codec      Codec
 	Controller Controller
+	Quarantine Quarantine
 	Pool       *backendconn.Pool
 	Metrics    *Metrics
 }
@@ -49,6 +50,7 @@
 type Handler struct {
 	codec      Codec
 	controller Controller
+	quarantine Quarantine
 	pool       *backendconn.Pool
 	metrics    *Metrics
 	// closing makes responses close their connections, so that callers reconnect
@@ -60,7 +62,7 @@
 
 // NewHandler returns a Handler.
 func NewHandler(o Options) *Handler {
-	return &Handler{codec: o.Codec, controller: o.Controller, pool: o.Pool, metrics: o.Metrics}
+	return &Handler{codec: o.Codec, controller: o.Controller, quarantine: o.Quarantine, pool: o.Pool, metrics: o.Metrics}
 }
 
 // CloseConnections makes all further responses close their connections.
@@ -155,12 +157,22 @@
 	x.deadline = x.receivedAt.Add(timeLeft)
 	x.service = x.route.ServiceFor(hashFraction(x.ID))
 	x.fingerprint = quarantine.FingerprintOf(x.accountName()+"\x00"+x.Target, x.Body)
-	if x.handler.controller.Verdict(x.fingerprint) == quarantine.VerdictRefuse {
-		return api.NewNotRunProblem(api.ProblemQuarantined, http.StatusServiceUnavailable, "request crashed servers").WithRetryAfter(quarantineRetryAfter)
+	if x.isQuarantined() {
+		return quarantinedProblem()
 	}
 	return nil
 }
 
+// isQuarantined reports whether the request must not be sent to a server because
+// it has crashed others.
+func (x *exchange) isQuarantined() bool {
+	return x.handler.quarantine.Check(x.caller, x.fingerprint) == quarantine.VerdictRefuse
+}
+
+func quarantinedProblem() *api.Problem {
+	return api.NewNotRunProblem(api.ProblemQuarantined, http.StatusServiceUnavailable, "request crashed servers").WithRetryAfter(quarantineRetryAfter)
+}
+
 // headerBytes returns the size of a request's target and header fields in bytes.
 func headerBytes(r *http.Request) int {
 	n := len(r.RequestURI)
--- a/pkg/relay/metrics.go
+++ b/pkg/relay/metrics.go
@@ -25,7 +25,7 @@
 			Help: "Time from the request to the first part of its answer.", Buckets: buckets}, []string{"kind"}),
 	}
 	m.brokenAttempts = prometheus.NewCounterVec(prometheus.CounterOpts{Name: "monsooncrank_relay_broken_attempts_total",
-		Help: "Attempts whose server broke off, by use of the connection, silence, and whether they counted as a crash."},
+		Help: "Attempts whose server broke off, by use of the connection, silence, and whether the server was found to have crashed."},
 		[]string{"reused", "silent", "crash"})
 	registry.MustRegister(m.requests, m.duration, m.firstPart, m.brokenAttempts)
 	return m
--- a/pkg/relay/relay_test.go
+++ b/pkg/relay/relay_test.go
@@ -15,8 +15,10 @@
 
 	"github.com/onsi/gomega"
 	"github.com/prometheus/client_golang/prometheus"
+	"k8s.io/utils/clock"
 
 	"github.com/monsooncrank/monsooncrank/coordination/quarantine"
+	"github.com/monsooncrank/monsooncrank/coordination/table/memtable"
 	"github.com/monsooncrank/monsooncrank/pkg/backendconn"
 	"github.com/monsooncrank/monsooncrank/pkg/catalog"
 	"github.com/monsooncrank/monsooncrank/pkg/fleet"
@@ -56,7 +58,6 @@
 	began        int
 	refunded     float64
 	charged      float64
-	crashed      int
 	retries      int
 	overLimit    bool
 	results      []placement.Result
@@ -110,15 +111,6 @@
 func (f *fake) SpendRetry(string) bool             { f.mu.Lock(); defer f.mu.Unlock(); f.retries++; return true }
 func (f *fake) CanRetry(string) bool               { return !f.retriesSpent }
 func (f *fake) ConnectionLimit(string, string) int { return 10 }
-func (f *fake) Verdict(quarantine.Fingerprint) quarantine.Verdict {
-	return quarantine.VerdictRun
-}
-func (f *fake) Crashed(quarantine.Fingerprint, string, int) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.crashed++
-}
-func (f *fake) Completed(quarantine.Fingerprint) {}
 
 // script handles the n-th request that a server receives; the connection stays
 // open if it returns true.
@@ -202,8 +194,9 @@
 // fixture is a Handler with a fake Controller behind an HTTP server.
 type fixture struct {
 	*fake
-	handler *relay.Handler
-	server  *httptest.Server
+	handler    *relay.Handler
+	quarantine *quarantine.Manager
+	server     *httptest.Server
 }
 
 func newFixture(t *testing.T, backends ...*backend) *fixture {
@@ -218,18 +211,37 @@
 	route("/look/", catalog.KindIdempotent, 2, false)
 	route("/stream/", catalog.KindStream, 2, true)
 	route("/whole/", catalog.KindStream, 2, false)
+	route("/often/", catalog.KindIdempotent, 4, false)
 	c.Index()
 	f := &fixture{fake: &fake{catalog: c, silentFor: time.Hour}}
 	for i, b := range backends {
 		f.servers = append(f.servers, fleet.Server{ID: fmt.Sprint("server-", i), Address: b.listener.Addr().String()})
 	}
-	f.handler = relay.NewHandler(relay.Options{Codec: codec{}, Controller: f.fake, Pool: backendconn.NewPool(),
+	options := quarantine.DefaultOptions()
+	options.SettleDelay = 20 * time.Millisecond
+	f.quarantine = quarantine.NewManager(quarantine.ManagerOptions{Core: options, Store: memtable.New(), Clock: clock.RealClock{}, Probe: probe})
+	t.Cleanup(f.quarantine.Close)
+	f.handler = relay.NewHandler(relay.Options{Codec: codec{}, Controller: f.fake, Quarantine: f.quarantine, Pool: backendconn.NewPool(),
 		Metrics: relay.NewMetrics(prometheus.NewRegistry())})
 	f.server = httptest.NewServer(f.handler)
 	t.Cleanup(f.server.Close)
 	return f
 }
 
+// probe treats a server that accepts no connection as crashed.
+func probe(ctx context.Context, address string) quarantine.ServerState {
+	if backendconn.Probe(ctx, address) != nil {
+		return quarantine.ServerDown
+	}
+	return quarantine.ServerRuns
+}
+
+// crashes returns how many servers a request of the test account has crashed.
+func (f *fixture) crashes(path string) int {
+	entry, _ := f.quarantine.Entry(quarantine.FingerprintOf("account\x00"+path, []byte("body")))
+	return len(entry.Servers)
+}
+
 // send sends a request and returns the status, body and header of the response
 // and the error of reading it; the status is 0 if no response arrived.
 func (f *fixture) send(ctx context.Context, method, path, id string) (int, string, http.Header, error) {
--- a/pkg/relay/stream.go
+++ b/pkg/relay/stream.go
@@ -100,12 +100,14 @@
 	s.writeStreamHeader(response)
 	s.result = placement.ResultAnswered
 	s.reusable = !response.Close
-	s.handler.controller.Completed(s.fingerprint)
+	s.handler.quarantine.Resolved(s.id, true)
+	s.handler.quarantine.Succeeded(s.fingerprint)
 	return outcomeDone
 }
 
 // callerDisconnected ends an attempt whose caller has disconnected.
 func (s *serverAttempt) callerDisconnected() outcome {
+	s.handler.quarantine.Abandoned(s.id, s.position())
 	s.result = placement.ResultAbandoned
 	s.status, s.cause = statusCallerDisconnected, "caller disconnected"
 	return outcomeDone
--- a/pkg/relay/types.go
+++ b/pkg/relay/types.go
@@ -4,6 +4,7 @@
 package relay
 
 import (
+	"context"
 	"net/http"
 	"time"
 
@@ -114,12 +115,25 @@
 	// ConnectionLimit returns how many connections this daemon may have to a
 	// server.
 	ConnectionLimit(server, service string) int
-	// Verdict returns whether a request may run or is quarantined.
-	Verdict(f quarantine.Fingerprint) quarantine.Verdict
-	// Crashed records that a server failed while it ran a request, after position
-	// events of its response.
-	Crashed(f quarantine.Fingerprint, server string, position int)
-	// Completed records that a request ran to its end, which clears the
-	// crashes recorded for it.
-	Completed(f quarantine.Fingerprint)
+}
+
+// Quarantine keeps requests that crash BackendServers from running again.
+// quarantine.Manager implements it.
+type Quarantine interface {
+	// Check returns whether a request may run.
+	Check(ctx context.Context, f quarantine.Fingerprint) quarantine.Verdict
+	// Started records the start of an attempt. It is followed by one call of
+	// Resolved, Abandoned or Broken.
+	Started(a quarantine.Attempt)
+	// Resolved records that an attempt was answered or did not run.
+	Resolved(attempt string, answered bool)
+	// Abandoned records that an attempt ended without an answer because its caller
+	// has gone or its deadline has passed, after position events.
+	Abandoned(attempt string, position int)
+	// Broken handles an attempt whose server broke off or was silent, after
+	// position events. It reports whether the server has crashed.
+	Broken(ctx context.Context, attempt string, position int) bool
+	// Succeeded records that a request ran to its end, which clears the crashes
+	// recorded for it.
+	Succeeded(f quarantine.Fingerprint)
 }
