Tell all daemons of a crash at the first one, and daemons that were restarted

What callers saw: a request that crashes servers crashed one at each daemon that it reached, and more after each restart of a daemon. Cause: peers were told of a request once it was quarantined, for 15 s after its last crash. Each daemon needed two crashes of its own, and a daemon that started later, or was cut off for longer, was never told. Nothing was in the store. Change: messages between daemons carry the entries that changed since those the receiver has acknowledged, from the first crash on, at most 128 a message; changes that a decision needs are sent at once. In a full mesh each daemon sends its own changes, hubs forward all; a daemon without entries gets all of them, also those that its earlier run had recorded. A daemon that hears from no other reads the store. Evidence: TestCrashesAreCountedOverAllDaemons and TestARestartedDaemonIsToldOfEarlierCrashes fail on the code before (a request runs where it must be refused); the latter also found that a restarted daemon was not sent back what its own earlier run had recorded.

--- a/coordination/quarantine/manager_test.go
+++ b/coordination/quarantine/manager_test.go
@@ -185,10 +185,14 @@
 	g.Expect(entries).To(BeEmpty(), "in a full mesh each daemon sends its own changes")
 	entries, _ = two.EntriesFor("three", revision, true, 10)
 	g.Expect(entries).To(HaveLen(1), "a hub forwards them")
-	// A restarted daemon one has earlier entries acknowledged under higher
-	// revisions than its own.
-	entries, _ = two.EntriesFor("one", uint64(time.Now().Add(time.Hour).UnixNano()), false, 10)
+	entries, _ = two.EntriesFor("one", revision, true, 10)
 	g.Expect(entries).To(BeEmpty(), "entries are not sent back to the daemon they came from")
+	entries, _ = two.EntriesFor("one", 0, false, 10)
+	g.Expect(entries).To(HaveLen(2), "a daemon that has restarted has lost its own")
+	// The clock of daemon two was set back before its last start, so that three
+	// has acknowledged a higher revision of the run before.
+	entries, _ = two.EntriesFor("three", uint64(time.Now().Add(time.Hour).UnixNano()), false, 10)
+	g.Expect(entries).To(HaveLen(2))
 }
 
 // TestEntriesOutlastAllDaemons guards against a request that crashes two servers
--- a/coordination/quarantine/quarantine.go
+++ b/coordination/quarantine/quarantine.go
@@ -127,9 +127,10 @@
 }
 
 // Since returns up to limit entries that changed after a revision, oldest change
-// first, and the revision up to which they are complete. Entries received from
-// the daemon to are left out. Entries received from other daemons are included
-// only if forward is set, or if the revision is from before the first change.
+// first, and the revision up to which they are complete. Entries that were
+// received are left out if they came from the daemon to, or if forward is not set.
+// A daemon without any entry, whose revision is from before the first change, gets
+// them all: it may have lost even its own.
 func (c *Core) Since(revision uint64, to string, forward bool, limit int) ([]Entry, uint64) {
 	if revision > c.revision {
 		revision = 0
@@ -137,10 +138,10 @@
 	if revision == c.revision {
 		return nil, revision
 	}
-	forward = forward || revision <= c.options.FirstRevision
+	all := revision <= c.options.FirstRevision
 	var changed []*Entry
 	for _, e := range c.entries {
-		if e.revision > revision && (e.from == "" || forward && e.from != to) {
+		if e.revision > revision && (all || e.from == "" || forward && e.from != to) {
 			changed = append(changed, e)
 		}
 	}
--- a/pkg/edge/exchange.go
+++ b/pkg/edge/exchange.go
@@ -6,7 +6,6 @@
 
 	"k8s.io/klog/v2"
 
-	"github.com/monsooncrank/monsooncrank/coordination/quarantine"
 	"github.com/monsooncrank/monsooncrank/pkg/catalog"
 	"github.com/monsooncrank/monsooncrank/pkg/mesh"
 	"github.com/monsooncrank/monsooncrank/pkg/peer"
@@ -45,9 +44,6 @@
 	// to 0.4 s or a read 0.3 s, so that the configuration is in force within two
 	// seconds.
 	catalogDeliveryTimeout = 700 * time.Millisecond
-	// crashAnnouncePeriod is how long messages to peers include a crash. It is
-	// longer than a short network partition.
-	crashAnnouncePeriod = 15 * time.Second
 )
 
 // newRecord returns the next record of this daemon.
@@ -68,8 +64,9 @@
 		Record: s.newRecord(), Address: s.settings.PeerAddress, WallUnixMilli: time.Now().UnixMilli(),
 		Records: s.peers.RecordsFor(now, node), Revision: s.peers.Revision(), ReceivedRevision: s.peers.ReceivedRevisionOf(node),
 		FleetAgeMillis: s.fleetAge().Milliseconds(), FleetVersion: s.fleet.Version(), FleetChangedVersion: s.fleet.ChangedVersion(),
-		Quarantine: s.recentCrashes(),
+		QuarantineReceived: neighbor.QuarantineReceived,
 	}
+	m.Quarantine, m.QuarantineRevision = s.quarantine.EntriesFor(node, neighbor.QuarantineAcked, !s.peers.IsFullMesh(), maxQuarantineEntries)
 	if s.catalog != nil {
 		m.CatalogVersion = s.catalog.Version
 		if s.shouldSendCatalog(now, node, neighbor.CatalogVersion) {
@@ -134,18 +131,6 @@
 	return true
 }
 
-// recentCrashes returns the quarantine entries of requests that recently crashed
-// servers. Peers may not have these entries yet.
-func (s *state) recentCrashes() []quarantine.Entry {
-	var recent []quarantine.Entry
-	for _, entry := range s.quarantine.List() {
-		if time.Since(entry.LastCrash) < crashAnnouncePeriod {
-			recent = append(recent, entry)
-		}
-	}
-	return recent
-}
-
 // handleMessage applies a message from a neighbor. The parameter
 // initiatedByPeer reports whether the neighbor started the exchange.
 func (d *Daemon) handleMessage(m *mesh.Message, initiatedByPeer bool) {
--- a/pkg/edge/quarantine.go
+++ b/pkg/edge/quarantine.go
@@ -16,6 +16,10 @@
 	"github.com/monsooncrank/monsooncrank/pkg/fleet"
 )
 
+// maxQuarantineEntries is the maximum number of quarantine entries in one message
+// to a peer; the rest follows with the next messages.
+const maxQuarantineEntries = 128
+
 // quarantineMetrics holds the metrics of the quarantine.
 type quarantineMetrics struct {
 	changes *prometheus.CounterVec
@@ -50,7 +54,8 @@
 			metrics.crashes.WithLabelValues(string(c.Evidence)).Inc()
 			klog.InfoS("server crashed", "server", c.Server, "evidence", c.Evidence, "suspects", c.Suspects)
 		},
-		OnError: func(err error) { klog.InfoS("failed to read or write quarantine entries", "err", err) },
+		OnError:  func(err error) { klog.InfoS("failed to read or write quarantine entries", "err", err) },
+		Isolated: s.isolated,
 	})
 }
 
@@ -68,6 +73,13 @@
 	}
 }
 
+// isolated reports whether this daemon hears from no other daemon.
+func (s *state) isolated() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.peers.Isolated(bootNow())
+}
+
 // handleQuarantineChange logs a change. If other daemons need it to decide about a
 // request, it is sent to them at once; hubs forward such changes.
 func (s *state) handleQuarantineChange(c *quarantine.Change) {
--- a/pkg/edge/quarantine_test.go
+++ b/pkg/edge/quarantine_test.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"context"
 	"net"
 	"testing"
 
@@ -8,6 +9,7 @@
 
 	"github.com/monsooncrank/monsooncrank/coordination/quarantine"
 	"github.com/monsooncrank/monsooncrank/pkg/fleet"
+	"github.com/monsooncrank/monsooncrank/pkg/mesh"
 )
 
 // namedState returns the state of a daemon with a name.
@@ -17,6 +19,26 @@
 	return &Daemon{settings: own, state: newStateOf(t, own)}
 }
 
+// exchangeBetween makes two daemons exchange messages once.
+func exchangeBetween(t *testing.T, a, b *Daemon) {
+	t.Helper()
+	send := func(from, to *Daemon) {
+		from.state.mu.Lock()
+		encoded, err := from.state.messageFor(to.settings.Node).Encode()
+		from.state.mu.Unlock()
+		if err != nil {
+			t.Fatal(err)
+		}
+		m, err := mesh.DecodeMessage(encoded)
+		if err != nil {
+			t.Fatal(err)
+		}
+		to.handleMessage(m, true)
+	}
+	send(a, b)
+	send(b, a)
+}
+
 // closedAddress returns an address that refuses connections.
 func closedAddress(t *testing.T) string {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
@@ -30,6 +52,44 @@
 	return address
 }
 
+// crash reports an attempt of a request whose server has crashed.
+func crash(t *testing.T, d *Daemon, f quarantine.Fingerprint, server string) {
+	d.state.quarantine.Started(quarantine.Attempt{ID: server, Fingerprint: f, Server: server, Address: closedAddress(t)})
+	if !d.state.quarantine.Broken(context.Background(), server, 0) {
+		t.Fatalf("the crash of %s was not discovered", server)
+	}
+}
+
+// Guards against daemons that tell one another of a request only when it is
+// quarantined: each of them let the request crash servers of its own first.
+func TestCrashesAreCountedOverAllDaemons(t *testing.T) {
+	g := gomega.NewWithT(t)
+	a, b, c := namedState(t, "a"), namedState(t, "b"), namedState(t, "c")
+	crash(t, a, "f", "s1")
+	exchangeBetween(t, a, b)
+	exchangeBetween(t, a, c)
+	crash(t, b, "f", "s2")
+	exchangeBetween(t, b, c)
+	exchangeBetween(t, b, a)
+	for _, d := range []*Daemon{a, b, c} {
+		g.Expect(d.state.quarantine.Check(context.Background(), "f")).To(gomega.Equal(quarantine.VerdictRefuse), d.settings.Node)
+	}
+}
+
+// Guards against restarted daemons that forget requests that crash servers: peers
+// told them only of crashes in the last 15 s.
+func TestARestartedDaemonIsToldOfEarlierCrashes(t *testing.T) {
+	g := gomega.NewWithT(t)
+	a, b := namedState(t, "a"), namedState(t, "b")
+	exchangeBetween(t, a, b)
+	crash(t, a, "f", "s1")
+	exchangeBetween(t, a, b)
+	restarted := namedState(t, "a")
+	exchangeBetween(t, restarted, b)
+	crash(t, restarted, "f", "s2")
+	g.Expect(restarted.state.quarantine.Check(context.Background(), "f")).To(gomega.Equal(quarantine.VerdictRefuse))
+}
+
 // Guards against a request that crashes one server again and again: a server that
 // returned under its ID counted as one.
 func TestEachRunOfAServerCounts(t *testing.T) {
--- a/pkg/mesh/directory.go
+++ b/pkg/mesh/directory.go
@@ -63,6 +63,9 @@
 	// received all records. ReceivedRevision is the neighbor's revision up to
 	// which this daemon has received them.
 	AckedRevision, ReceivedRevision uint64
+	// QuarantineAcked and QuarantineReceived are the corresponding revisions of
+	// quarantine entries. They increase over all runs of a daemon.
+	QuarantineAcked, QuarantineReceived uint64
 
 	// listedVersion is the version of the daemon's entry in the store, and
 	// listedAt the time of its last change.
@@ -138,6 +141,7 @@
 		p.AckedRevision = m.ReceivedRevision
 	}
 	p.ReceivedRevision = m.Revision
+	p.QuarantineAcked, p.QuarantineReceived = m.QuarantineReceived, m.QuarantineRevision
 	p.Address, p.lastMessageAt, p.failures = m.Address, now, 0
 	p.CatalogVersion, p.FleetVersion = m.CatalogVersion, m.FleetVersion
 	p.wallOffset = time.UnixMilli(m.WallUnixMilli).Sub(now)
@@ -279,6 +283,17 @@
 	return !d.isFullMesh() && now.Sub(d.lastRequestAt) < activeWindow
 }
 
+// Isolated reports whether this daemon knows other daemons but has received no
+// message from any of them for a while.
+func (d *Directory) Isolated(now time.Time) bool {
+	for _, p := range d.peers {
+		if now.Sub(p.lastMessageAt) < activeWindow {
+			return false
+		}
+	}
+	return len(d.peers) > 0
+}
+
 // RanksAsHub reports whether this daemon ranks as a hub among the responsive
 // daemons.
 func (d *Directory) RanksAsHub() bool { return slices.Contains(d.rankedHubs(), d.self) }
--- a/pkg/mesh/directory_test.go
+++ b/pkg/mesh/directory_test.go
@@ -220,3 +220,16 @@
 	_, err = mesh.DecodeMessage(encoded[:len(encoded)/2])
 	g.Expect(err).To(gomega.HaveOccurred())
 }
+
+// Guards against a daemon that takes itself for connected while it hears from no
+// other daemon, and against the opposite for one that is alone.
+func TestADaemonThatHearsFromNobodyIsIsolated(t *testing.T) {
+	g := gomega.NewWithT(t)
+	d := newDirectory()
+	g.Expect(d.Isolated(at(0))).To(gomega.BeFalse(), "it knows no other daemon")
+	d.UpdateEntry(at(0), "silent", "10.0.0.2:1", 1, 1)
+	g.Expect(d.Isolated(at(10))).To(gomega.BeTrue())
+	d.UpdateNeighbor(at(100), message("a", at(100)), true)
+	g.Expect(d.Isolated(at(1000))).To(gomega.BeFalse())
+	g.Expect(d.Isolated(at(3000))).To(gomega.BeTrue())
+}
--- a/pkg/mesh/message.go
+++ b/pkg/mesh/message.go
@@ -71,8 +71,14 @@
 	// FleetChangedVersion is the version of the last change in the sender's view.
 	// If the message has no entries, the receiver may adopt FleetVersion only if
 	// its own view is at least as new as that change.
-	FleetChangedVersion uint64             `cbor:"16,keyasint,omitempty"`
-	Quarantine          []quarantine.Entry `cbor:"14,keyasint,omitempty"`
+	FleetChangedVersion uint64 `cbor:"16,keyasint,omitempty"`
+	// Quarantine holds the entries of requests that crash servers which changed
+	// since those that the receiver has, up to the sender's QuarantineRevision.
+	// QuarantineReceived is the receiver's revision up to which the sender has
+	// received them.
+	Quarantine         []quarantine.Entry `cbor:"14,keyasint,omitempty"`
+	QuarantineRevision uint64             `cbor:"17,keyasint,omitempty"`
+	QuarantineReceived uint64             `cbor:"18,keyasint,omitempty"`
 }
 
 // Encode returns the CBOR encoding of the message.
