Ask the quarantine before each attempt of a request

What callers saw: a request in progress was sent to as many servers as its route allows, also after all daemons had begun to refuse it. Cause: the verdict was read at the request's arrival only. Change: after each attempt that did not answer, the verdict is read again, which waits for a decision that is due. A request that may have run ends with 502, one that has not with 503 and a time to return. Evidence: TestARequestIsNotSentOnOnceItIsQuarantined fails on the code before (4 servers reached where 2 may be).

--- a/pkg/relay/crash_test.go
+++ b/pkg/relay/crash_test.go
@@ -53,6 +53,24 @@
 	g.Expect(f.crashes("/once/1")).To(gomega.BeZero())
 }
 
+// A request may be quarantined while it is in progress. The verdict was read at
+// its arrival only, so that it was sent to as many servers as its route allows.
+func TestARequestIsNotSentOnOnceItIsQuarantined(t *testing.T) {
+	g := gomega.NewWithT(t)
+	backends := []*backend{crashingBackend(t, true), crashingBackend(t, true), crashingBackend(t, true), crashingBackend(t, true)}
+	f := newFixture(t, backends...)
+	status, _, _, _ := f.post("/often/1", "crash")
+	g.Expect(status).To(gomega.Equal(http.StatusBadGateway), "the request may have run")
+	sent := 0
+	for _, b := range backends {
+		sent += b.count()
+	}
+	g.Expect(sent).To(gomega.Equal(2))
+	status, _, header, _ := f.post("/often/1", "crash")
+	g.Expect(status).To(gomega.Equal(http.StatusServiceUnavailable), "the resend has not run")
+	g.Expect(header.Get("Retry-After")).NotTo(gomega.BeEmpty())
+}
+
 // A server may fall silent under a request until the caller gives up. Its crash
 // shows when it has started again.
 func TestASilentServersCrashConcernsRequestsGivenUp(t *testing.T) {
--- a/pkg/relay/run.go
+++ b/pkg/relay/run.go
@@ -82,6 +82,10 @@
 		if result == outcomeDone {
 			return
 		}
+		if x.isQuarantined() {
+			x.answerQuarantined(lastFailure)
+			return
+		}
 		exclude = append(exclude, decision.Server.ID)
 		if result == outcomeNotSent {
 			x.attempts--
@@ -143,6 +147,19 @@
 	x.refundAndReject(api.NewNotRunProblem(api.ProblemOverloaded, http.StatusServiceUnavailable, detail).WithRetryAfter(after))
 }
 
+// answerQuarantined answers a request that was quarantined while it was in
+// progress.
+func (x *exchange) answerQuarantined(lastFailure *bufferedResponse) {
+	switch {
+	case lastFailure != nil:
+		x.writeResponse(lastFailure)
+	case x.mayHaveRun:
+		x.abort("request crashed servers")
+	default:
+		x.refundAndReject(quarantinedProblem())
+	}
+}
+
 // answerFailed answers a request whose last attempt failed.
 func (x *exchange) answerFailed(result outcome, lastFailure *bufferedResponse) {
 	switch {
