Withhold the fixed retries for a window after a restart

Cause: a window of retries is kept in memory. A daemon that restarts begins with its whole share of the fixed number, and what its earlier runs have sent counts towards the same window of the service. Change: the fixed number is allowed only once the process has run for a whole window; the part that follows from the daemon's own requests is allowed at once. Evidence: TestRestartsDoNotRenewTheFixedRetries fails on the code before (150 retries in a window that allows 110.4).

--- a/coordination/retry/window.go
+++ b/coordination/retry/window.go
@@ -8,6 +8,10 @@
 	Length time.Duration
 	// Ratio is the number of retries allowed per request in the window.
 	Ratio float64
+	// ProcessStart is when the process started. What an earlier run of it has spent
+	// of the fixed number is unknown, so that the number is allowed only once a
+	// whole window has passed.
+	ProcessStart time.Time
 }
 
 // windowSlices is the number of time slices of a Window. Because of the slices,
@@ -54,6 +58,9 @@
 // Remaining returns how many retries are allowed now. fixed is the number that is
 // allowed without any requests.
 func (w *Window) Remaining(now time.Time, fixed float64) float64 {
+	if now.Sub(w.options.ProcessStart) < w.options.Length {
+		fixed = 0
+	}
 	newest := w.sliceNumber(now)
 	requests, retries := 0, 0
 	for i := range w.slices {
--- a/coordination/retry/window_test.go
+++ b/coordination/retry/window_test.go
@@ -47,18 +47,49 @@
 			retries = append(retries, now)
 		}
 	}
-	within := func(times []time.Time, from, to time.Time) int {
-		n := 0
-		for _, at := range times {
-			if at.After(from) && !at.After(to) {
-				n++
-			}
-		}
-		return n
-	}
 	g.Expect(len(retries)).To(BeNumerically(">", 500))
 	for _, end := range retries {
 		from := end.Add(-windowOptions.Length)
-		g.Expect(float64(within(retries, from, end))).To(BeNumerically("<=", 0.2*float64(within(requests, from, end))+4))
+		g.Expect(float64(countWithin(retries, from, end))).To(BeNumerically("<=", 0.2*float64(countWithin(requests, from, end))+4))
+	}
+}
+
+// countWithin returns how many times are after from and not after to.
+func countWithin(times []time.Time, from, to time.Time) int {
+	n := 0
+	for _, at := range times {
+		if at.After(from) && !at.After(to) {
+			n++
+		}
+	}
+	return n
+}
+
+// TestRestartsDoNotRenewTheFixedRetries guards against a daemon that spends the
+// fixed number of retries again after each restart: its earlier runs count towards
+// the same window.
+func TestRestartsDoNotRenewTheFixedRetries(t *testing.T) {
+	g := NewWithT(t)
+	const fixed = 40
+	random := rand.New(rand.NewPCG(8, 8))
+	now := time.Unix(1000, 0)
+	options := windowOptions
+	w := retry.NewWindow(options)
+	var requests, retries []time.Time
+	for range 20000 {
+		now = now.Add(time.Duration(random.IntN(40)) * time.Millisecond)
+		if random.IntN(300) == 0 {
+			options.ProcessStart = now
+			w = retry.NewWindow(options)
+		}
+		w.RecordRequest(now)
+		requests = append(requests, now)
+		for w.TrySpend(now, fixed) {
+			retries = append(retries, now)
+		}
+	}
+	for _, end := range retries {
+		from := end.Add(-options.Length)
+		g.Expect(float64(countWithin(retries, from, end))).To(BeNumerically("<=", 0.2*float64(countWithin(requests, from, end))+fixed))
 	}
 }
--- a/pkg/edge/state.go
+++ b/pkg/edge/state.go
@@ -42,6 +42,7 @@
 type state struct {
 	settings    Settings
 	incarnation uint64
+	startedAt   time.Time
 	pool        *backendconn.Pool
 
 	mu           sync.Mutex
@@ -84,6 +85,7 @@
 	return &state{
 		settings:    settings,
 		incarnation: incarnation,
+		startedAt:   now,
 		pool:        pool,
 		fleet:       fleet.New(fleet.Options{StoreReturnGrace: storeReturnGrace}),
 		placement:   placement.NewCore(placement.Options{Seed: incarnation}),
@@ -309,6 +311,7 @@
 	if !ok {
 		b = retry.NewWindow(retry.WindowOptions{
 			Length: cmp.Or(s.settings.RetryWindow, defaultRetryWindow), Ratio: retryBudgetFraction * s.settings.RetryRatio,
+			ProcessStart: s.startedAt,
 		})
 		s.retryBudgets[service] = b
 	}
