Probe servers of both serving paths the same way

Cause: the chat gateway probed engines by an HTTP call and the platform's daemon by a TCP connection, the latter in pkg/edge and pkg/backendconn. Change: ProbeTCP stands beside the Manager and is its default. An engine that accepts a connection has not crashed, also if it does not answer; plain services, which have no call to probe, can be probed as well. A connection that is refused or reset is a crash, a timeout shows nothing.

--- a/coordination/quarantine/manager.go
+++ b/coordination/quarantine/manager.go
@@ -97,12 +97,13 @@
 	EvidenceAddressReused     Evidence = "address reused"
 )
 
-// ManagerOptions configures a Manager. Store, Clock and Probe are required.
+// ManagerOptions configures a Manager. Store and Clock are required.
 type ManagerOptions struct {
 	Core  Options
 	Store table.Store
 	Clock clock.WithTicker
-	// Probe checks on a new connection whether a server runs.
+	// Probe checks on a new connection whether a server runs. The default is
+	// ProbeTCP.
 	Probe func(ctx context.Context, address string) ServerState
 	// OnChange is called after each change of an entry, and OnCrash after each
 	// crash that was discovered. They may call the Manager.
@@ -116,6 +117,9 @@
 }
 
 func (o ManagerOptions) withDefaults() ManagerOptions {
+	if o.Probe == nil {
+		o.Probe = ProbeTCP
+	}
 	if o.OnChange == nil {
 		o.OnChange = func(Change) {}
 	}
--- a/coordination/quarantine/manager_test.go
+++ b/coordination/quarantine/manager_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"net"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -238,3 +239,18 @@
 	}
 	g.Eventually(func() quarantine.Verdict { return isolated.Check(context.Background(), "f") }, 4*time.Second).Should(Equal(quarantine.VerdictRefuse))
 }
+
+// TestProbeTCP guards against a running server that is taken for crashed, and the
+// opposite.
+func TestProbeTCP(t *testing.T) {
+	g := NewWithT(t)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	g.Expect(err).NotTo(HaveOccurred())
+	address := listener.Addr().String()
+	g.Expect(quarantine.ProbeTCP(context.Background(), address)).To(Equal(quarantine.ServerRuns))
+	g.Expect(listener.Close()).To(Succeed())
+	g.Expect(quarantine.ProbeTCP(context.Background(), address)).To(Equal(quarantine.ServerDown))
+	ended, cancel := context.WithCancel(context.Background())
+	cancel()
+	g.Expect(quarantine.ProbeTCP(ended, address)).To(Equal(quarantine.ServerSilent), "a probe that was cut short shows nothing")
+}
--- a/pkg/backendconn/pool.go
+++ b/pkg/backendconn/pool.go
@@ -137,17 +137,6 @@
 	return &Conn{Conn: raw, Reader: bufio.NewReaderSize(raw, readBufferBytes), server: server}, nil
 }
 
-// Probe checks whether an address accepts connections. Otherwise it returns a
-// DialError.
-func Probe(ctx context.Context, address string) error {
-	dialer := net.Dialer{Timeout: dialTimeout, KeepAlive: -1}
-	conn, err := dialer.DialContext(ctx, "tcp", address)
-	if err != nil {
-		return &DialError{Address: address, Cause: err}
-	}
-	return conn.Close()
-}
-
 // release counts a connection as no longer in use.
 func (p *Pool) release(server string) {
 	p.mu.Lock()
--- a/pkg/daemon/build.go
+++ b/pkg/daemon/build.go
@@ -92,7 +92,7 @@
 		Invariants: d.invariants, Registerer: d.registry,
 	})
 	d.engines = engine.NewHTTPClient(engine.Options{})
-	d.quarantine, err = newStreamQuarantine(d.platform.table, d.broadcast(membership.AnnounceQuarantine), d.engines.Probe, d.clock, d.recorder, d.registry)
+	d.quarantine, err = newStreamQuarantine(d.platform.table, d.broadcast(membership.AnnounceQuarantine), d.clock, d.recorder, d.registry)
 	if err != nil {
 		return errors.Trace(err)
 	}
--- a/pkg/daemon/quarantine.go
+++ b/pkg/daemon/quarantine.go
@@ -5,7 +5,6 @@
 	"encoding/json"
 	"fmt"
 	"strings"
-	"time"
 
 	"github.com/juju/errors"
 	"github.com/prometheus/client_golang/prometheus"
@@ -19,10 +18,6 @@
 	"github.com/monsooncrank/monsooncrank/pkg/streaming"
 )
 
-// probeTimeout is the timeout of a probe of an engine. It is many times the round
-// trip between AvailabilityZones.
-const probeTimeout = 300 * time.Millisecond
-
 // broadcastFunc sends an announcement to all daemons. Announcements with the same
 // id are sent only once.
 type broadcastFunc func(id string, payload []byte)
@@ -37,10 +32,7 @@
 	size      prometheus.Gauge
 }
 
-// probeFunc checks on a new connection whether an engine responds.
-type probeFunc func(ctx context.Context, address string) error
-
-func newStreamQuarantine(store table.Store, broadcast broadcastFunc, probe probeFunc, clock clock.WithTicker, recorder *decision.Recorder, registry prometheus.Registerer) (*streamQuarantine, error) {
+func newStreamQuarantine(store table.Store, broadcast broadcastFunc, clock clock.WithTicker, recorder *decision.Recorder, registry prometheus.Registerer) (*streamQuarantine, error) {
 	q := &streamQuarantine{
 		broadcast: broadcast, clock: clock, recorder: recorder,
 		size: prometheus.NewGauge(prometheus.GaugeOpts{
@@ -54,24 +46,12 @@
 	options := quarantine.DefaultOptions()
 	options.SettleDelay = quarantine.DefaultSettleDelay
 	q.manager = quarantine.NewManager(quarantine.ManagerOptions{
-		Core: options, Store: store, Clock: clock, Probe: engineProbe(probe), OnChange: q.handleChange,
+		Core: options, Store: store, Clock: clock, OnChange: q.handleChange,
 		OnError: func(err error) { klog.V(1).InfoS("cannot read or write quarantine entries", "error", err) },
 	})
 	return q, nil
 }
 
-// engineProbe returns a probe for which an engine that does not respond is down.
-func engineProbe(probe probeFunc) func(context.Context, string) quarantine.ServerState {
-	return func(ctx context.Context, address string) quarantine.ServerState {
-		ctx, cancel := context.WithTimeout(ctx, probeTimeout)
-		defer cancel()
-		if probe(ctx, address) != nil {
-			return quarantine.ServerDown
-		}
-		return quarantine.ServerRuns
-	}
-}
-
 func (q *streamQuarantine) close() { q.manager.Close() }
 
 // handleChange records a change and broadcasts it if it was made here.
--- a/pkg/edge/quarantine.go
+++ b/pkg/edge/quarantine.go
@@ -1,18 +1,14 @@
 package edge
 
 import (
-	"context"
-	"syscall"
 	"time"
 
-	"github.com/juju/errors"
 	"github.com/prometheus/client_golang/prometheus"
 	"k8s.io/klog/v2"
 	"k8s.io/utils/clock"
 
 	"github.com/monsooncrank/monsooncrank/coordination/quarantine"
 	"github.com/monsooncrank/monsooncrank/coordination/table"
-	"github.com/monsooncrank/monsooncrank/pkg/backendconn"
 	"github.com/monsooncrank/monsooncrank/pkg/fleet"
 )
 
@@ -45,7 +41,7 @@
 	options.SettleDelay, options.FirstRevision = quarantine.DefaultSettleDelay, s.incarnation
 	metrics := newQuarantineMetrics(registry)
 	s.quarantine = quarantine.NewManager(quarantine.ManagerOptions{
-		Core: options, Store: store, Clock: clock.RealClock{}, Probe: probeServer,
+		Core: options, Store: store, Clock: clock.RealClock{},
 		OnChange: func(c quarantine.Change) {
 			metrics.changes.WithLabelValues(string(c.Source)).Inc()
 			s.handleQuarantineChange(&c)
@@ -59,20 +55,6 @@
 	})
 }
 
-// probeServer checks on a new connection whether a server runs. A timeout says
-// little, because the network or a full queue of new connections may cause it.
-func probeServer(ctx context.Context, address string) quarantine.ServerState {
-	err := backendconn.Probe(ctx, address)
-	switch {
-	case err == nil:
-		return quarantine.ServerRuns
-	case errors.Is(err, syscall.ECONNREFUSED), errors.Is(err, syscall.ECONNRESET):
-		return quarantine.ServerDown
-	default:
-		return quarantine.ServerSilent
-	}
-}
-
 // isolated reports whether this daemon hears from no other daemon.
 func (s *state) isolated() bool {
 	s.mu.Lock()
--- a/pkg/engine/client.go
+++ b/pkg/engine/client.go
@@ -101,12 +101,6 @@
 	return c.exchange(ctx, c.unpooled, http.MethodPost, address, PathCancel, AttemptBody{Attempt: attemptID}, nil)
 }
 
-// Probe checks on a new connection whether the engine responds.
-func (c *HTTPClient) Probe(ctx context.Context, address string) error {
-	var body LoadBody
-	return c.exchange(ctx, c.unpooled, http.MethodGet, address, PathLoad, nil, &body)
-}
-
 // Load implements Client.
 func (c *HTTPClient) Load(ctx context.Context, address string) (Load, error) {
 	var body LoadBody
