Refuse calls to plain services that crash their servers

In the chat gateway a repeatable call was tried on up to four servers, and a once-only call on one for each new key, however many of them had crashed under it. Cause: only streams of model engines took part in the quarantine. Change: attempts of calls are reported to the same Manager; a call in quarantine is answered as not run, or as of unknown outcome if an attempt may have run.

--- a/coordination/membership/types.go
+++ b/coordination/membership/types.go
@@ -4,6 +4,8 @@
 // confirmed configuration revision.
 package membership
 
+import "fmt"
+
 // Kind is the type of process that a member runs.
 type Kind string
 
@@ -50,6 +52,9 @@
 	Incarnation uint64
 }
 
+// RunID identifies the run of the member from its start to its end.
+func (m *Member) RunID() string { return fmt.Sprintf("%s#%d", m.Name, m.Incarnation) }
+
 // BackendServer is a member of kind KindEngine or KindService.
 type BackendServer = Member
 
--- a/pkg/daemon/build.go
+++ b/pkg/daemon/build.go
@@ -150,7 +150,7 @@
 	d.calls = oncecall.NewCaller(oncecall.Options{
 		Daemon: d.settings.Name, Configuration: &catalog{configuration: d.follower}, Directory: d.directory,
 		Client: d.services, Store: d.platform.table, Committer: d.committer, Leases: d.leases.Duty(rangeLeasePrefix),
-		Budget: budget, Clock: d.clock, Decisions: d.recorder, Reporter: d.invariants,
+		Budget: budget, Quarantine: d.quarantine.manager, Clock: d.clock, Decisions: d.recorder, Reporter: d.invariants,
 		Registerer: d.registry, Random: random(randomCalls),
 	})
 }
--- a/pkg/daemon/peer_handlers.go
+++ b/pkg/daemon/peer_handlers.go
@@ -40,7 +40,7 @@
 		d.leases.SetDaemons(len(d.directory.Daemons(membership.StateAlive)) + 1)
 		return
 	}
-	server := serverRun(&a.Member)
+	server := a.Member.RunID()
 	switch a.State {
 	case membership.StateAlive:
 		d.quarantine.manager.ServerJoined(server, a.Member.Address)
--- a/pkg/daemon/quarantine.go
+++ b/pkg/daemon/quarantine.go
@@ -11,7 +11,6 @@
 	"k8s.io/klog/v2"
 	"k8s.io/utils/clock"
 
-	"github.com/monsooncrank/monsooncrank/coordination/membership"
 	"github.com/monsooncrank/monsooncrank/coordination/quarantine"
 	"github.com/monsooncrank/monsooncrank/coordination/table"
 	"github.com/monsooncrank/monsooncrank/pkg/decision"
@@ -105,15 +104,10 @@
 func (q *streamQuarantine) Started(a streaming.QuarantineAttempt) {
 	q.manager.Started(quarantine.Attempt{
 		ID: a.ID, Request: a.RequestID, Fingerprint: quarantine.Fingerprint(a.Fingerprint),
-		Server: serverRun(&a.Backend), Address: a.Backend.Address,
+		Server: a.Backend.RunID(), Address: a.Backend.Address,
 	})
 }
 
-// serverRun names a run of a BackendServer in the quarantine.
-func serverRun(m *membership.BackendServer) string {
-	return fmt.Sprintf("%s#%d", m.Name, m.Incarnation)
-}
-
 // Resolved implements streaming.Quarantine.
 func (q *streamQuarantine) Resolved(attemptID string) { q.manager.Resolved(attemptID, false) }
 
--- a/pkg/oncecall/caller.go
+++ b/pkg/oncecall/caller.go
@@ -23,6 +23,7 @@
 	ownsCommitter bool
 	metrics       *metrics
 	claimBreaker  claimBreaker
+	quarantine    callQuarantine
 
 	// ctx is cancelled when Options.DrainTimeout has passed after Close.
 	ctx         context.Context
@@ -43,6 +44,7 @@
 		committer:    options.Committer,
 		metrics:      newMetrics(options.Registerer),
 		claimBreaker: claimBreaker{probeInterval: options.ProbeInterval},
+		quarantine:   callQuarantine{manager: options.Quarantine},
 	}
 	c.ctx, c.cancel = context.WithCancel(context.Background())
 	if c.committer == nil {
@@ -146,20 +148,22 @@
 }
 
 // attempt records the choice of a server and sends one attempt to it.
-func (c *Caller) attempt(ctx context.Context, mode config.CallMode, server membership.BackendServer, alternatives []decision.Alternative, requestID string, req *service.Request) (*api.CallAnswer, error) {
+func (c *Caller) attempt(ctx context.Context, mode config.CallMode, server membership.BackendServer, alternatives []decision.Alternative, call *api.CallRequest, req *service.Request) (*api.CallAnswer, error) {
 	c.options.Decisions.Record(decision.Decision{
 		Time:         c.options.Clock.Now(),
 		Kind:         decision.KindRoute,
-		RequestID:    requestID,
+		RequestID:    call.ID,
 		Chosen:       server.Name,
 		Alternatives: alternatives,
 		Reason:       "fewest outstanding calls of two, attempt " + req.AttemptID,
 	})
+	c.quarantine.started(call, req.AttemptID, &server)
 	answer, err := c.options.Client.Call(ctx, server.Address, req)
+	c.quarantine.ended(ctx, call, req.AttemptID, err)
 	c.metrics.dispatches.WithLabelValues(string(mode), attemptResult(err)).Inc()
 	if err != nil {
 		c.balancer.reportLeaving(server, err)
-		klog.InfoS("call attempt failed", "request", requestID, "attempt", req.AttemptID,
+		klog.InfoS("call attempt failed", "request", call.ID, "attempt", req.AttemptID,
 			"server", server.Name, "result", attemptResult(err), "err", err)
 	}
 	return answer, err
--- a/pkg/oncecall/onceonly.go
+++ b/pkg/oncecall/onceonly.go
@@ -182,9 +182,12 @@
 
 // dispatch sends the call on a new connection. It tries the next server only if
 // the connection could not be established, because only then is it certain that
-// no byte was sent.
+// no byte was sent. A call that has crashed servers is refused.
 func (r *onceOnlyRun) dispatch(a idempotency.Dispatch) (idempotency.DispatchKind, []byte) {
 	c := r.caller
+	if c.quarantine.refuses(c.ctx, r.req) {
+		return idempotency.DispatchRefused, nil
+	}
 	tried := make(map[string]bool)
 	for c.options.Clock.Now().Before(r.spec.DispatchBy) {
 		server, alternatives, ok := c.balancer.acquire(r.pools, tried)
@@ -193,7 +196,7 @@
 		}
 		tried[server.Name] = true
 		ctx, cancel := context.WithTimeout(context.Background(), callTimeout(r.declared))
-		answer, err := c.attempt(ctx, config.CallOnceOnly, server, alternatives, r.req.ID, &service.Request{
+		answer, err := c.attempt(ctx, config.CallOnceOnly, server, alternatives, r.req, &service.Request{
 			AttemptID:       a.AttemptID,
 			IdempotencyKey:  r.req.IdempotencyKey,
 			Path:            r.declared.Path,
--- a/pkg/oncecall/options.go
+++ b/pkg/oncecall/options.go
@@ -13,6 +13,7 @@
 	"github.com/monsooncrank/monsooncrank/coordination/invariant"
 	"github.com/monsooncrank/monsooncrank/coordination/lease"
 	"github.com/monsooncrank/monsooncrank/coordination/membership"
+	"github.com/monsooncrank/monsooncrank/coordination/quarantine"
 	"github.com/monsooncrank/monsooncrank/coordination/table"
 	"github.com/monsooncrank/monsooncrank/pkg/config"
 	"github.com/monsooncrank/monsooncrank/pkg/decision"
@@ -89,10 +90,12 @@
 	Leases Leases
 	// Budget may be nil; retries are then limited only by maxRepeatableAttempts
 	// and the deadline.
-	Budget    RetryBudget
-	Clock     clock.Clock
-	Decisions *decision.Recorder
-	Reporter  *invariant.Reporter
+	Budget RetryBudget
+	// Quarantine may be nil; calls that crash servers are then not refused.
+	Quarantine *quarantine.Manager
+	Clock      clock.Clock
+	Decisions  *decision.Recorder
+	Reporter   *invariant.Reporter
 	// Registerer may be nil; metrics are then not exported.
 	Registerer prometheus.Registerer
 	// Random is the source for the choice of servers and for back-off jitter. If
--- a/pkg/oncecall/repeatable.go
+++ b/pkg/oncecall/repeatable.go
@@ -32,6 +32,9 @@
 func (c *Caller) repeatable(ctx context.Context, req *api.CallRequest, declared config.Call, pools []string) (*api.CallAnswer, *api.Problem) {
 	run := &repeatableRun{caller: c, req: req, declared: declared, pools: pools, tried: make(map[string]bool)}
 	for {
+		if c.quarantine.refuses(ctx, req) {
+			return nil, run.quarantinedProblem()
+		}
 		answer, err := run.attempt(ctx)
 		if err == nil {
 			return answer, nil
@@ -57,7 +60,7 @@
 	r.attempts++
 	ctx, cancel := context.WithTimeout(ctx, min(callTimeout(r.declared), remaining))
 	defer cancel()
-	answer, err := c.attempt(ctx, config.CallRepeatable, server, alternatives, r.req.ID, &service.Request{
+	answer, err := c.attempt(ctx, config.CallRepeatable, server, alternatives, r.req, &service.Request{
 		AttemptID:       c.options.NewAttemptID(),
 		IdempotencyKey:  r.req.IdempotencyKey,
 		Path:            r.declared.Path,
@@ -150,6 +153,17 @@
 	return problem.WithRetryAfter(r.caller.options.RetryAfter)
 }
 
+// quarantinedProblem returns the problem for a call that has crashed servers.
+func (r *repeatableRun) quarantinedProblem() *api.Problem {
+	const detail = "the call crashed the servers that ran it"
+	if !r.mayHaveRun {
+		return api.NewNotRunProblem(api.ProblemQuarantined, http.StatusUnprocessableEntity, detail)
+	}
+	problem := api.NewUnknownOutcomeProblem(api.ProblemQuarantined, detail)
+	problem.Status = http.StatusUnprocessableEntity
+	return problem
+}
+
 // isFinal reports whether no further attempt is possible after err.
 func isFinal(err error) bool {
 	var late *tooLateError
