--- a/pkg/edge/quarantine.go
+++ b/pkg/edge/quarantine.go
@@ -62,10 +62,14 @@
 	return s.peers.Isolated(bootNow())
 }
 
-// handleQuarantineChange logs a change. If other daemons need it to decide about a
-// request, it is sent to them at once; hubs forward such changes.
+// handleQuarantineChange logs a change that was made here or on which a decision
+// depends. The latter is sent to other daemons at once; hubs forward it.
 func (s *state) handleQuarantineChange(c *quarantine.Change) {
 	e := &c.Entry
+	if !c.Local() && !c.Urgent {
+		// A server's crash makes all its requests suspects, at all daemons.
+		return
+	}
 	klog.InfoS("suspect", "fingerprint", e.Fingerprint.Short(), "request", c.Request, "source", c.Source, "from", c.From,
 		"crashes", len(e.Servers), "servers", e.Servers, "positions", e.Positions, "quarantined", e.Quarantined,
 		"generation", e.Generation, "ageMs", time.Since(e.LastCrash).Milliseconds())
