--- a/coordination/quarantine/quarantine.go
+++ b/coordination/quarantine/quarantine.go
@@ -330,7 +330,7 @@
 // include those of e.
 func (c *Core) hasAlternativeSuspect(now time.Time, e *Entry, counted []string) bool {
 	for _, o := range c.entries {
-		if o != e && !c.expired(now, o) && len(o.Servers) >= len(counted) && isSubset(counted, o.countedServers()) {
+		if o != e && !c.expired(now, o) && isSubset(counted, o.Servers) && isSubset(counted, o.countedServers()) {
 			return true
 		}
 	}
