Send a daemon's own crashes on, also after a peer's entry arrived

What callers saw: nothing yet; found by a random run of exchanges before the landing (TestRandomExchange). Cause: an entry remembered only its last sender. A crash that was recorded here and not sent yet counted as received once a peer's entry of the same request was merged, and in a full mesh received entries are not sent on. Entries of daemons that ended after they had told one peer stayed there. A daemon without entries got those of other daemons only as far as they fit the first message. A crash that was reported twice put the decision off. Change: an entry has a revision of its last change that no other daemon is known to have; entries that are decisive are always forwarded; a daemon without entries gets all over as many messages as it takes; only a real change counts as one.

--- a/coordination/quarantine/bench_test.go
+++ b/coordination/quarantine/bench_test.go
@@ -40,7 +40,7 @@
 				if i%merges == 0 {
 					core = quarantine.New(quarantine.DefaultOptions())
 				}
-				core.MergeFrom(now, "peer", quarantine.Entry{Fingerprint: quarantine.Fingerprint(fmt.Sprint(i % merges)), Servers: servers, LastCrash: now})
+				core.Merge(now, "peer", quarantine.Entry{Fingerprint: quarantine.Fingerprint(fmt.Sprint(i % merges)), Servers: servers, LastCrash: now})
 			}
 		})
 	}
--- a/coordination/quarantine/manager.go
+++ b/coordination/quarantine/manager.go
@@ -303,7 +303,7 @@
 // changed completes a change. An entry that is needed to decide about the request
 // is written to the table by the daemon that recorded its last crash.
 func (m *Manager) changed(entry Entry, change Change) Change {
-	change.Urgent = m.core.deservesDecision(&entry) || entry.Released
+	change.Urgent = m.core.isDecisive(&entry) || entry.Released
 	if change.Urgent && change.Source == SourceCrash {
 		m.unsaved[entry.Fingerprint] = struct{}{}
 	}
@@ -405,7 +405,7 @@
 	m.mu.Lock()
 	now := m.options.Clock.Now()
 	for _, e := range entries {
-		if e.Fingerprint == "" || !m.core.MergeFrom(now, from, e) {
+		if e.Fingerprint == "" || !m.core.Merge(now, from, e) {
 			continue
 		}
 		merged, known := m.core.Entry(e.Fingerprint)
@@ -423,8 +423,7 @@
 }
 
 // EntriesFor returns the entries to send to a daemon that has those up to a
-// revision, and the revision up to which it will then have them. Entries received
-// from other daemons are included if forward is set or the daemon has none yet.
+// revision, and the revision up to which it will then have them (see Core.Since).
 func (m *Manager) EntriesFor(daemon string, revision uint64, forward bool, limit int) ([]Entry, uint64) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -524,7 +523,7 @@
 	defer m.mu.Unlock()
 	m.saved = loaded
 	for fingerprint, e := range m.core.entries {
-		if _, ok := loaded[fingerprint]; !ok && m.core.deservesDecision(e) {
+		if _, ok := loaded[fingerprint]; !ok && m.core.isDecisive(e) {
 			m.unsaved[fingerprint] = struct{}{}
 		}
 	}
@@ -537,7 +536,7 @@
 		m.options.OnError(&MalformedEntryError{Key: item.Key.Sort, Cause: err})
 		return
 	}
-	m.merge("", SourceStore, []Entry{entry})
+	m.merge(string(SourceStore), SourceStore, []Entry{entry})
 }
 
 // saveAll writes the unsaved entries. Those that cannot be written stay unsaved.
--- a/coordination/quarantine/manager_test.go
+++ b/coordination/quarantine/manager_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -196,6 +197,66 @@
 	g.Expect(entries).To(HaveLen(2))
 }
 
+// TestAFreshDaemonGetsAllEntriesOverSeveralMessages guards against a restarted
+// daemon that is sent only as many entries of other daemons as fit one message.
+func TestAFreshDaemonGetsAllEntriesOverSeveralMessages(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Unix(1000, 0)
+	core := quarantine.New(quarantine.Options{Crashes: 2, SuspectRetention: time.Minute, MaxEntries: 100, FirstRevision: 1000})
+	for i := range 25 {
+		core.Merge(now, "other", quarantine.Entry{Fingerprint: quarantine.Fingerprint(fmt.Sprint(i)), Servers: []string{"s"}, LastCrash: now})
+	}
+	received := make(map[quarantine.Fingerprint]bool)
+	acknowledged := uint64(0)
+	for range 5 {
+		entries, upTo := core.Since(acknowledged, "fresh", false, 10)
+		g.Expect(len(entries)).To(BeNumerically("<=", 10))
+		for _, e := range entries {
+			received[e.Fingerprint] = true
+		}
+		acknowledged = upTo
+	}
+	g.Expect(received).To(HaveLen(25))
+	core.Merge(now, "other", quarantine.Entry{Fingerprint: "later", Servers: []string{"s"}, LastCrash: now})
+	entries, _ := core.Since(acknowledged, "fresh", false, 10)
+	g.Expect(entries).To(BeEmpty(), "later changes come from the daemons that made them")
+}
+
+// TestAReceivedChangeDoesNotHideAnOwnOne guards against a crash that a daemon does
+// not send on because another daemon's entry of the same request arrived first.
+func TestAReceivedChangeDoesNotHideAnOwnOne(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Unix(1000, 0)
+	for _, received := range [][]string{{"s2"}, {"s1", "s2"}} {
+		core := quarantine.New(quarantine.Options{Crashes: 3, SuspectRetention: time.Minute, MaxEntries: 100, FirstRevision: 1000})
+		core.RecordCrash(now, "before", "s0", 0)
+		_, acknowledged := core.Since(0, "third", false, 10)
+		core.RecordCrash(now, "f", "s1", 0)
+		core.Merge(now, "other", quarantine.Entry{Fingerprint: "f", Servers: received, LastCrash: now})
+		entries, _ := core.Since(acknowledged, "third", false, 10)
+		g.Expect(entries).To(HaveLen(1))
+		g.Expect(entries[0].Servers).To(ConsistOf("s1", "s2"))
+	}
+}
+
+// TestADecisionIsForwarded guards against daemons that never learn of a decision
+// because the daemon that made it ended after telling only one of them.
+func TestADecisionIsForwarded(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Unix(1000, 0)
+	core := quarantine.New(quarantine.Options{Crashes: 2, SuspectRetention: time.Minute, MaxEntries: 100, FirstRevision: 1000})
+	core.RecordCrash(now, "before", "s0", 0)
+	acknowledged := make(map[string]uint64)
+	for _, daemon := range []string{"ended", "third"} {
+		_, acknowledged[daemon] = core.Since(0, daemon, false, 10)
+	}
+	core.Merge(now, "ended", quarantine.Entry{Fingerprint: "f", Servers: []string{"s1"}, Quarantined: true, LastCrash: now})
+	entries, _ := core.Since(acknowledged["third"], "third", false, 10)
+	g.Expect(entries).To(HaveLen(1))
+	entries, _ = core.Since(acknowledged["ended"], "ended", false, 10)
+	g.Expect(entries).To(BeEmpty())
+}
+
 // TestEntriesOutlastAllDaemons guards against a request that crashes two servers
 // after each time that all daemons are killed. The table may be down when the
 // crashes happen.
--- a/coordination/quarantine/quarantine.go
+++ b/coordination/quarantine/quarantine.go
@@ -74,10 +74,12 @@
 	Generation uint64 `json:"generation" cbor:"7,keyasint,omitempty"`
 
 	// revision is the Core's revision at the last change of the entry, and
-	// changedAt the local time of that change.
-	revision  uint64
-	changedAt time.Time
-	// from is the daemon that sent the last change, or empty if it was made here.
+	// changedAt the local time of that change. ownRevision is the revision at the
+	// last change after which no other daemon was known to have the same entry.
+	revision    uint64
+	ownRevision uint64
+	changedAt   time.Time
+	// from is the daemon that has sent the entry as it is, or empty.
 	from string
 }
 
@@ -112,25 +114,33 @@
 	entries map[Fingerprint]*Entry
 	// revision numbers the changes of all entries.
 	revision uint64
+	// sendAllUntil holds, for each daemon that had no entry, the revision up to
+	// which it gets all of them.
+	sendAllUntil map[string]uint64
 }
 
 // New returns an empty Core.
 func New(options Options) *Core {
-	return &Core{options: options, entries: make(map[Fingerprint]*Entry), revision: options.FirstRevision}
+	return &Core{options: options, entries: make(map[Fingerprint]*Entry), revision: options.FirstRevision, sendAllUntil: make(map[string]uint64)}
 }
 
-// markChanged numbers a change of an entry that was received from a daemon, or
-// made here if from is empty.
+// markChanged numbers a change of an entry. The parameter from is the daemon that
+// has sent the entry as it is now, or empty if no other daemon is known to have it.
 func (c *Core) markChanged(now time.Time, e *Entry, from string) {
 	c.revision++
 	e.revision, e.changedAt, e.from = c.revision, now, from
+	if from == "" {
+		e.ownRevision = c.revision
+	}
 }
 
 // Since returns up to limit entries that changed after a revision, oldest change
-// first, and the revision up to which they are complete. Entries that were
-// received are left out if they came from the daemon to, or if forward is not set.
-// A daemon without any entry, whose revision is from before the first change, gets
-// them all: it may have lost even its own.
+// first, and the revision up to which they are complete. Entries as another daemon
+// has sent them are left out if that is the daemon to. Those from third daemons are
+// included if forward is set or they are decisive: the third daemon may
+// have ended before it could send them to all others. A daemon without any entry,
+// whose revision is from before the first change, gets them all: it may have lost
+// even its own.
 func (c *Core) Since(revision uint64, to string, forward bool, limit int) ([]Entry, uint64) {
 	if revision > c.revision {
 		revision = 0
@@ -138,10 +148,13 @@
 	if revision == c.revision {
 		return nil, revision
 	}
-	all := revision <= c.options.FirstRevision
+	if revision <= c.options.FirstRevision {
+		c.sendAllUntil[to] = c.revision
+	}
+	all := revision < c.sendAllUntil[to]
 	var changed []*Entry
 	for _, e := range c.entries {
-		if e.revision > revision && (all || e.from == "" || forward && e.from != to) {
+		if e.ownRevision > revision || e.revision > revision && (all || (forward || c.isDecisive(e)) && e.from != to) {
 			changed = append(changed, e)
 		}
 	}
@@ -186,26 +199,31 @@
 	e := c.getOrCreateEntry(now, fingerprint)
 	e.LastCrash = now
 	e.Released = false
-	e.addCrashes([]string{server}, map[string]int{server: position})
-	c.markChanged(now, e, "")
+	if e.addCrashes([]string{server}, map[string]int{server: position}) {
+		c.markChanged(now, e, "")
+	}
 	before := e.Quarantined
 	c.updateQuarantine(now, e)
 	c.evict()
 	return e.copy(), e.Quarantined && !before
 }
 
-// addCrashes adds crashes of servers to those of the entry. Of two positions for
-// one server, the further one is kept.
-func (e *Entry) addCrashes(servers []string, positions map[string]int) {
+// addCrashes adds crashes of servers to those of the entry and reports whether
+// that changed it. Of two positions for one server, the further one is kept.
+func (e *Entry) addCrashes(servers []string, positions map[string]int) bool {
+	before := len(e.Servers)
 	e.Servers = union(e.Servers, servers)
+	changed := len(e.Servers) != before
 	for server, position := range positions {
 		if position > e.Positions[server] {
 			if e.Positions == nil {
 				e.Positions = make(map[string]int)
 			}
 			e.Positions[server] = position
+			changed = true
 		}
 	}
+	return changed
 }
 
 // clear removes all crashes of the entry.
@@ -251,13 +269,10 @@
 	return e.copy(), true
 }
 
-// Merge merges an entry from another daemon or the table and reports whether the
-// local entry changed. Crashes that different daemons recorded add up.
-func (c *Core) Merge(now time.Time, other Entry) bool { return c.MergeFrom(now, "", other) }
-
-// MergeFrom merges an entry as Merge does. The entry was received from the given
-// daemon.
-func (c *Core) MergeFrom(now time.Time, from string, other Entry) bool {
+// Merge merges an entry that was received from a daemon, or read from the table, and
+// reports whether the local entry changed. Crashes that different daemons recorded
+// add up.
+func (c *Core) Merge(now time.Time, from string, other Entry) bool {
 	e, known := c.entries[other.Fingerprint]
 	if !known {
 		e = &Entry{Fingerprint: other.Fingerprint}
@@ -265,12 +280,12 @@
 	if other.Generation < e.Generation {
 		return false
 	}
-	before := e.copy()
+	revision, changed := e.revision, !known
 	if other.Generation > e.Generation {
-		*e = other.copy()
-		e.revision, e.changedAt, e.from = before.revision, before.changedAt, before.from
+		e.replace(&other)
+		changed = true
 	} else {
-		e.addCrashes(other.Servers, other.Positions)
+		changed = e.addCrashes(other.Servers, other.Positions) || other.Quarantined && !e.Quarantined || changed
 		e.Quarantined = e.Quarantined || other.Quarantined
 	}
 	if other.LastCrash.After(e.LastCrash) {
@@ -282,13 +297,29 @@
 		e.LastCrash = now
 	}
 	c.entries[other.Fingerprint] = e
-	crashesChanged := !known || len(before.Servers) != len(e.Servers) || !maps.Equal(before.Positions, e.Positions)
-	if crashesChanged || before.Quarantined != e.Quarantined || before.Generation != e.Generation {
+	if changed {
+		if !e.hasContentOf(&other) {
+			from = ""
+		}
 		c.markChanged(now, e, from)
 	}
 	c.updateQuarantine(now, e)
 	c.evict()
-	return e.revision != before.revision
+	return e.revision != revision
+}
+
+// replace takes over the content of another entry.
+func (e *Entry) replace(other *Entry) {
+	content := other.copy()
+	content.revision, content.ownRevision, content.changedAt, content.from = e.revision, e.ownRevision, e.changedAt, e.from
+	*e = content
+}
+
+// hasContentOf reports whether an entry, into which the other one was merged, holds
+// nothing else.
+func (e *Entry) hasContentOf(other *Entry) bool {
+	return len(e.Servers) == len(other.Servers) && maps.Equal(e.Positions, other.Positions) &&
+		e.Quarantined == other.Quarantined && e.Generation == other.Generation
 }
 
 // Pending reports whether a request has crashed enough servers to be quarantined
@@ -296,13 +327,13 @@
 // suspects.
 func (c *Core) Pending(now time.Time, fingerprint Fingerprint) bool {
 	e, ok := c.entries[fingerprint]
-	return ok && !e.Quarantined && c.deservesDecision(e) && now.Sub(e.changedAt) < c.options.SettleDelay
+	return ok && !e.Quarantined && c.isDecisive(e) && now.Sub(e.changedAt) < c.options.SettleDelay
 }
 
-// deservesDecision reports whether a request has crashed enough servers to be
-// quarantined.
-func (c *Core) deservesDecision(e *Entry) bool {
-	return len(e.countedServers()) >= c.options.Crashes || len(e.Servers) >= c.options.Crashes+maxSharedCrashes
+// isDecisive reports whether a request is quarantined or has crashed enough servers
+// for that.
+func (c *Core) isDecisive(e *Entry) bool {
+	return e.Quarantined || len(e.countedServers()) >= c.options.Crashes || len(e.Servers) >= c.options.Crashes+maxSharedCrashes
 }
 
 // updateQuarantine quarantines a request that has crashed enough servers, unless
--- a/coordination/quarantine/quarantine_test.go
+++ b/coordination/quarantine/quarantine_test.go
@@ -32,7 +32,7 @@
 		crashesByGeneration := make(map[[2]uint64]int)
 		deliver := func(core *quarantine.Core, e quarantine.Entry) {
 			before, known := core.Entry(fingerprint)
-			changed := core.Merge(now, e)
+			changed := core.Merge(now, "", e)
 			if after, _ := core.Entry(fingerprint); known && e.Generation < before.Generation &&
 				(changed || len(after.Servers) != len(before.Servers) || after.Quarantined != before.Quarantined) {
 				rt.Fatalf("an entry from before a release changed the current entry")
@@ -67,7 +67,7 @@
 				deliver(core, e)
 				if rapid.Bool().Draw(rt, "again") {
 					report.Fault("duplicate message")
-					if core.Merge(now, e) {
+					if core.Merge(now, "", e) {
 						rt.Fatalf("a duplicate message changed the entry")
 					}
 				}
@@ -93,6 +93,94 @@
 	})
 }
 
+// TestRandomExchange guards against daemons that disagree for good on a request
+// that crashes servers. Messages are lost, daemons restart with empty memory, and
+// limited messages carry entries in parts. Once all daemons have exchanged their
+// entries, all must refuse the request if one of them does.
+func TestRandomExchange(t *testing.T) {
+	randomtest.Check(t, []string{"crash", "lost message", "restart"}, func(rt *rapid.T, report *randomtest.Report) {
+		const daemons = 4
+		now := time.Unix(1000, 0)
+		forward := rapid.Bool().Draw(rt, "hubs")
+		limit := rapid.IntRange(1, 5).Draw(rt, "entries in a message")
+		cores, starts := make([]*quarantine.Core, daemons), uint64(0)
+		// acknowledged holds the revision of a sender up to which a receiver has all
+		// entries, as the receiver knows it.
+		var acknowledged [daemons][daemons]uint64
+		restart := func(i int) {
+			starts++
+			options := quarantine.DefaultOptions()
+			options.FirstRevision = starts * 1000
+			cores[i] = quarantine.New(options)
+			for sender := range daemons {
+				acknowledged[i][sender] = 0
+			}
+		}
+		for i := range cores {
+			restart(i)
+		}
+		name := func(i int) string { return fmt.Sprint("daemon-", i) }
+		send := func(from, to int, lost bool) {
+			entries, upTo := cores[from].Since(acknowledged[to][from], name(to), forward, limit)
+			if lost {
+				report.Fault("lost message")
+				return
+			}
+			for _, e := range entries {
+				cores[to].Merge(now, name(from), e)
+			}
+			acknowledged[to][from] = upTo
+		}
+		crashes := 0
+		for range rapid.IntRange(1, 60).Draw(rt, "steps") {
+			report.Step()
+			now = now.Add(100 * time.Millisecond)
+			i := rapid.IntRange(0, daemons-1).Draw(rt, "daemon")
+			switch rapid.IntRange(0, 5).Draw(rt, "event") {
+			case 0, 1:
+				f := quarantine.Fingerprint(fmt.Sprint("request-", rapid.IntRange(0, 3).Draw(rt, "request")))
+				verdict := cores[i].Check(now, f)
+				report.Outcome(fmt.Sprint(verdict))
+				if verdict != quarantine.VerdictRefuse {
+					report.Fault("crash")
+					crashes++
+					cores[i].RecordCrash(now, f, fmt.Sprint("server-", crashes), rapid.IntRange(0, 3).Draw(rt, "position"))
+				}
+			case 2, 3, 4:
+				j := rapid.IntRange(0, daemons-1).Draw(rt, "peer")
+				if i != j {
+					send(i, j, rapid.Bool().Draw(rt, "lost"))
+				}
+			case 5:
+				report.Fault("restart")
+				restart(i)
+			}
+		}
+		// A daemon decides when the request arrives, and sends its decision on.
+		for range 3 * daemons {
+			for i := range daemons {
+				for n := range 4 {
+					cores[i].Check(now, quarantine.Fingerprint(fmt.Sprint("request-", n)))
+				}
+				for j := range daemons {
+					if i != j {
+						send(i, j, false)
+					}
+				}
+			}
+		}
+		for n := range 4 {
+			f := quarantine.Fingerprint(fmt.Sprint("request-", n))
+			want := cores[0].Check(now, f) == quarantine.VerdictRefuse
+			for i, core := range cores {
+				if got := core.Check(now, f) == quarantine.VerdictRefuse; got != want {
+					rt.Fatalf("%s refuses %s: %t, %s: %t", name(i), f, got, name(0), want)
+				}
+			}
+		}
+	})
+}
+
 func TestVerdicts(t *testing.T) {
 	g := NewWithT(t)
 	now := time.Unix(1000, 0)
@@ -129,7 +217,7 @@
 	for i, server := range []string{"engine-1", "engine-2", "engine-3"} {
 		e, quarantined := local.RecordCrash(now, harmless, server, 10*(i+1))
 		g.Expect(quarantined).To(BeFalse())
-		remote.Merge(now, e)
+		remote.Merge(now, "", e)
 	}
 	g.Expect(remote.Check(now, harmless)).To(Equal(quarantine.VerdictIsolate))
 	_, quarantined := local.RecordCrash(now, crashing, "engine-1", 10)
@@ -148,7 +236,7 @@
 	one, two := quarantine.New(quarantine.DefaultOptions()), quarantine.New(quarantine.DefaultOptions())
 	f := quarantine.FingerprintOf("a", []byte("crash"))
 	crash, _ := one.RecordCrash(now, f, "engine-1", 5)
-	two.Merge(now, crash)
+	two.Merge(now, "", crash)
 	_, quarantined := two.RecordCrash(now, f, "engine-2", 5)
 	g.Expect(quarantined).To(BeTrue())
 }
@@ -174,11 +262,11 @@
 	local, remote := quarantine.New(quarantine.DefaultOptions()), quarantine.New(quarantine.DefaultOptions())
 	f := quarantine.FingerprintOf("a", []byte("hi"))
 	crash, _ := local.RecordCrash(now, f, "engine-1", 0)
-	remote.Merge(now, crash)
+	remote.Merge(now, "", crash)
 	cleared, ok := local.RecordSuccess(now, f)
 	g.Expect(ok).To(BeTrue())
-	remote.Merge(now, cleared)
-	remote.Merge(now, crash)
+	remote.Merge(now, "", cleared)
+	remote.Merge(now, "", crash)
 	_, quarantined := remote.RecordCrash(now, f, "engine-2", 0)
 	g.Expect(quarantined).To(BeFalse())
 }
@@ -223,7 +311,7 @@
 	crash := func(at, other *quarantine.Core, f quarantine.Fingerprint, server string) {
 		entry, quarantined := at.RecordCrash(now, f, server, 0)
 		g.Expect(quarantined).To(BeFalse(), "quarantined before other daemons have reported their suspects")
-		other.Merge(now, entry)
+		other.Merge(now, "", entry)
 	}
 	for _, server := range []string{"s1", "s2"} {
 		crash(one, two, "innocent", server)
