Show that an old list of servers passes for a new one

Cause (not fixed here): after the store has dropped its history a full list may be older than the daemon's view. It confirms the view all the same, and the daemon watches on from the view's version.

--- a/pkg/edge/edge_test.go
+++ b/pkg/edge/edge_test.go
@@ -112,11 +112,37 @@
 	g.Expect(s.fleet.Servers()[0].Leaving).To(gomega.BeTrue())
 }
 
+// Guards against a list of servers from a store that is behind the daemon's view,
+// as after the store has dropped its history: it confirms nothing, and the changes
+// between the two must be read again. The view was taken for confirmed, and the
+// daemon went on to watch from its own version, so that a server that had announced
+// its shutdown in between was used until it wrote its next heartbeat.
+func TestAListOlderThanTheViewConfirmsNothing(t *testing.T) {
+	g := gomega.NewWithT(t)
+	s := newTestState(t)
+	server := fleet.Server{ID: "x", Service: "s", Address: "10.0.0.1:80"}
+	list := []fleet.Entry{{ID: "x", Server: &server}}
+	s.applyServerEvents(s.fleet.ApplySnapshot(bootNow(), 100, list), "store")
+	s.serversReadAt = bootNow().Add(-10 * time.Second)
+	p := &fakePlatform{Store: memtable.New(), servers: list, serversVersion: 80}
+	d := &Daemon{settings: settings, platform: p, state: s}
+	err := d.readServers(context.Background(), false)
+	g.Expect(s.fleetAge()).To(gomega.BeNumerically(">", 5*time.Second))
+	if err != nil {
+		// The list is read again.
+		return
+	}
+	g.Expect(d.readServers(context.Background(), true)).To(gomega.Succeed())
+	g.Expect(p.watchedAfter).To(gomega.BeNumerically("<=", 80))
+}
+
 // Guards against too many retries to a service that fails all requests: they
 // must stay within the daemon's share of the budget.
 func TestRetriesStayWithinTheDaemonsShareOfTheBudget(t *testing.T) {
 	g := gomega.NewWithT(t)
 	s := newTestState(t)
+	// The slack is withheld for the first window after the start.
+	s.startedAt = s.startedAt.Add(-settings.RetryWindow)
 	allowed := 0
 	for range 1000 {
 		s.Arrived("s")
@@ -134,6 +160,11 @@
 	table.Store
 	mu      sync.Mutex
 	reports []usage.Counts
+	// servers and serversVersion are the full list of servers that it returns.
+	servers        []fleet.Entry
+	serversVersion uint64
+	// watchedAfter is the version after which changes of servers were last read.
+	watchedAfter uint64
 }
 
 func (*fakePlatform) ReadCatalog(context.Context) (*catalog.Catalog, uint64, error) {
@@ -142,9 +173,12 @@
 func (*fakePlatform) WatchCatalog(context.Context, uint64, time.Duration) (*catalog.Catalog, uint64, error) {
 	return nil, 0, nil
 }
-func (*fakePlatform) ReadServers(context.Context) ([]fleet.Entry, uint64, error) { return nil, 0, nil }
-func (*fakePlatform) WatchServers(context.Context, uint64, time.Duration) ([]fleet.Entry, uint64, error) {
-	return nil, 0, nil
+func (p *fakePlatform) ReadServers(context.Context) ([]fleet.Entry, uint64, error) {
+	return p.servers, p.serversVersion, nil
+}
+func (p *fakePlatform) WatchServers(_ context.Context, after uint64, _ time.Duration) ([]fleet.Entry, uint64, error) {
+	p.watchedAfter = after
+	return nil, after, nil
 }
 func (*fakePlatform) DecodeCatalog([]byte) (*catalog.Catalog, error) { return nil, nil }
 func (p *fakePlatform) ReportUsage(_ context.Context, _ uint64, _ int64, counts usage.Counts) error {
