Let the soak run with many daemons

Cause: runs had 4 daemons, a full mesh; the paths over hubs, which begin with more than 12, were not drawn. Change: SOAK_DAEMONS (make soak DAEMONS=) sets the number; servers grow with it, because daemons share the connections of each.

--- a/Makefile
+++ b/Makefile
@@ -54,8 +54,10 @@
 bench:
 	go test -short -run NONE -bench . -benchmem -benchtime 300ms $(MODULES) 2>/dev/null | grep -E '^(Benchmark|FAIL|ok|pkg:)'
 
-# Real daemons as separate processes under faults; RUNS seeds from SEED on.
+# Real daemons as separate processes under faults; RUNS seeds from SEED on, with
+# DAEMONS daemons each.
 RUNS ?= 5
+DAEMONS ?= 4
 
 soak:
-	SOAK_SEED=$(SEED) SOAK_RUNS=$(RUNS) go test -count=1 -timeout 60m -v -run TestSoak ./soak
+	SOAK_SEED=$(SEED) SOAK_RUNS=$(RUNS) SOAK_DAEMONS=$(DAEMONS) go test -count=1 -timeout 60m -v -run TestSoak ./soak
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -6,6 +6,7 @@
 package soak
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"math/rand/v2"
@@ -26,7 +27,9 @@
 	// written to Folder.
 	Binary, Folder string
 	Daemons        int
-	Callers        int
+	// Servers is the number of servers of each service; the default is 3.
+	Servers int
+	Callers int
 	// CrashRequests is the number of different requests that crash servers in
 	// runs with unplanned faults.
 	CrashRequests int
@@ -142,12 +145,15 @@
 	h.findings = append(h.findings, fmt.Sprintf(format, args...))
 }
 
-// setUp starts the simulated platform, three servers of each service and the
+// defaultServers is the default number of servers of each service.
+const defaultServers = 3
+
+// setUp starts the simulated platform, the servers of each service and the
 // daemons.
 func (h *harness) setUp() error {
 	store, cloud := httptest.NewServer(h.store), httptest.NewServer(h.cloud)
 	h.publish()
-	for range 3 {
+	for range cmp.Or(h.options.Servers, defaultServers) {
 		for _, service := range []string{"models", "plain"} {
 			if err := h.addServer(service); err != nil {
 				return err
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -22,11 +22,24 @@
 // and each seed that has ever failed.
 var fixedSeeds = []uint64{3, 4}
 
+// Sizes of a run. The daemons share the connections that each server accepts, so
+// that a run with many daemons needs more servers.
+const (
+	defaultDaemons   = 4
+	callersPerDaemon = 6
+	minServers       = 3
+	daemonsPerServer = 2
+)
+
 // TestSoak checks the system's guarantees while daemons are killed, paused and
 // stopped and while the store, network links and servers fail. SOAK_SEED sets the
-// first seed and SOAK_RUNS the number of seeds; the folder of a failed seed is
-// kept with its logs.
+// first seed, SOAK_RUNS the number of seeds and SOAK_DAEMONS that of daemons; the
+// folder of a failed seed is kept with its logs.
 func TestSoak(t *testing.T) {
+	daemons := defaultDaemons
+	if n, err := strconv.Atoi(os.Getenv("SOAK_DAEMONS")); err == nil {
+		daemons = n
+	}
 	binary := buildDaemon(t)
 	seeds, duration := fixedSeeds, 6*time.Second
 	if first, err := strconv.ParseUint(os.Getenv("SOAK_SEED"), 10, 64); err == nil {
@@ -41,7 +54,7 @@
 	}
 	for _, seed := range seeds {
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
-			runSeed(t, soak.Options{Seed: seed, Binary: binary, Daemons: 4, Callers: 24, CrashRequests: 2, Duration: duration})
+			runSeed(t, soak.Options{Seed: seed, Binary: binary, Daemons: daemons, Servers: max(minServers, daemons/daemonsPerServer), Callers: callersPerDaemon * daemons, CrashRequests: 2, Duration: duration})
 		})
 	}
 }
