--- a/pkg/edge/edge_test.go
+++ b/pkg/edge/edge_test.go
@@ -112,6 +112,35 @@
 	g.Expect(s.fleet.Servers()[0].Leaving).To(gomega.BeTrue())
 }
 
+// Guards against servers that a hub removes at the end of the grace period after a
+// store outage, and that other daemons go on using: the removal carries the version
+// of the view, which the others have already.
+func TestRemovalsAtTheEndOfTheGracePeriodAreTold(t *testing.T) {
+	g := gomega.NewWithT(t)
+	server := fleet.Server{ID: "x", Service: "s", Address: "10.0.0.1:80"}
+	own := settings
+	own.Node = "hub"
+	hub, s := newStateOf(t, own), newTestState(t)
+	now := bootNow()
+	for _, d := range []*state{hub, s} {
+		d.applyServerEvents(d.fleet.ApplySnapshot(now, 5, []fleet.Entry{{ID: "x", Server: &server}}), "store")
+	}
+	exchange := func() {
+		hub.serversReadAt = bootNow()
+		s.applyFleet(hub.messageFor("self"))
+		hub.peers.UpdateNeighbor(bootNow(), s.messageFor("hub"), false)
+	}
+	exchange()
+	hub.fleet.MarkStoreUnavailable()
+	hub.fleet.MarkStoreAvailable(now)
+	hub.applyServerEvents(hub.fleet.ApplySnapshot(now, 6, nil), "store")
+	exchange()
+	g.Expect(s.fleet.Servers()).To(gomega.HaveLen(1), "it may write its entry again")
+	hub.applyServerEvents(hub.fleet.RemoveExpired(now.Add(time.Minute)), "grace period")
+	exchange()
+	g.Expect(s.fleet.Servers()).To(gomega.BeEmpty())
+}
+
 // Guards against a list of servers from a store that is behind the daemon's view,
 // as after the store has dropped its history: it confirms nothing, and the changes
 // between the two must be read again. The view was taken for confirmed, and the
