Build the chat gateway's quarantine before its load can report

What callers saw: nothing; found while the change was read before the landing. Cause: the load of stored entries runs in the background and set a gauge through a field that is assigned when the Manager has been built. A daemon that starts with entries in the table could fail at its start. Change: the gauge reads the Manager when it is collected. The platform's daemon does not use this code.

--- a/pkg/daemon/quarantine.go
+++ b/pkg/daemon/quarantine.go
@@ -28,32 +28,31 @@
 	broadcast broadcastFunc
 	clock     clock.WithTicker
 	recorder  *decision.Recorder
-	size      prometheus.Gauge
 }
 
 func newStreamQuarantine(store table.Store, broadcast broadcastFunc, clock clock.WithTicker, recorder *decision.Recorder, registry prometheus.Registerer) (*streamQuarantine, error) {
-	q := &streamQuarantine{
-		broadcast: broadcast, clock: clock, recorder: recorder,
-		size: prometheus.NewGauge(prometheus.GaugeOpts{
-			Name: "monsooncrank_quarantine_entries",
-			Help: "Requests in quarantine.",
-		}),
-	}
-	if err := registry.Register(q.size); err != nil {
-		return nil, errors.Trace(err)
-	}
+	q := &streamQuarantine{broadcast: broadcast, clock: clock, recorder: recorder}
 	options := quarantine.DefaultOptions()
 	options.SettleDelay = quarantine.DefaultSettleDelay
 	q.manager = quarantine.NewManager(quarantine.ManagerOptions{
 		Core: options, Store: store, Clock: clock, OnChange: q.handleChange,
 		OnError: func(err error) { klog.V(1).InfoS("cannot read or write quarantine entries", "error", err) },
 	})
+	size := prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+		Name: "monsooncrank_quarantine_entries",
+		Help: "Requests in quarantine.",
+	}, func() float64 { return float64(len(q.manager.List())) })
+	if err := registry.Register(size); err != nil {
+		q.close()
+		return nil, errors.Trace(err)
+	}
 	return q, nil
 }
 
 func (q *streamQuarantine) close() { q.manager.Close() }
 
-// handleChange records a change and broadcasts it if it was made here.
+// handleChange records a change and broadcasts it if it was made here. It may be
+// called before newStreamQuarantine returns.
 func (q *streamQuarantine) handleChange(c quarantine.Change) {
 	if c.Source == quarantine.SourceCrash || c.Source == quarantine.SourceSettled {
 		reason := "suspect after a crash"
@@ -64,7 +63,6 @@
 			Time: q.clock.Now(), Kind: decision.KindQuarantine, RequestID: c.Request, Chosen: fmt.Sprint(c.Entry.Servers), Reason: reason,
 		})
 	}
-	q.size.Set(float64(len(q.manager.List())))
 	if c.Local() {
 		q.announce(c.Entry)
 	}
--- a/soak/crashes.go
+++ b/soak/crashes.go
@@ -15,11 +15,11 @@
 	// contactTime is how long a daemon must have run undisturbed before the time
 	// limits of the platform's rules apply to it.
 	contactTime = 3 * time.Second
-	// freeCrashes is the number of servers that a request may crash before it
+	// allowedCrashes is the number of servers that a request may crash before it
 	// must be kept from further ones.
-	freeCrashes = 3
+	allowedCrashes = 3
 	// maxLateSends is how often a request may still reach servers later than
-	// contactTime after its last free crash.
+	// contactTime after the last of these crashes.
 	maxLateSends = 3
 	// minDownTime and maxDownTime bound how long a crashed server is down.
 	minDownTime = 500 * time.Millisecond
@@ -67,7 +67,7 @@
 const callerPatience = 1500 * time.Millisecond
 
 // check checks that the request is kept from servers after it has crashed
-// freeCrashes of them, by all daemons that run undisturbed.
+// allowedCrashes of them, by all daemons that run undisturbed.
 func (c *crashRequest) check(h *harness) {
 	sends := c.sends(h)
 	crashed := make(map[string]bool)
@@ -78,13 +78,13 @@
 			late++
 		}
 		crashed[s.run.Server] = true
-		if len(crashed) == freeCrashes && limitAt.IsZero() {
+		if len(crashed) == allowedCrashes && limitAt.IsZero() {
 			limitAt = s.run.At
 		}
 	}
 	if late > maxLateSends {
 		h.addFinding("request %q on %s reached servers %d times later than %v after it had crashed %d of them; it crashed %d",
-			c.body, c.path, late, contactTime, freeCrashes, len(crashed))
+			c.body, c.path, late, contactTime, allowedCrashes, len(crashed))
 	}
 }
 
