Log how a daemon learns of servers, and count what it does with peers' views

Added: a line for each full list with its version beside that of the view, the age of the view in each line on a server, counters of changes by source and of peers' views by result. No decision changes.

--- a/pkg/edge/exchange.go
+++ b/pkg/edge/exchange.go
@@ -194,6 +194,7 @@
 	now := bootNow()
 	confirmed := now.Add(-time.Duration(m.FleetAgeMillis) * time.Millisecond)
 	if s.storeViewFresh() || m.FleetVersion < s.fleet.Version() {
+		s.fleetMetrics.views.WithLabelValues(viewUnused).Inc()
 		// The view is not needed, but record when the store confirmed it.
 		if confirmed.After(s.peerConfirmedAt) {
 			s.peerConfirmedAt = confirmed
@@ -208,10 +209,12 @@
 		s.applyServerEvents(s.fleet.ApplyChanges(now, m.FleetVersion, m.Fleet), source)
 	case m.HasFleet || !s.fleet.Initialized() || m.FleetChangedVersion > s.fleet.Version():
 		// The message lacks changes since this daemon's view.
+		s.fleetMetrics.views.WithLabelValues(viewIncomplete).Inc()
 		return
 	default:
 		s.applyServerEvents(s.fleet.ApplyChanges(now, m.FleetVersion, nil), source)
 	}
+	s.fleetMetrics.views.WithLabelValues(viewApplied).Inc()
 	if confirmed.After(s.peerConfirmedAt) {
 		s.peerConfirmedAt = confirmed
 	}
--- a/pkg/edge/state.go
+++ b/pkg/edge/state.go
@@ -52,6 +52,7 @@
 	quota        *quota.Core
 	usage        *usage.Core
 	peers        *mesh.Directory
+	fleetMetrics *fleetMetrics
 	quarantine   *quarantine.Manager
 	retryBudgets map[string]*retry.Window
 	storeUp      bool
@@ -93,6 +94,7 @@
 		usage:       usage.New(settings.UsageWindow),
 		peers: mesh.NewDirectory(settings.Node, settings.Cores, mesh.Options{Interval: exchangeInterval, LeafInterval: leafInterval,
 			PeerExpiry: peerExpiry, FullMeshLimit: fullMeshLimit, HubCount: hubCount}),
+		fleetMetrics: newFleetMetrics(),
 		retryBudgets: make(map[string]*retry.Window),
 		catalogLag:   make(map[string]catalogLag),
 		exchangeWake: make(chan struct{}, 1),
@@ -177,9 +179,10 @@
 func (s *state) applyServerEvents(events []fleet.Event, source string) {
 	for i := range events {
 		e := &events[i]
+		s.fleetMetrics.changes.WithLabelValues(e.Change.String(), changeSource(source)).Inc()
 		klog.InfoS("server", "server", e.Server.ID, "change", e.Change.String(), "service", e.Server.Service,
 			"address", e.Server.Address, "zone", e.Server.AvailabilityZone, "reclaimable", e.Server.Reclaimable,
-			"leavesInMs", e.Server.LeavesIn.Milliseconds(), "fleetVersion", s.fleet.Version(), "source", source)
+			"leavesInMs", e.Server.LeavesIn.Milliseconds(), "fleetVersion", s.fleet.Version(), "fleetAgeMs", s.fleetAge().Milliseconds(), "source", source)
 		s.placement.Handle(*e)
 		s.reportServerChange(e, i+1 < len(events) && events[i+1].Server.ID == e.Server.ID)
 		if e.Change != fleet.ServerJoined {
--- a/pkg/edge/store.go
+++ b/pkg/edge/store.go
@@ -220,6 +220,8 @@
 		s.recordStoreResult(nil)
 		s.mu.Lock()
 		defer s.mu.Unlock()
+		klog.InfoS("all servers read", "version", version, "entries", len(entries), "fleetVersion", s.fleet.Version(),
+			"fleetAgeMs", s.fleetAge().Milliseconds())
 		s.serversReadAt = bootNow()
 		s.applyServerEvents(s.fleet.ApplySnapshot(bootNow(), version, entries), "store")
 		return nil
