Derive what a peer has of the quarantine from acknowledged spans of changes

What callers saw: nothing yet; found while the exchange of views was redesigned. Cause: a daemon took the revision that a message ends at for received, whatever it had before. A message that a peer had built for the daemon's earlier run therefore made the new run acknowledge entries that it never got, and a request that had crashed servers could crash more of them. Fix: coordination/changelog numbers the changes of one run of a daemon; a message states the span that it covers, and the receiver advances only if it has all before the span. It is the quarantine's mechanism moved out, so that the view of servers can use the same one.

--- a/coordination/quarantine/bench_test.go
+++ b/coordination/quarantine/bench_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"github.com/monsooncrank/monsooncrank/coordination/changelog"
 	"github.com/monsooncrank/monsooncrank/coordination/quarantine"
 )
 
@@ -53,8 +54,8 @@
 	for i := range 10000 {
 		core.RecordCrash(now, quarantine.Fingerprint(fmt.Sprint(i)), "s", 0)
 	}
-	_, upTo := core.Since(0, "peer", true, 20000)
+	_, span := core.Since(changelog.Position{}, "peer", true, 20000)
 	for b.Loop() {
-		core.Since(upTo, "peer", true, 128)
+		core.Since(span.End(), "peer", true, 128)
 	}
 }
--- a/coordination/quarantine/manager.go
+++ b/coordination/quarantine/manager.go
@@ -8,6 +8,7 @@
 	"golang.org/x/sync/singleflight"
 	"k8s.io/utils/clock"
 
+	"github.com/monsooncrank/monsooncrank/coordination/changelog"
 	"github.com/monsooncrank/monsooncrank/coordination/table"
 )
 
@@ -345,12 +346,12 @@
 	}
 }
 
-// EntriesFor returns the entries to send to a daemon that has those up to a
-// revision, and the revision up to which it will then have them (see Core.Since).
-func (m *Manager) EntriesFor(daemon string, revision uint64, forward bool, limit int) ([]Entry, uint64) {
+// EntriesFor returns the entries to send to a daemon that has acknowledged a
+// position, and the span that they cover (see Core.Since).
+func (m *Manager) EntriesFor(daemon string, acknowledged changelog.Position, forward bool, limit int) ([]Entry, changelog.Span) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.core.Since(revision, daemon, forward, limit)
+	return m.core.Since(acknowledged, daemon, forward, limit)
 }
 
 // Entry returns the entry of a request.
--- a/coordination/quarantine/manager_test.go
+++ b/coordination/quarantine/manager_test.go
@@ -13,6 +13,7 @@
 	. "github.com/onsi/gomega"
 	"k8s.io/utils/clock"
 
+	"github.com/monsooncrank/monsooncrank/coordination/changelog"
 	"github.com/monsooncrank/monsooncrank/coordination/quarantine"
 	"github.com/monsooncrank/monsooncrank/coordination/table"
 	"github.com/monsooncrank/monsooncrank/coordination/table/memtable"
@@ -66,12 +67,15 @@
 	return s.Store.Get(ctx, key)
 }
 
+// none is the position of a daemon that has received nothing.
+var none changelog.Position
+
 const settleDelay = 20 * time.Millisecond
 
 func newManager(t *testing.T, store table.Store, s *servers, change func(*quarantine.ManagerOptions)) *quarantine.Manager {
 	t.Helper()
 	options := quarantine.DefaultOptions()
-	options.SettleDelay, options.FirstRevision = settleDelay, uint64(time.Now().UnixNano())
+	options.SettleDelay, options.Run = settleDelay, uint64(time.Now().UnixNano())
 	o := quarantine.ManagerOptions{Core: options, Store: store, Clock: clock.RealClock{}, Probe: s.probe}
 	if change != nil {
 		change(&o)
@@ -151,16 +155,16 @@
 	})
 	start(one, "a", "f", "s1")
 	one.Broken(context.Background(), "a", 0)
-	entries, revision := one.EntriesFor("two", 0, false, 10)
+	entries, span := one.EntriesFor("two", none, false, 10)
 	two.MergeFrom("one", entries...)
 	g.Expect(two.Check(context.Background(), "f")).To(Equal(quarantine.VerdictIsolate))
-	entries, _ = one.EntriesFor("two", revision, false, 10)
+	entries, _ = one.EntriesFor("two", span.End(), false, 10)
 	g.Expect(entries).To(BeEmpty(), "acknowledged entries are not sent again")
 	start(two, "b", "f", "s2")
 	two.Broken(context.Background(), "b", 0)
 	g.Expect(urgent.Load()).To(BeNumerically(">", 0))
 	g.Expect(two.Check(context.Background(), "f")).To(Equal(quarantine.VerdictRefuse), "the check waits for the decision")
-	entries, _ = two.EntriesFor("one", 0, false, 10)
+	entries, _ = two.EntriesFor("one", none, false, 10)
 	one.MergeFrom("two", entries...)
 	g.Expect(one.Check(context.Background(), "f")).To(Equal(quarantine.VerdictRefuse))
 }
@@ -175,25 +179,26 @@
 	one, two := newManager(t, memtable.New(), s, nil), newManager(t, memtable.New(), s, nil)
 	start(one, "a", "f", "s1")
 	one.Broken(context.Background(), "a", 0)
-	entries, _ := one.EntriesFor("two", 0, false, 10)
+	entries, _ := one.EntriesFor("two", none, false, 10)
 	two.MergeFrom("one", entries...)
-	entries, revision := two.EntriesFor("three", 0, false, 10)
+	entries, span := two.EntriesFor("three", none, false, 10)
 	g.Expect(entries).To(HaveLen(1))
 	start(one, "b", "g", "s1")
 	one.Broken(context.Background(), "b", 0)
-	entries, _ = one.EntriesFor("two", 0, false, 10)
+	entries, _ = one.EntriesFor("two", none, false, 10)
 	two.MergeFrom("one", entries...)
-	entries, _ = two.EntriesFor("three", revision, false, 10)
+	entries, _ = two.EntriesFor("three", span.End(), false, 10)
 	g.Expect(entries).To(BeEmpty(), "in a full mesh each daemon sends its own changes")
-	entries, _ = two.EntriesFor("three", revision, true, 10)
+	entries, _ = two.EntriesFor("three", span.End(), true, 10)
 	g.Expect(entries).To(HaveLen(1), "a hub forwards them")
-	entries, _ = two.EntriesFor("one", revision, true, 10)
+	entries, _ = two.EntriesFor("one", span.End(), true, 10)
 	g.Expect(entries).To(BeEmpty(), "entries are not sent back to the daemon they came from")
-	entries, _ = two.EntriesFor("one", 0, false, 10)
+	entries, _ = two.EntriesFor("one", none, false, 10)
 	g.Expect(entries).To(HaveLen(2), "a daemon that has restarted has lost its own")
-	// The clock of daemon two was set back before its last start, so that three
-	// has acknowledged a higher revision of the run before.
-	entries, _ = two.EntriesFor("three", uint64(time.Now().Add(time.Hour).UnixNano()), false, 10)
+	// Daemon three has acknowledged changes of the run of daemon two before, whose
+	// clock was ahead.
+	before := changelog.Position{Run: uint64(time.Now().Add(time.Hour).UnixNano()), Revision: 2}
+	entries, _ = two.EntriesFor("three", before, false, 10)
 	g.Expect(entries).To(HaveLen(2))
 }
 
@@ -202,19 +207,21 @@
 func TestAFreshDaemonGetsAllEntriesOverSeveralMessages(t *testing.T) {
 	g := NewWithT(t)
 	now := time.Unix(1000, 0)
-	core := quarantine.New(quarantine.Options{Crashes: 2, SuspectRetention: time.Minute, MaxEntries: 100, FirstRevision: 1000})
+	core := quarantine.New(quarantine.Options{Crashes: 2, SuspectRetention: time.Minute, MaxEntries: 100, Run: 1000})
 	for i := range 25 {
 		core.Merge(now, "other", quarantine.Entry{Fingerprint: quarantine.Fingerprint(fmt.Sprint(i)), Servers: []string{"s"}, LastCrash: now})
 	}
 	received := make(map[quarantine.Fingerprint]bool)
-	acknowledged := uint64(0)
+	acknowledged := none
 	for range 5 {
-		entries, upTo := core.Since(acknowledged, "fresh", false, 10)
+		entries, span := core.Since(acknowledged, "fresh", false, 10)
 		g.Expect(len(entries)).To(BeNumerically("<=", 10))
 		for _, e := range entries {
 			received[e.Fingerprint] = true
 		}
-		acknowledged = upTo
+		complete := false
+		acknowledged, complete = acknowledged.Advance(span)
+		g.Expect(complete).To(BeTrue())
 	}
 	g.Expect(received).To(HaveLen(25))
 	core.Merge(now, "other", quarantine.Entry{Fingerprint: "later", Servers: []string{"s"}, LastCrash: now})
@@ -228,12 +235,12 @@
 	g := NewWithT(t)
 	now := time.Unix(1000, 0)
 	for _, received := range [][]string{{"s2"}, {"s1", "s2"}} {
-		core := quarantine.New(quarantine.Options{Crashes: 3, SuspectRetention: time.Minute, MaxEntries: 100, FirstRevision: 1000})
+		core := quarantine.New(quarantine.Options{Crashes: 3, SuspectRetention: time.Minute, MaxEntries: 100, Run: 1000})
 		core.RecordCrash(now, "before", "s0", 0)
-		_, acknowledged := core.Since(0, "third", false, 10)
+		_, span := core.Since(none, "third", false, 10)
 		core.RecordCrash(now, "f", "s1", 0)
 		core.Merge(now, "other", quarantine.Entry{Fingerprint: "f", Servers: received, LastCrash: now})
-		entries, _ := core.Since(acknowledged, "third", false, 10)
+		entries, _ := core.Since(span.End(), "third", false, 10)
 		g.Expect(entries).To(HaveLen(1))
 		g.Expect(entries[0].Servers).To(ConsistOf("s1", "s2"))
 	}
@@ -244,11 +251,12 @@
 func TestADecisionIsForwarded(t *testing.T) {
 	g := NewWithT(t)
 	now := time.Unix(1000, 0)
-	core := quarantine.New(quarantine.Options{Crashes: 2, SuspectRetention: time.Minute, MaxEntries: 100, FirstRevision: 1000})
+	core := quarantine.New(quarantine.Options{Crashes: 2, SuspectRetention: time.Minute, MaxEntries: 100, Run: 1000})
 	core.RecordCrash(now, "before", "s0", 0)
-	acknowledged := make(map[string]uint64)
+	acknowledged := make(map[string]changelog.Position)
 	for _, daemon := range []string{"ended", "third"} {
-		_, acknowledged[daemon] = core.Since(0, daemon, false, 10)
+		_, span := core.Since(none, daemon, false, 10)
+		acknowledged[daemon] = span.End()
 	}
 	core.Merge(now, "ended", quarantine.Entry{Fingerprint: "f", Servers: []string{"s1"}, Quarantined: true, LastCrash: now})
 	entries, _ := core.Since(acknowledged["third"], "third", false, 10)
--- a/coordination/quarantine/quarantine.go
+++ b/coordination/quarantine/quarantine.go
@@ -10,7 +10,6 @@
 package quarantine
 
 import (
-	"cmp"
 	"crypto/sha256"
 	"encoding/binary"
 	"encoding/hex"
@@ -19,6 +18,8 @@
 	"slices"
 	"sort"
 	"time"
+
+	"github.com/monsooncrank/monsooncrank/coordination/changelog"
 )
 
 // Fingerprint is a hash that identifies a request by account and body.
@@ -73,14 +74,8 @@
 	// old entry.
 	Generation uint64 `json:"generation" cbor:"7,keyasint,omitempty"`
 
-	// revision is the Core's revision at the last change of the entry, and
-	// changedAt the local time of that change. ownRevision is the revision at the
-	// last change after which no other daemon was known to have the same entry.
-	revision    uint64
-	ownRevision uint64
-	changedAt   time.Time
-	// from is the daemon that has sent the entry as it is, or empty.
-	from string
+	// changedAt is the local time of the last change of the entry.
+	changedAt time.Time
 }
 
 // Options configures a Core.
@@ -95,10 +90,9 @@
 	// SettleDelay is the time between a crash and the quarantine decision. It
 	// allows other daemons to report their suspects of the same crash.
 	SettleDelay time.Duration
-	// FirstRevision is the revision from which changes are numbered. It must
-	// increase with each start of a daemon, so that peers can tell changes of an
+	// Run identifies the run of the daemon, so that peers can tell changes of an
 	// earlier run apart.
-	FirstRevision uint64
+	Run uint64
 }
 
 // DefaultOptions returns options that quarantine a request after its second
@@ -112,63 +106,32 @@
 type Core struct {
 	options Options
 	entries map[Fingerprint]*Entry
-	// revision numbers the changes of all entries.
-	revision uint64
-	// sendAllUntil holds, for each daemon that had no entry, the revision up to
-	// which it gets all of them.
-	sendAllUntil map[string]uint64
+	log     *changelog.Log[Fingerprint]
 }
 
 // New returns an empty Core.
 func New(options Options) *Core {
-	return &Core{options: options, entries: make(map[Fingerprint]*Entry), revision: options.FirstRevision, sendAllUntil: make(map[string]uint64)}
+	return &Core{options: options, entries: make(map[Fingerprint]*Entry), log: changelog.New[Fingerprint](options.Run)}
 }
 
-// markChanged numbers a change of an entry. The parameter from is the daemon that
+// markChanged records a change of an entry. The parameter from is the daemon that
 // has sent the entry as it is now, or empty if no other daemon is known to have it.
 func (c *Core) markChanged(now time.Time, e *Entry, from string) {
-	c.revision++
-	e.revision, e.changedAt, e.from = c.revision, now, from
-	if from == "" {
-		e.ownRevision = c.revision
-	}
+	e.changedAt = now
+	c.log.Record(e.Fingerprint, from)
 }
 
-// Since returns up to limit entries that changed after a revision, oldest change
-// first, and the revision up to which they are complete. Entries as another daemon
-// has sent them are left out if that is the daemon to. Those from third daemons are
-// included if forward is set or they are decisive: the third daemon may
-// have ended before it could send them to all others. A daemon without any entry,
-// whose revision is from before the first change, gets them all: it may have lost
-// even its own.
-func (c *Core) Since(revision uint64, to string, forward bool, limit int) ([]Entry, uint64) {
-	if revision > c.revision {
-		revision = 0
-	}
-	if revision == c.revision {
-		return nil, revision
+// Since returns up to limit entries that changed after the position that a daemon
+// has acknowledged, oldest change first, and the span that they cover. Entries that
+// third daemons have sent are included if forward is set or they are decisive: the
+// third daemon may have ended before it could send them to all others.
+func (c *Core) Since(acknowledged changelog.Position, to string, forward bool, limit int) ([]Entry, changelog.Span) {
+	keys, span := c.log.Since(to, acknowledged, func(f Fingerprint) bool { return forward || c.isDecisive(c.entries[f]) }, limit)
+	entries := make([]Entry, len(keys))
+	for i, f := range keys {
+		entries[i] = c.entries[f].copy()
 	}
-	if revision <= c.options.FirstRevision {
-		c.sendAllUntil[to] = c.revision
-	}
-	all := revision < c.sendAllUntil[to]
-	var changed []*Entry
-	for _, e := range c.entries {
-		if e.ownRevision > revision || e.revision > revision && (all || (forward || c.isDecisive(e)) && e.from != to) {
-			changed = append(changed, e)
-		}
-	}
-	slices.SortFunc(changed, func(a, b *Entry) int { return cmp.Compare(a.revision, b.revision) })
-	upTo := c.revision
-	if len(changed) > limit {
-		changed = changed[:limit]
-		upTo = changed[limit-1].revision
-	}
-	entries := make([]Entry, len(changed))
-	for i, e := range changed {
-		entries[i] = e.copy()
-	}
-	return entries, upTo
+	return entries, span
 }
 
 // Check returns whether and how a request may run now.
@@ -280,7 +243,7 @@
 	if other.Generation < e.Generation {
 		return false
 	}
-	revision, changed := e.revision, !known
+	head, changed := c.log.Head(), !known
 	if other.Generation > e.Generation {
 		e.replace(&other)
 		changed = true
@@ -305,14 +268,14 @@
 	}
 	c.updateQuarantine(now, e)
 	c.evict()
-	return e.revision != revision
+	return c.log.Head() != head
 }
 
 // replace takes over the content of another entry.
 func (e *Entry) replace(other *Entry) {
-	content := other.copy()
-	content.revision, content.ownRevision, content.changedAt, content.from = e.revision, e.ownRevision, e.changedAt, e.from
-	*e = content
+	changedAt := e.changedAt
+	*e = other.copy()
+	e.changedAt = changedAt
 }
 
 // hasContentOf reports whether an entry, into which the other one was merged, holds
@@ -417,11 +380,16 @@
 func (c *Core) Expire(now time.Time) {
 	for fingerprint, e := range c.entries {
 		if c.expired(now, e) {
-			delete(c.entries, fingerprint)
+			c.delete(fingerprint)
 		}
 	}
 }
 
+func (c *Core) delete(fingerprint Fingerprint) {
+	delete(c.entries, fingerprint)
+	c.log.Forget(fingerprint)
+}
+
 func (c *Core) expired(now time.Time, e *Entry) bool {
 	return !e.Quarantined && now.Sub(e.LastCrash) > c.options.SuspectRetention
 }
@@ -448,7 +416,7 @@
 				victim = e
 			}
 		}
-		delete(c.entries, victim.Fingerprint)
+		c.delete(victim.Fingerprint)
 	}
 }
 
--- a/coordination/quarantine/quarantine_test.go
+++ b/coordination/quarantine/quarantine_test.go
@@ -8,6 +8,7 @@
 	. "github.com/onsi/gomega"
 	"pgregory.net/rapid"
 
+	"github.com/monsooncrank/monsooncrank/coordination/changelog"
 	"github.com/monsooncrank/monsooncrank/coordination/quarantine"
 	"github.com/monsooncrank/monsooncrank/coordination/randomtest"
 )
@@ -104,16 +105,16 @@
 		forward := rapid.Bool().Draw(rt, "hubs")
 		limit := rapid.IntRange(1, 5).Draw(rt, "entries in a message")
 		cores, starts := make([]*quarantine.Core, daemons), uint64(0)
-		// acknowledged holds the revision of a sender up to which a receiver has all
+		// acknowledged holds the position of a sender up to which a receiver has all
 		// entries, as the receiver knows it.
-		var acknowledged [daemons][daemons]uint64
+		var acknowledged [daemons][daemons]changelog.Position
 		restart := func(i int) {
 			starts++
 			options := quarantine.DefaultOptions()
-			options.FirstRevision = starts * 1000
+			options.Run = starts
 			cores[i] = quarantine.New(options)
 			for sender := range daemons {
-				acknowledged[i][sender] = 0
+				acknowledged[i][sender] = changelog.Position{}
 			}
 		}
 		for i := range cores {
@@ -121,7 +122,7 @@
 		}
 		name := func(i int) string { return fmt.Sprint("daemon-", i) }
 		send := func(from, to int, lost bool) {
-			entries, upTo := cores[from].Since(acknowledged[to][from], name(to), forward, limit)
+			entries, span := cores[from].Since(acknowledged[to][from], name(to), forward, limit)
 			if lost {
 				report.Fault("lost message")
 				return
@@ -129,7 +130,7 @@
 			for _, e := range entries {
 				cores[to].Merge(now, name(from), e)
 			}
-			acknowledged[to][from] = upTo
+			acknowledged[to][from], _ = acknowledged[to][from].Advance(span)
 		}
 		crashes := 0
 		for range rapid.IntRange(1, 60).Draw(rt, "steps") {
--- a/pkg/edge/exchange.go
+++ b/pkg/edge/exchange.go
@@ -64,9 +64,9 @@
 		Record: s.newRecord(), Address: s.settings.PeerAddress, WallUnixMilli: time.Now().UnixMilli(),
 		Records: s.peers.RecordsFor(now, node), Revision: s.peers.Revision(), ReceivedRevision: s.peers.ReceivedRevisionOf(node),
 		FleetAgeMillis: s.fleetAge().Milliseconds(), FleetVersion: s.fleet.Version(), FleetChangedVersion: s.fleet.ChangedVersion(),
-		QuarantineReceived: neighbor.QuarantineReceived,
+		QuarantineReceived: neighbor.Quarantine.Received,
 	}
-	m.Quarantine, m.QuarantineRevision = s.quarantine.EntriesFor(node, neighbor.QuarantineAcked, !s.peers.IsFullMesh(), maxQuarantineEntries)
+	m.Quarantine, m.QuarantineSpan = s.quarantine.EntriesFor(node, neighbor.Quarantine.Acknowledged, !s.peers.IsFullMesh(), maxQuarantineEntries)
 	if s.catalog != nil {
 		m.CatalogVersion = s.catalog.Version
 		if s.shouldSendCatalog(now, node, neighbor.CatalogVersion) {
--- a/pkg/edge/quarantine.go
+++ b/pkg/edge/quarantine.go
@@ -38,7 +38,7 @@
 // with the state locked.
 func (s *state) startQuarantine(store table.Store, registry prometheus.Registerer) {
 	options := quarantine.DefaultOptions()
-	options.SettleDelay, options.FirstRevision = quarantine.DefaultSettleDelay, s.incarnation
+	options.SettleDelay, options.Run = quarantine.DefaultSettleDelay, s.incarnation
 	metrics := newQuarantineMetrics(registry)
 	s.quarantine = quarantine.NewManager(quarantine.ManagerOptions{
 		Core: options, Store: store, Clock: clock.RealClock{},
--- a/pkg/edge/quarantine_test.go
+++ b/pkg/edge/quarantine_test.go
@@ -90,6 +90,25 @@
 	g.Expect(restarted.state.quarantine.Check(context.Background(), "f")).To(gomega.Equal(quarantine.VerdictRefuse))
 }
 
+// Guards against entries that a restarted daemon never gets: a message that a peer
+// had built for its earlier run made it acknowledge all that the earlier run had.
+func TestAMessageToAnEarlierRunHidesNothing(t *testing.T) {
+	g := gomega.NewWithT(t)
+	a, b := namedState(t, "a"), namedState(t, "b")
+	crash(t, a, "f", "s1")
+	exchangeBetween(t, a, b)
+	exchangeBetween(t, a, b)
+	crash(t, a, "other", "s3")
+	a.state.mu.Lock()
+	m := a.state.messageFor("b")
+	a.state.mu.Unlock()
+	restarted := namedState(t, "b")
+	restarted.handleMessage(m, true)
+	exchangeBetween(t, restarted, a)
+	crash(t, restarted, "f", "s2")
+	g.Expect(restarted.state.quarantine.Check(context.Background(), "f")).To(gomega.Equal(quarantine.VerdictRefuse))
+}
+
 // Guards against a request that crashes one server again and again: a server that
 // returned under its ID counted as one.
 func TestEachRunOfAServerCounts(t *testing.T) {
--- a/pkg/mesh/directory.go
+++ b/pkg/mesh/directory.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"github.com/monsooncrank/monsooncrank/coordination/changelog"
 )
 
 // Options configures a Directory.
@@ -63,9 +65,8 @@
 	// received all records. ReceivedRevision is the neighbor's revision up to
 	// which this daemon has received them.
 	AckedRevision, ReceivedRevision uint64
-	// QuarantineAcked and QuarantineReceived are the corresponding revisions of
-	// quarantine entries. They increase over all runs of a daemon.
-	QuarantineAcked, QuarantineReceived uint64
+	// Quarantine is the progress of the exchange of quarantine entries.
+	Quarantine Progress
 
 	// listedVersion is the version of the daemon's entry in the store, and
 	// listedAt the time of its last change.
@@ -79,6 +80,13 @@
 	lastRetryAt    time.Time
 }
 
+// Progress is how far this daemon and a neighbor have received each other's changes.
+type Progress struct {
+	// Acknowledged is the position in this daemon's changes that the neighbor has
+	// acknowledged, Received this daemon's position in those of the neighbor.
+	Acknowledged, Received changelog.Position
+}
+
 // Directory holds the other daemons and their records, and determines which
 // neighbors to exchange messages with. It is not safe for concurrent use.
 type Directory struct {
@@ -141,7 +149,8 @@
 		p.AckedRevision = m.ReceivedRevision
 	}
 	p.ReceivedRevision = m.Revision
-	p.QuarantineAcked, p.QuarantineReceived = m.QuarantineReceived, m.QuarantineRevision
+	p.Quarantine.Acknowledged = m.QuarantineReceived
+	p.Quarantine.Received, _ = p.Quarantine.Received.Advance(m.QuarantineSpan)
 	p.Address, p.lastMessageAt, p.failures = m.Address, now, 0
 	p.CatalogVersion, p.FleetVersion = m.CatalogVersion, m.FleetVersion
 	p.wallOffset = time.UnixMilli(m.WallUnixMilli).Sub(now)
--- a/pkg/mesh/message.go
+++ b/pkg/mesh/message.go
@@ -13,6 +13,7 @@
 	"github.com/fxamacker/cbor/v2"
 	"github.com/juju/errors"
 
+	"github.com/monsooncrank/monsooncrank/coordination/changelog"
 	"github.com/monsooncrank/monsooncrank/coordination/quarantine"
 	"github.com/monsooncrank/monsooncrank/pkg/fleet"
 	"github.com/monsooncrank/monsooncrank/pkg/placement"
@@ -72,13 +73,12 @@
 	// If the message has no entries, the receiver may adopt FleetVersion only if
 	// its own view is at least as new as that change.
 	FleetChangedVersion uint64 `cbor:"16,keyasint,omitempty"`
-	// Quarantine holds the entries of requests that crash servers which changed
-	// since those that the receiver has, up to the sender's QuarantineRevision.
-	// QuarantineReceived is the receiver's revision up to which the sender has
-	// received them.
+	// Quarantine holds the entries of requests that crash servers which the
+	// receiver lacks, and QuarantineSpan the sender's changes that they cover.
+	// QuarantineReceived is how far the sender has received the receiver's changes.
 	Quarantine         []quarantine.Entry `cbor:"14,keyasint,omitempty"`
-	QuarantineRevision uint64             `cbor:"17,keyasint,omitempty"`
-	QuarantineReceived uint64             `cbor:"18,keyasint,omitempty"`
+	QuarantineSpan     changelog.Span     `cbor:"17,keyasint"`
+	QuarantineReceived changelog.Position `cbor:"18,keyasint"`
 }
 
 // Encode returns the CBOR encoding of the message.
