Exchange views of servers by acknowledged changes, not by the store's version

Cause: what a peer has was derived from the store's version of its view, although one version does not stand for one set of servers. Removals at the end of the grace period and changes found by a full read at a version that was told before changed the view without changing the number, and were never told; a list that was older than the view confirmed it; a fresh reading of one's own hid what peers knew. Fix: each state of a server carries the version at which the store had it, and only a newer one replaces it, so that views may arrive in any order and from anyone. What a peer lacks follows from coordination/changelog, as for the quarantine. A peer's view confirms one's own only if both hold the same servers (a digest); if they differ although neither lacks changes of the other, both read the store's list. A list that is older than what is known confirms nothing, and its changes are read from its own version on. Leaving and removed servers are told at once. TestChangesReachPeers lost its part on a peer that has just started: such a view no longer removes servers by lacking them, the store's list does, which TestAPeerThatHasJustStartedDoesNotHideRemovals and TestDifferentViewsAreSettledByTheStore check.

--- a/pkg/edge/daemon.go
+++ b/pkg/edge/daemon.go
@@ -77,6 +77,7 @@
 	registry    *prometheus.Registry
 	idle        *idleConnections
 	refreshedAt time.Time
+	serverFeed  serverFeed
 }
 
 // New returns a Daemon. It sets the memory limit of the Go runtime and starts
--- a/pkg/edge/edge_test.go
+++ b/pkg/edge/edge_test.go
@@ -11,6 +11,7 @@
 	"github.com/onsi/gomega"
 	"github.com/prometheus/client_golang/prometheus"
 
+	"github.com/monsooncrank/monsooncrank/coordination/changelog"
 	"github.com/monsooncrank/monsooncrank/coordination/table"
 	"github.com/monsooncrank/monsooncrank/coordination/table/memtable"
 	"github.com/monsooncrank/monsooncrank/pkg/backendconn"
@@ -53,14 +54,26 @@
 	g.Expect(s.Catalog().Version).To(gomega.Equal(int64(5)))
 }
 
+// viewOf returns the complete view of a daemon with the servers.
+func viewOf(version uint64, age time.Duration, servers ...fleet.Server) fleet.View {
+	c := fleet.New(fleet.Options{Run: 1})
+	var entries []fleet.Entry
+	for i := range servers {
+		entries = append(entries, fleet.Entry{ID: servers[i].ID, Server: &servers[i]})
+	}
+	c.ApplySnapshot(bootNow(), version, entries)
+	v := c.ViewFor("self", changelog.Position{}, 0, true)
+	v.AgeMillis = age.Milliseconds()
+	return v
+}
+
 // Guards against daemons without access to the store that treat one another's
 // views as confirmed: the age of a view must only grow as it is forwarded.
 func TestIsolatedDaemonsDoNotRefreshEachOthersViews(t *testing.T) {
 	g := gomega.NewWithT(t)
 	s := newTestState(t)
 	deliver := func(age time.Duration) {
-		s.applyFleet(&mesh.Message{Record: mesh.Record{Node: "peer"}, FleetVersion: 7, FleetAgeMillis: age.Milliseconds(), HasFleet: true,
-			Fleet: []fleet.Entry{{ID: "x", Server: &fleet.Server{ID: "x", Service: "s", Address: "10.0.0.1:80"}}}})
+		s.applyFleet(&mesh.Message{Record: mesh.Record{Node: "peer"}, Fleet: viewOf(7, age, fleet.Server{ID: "x", Service: "s", Address: "10.0.0.1:80"})})
 	}
 	deliver(200 * time.Millisecond)
 	g.Expect(s.fleet.Initialized()).To(gomega.BeTrue())
@@ -68,10 +81,33 @@
 	deliver(5 * time.Second)
 	g.Expect(s.fleetAge()).To(gomega.BeNumerically("<", time.Second), "an older confirmation must not replace a newer one")
 	other := newTestState(t)
-	other.applyFleet(&mesh.Message{Record: mesh.Record{Node: "peer"}, FleetVersion: 7, FleetAgeMillis: 5000, HasFleet: true})
+	other.applyFleet(&mesh.Message{Record: mesh.Record{Node: "peer"}, Fleet: viewOf(7, 5*time.Second)})
 	g.Expect(other.followsStore()).To(gomega.BeTrue())
 }
 
+// Guards against a daemon that goes on with its view although that of its hub differs,
+// as after a server was removed and the hub has started since: the store must settle
+// the difference at once, and the hub's view must not count as a confirmation.
+func TestDifferentViewsAreSettledByTheStore(t *testing.T) {
+	g := gomega.NewWithT(t)
+	a, b := fleet.Server{ID: "a", Service: "s", Address: "10.0.0.1:80"}, fleet.Server{ID: "b", Service: "s", Address: "10.0.0.2:80"}
+	p := &fakePlatform{Store: memtable.New(), servers: []fleet.Entry{{ID: "a", Server: &a}}, serversVersion: 13}
+	d := &Daemon{settings: settings, platform: p, state: newTestState(t)}
+	s := d.state
+	addPeers(s, 2*fullMeshLimit)
+	s.applyFleet(&mesh.Message{Record: mesh.Record{Node: "hub"}, Fleet: viewOf(7, 0, a, b)})
+	g.Expect(s.followsStore()).To(gomega.BeFalse())
+	s.peers.UpdateNeighbor(bootNow(), &mesh.Message{Record: mesh.Record{Node: "hub", Incarnation: 2}, Fleet: fleet.View{Received: s.fleet.Head()}}, false)
+	started := viewOf(12, 0, a)
+	started.Span.Run = 2
+	s.applyFleet(&mesh.Message{Record: mesh.Record{Node: "hub", Incarnation: 2}, Fleet: started})
+	g.Expect(s.followsStore()).To(gomega.BeTrue())
+	g.Expect(s.listDue(bootNow())).To(gomega.BeTrue())
+	g.Expect(d.readServers(context.Background(), false)).To(gomega.Succeed())
+	g.Expect(s.fleet.Servers()).To(gomega.ConsistOf(a))
+	g.Expect(s.listDue(bootNow().Add(minListInterval))).To(gomega.BeFalse())
+}
+
 // Guards against placements on a leaving server while the store does not answer
 // this daemon: the change must be accepted from a peer.
 func TestLeavingServersAreLearnedFromPeers(t *testing.T) {
@@ -81,8 +117,8 @@
 	s.applyServerEvents(s.fleet.ApplySnapshot(bootNow(), 5, []fleet.Entry{{ID: "x", Server: &server}}), "store")
 	leaving := server
 	leaving.Leaving = true
-	s.applyFleet(&mesh.Message{Record: mesh.Record{Node: "peer"}, FleetVersion: 6, FleetSince: 5, HasFleet: true,
-		Fleet: []fleet.Entry{{ID: "x", Server: &leaving}}})
+	s.applyFleet(&mesh.Message{Record: mesh.Record{Node: "peer"}, Fleet: fleet.View{Version: 6, Span: changelog.Span{Run: 1, From: 1, To: 2},
+		Entries: []fleet.Entry{{ID: "x", Server: &leaving, Version: 6}}}})
 	g.Expect(s.fleet.Servers()[0].Leaving).To(gomega.BeTrue())
 }
 
@@ -100,7 +136,7 @@
 	for _, d := range []*state{hub, s} {
 		d.applyServerEvents(d.fleet.ApplySnapshot(bootNow(), 5, []fleet.Entry{{ID: "x", Server: &server}}), "store")
 	}
-	hub.peers.UpdateNeighbor(bootNow(), &mesh.Message{Record: mesh.Record{Node: "self", Incarnation: 1}, FleetVersion: 5}, false)
+	hub.peers.UpdateNeighbor(bootNow(), &mesh.Message{Record: mesh.Record{Node: "self", Incarnation: 1}}, false)
 	leaving := server
 	leaving.Leaving = true
 	hub.applyServerEvents(hub.fleet.ApplyChanges(bootNow(), 6, []fleet.Entry{{ID: "x", Server: &leaving}}), "store")
@@ -112,6 +148,15 @@
 	g.Expect(s.fleet.Servers()[0].Leaving).To(gomega.BeTrue())
 }
 
+// exchangeViews makes a hub send its view to a daemon, and the daemon answer.
+func exchangeViews(hub, s *state) {
+	hub.serversReadAt = bootNow()
+	m := hub.messageFor(s.settings.Node)
+	s.peers.UpdateNeighbor(bootNow(), m, true)
+	s.applyFleet(m)
+	hub.peers.UpdateNeighbor(bootNow(), s.messageFor(hub.settings.Node), false)
+}
+
 // Guards against servers that a hub removes at the end of the grace period after a
 // store outage, and that other daemons go on using: the removal carries the version
 // of the view, which the others have already.
@@ -125,11 +170,7 @@
 	for _, d := range []*state{hub, s} {
 		d.applyServerEvents(d.fleet.ApplySnapshot(now, 5, []fleet.Entry{{ID: "x", Server: &server}}), "store")
 	}
-	exchange := func() {
-		hub.serversReadAt = bootNow()
-		s.applyFleet(hub.messageFor("self"))
-		hub.peers.UpdateNeighbor(bootNow(), s.messageFor("hub"), false)
-	}
+	exchange := func() { exchangeViews(hub, s) }
 	exchange()
 	hub.fleet.MarkStoreUnavailable()
 	hub.fleet.MarkStoreAvailable(now)
@@ -141,6 +182,52 @@
 	g.Expect(s.fleet.Servers()).To(gomega.BeEmpty())
 }
 
+// Guards against changes that a daemon finds only by a full read, at a version that it
+// has told already because its watch had missed them: other daemons at that version
+// were not told.
+func TestChangesFoundAtAToldVersionAreTold(t *testing.T) {
+	g := gomega.NewWithT(t)
+	server := fleet.Server{ID: "x", Service: "s", Address: "10.0.0.1:80"}
+	own := settings
+	own.Node = "hub"
+	hub, s := newStateOf(t, own), newTestState(t)
+	for _, d := range []*state{hub, s} {
+		d.applyServerEvents(d.fleet.ApplySnapshot(bootNow(), 5, []fleet.Entry{{ID: "x", Server: &server}}), "store")
+	}
+	exchange := func() { exchangeViews(hub, s) }
+	hub.applyServerEvents(hub.fleet.ApplyChanges(bootNow(), 6, nil), "store")
+	exchange()
+	exchange()
+	leaving := server
+	leaving.Leaving = true
+	hub.applyServerEvents(hub.fleet.ApplySnapshot(bootNow(), 6, []fleet.Entry{{ID: "x", Server: &leaving}}), "store")
+	exchange()
+	g.Expect(s.fleet.Servers()[0].Leaving).To(gomega.BeTrue())
+}
+
+// Guards against a daemon that takes its own readings of the store for complete and
+// leaves out what peers tell: a watch may hear nothing while changes are made, or the
+// store may turn away this daemon's next calls.
+func TestOwnReadingsDoNotHideWhatPeersTell(t *testing.T) {
+	g := gomega.NewWithT(t)
+	server := fleet.Server{ID: "x", Service: "s", Address: "10.0.0.1:80"}
+	own := settings
+	own.Node = "hub"
+	hub, s := newStateOf(t, own), newTestState(t)
+	for _, d := range []*state{hub, s} {
+		d.applyServerEvents(d.fleet.ApplySnapshot(bootNow(), 5, []fleet.Entry{{ID: "x", Server: &server}}), "store")
+		d.storeUp, d.serversReadAt = true, bootNow()
+	}
+	leaving := server
+	leaving.Leaving = true
+	hub.applyServerEvents(hub.fleet.ApplyChanges(bootNow(), 6, []fleet.Entry{{ID: "x", Server: &leaving}}), "store")
+	s.applyServerEvents(s.fleet.ApplyChanges(bootNow(), 7, nil), "store")
+	for range 2 {
+		exchangeViews(hub, s)
+	}
+	g.Expect(s.fleet.Servers()[0].Leaving).To(gomega.BeTrue())
+}
+
 // Guards against a list of servers from a store that is behind the daemon's view,
 // as after the store has dropped its history: it confirms nothing, and the changes
 // between the two must be read again. The view was taken for confirmed, and the
--- a/pkg/edge/exchange.go
+++ b/pkg/edge/exchange.go
@@ -63,7 +63,6 @@
 	m := &mesh.Message{
 		Record: s.newRecord(), Address: s.settings.PeerAddress, WallUnixMilli: time.Now().UnixMilli(),
 		Records: s.peers.RecordsFor(now, node), Revision: s.peers.Revision(), ReceivedRevision: s.peers.ReceivedRevisionOf(node),
-		FleetAgeMillis: s.fleetAge().Milliseconds(), FleetVersion: s.fleet.Version(), FleetChangedVersion: s.fleet.ChangedVersion(),
 		QuarantineReceived: neighbor.Quarantine.Received,
 	}
 	m.Quarantine, m.QuarantineSpan = s.quarantine.EntriesFor(node, neighbor.Quarantine.Acknowledged, !s.peers.IsFullMesh(), maxQuarantineEntries)
@@ -73,13 +72,10 @@
 			m.Catalog = s.compressedCatalog()
 		}
 	}
-	if s.fleet.Initialized() && s.fleetAge() < peerViewMaxAge && (neighbor.FleetVersion == 0 || s.fleet.ChangedVersion() > neighbor.FleetVersion) {
-		entries, partial := s.fleet.EntriesSince(neighbor.FleetVersion)
-		m.Fleet, m.HasFleet = entries, true
-		if partial {
-			m.FleetSince = neighbor.FleetVersion
-		}
-	}
+	// A daemon that serves others with its view forwards what it has from its peers.
+	forward := s.peers.IsFullMesh() || s.peers.IsHub(now)
+	m.Fleet = s.fleet.ViewFor(node, neighbor.Fleet.Acknowledged, neighbor.FleetDigest, forward)
+	m.Fleet.AgeMillis, m.Fleet.Received = s.fleetAge().Milliseconds(), neighbor.Fleet.Received
 	return m
 }
 
@@ -183,40 +179,32 @@
 	s.quota.SetPeer(now, r.Node, r.Incarnation, r.Quota)
 }
 
-// applyFleet applies a neighbor's view of the servers unless this daemon's own
-// view from the store is current. The age of a view only grows as it is
-// forwarded, so that daemons without access to the store cannot refresh one
-// another's views.
+// applyFleet merges a neighbor's view of the servers. The age of a view only grows
+// as it is forwarded, so that daemons without access to the store cannot refresh one
+// another's views. If the views differ although both daemons have each other's
+// changes, this daemon reads all entries from the store.
 func (s *state) applyFleet(m *mesh.Message) {
-	if m.FleetAgeMillis < 0 {
-		return
-	}
-	now := bootNow()
-	confirmed := now.Add(-time.Duration(m.FleetAgeMillis) * time.Millisecond)
-	if s.storeViewFresh() || m.FleetVersion < s.fleet.Version() {
-		s.fleetMetrics.views.WithLabelValues(viewUnused).Inc()
-		// The view is not needed, but record when the store confirmed it.
-		if confirmed.After(s.peerConfirmedAt) {
+	now, node := bootNow(), m.Record.Node
+	neighbor, _ := s.peers.Lookup(node)
+	events, received, agreed := s.fleet.Merge(now, node, neighbor.Fleet.Received, &m.Fleet)
+	s.peers.SetFleetReceived(node, received)
+	s.applyServerEvents(events, "peer "+node)
+	switch {
+	case agreed:
+		s.fleetMetrics.views.WithLabelValues(viewAgrees).Inc()
+		confirmed := now.Add(-time.Duration(m.Fleet.AgeMillis) * time.Millisecond)
+		if m.Fleet.AgeMillis >= 0 && confirmed.After(s.peerConfirmedAt) {
 			s.peerConfirmedAt = confirmed
 		}
-		return
-	}
-	source := "peer " + m.Record.Node
-	switch {
-	case m.HasFleet && m.FleetSince == 0:
-		s.applyServerEvents(s.fleet.ApplySnapshot(now, m.FleetVersion, m.Fleet), source)
-	case m.HasFleet && m.FleetSince <= s.fleet.Version():
-		s.applyServerEvents(s.fleet.ApplyChanges(now, m.FleetVersion, m.Fleet), source)
-	case m.HasFleet || !s.fleet.Initialized() || m.FleetChangedVersion > s.fleet.Version():
-		// The message lacks changes since this daemon's view.
+	case received != m.Fleet.Span.End() || neighbor.Fleet.Acknowledged != s.fleet.Head():
 		s.fleetMetrics.views.WithLabelValues(viewIncomplete).Inc()
-		return
 	default:
-		s.applyServerEvents(s.fleet.ApplyChanges(now, m.FleetVersion, nil), source)
-	}
-	s.fleetMetrics.views.WithLabelValues(viewApplied).Inc()
-	if confirmed.After(s.peerConfirmedAt) {
-		s.peerConfirmedAt = confirmed
+		s.fleetMetrics.views.WithLabelValues(viewDiffers).Inc()
+		if !s.viewDisputed {
+			klog.InfoS("views of servers differ", "peer", node, "peerVersion", m.Fleet.Version, "fleetVersion", s.fleet.Version(),
+				"peerAgeMs", m.Fleet.AgeMillis, "fleetAgeMs", s.fleetAge().Milliseconds())
+		}
+		s.viewDisputed = true
 	}
 }
 
--- a/pkg/edge/metrics.go
+++ b/pkg/edge/metrics.go
@@ -12,11 +12,13 @@
 	views   *prometheus.CounterVec
 }
 
-// Results of receiving a peer's view of the servers.
+// Results of merging a peer's view of the servers.
 const (
-	viewApplied    = "applied"
+	viewAgrees = "agrees"
+	// viewIncomplete means that one of the daemons lacks changes of the other.
 	viewIncomplete = "incomplete"
-	viewUnused     = "unused"
+	// viewDiffers means that the views differ although neither lacks any.
+	viewDiffers = "differs"
 )
 
 func newFleetMetrics() *fleetMetrics {
@@ -24,7 +26,7 @@
 		changes: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "monsooncrank_fleet_changes_total",
 			Help: "Changes of servers that this daemon has learned of, by change and source."}, []string{"change", "source"}),
 		views: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "monsooncrank_fleet_views_total",
-			Help: "Views of the servers received from peers, by what was done with them."}, []string{"result"}),
+			Help: "Views of the servers received from peers, by how they compare with this daemon's view."}, []string{"result"}),
 	}
 }
 
--- a/pkg/edge/state.go
+++ b/pkg/edge/state.go
@@ -56,11 +56,16 @@
 	quarantine   *quarantine.Manager
 	retryBudgets map[string]*retry.Window
 	storeUp      bool
-	// serversReadAt is when this daemon last read the servers from the store.
-	serversReadAt time.Time
+	// serversReadAt is when the store last confirmed the view to this daemon, and
+	// serversListedAt when this daemon last read all entries.
+	serversReadAt   time.Time
+	serversListedAt time.Time
 	// peerConfirmedAt is when the store confirmed the most recent view of servers
 	// received from a peer.
 	peerConfirmedAt time.Time
+	// viewDisputed is set if a neighbor has other servers and the next full list must
+	// show which are right.
+	viewDisputed bool
 	// peerCatalogVersion is the newest configuration version in force at any
 	// peer. catalogOutdatedSince is when this daemon learned that a newer version
 	// than its own exists.
@@ -88,7 +93,7 @@
 		incarnation: incarnation,
 		startedAt:   now,
 		pool:        pool,
-		fleet:       fleet.New(fleet.Options{StoreReturnGrace: storeReturnGrace}),
+		fleet:       fleet.New(fleet.Options{StoreReturnGrace: storeReturnGrace, Run: incarnation}),
 		placement:   placement.NewCore(placement.Options{Seed: incarnation}),
 		quota:       quota.New(now, quota.Options{Window: settings.QuotaWindow, Overage: settings.QuotaOverage, Slack: settings.QuotaSlack}),
 		usage:       usage.New(settings.UsageWindow),
@@ -175,10 +180,12 @@
 }
 
 // applyServerEvents logs server changes and applies them to the placement and
-// the connection pool.
+// the connection pool. Peers are told at once that servers are leaving or gone.
 func (s *state) applyServerEvents(events []fleet.Event, source string) {
+	tell := false
 	for i := range events {
 		e := &events[i]
+		tell = tell || e.Change != fleet.ServerJoined
 		s.fleetMetrics.changes.WithLabelValues(e.Change.String(), changeSource(source)).Inc()
 		klog.InfoS("server", "server", e.Server.ID, "change", e.Change.String(), "service", e.Server.Service,
 			"address", e.Server.Address, "zone", e.Server.AvailabilityZone, "reclaimable", e.Server.Reclaimable,
@@ -189,6 +196,9 @@
 			s.pool.CloseIdle(e.Server.ID)
 		}
 	}
+	if tell {
+		s.wakeExchange()
+	}
 }
 
 // Charge charges the cost of a request to an account. If the usage limit is
--- a/pkg/edge/store.go
+++ b/pkg/edge/store.go
@@ -16,20 +16,6 @@
 	// configuration. Together with the call timeout, it ensures that a silent
 	// connection is detected within three seconds.
 	catalogWatchTimeout = 1500 * time.Millisecond
-	// serversReadInterval is the pause between two reads of changed servers. It is
-	// a small part of the time within which requests to a leaving server must
-	// stop.
-	serversReadInterval = 450 * time.Millisecond
-	// serversWatchTimeout is the maximum duration of such a read when nothing
-	// changes.
-	serversWatchTimeout = 300 * time.Millisecond
-	// serversMaxAge is the maximum age of this daemon's last read of the servers.
-	// When it is exceeded, the daemon accepts newer views from peers.
-	serversMaxAge = 1200 * time.Millisecond
-	// peerViewMaxAge is the maximum age of the view received from hubs. When it is
-	// exceeded, the daemon reads the store itself. A hub reads the store at least
-	// every 0.75 s and sends its view at least every 0.4 s.
-	peerViewMaxAge = 1500 * time.Millisecond
 	// leafCatalogReadInterval is the time between two reads of the configuration
 	// on daemons to which hubs send new versions at once. These reads find
 	// versions that no hub has announced. All changes between two reads cost the
@@ -144,102 +130,6 @@
 	return 0
 }
 
-// followServers keeps the view of the BackendServers up to date until the
-// context ends.
-func (d *Daemon) followServers(ctx context.Context) {
-	s := d.state
-	synced := false
-	for ctx.Err() == nil {
-		if !s.followsStore() {
-			// While hubs send their views, this daemon does not read the store; it
-			// reads all entries when it starts again.
-			synced = false
-			pause(ctx, serversReadInterval/2)
-			continue
-		}
-		err := d.readServers(ctx, synced)
-		if ctx.Err() != nil {
-			return
-		}
-		var lost *HistoryLostError
-		switch {
-		case errors.As(err, &lost):
-			klog.InfoS("store no longer keeps the server changes since the last read; reading all entries")
-			synced = false
-			continue
-		case err != nil:
-			s.recordStoreResult(err)
-			synced = false
-			pause(ctx, storeRetryDelay)
-		default:
-			s.recordStoreResult(nil)
-			synced = true
-			pause(ctx, serversReadInterval)
-		}
-	}
-}
-
-// storeViewFresh reports whether this daemon itself has read the servers from
-// the store within serversMaxAge.
-func (s *state) storeViewFresh() bool {
-	return s.storeUp && bootNow().Sub(s.serversReadAt) < serversMaxAge
-}
-
-// fleetAge returns the time since the store last confirmed the view of servers,
-// either to this daemon or to a peer. It is negative if the view was never
-// confirmed.
-func (s *state) fleetAge() time.Duration {
-	confirmed := s.serversReadAt
-	if s.peerConfirmedAt.After(confirmed) {
-		confirmed = s.peerConfirmedAt
-	}
-	if confirmed.IsZero() {
-		return -time.Millisecond
-	}
-	return bootNow().Sub(confirmed)
-}
-
-// followsStore reports whether this daemon reads the servers from the store
-// itself, either as a hub or because no hub sends it a recent view.
-func (s *state) followsStore() bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	now := bootNow()
-	return s.peers.IsHub(now) || now.Sub(s.peerConfirmedAt) >= peerViewMaxAge
-}
-
-// readServers updates the view of the servers from the store: with the changes
-// since the current view if synced, otherwise with all entries.
-func (d *Daemon) readServers(ctx context.Context, synced bool) error {
-	s := d.state
-	if !synced {
-		entries, version, err := d.platform.ReadServers(ctx)
-		if err != nil {
-			return err
-		}
-		s.recordStoreResult(nil)
-		s.mu.Lock()
-		defer s.mu.Unlock()
-		klog.InfoS("all servers read", "version", version, "entries", len(entries), "fleetVersion", s.fleet.Version(),
-			"fleetAgeMs", s.fleetAge().Milliseconds())
-		s.serversReadAt = bootNow()
-		s.applyServerEvents(s.fleet.ApplySnapshot(bootNow(), version, entries), "store")
-		return nil
-	}
-	s.mu.Lock()
-	after := s.fleet.Version()
-	s.mu.Unlock()
-	entries, version, err := d.platform.WatchServers(ctx, after, serversWatchTimeout)
-	if err != nil {
-		return err
-	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.serversReadAt = bootNow()
-	s.applyServerEvents(s.fleet.ApplyChanges(bootNow(), version, entries), "store")
-	return nil
-}
-
 // daemonRow is the value of a daemon's row in the table.
 type daemonRow struct {
 	Address     string `json:"address"`
--- a/pkg/fleet/fleet_test.go
+++ b/pkg/fleet/fleet_test.go
@@ -1,11 +1,13 @@
 package fleet_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
 	"github.com/onsi/gomega"
 
+	"github.com/monsooncrank/monsooncrank/coordination/changelog"
 	"github.com/monsooncrank/monsooncrank/pkg/fleet"
 )
 
@@ -18,7 +20,7 @@
 }
 
 func newCore() *fleet.Core {
-	c := fleet.New(fleet.Options{StoreReturnGrace: 2 * time.Second})
+	c := fleet.New(fleet.Options{StoreReturnGrace: 2 * time.Second, Run: 1})
 	c.ApplySnapshot(at(0), 10, []fleet.Entry{server("a"), server("b")})
 	return c
 }
@@ -85,23 +87,102 @@
 	g.Expect(c.ApplySnapshot(at(5010), 20, []fleet.Entry{server("a")})).To(gomega.HaveLen(1))
 }
 
+// exchange sends a daemon's view to a peer that has acknowledged what it received
+// before. It returns how many entries that took, and whether the views then agree.
+func exchange(from, to *fleet.Core, received *changelog.Position) (int, bool) {
+	v := from.ViewFor("to", *received, to.Digest(), true)
+	_, position, agreed := to.Merge(at(0), "from", *received, &v)
+	*received = position
+	return len(v.Entries), agreed
+}
+
 // Guards against changes and removals that do not reach a daemon that gets its
-// view from a peer, including a peer that has just started.
+// view from a peer.
 func TestChangesReachPeers(t *testing.T) {
 	g := gomega.NewWithT(t)
 	hub, leaf := newCore(), newCore()
+	var received changelog.Position
+	entries, agreed := exchange(hub, leaf, &received)
+	g.Expect(entries).To(gomega.BeZero(), "daemons with equal views send no entries")
+	g.Expect(agreed).To(gomega.BeTrue())
 	hub.ApplyChanges(at(10), 11, []fleet.Entry{server("c"), {ID: "a"}})
-	entries, partial := hub.EntriesSince(leaf.Version())
-	g.Expect(partial).To(gomega.BeTrue())
-	leaf.ApplyChanges(at(20), hub.Version(), entries)
+	entries, _ = exchange(hub, leaf, &received)
+	g.Expect(entries).To(gomega.Equal(2))
 	g.Expect(leaf.Servers()).To(gomega.ConsistOf(hub.Servers()))
 	hub.ApplyChanges(at(30), 12, []fleet.Entry{server("b")})
-	g.Expect(hub.ChangedVersion()).To(gomega.Equal(uint64(11)), "a heartbeat must not count as a change for peers")
+	entries, _ = exchange(hub, leaf, &received)
+	g.Expect(entries).To(gomega.BeZero(), "a heartbeat must not count as a change for peers")
+}
 
-	fresh := fleet.New(fleet.Options{StoreReturnGrace: time.Second})
-	fresh.ApplySnapshot(at(40), 13, []fleet.Entry{server("c")})
-	entries, partial = fresh.EntriesSince(leaf.Version())
-	g.Expect(partial).To(gomega.BeFalse())
-	leaf.ApplySnapshot(at(50), fresh.Version(), entries)
+// Guards against a view that a peer confirms although it differs, as that of a peer
+// that has started after a server was removed and has no removal to tell: the daemon
+// must learn of the difference, and the store settles it.
+func TestAPeerThatHasJustStartedDoesNotHideRemovals(t *testing.T) {
+	g := gomega.NewWithT(t)
+	leaf, fresh := newCore(), fleet.New(fleet.Options{StoreReturnGrace: time.Second, Run: 9})
+	fresh.ApplySnapshot(at(40), 13, []fleet.Entry{server("a")})
+	var received changelog.Position
+	_, agreed := exchange(fresh, leaf, &received)
+	g.Expect(agreed).To(gomega.BeFalse())
+	g.Expect(leaf.Version()).To(gomega.Equal(uint64(10)))
+	leaf.ApplySnapshot(at(50), 13, []fleet.Entry{server("a")})
+	_, agreed = exchange(fresh, leaf, &received)
+	g.Expect(agreed).To(gomega.BeTrue())
 	g.Expect(leaf.Servers()).To(gomega.HaveLen(1))
 }
+
+// Guards against a removed server that an older view from a peer, which was cut off
+// meanwhile, restores: at a daemon that removed the server itself, and at one that
+// has started since and never knew it.
+func TestAnOlderViewOfAPeerRestoresNothing(t *testing.T) {
+	g := gomega.NewWithT(t)
+	hub, cutOff := newCore(), newCore()
+	hub.ApplyChanges(at(10), 20, []fleet.Entry{{ID: "a"}})
+	started := fleet.New(fleet.Options{StoreReturnGrace: time.Second, Run: 9})
+	started.ApplySnapshot(at(40), 30, []fleet.Entry{server("b")})
+	for _, c := range []*fleet.Core{hub, started} {
+		var received changelog.Position
+		exchange(cutOff, c, &received)
+		g.Expect(c.Servers()).To(gomega.HaveLen(1))
+	}
+	var received changelog.Position
+	exchange(hub, cutOff, &received)
+	g.Expect(cutOff.Servers()).To(gomega.HaveLen(1))
+}
+
+// Guards against a server that the whole fleet forgets because one peer has removed
+// it while another has seen it return, and nobody tells the first one.
+func TestAPeerWithAnOlderStateIsCorrected(t *testing.T) {
+	g := gomega.NewWithT(t)
+	a, b := newCore(), newCore()
+	var fromA, fromB changelog.Position
+	exchange(a, b, &fromA)
+	exchange(b, a, &fromB)
+	// The entry lapsed at 20 and was written again at 25; b only sees the result.
+	a.ApplyChanges(at(10), 20, []fleet.Entry{{ID: "b"}})
+	b.ApplyChanges(at(10), 25, []fleet.Entry{server("b")})
+	exchange(a, b, &fromA)
+	g.Expect(b.Servers()).To(gomega.HaveLen(2))
+	exchange(b, a, &fromB)
+	g.Expect(a.Servers()).To(gomega.HaveLen(2))
+}
+
+// Guards against peers that take their views for confirmed although they were never
+// told of a removal because the daemon has dropped it.
+func TestDroppedRemovalsLeaveADifference(t *testing.T) {
+	g := gomega.NewWithT(t)
+	hub, leaf := newCore(), newCore()
+	var received changelog.Position
+	exchange(hub, leaf, &received)
+	hub.ApplyChanges(at(10), 11, []fleet.Entry{{ID: "a"}})
+	for i := range uint64(5000) {
+		id := fmt.Sprint("s", i)
+		hub.ApplyChanges(at(20), 12+2*i, []fleet.Entry{server(id)})
+		hub.ApplyChanges(at(20), 13+2*i, []fleet.Entry{{ID: id}})
+	}
+	_, agreed := exchange(hub, leaf, &received)
+	g.Expect(agreed).To(gomega.BeFalse())
+	leaf.ApplySnapshot(at(30), hub.Version(), []fleet.Entry{server("b")})
+	_, agreed = exchange(hub, leaf, &received)
+	g.Expect(agreed).To(gomega.BeTrue())
+}
--- a/pkg/mesh/directory.go
+++ b/pkg/mesh/directory.go
@@ -57,16 +57,17 @@
 	Record   Record
 	RecordAt time.Time
 	Revision uint64
-	// CatalogVersion and FleetVersion come from the daemon's last message. These
-	// and the two revisions below are set for neighbors only.
+	// CatalogVersion and FleetDigest come from the daemon's last message. These and
+	// the progress of the exchanges below are set for neighbors only.
 	CatalogVersion int64
-	FleetVersion   uint64
+	FleetDigest    uint64
 	// AckedRevision is the revision of this Directory up to which the neighbor has
 	// received all records. ReceivedRevision is the neighbor's revision up to
 	// which this daemon has received them.
 	AckedRevision, ReceivedRevision uint64
-	// Quarantine is the progress of the exchange of quarantine entries.
-	Quarantine Progress
+	// Quarantine and Fleet are the progress of the exchange of quarantine entries
+	// and of the views of servers.
+	Quarantine, Fleet Progress
 
 	// listedVersion is the version of the daemon's entry in the store, and
 	// listedAt the time of its last change.
@@ -152,7 +153,7 @@
 	p.Quarantine.Acknowledged = m.QuarantineReceived
 	p.Quarantine.Received, _ = p.Quarantine.Received.Advance(m.QuarantineSpan)
 	p.Address, p.lastMessageAt, p.failures = m.Address, now, 0
-	p.CatalogVersion, p.FleetVersion = m.CatalogVersion, m.FleetVersion
+	p.CatalogVersion, p.FleetDigest, p.Fleet.Acknowledged = m.CatalogVersion, m.Fleet.Digest, m.Fleet.Received
 	p.wallOffset = time.UnixMilli(m.WallUnixMilli).Sub(now)
 	p.nextExchangeAt = now.Add(d.interval(p.Node))
 	if initiatedByPeer {
@@ -160,6 +161,14 @@
 	}
 }
 
+// SetFleetReceived records how far this daemon has received a neighbor's changes of
+// servers.
+func (d *Directory) SetFleetReceived(node string, received changelog.Position) {
+	if p, ok := d.peers[node]; ok {
+		p.Fleet.Received = received
+	}
+}
+
 // MergeRecord stores a daemon's record. It returns false if the record is not
 // newer than the stored one or belongs to this daemon.
 func (d *Directory) MergeRecord(now time.Time, r *Record) bool {
--- a/pkg/mesh/directory_test.go
+++ b/pkg/mesh/directory_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/onsi/gomega"
 
+	"github.com/monsooncrank/monsooncrank/coordination/changelog"
 	"github.com/monsooncrank/monsooncrank/pkg/fleet"
 	"github.com/monsooncrank/monsooncrank/pkg/mesh"
 	"github.com/monsooncrank/monsooncrank/pkg/usage"
@@ -210,7 +211,8 @@
 func TestMessageEncodingRoundTrip(t *testing.T) {
 	g := gomega.NewWithT(t)
 	m := message("a", at(0))
-	m.Fleet = []fleet.Entry{{ID: "s", Server: &fleet.Server{ID: "s", Address: "10.0.0.1:80", Leaving: true}}}
+	m.Fleet = fleet.View{Version: 7, Digest: 8, Span: changelog.Span{Run: 1, From: 2, To: 3}, AgeMillis: -1, Received: changelog.Position{Run: 4, Revision: 5},
+		Entries: []fleet.Entry{{ID: "s", Server: &fleet.Server{ID: "s", Address: "10.0.0.1:80", Leaving: true}, Version: 6}}}
 	m.Records = []mesh.Record{{Node: "b", Usage: usage.Windows{7: {"account": 3}}}}
 	encoded, err := m.Encode()
 	g.Expect(err).NotTo(gomega.HaveOccurred())
--- a/pkg/mesh/message.go
+++ b/pkg/mesh/message.go
@@ -59,20 +59,8 @@
 	// older version.
 	CatalogVersion int64  `cbor:"7,keyasint"`
 	Catalog        []byte `cbor:"15,keyasint,omitempty"`
-	// FleetAgeMillis is the time since the store confirmed the sender's view of
-	// the servers, either to the sender or to the daemon from which it received the
-	// view; negative means unknown. FleetVersion is the store's version of the view.
-	FleetAgeMillis int64  `cbor:"9,keyasint"`
-	FleetVersion   uint64 `cbor:"10,keyasint"`
-	// Fleet holds the entries that changed after version FleetSince, or all
-	// entries if FleetSince is 0.
-	Fleet      []fleet.Entry `cbor:"11,keyasint,omitempty"`
-	FleetSince uint64        `cbor:"12,keyasint,omitempty"`
-	HasFleet   bool          `cbor:"13,keyasint,omitempty"`
-	// FleetChangedVersion is the version of the last change in the sender's view.
-	// If the message has no entries, the receiver may adopt FleetVersion only if
-	// its own view is at least as new as that change.
-	FleetChangedVersion uint64 `cbor:"16,keyasint,omitempty"`
+	// Fleet is the sender's view of the servers, as far as the receiver lacks it.
+	Fleet fleet.View `cbor:"9,keyasint"`
 	// Quarantine holds the entries of requests that crash servers which the
 	// receiver lacks, and QuarantineSpan the sender's changes that they cover.
 	// QuarantineReceived is how far the sender has received the receiver's changes.
