Ask once more whether a server is leaving before a request is sent to it

What callers saw: nothing traced to it; found by asking what a request does that was placed before the news. Opening a connection takes up to 0.4 s and is tried up to four times, so that a request could be sent that much later than its server was chosen. Fix: the relay asks the controller between the connection and the first byte; the request then goes to another server, without a retry.

--- a/pkg/edge/state.go
+++ b/pkg/edge/state.go
@@ -231,6 +231,13 @@
 	return d, err
 }
 
+// Accepts reports whether a selected server still accepts requests.
+func (s *state) Accepts(server *fleet.Server) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.placement.Accepts(server)
+}
+
 // Started records the start of an attempt at a server.
 func (s *state) Started(attempt string, d *placement.Decision, q *placement.Query) {
 	s.mu.Lock()
--- a/pkg/placement/core.go
+++ b/pkg/placement/core.go
@@ -127,6 +127,12 @@
 	}
 }
 
+// Accepts reports whether a run of a server accepts requests.
+func (c *Core) Accepts(f *fleet.Server) bool {
+	s, ok := c.servers[f.ID]
+	return ok && !s.misdirected && s.RunID() == f.RunID() && s.Address == f.Address
+}
+
 func (c *Core) join(f fleet.Server) {
 	if s, ok := c.servers[f.ID]; ok {
 		s.service.remove(s)
--- a/pkg/placement/placement_test.go
+++ b/pkg/placement/placement_test.go
@@ -330,3 +330,27 @@
 		g.Expect(again.Candidates).To(gomega.BeNumerically("<=", 8))
 	}
 }
+
+// Guards against a request to a server that was selected, and has then begun to
+// leave or was followed by another run at its address.
+func TestASelectedServerMayLeave(t *testing.T) {
+	g := gomega.NewWithT(t)
+	for _, change := range []func(fleet.Server) fleet.Event{
+		func(s fleet.Server) fleet.Event {
+			s.Leaving = true
+			return fleet.Event{Change: fleet.ServerLeaving, Server: s}
+		},
+		func(s fleet.Server) fleet.Event { return fleet.Event{Change: fleet.ServerGone, Server: s} },
+		func(s fleet.Server) fleet.Event {
+			s.StartedUnixMilli++
+			return fleet.Event{Change: fleet.ServerJoined, Server: s}
+		},
+	} {
+		c := newCore(1, 0)
+		d, err := c.Pick(at(0), engineQuery(at(0), "group", 100))
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		g.Expect(c.Accepts(&d.Server)).To(gomega.BeTrue())
+		c.Handle(change(d.Server))
+		g.Expect(c.Accepts(&d.Server)).To(gomega.BeFalse())
+	}
+}
--- a/pkg/relay/relay_test.go
+++ b/pkg/relay/relay_test.go
@@ -63,6 +63,8 @@
 	results      []placement.Result
 	silentFor    time.Duration
 	retriesSpent bool
+	// leaveAtConnect holds servers that begin to leave while they are connected to.
+	leaveAtConnect map[string]bool
 }
 
 func (f *fake) Catalog() *catalog.Catalog { return f.catalog }
@@ -96,6 +98,7 @@
 	}
 	return placement.Decision{}, &placement.RefusedError{Reason: placement.RefusedNoServer, RetryAfter: 300 * time.Millisecond}
 }
+func (f *fake) Accepts(s *fleet.Server) bool                          { return !f.leaveAtConnect[s.ID] }
 func (f *fake) Started(string, *placement.Decision, *placement.Query) {}
 func (f *fake) FirstEvent(string)                                     {}
 func (f *fake) Finished(_ string, r placement.Result) {
@@ -540,6 +543,22 @@
 	g.Expect(time.Since(startedAt)).To(gomega.BeNumerically("<", 2500*time.Millisecond))
 }
 
+// Guards against a request that is sent to a server which has begun to leave while
+// the daemon opened a connection to it.
+func TestAServerThatLeavesDuringTheDialGetsNoRequest(t *testing.T) {
+	g := gomega.NewWithT(t)
+	serve := func(_ int, r *http.Request, c net.Conn) bool { answer(c, r.Header.Get("Id"), "", "done"); return true }
+	leaving, other := newBackend(t, serve), newBackend(t, serve)
+	f := newFixture(t, leaving, other)
+	f.leaveAtConnect = map[string]bool{"server-0": true}
+	status, _, _, err := f.post("/once/x", "1")
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(status).To(gomega.Equal(http.StatusOK))
+	g.Expect(leaving.count()).To(gomega.BeZero())
+	g.Expect(other.count()).To(gomega.Equal(1))
+	g.Expect(f.retries).To(gomega.BeZero())
+}
+
 // If a server cannot be reached, no byte was sent, so even a non-idempotent
 // request is sent to another server.
 func TestAFailedDialDoesNotCountAsAnAttempt(t *testing.T) {
--- a/pkg/relay/run.go
+++ b/pkg/relay/run.go
@@ -226,6 +226,11 @@
 	}
 }
 
+// ServerLeftError reports that a server has begun to leave since it was selected.
+type ServerLeftError struct{ Server string }
+
+func (e *ServerLeftError) Error() string { return "server " + e.Server + " accepts no more requests" }
+
 // connect returns a connection to the selected server. A failed dial is recorded
 // as a failed attempt at the server.
 func (x *exchange) connect(d *placement.Decision) (*backendconn.Conn, error) {
@@ -243,6 +248,11 @@
 		klog.InfoS("no connection to server", "request", x.ID, "server", d.Server.ID, "err", err)
 		return nil, err
 	}
+	if !controller.Accepts(&d.Server) {
+		x.handler.pool.Discard(conn)
+		klog.InfoS("server left before the request was sent", "request", x.ID, "server", d.Server.ID)
+		return nil, &ServerLeftError{Server: d.Server.ID}
+	}
 	controller.Started(x.attemptID(), d, x.query(nil))
 	return conn, nil
 }
--- a/pkg/relay/types.go
+++ b/pkg/relay/types.go
@@ -93,6 +93,9 @@
 	Refund(account string, cost float64)
 	// Place selects a BackendServer for a request.
 	Place(q *placement.Query) (placement.Decision, error)
+	// Accepts reports whether the selected server still accepts requests. It may
+	// have begun to leave while a connection to it was opened.
+	Accepts(server *fleet.Server) bool
 	// Started records the start of an attempt at the selected server.
 	Started(attempt string, d *placement.Decision, q *placement.Query)
 	// FirstEvent records that the first part of a response arrived.
