Check in the soak that leaving servers get no requests

Cause: the soak replaced servers, but nothing checked when the last request reached one, and all of them announced that they leave. Change: one of three leaves without a word (its entry is removed and it serves on); requests that reach a server later than 2 s after the store accepted that it leaves are findings if the daemon, its link to the store and the store were undisturbed for 3 s and the store was when it accepted.

--- a/soak/checks.go
+++ b/soak/checks.go
@@ -46,6 +46,9 @@
 // sendRequest sends one attempt and checks its answer.
 func (h *harness) sendRequest(client *http.Client, d *daemon, id, path string) {
 	starts, stoppingAt := d.state()
+	h.mu.Lock()
+	h.receivers[id] = d
+	h.mu.Unlock()
 	reply := standin.Send(context.Background(), client, standin.Request{ID: id, Address: d.settings.Front, Host: hostName, Path: path + "x",
 		Key: apiKey, Deadline: requestDeadline})
 	h.mu.Lock()
@@ -134,6 +137,7 @@
 	for _, c := range h.crashRequests {
 		c.check(h)
 	}
+	h.checkLeavingServers()
 	client := &http.Client{}
 	for _, d := range h.daemons {
 		for v := 1; v <= h.version; v++ {
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -30,11 +30,12 @@
 	d := h.daemons[h.random.IntN(len(h.daemons))]
 	duration := time.Duration(500+h.random.IntN(3000)) * time.Millisecond
 	name, s := h.pickServer()
+	announced := h.random.IntN(3) > 0
 	planned := []func(context.Context){
 		func(context.Context) { h.publish() },
 		func(context.Context) { d.signal(syscall.SIGHUP) },
 		func(context.Context) { h.restart(d, syscall.SIGTERM) },
-		func(context.Context) { h.replaceServer(name, s) },
+		func(context.Context) { h.replaceServer(name, s, announced) },
 	}
 	if h.planned {
 		return planned[h.random.IntN(len(planned))]
@@ -111,6 +112,7 @@
 }
 
 func (h *harness) storeFault(ctx context.Context, f standin.Faults, duration time.Duration) {
+	defer h.disturb(storeName, time.Now())
 	h.store.SetFaults(f)
 	sleep(ctx, duration)
 	h.store.SetFaults(standin.Faults{})
@@ -123,6 +125,7 @@
 }
 
 func (h *harness) linkFault(ctx context.Context, name string, mode Mode, duration time.Duration) {
+	defer h.disturb(name, time.Now())
 	p := h.proxy(name)
 	p.SetMode(mode)
 	sleep(ctx, duration)
@@ -150,8 +153,9 @@
 	return "", nil
 }
 
-// replaceServer starts a new server and drains an older one of the same service.
-func (h *harness) replaceServer(name string, s *standin.Server) {
+// replaceServer starts a new server and drains an older one of the same service,
+// which may leave without announcing it.
+func (h *harness) replaceServer(name string, s *standin.Server, announced bool) {
 	h.mu.Lock()
 	_, found := h.servers[name]
 	delete(h.servers, name)
@@ -164,7 +168,10 @@
 	}
 	// All daemons discover a new server within 1 to 2 s.
 	time.Sleep(2 * time.Second)
-	s.Drain(drainDuration)
+	h.mu.Lock()
+	h.leavingServers = append(h.leavingServers, s)
+	h.mu.Unlock()
+	s.Drain(drainDuration, announced)
 }
 
 // drainDuration is how long a leaving server continues to serve. It covers the
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -71,6 +71,12 @@
 	mu             sync.Mutex
 	servers        map[string]*standin.Server
 	startedServers int
+	// leavingServers holds the servers that have left, receivers the daemon that
+	// received each request, and faults the spans in which links and the store were
+	// disturbed.
+	leavingServers []*standin.Server
+	receivers      map[string]*daemon
+	faults         map[string][]span
 	// version is the version of the last published configuration; publishedAt
 	// holds the publication time of each version.
 	version     int
@@ -94,7 +100,7 @@
 // changes only.
 func Run(options Options) (Report, error) {
 	h := &harness{options: options, random: rand.New(rand.NewPCG(options.Seed, 1)), store: standin.NewStore(), ledger: standin.NewLedger(),
-		cloud: standin.NewCloud(), proxies: make(map[string]*Proxy), servers: make(map[string]*standin.Server), planned: options.Seed%3 == 0}
+		cloud: standin.NewCloud(), proxies: make(map[string]*Proxy), servers: make(map[string]*standin.Server), receivers: make(map[string]*daemon), faults: make(map[string][]span), planned: options.Seed%3 == 0}
 	if err := h.setUp(); err != nil {
 		h.stop()
 		return Report{}, err
