--- a/pkg/edge/state.go
+++ b/pkg/edge/state.go
@@ -15,6 +15,7 @@
 	"github.com/monsooncrank/monsooncrank/pkg/mesh"
 	"github.com/monsooncrank/monsooncrank/pkg/placement"
 	"github.com/monsooncrank/monsooncrank/pkg/quota"
+	"github.com/monsooncrank/monsooncrank/pkg/serverlimit"
 	"github.com/monsooncrank/monsooncrank/pkg/usage"
 )
 
@@ -259,6 +260,13 @@
 	s.placement.Finished(time.Now(), attempt, result)
 }
 
+// Answered logs the request limit that a server states.
+func (s *state) Answered(server *fleet.Server, _ time.Time, limit serverlimit.Statement) {
+	if limit.Limited {
+		klog.InfoS("server states a request limit", "server", server.ID, "perSecond", limit.PerSecond)
+	}
+}
+
 // Alive records that a server sent data.
 func (s *state) Alive(server string) {
 	s.mu.Lock()
--- a/pkg/relay/attempt.go
+++ b/pkg/relay/attempt.go
@@ -217,6 +217,9 @@
 		if info.RequestID == s.ID || info.RequestID == "" && response.StatusCode/100 != 2 {
 			s.readKeepAliveTimeout(response)
 			s.handler.controller.Alive(s.decision.Server.ID)
+			if response.StatusCode != http.StatusMisdirectedRequest {
+				s.handler.controller.Answered(&s.decision.Server, s.startedAt, info.RequestLimit)
+			}
 			return response, info, true
 		}
 		klog.InfoS("skipped response to another request", "request", s.ID, "other", info.RequestID, "server", s.decision.Server.ID)
--- a/pkg/relay/relay_test.go
+++ b/pkg/relay/relay_test.go
@@ -24,6 +24,7 @@
 	"github.com/monsooncrank/monsooncrank/pkg/fleet"
 	"github.com/monsooncrank/monsooncrank/pkg/placement"
 	"github.com/monsooncrank/monsooncrank/pkg/relay"
+	"github.com/monsooncrank/monsooncrank/pkg/serverlimit"
 )
 
 // codec implements relay.Codec with test headers; the relay itself defines none.
@@ -106,14 +107,15 @@
 	defer f.mu.Unlock()
 	f.results = append(f.results, r)
 }
-func (f *fake) Alive(string)                       {}
-func (f *fake) SilentFor(string) time.Duration     { return f.silentFor }
-func (f *fake) Misdirected(string)                 {}
-func (f *fake) Began(string)                       { f.mu.Lock(); defer f.mu.Unlock(); f.began++ }
-func (f *fake) Arrived(string)                     {}
-func (f *fake) SpendRetry(string) bool             { f.mu.Lock(); defer f.mu.Unlock(); f.retries++; return true }
-func (f *fake) CanRetry(string) bool               { return !f.retriesSpent }
-func (f *fake) ConnectionLimit(string, string) int { return 10 }
+func (f *fake) Answered(*fleet.Server, time.Time, serverlimit.Statement) {}
+func (f *fake) Alive(string)                                             {}
+func (f *fake) SilentFor(string) time.Duration                           { return f.silentFor }
+func (f *fake) Misdirected(string)                                       {}
+func (f *fake) Began(string)                                             { f.mu.Lock(); defer f.mu.Unlock(); f.began++ }
+func (f *fake) Arrived(string)                                           {}
+func (f *fake) SpendRetry(string) bool                                   { f.mu.Lock(); defer f.mu.Unlock(); f.retries++; return true }
+func (f *fake) CanRetry(string) bool                                     { return !f.retriesSpent }
+func (f *fake) ConnectionLimit(string, string) int                       { return 10 }
 
 // script handles the n-th request that a server receives; the connection stays
 // open if it returns true.
--- a/pkg/relay/types.go
+++ b/pkg/relay/types.go
@@ -12,6 +12,7 @@
 	"github.com/monsooncrank/monsooncrank/pkg/catalog"
 	"github.com/monsooncrank/monsooncrank/pkg/fleet"
 	"github.com/monsooncrank/monsooncrank/pkg/placement"
+	"github.com/monsooncrank/monsooncrank/pkg/serverlimit"
 )
 
 // Request is a caller's request after its header has been decoded.
@@ -69,6 +70,8 @@
 	// Sealed is set if the response carries the server's seal. A successful
 	// response without a seal must not be forwarded.
 	Sealed bool
+	// RequestLimit is what the response says about a request limit of the server.
+	RequestLimit serverlimit.Statement
 }
 
 // Codec decodes and encodes the headers of the external protocol.
@@ -102,6 +105,9 @@
 	FirstEvent(attempt string)
 	// Finished records the result of an attempt.
 	Finished(attempt string, result placement.Result)
+	// Answered records what the answer to a request that was sent at a time says about
+	// a request limit of its server.
+	Answered(server *fleet.Server, sentAt time.Time, limit serverlimit.Statement)
 	// Alive records that a server sent data to this daemon; SilentFor returns
 	// the time since it last did.
 	Alive(server string)
