Start daemons of the soak again that a SIGHUP has ended right after their start

The log of the daemon's second start is empty. Cause: SIGHUP ends a process that has not begun to handle it. Shown by hand: sent 0, 2 and 5 ms after the start it ends monsooncrankd (status 129, no line), at 10 ms and later it does not; ignoring it as the first statement of main changes nothing at 5 ms, since the Go runtime and the packages take that long. The platform starts a process that has ended again; the soak did not. Change: the soak starts a daemon again that ended by SIGHUP, which counts as a disturbance like any start. No check changes.

--- a/soak/daemon.go
+++ b/soak/daemon.go
@@ -137,6 +137,11 @@
 		_ = command.Wait()
 		_ = log.Close()
 		close(exited)
+		if status, ok := command.ProcessState.Sys().(syscall.WaitStatus); ok && status.Signaled() && status.Signal() == syscall.SIGHUP {
+			// The signal came before the process could handle it. The platform starts
+			// processes that have ended again. If that fails, the daemon is never ready.
+			_ = d.start()
+		}
 	}()
 	return nil
 }
