Show the fault on LIMIT: servers that state a request limit in the soak

The stand-in's servers state a request limit in their answers; the soak draws such limits (0 to 20 a second) under all its other faults and checks the users' rule: from 3 s after a limit was stated, at most one and a half times the limit, and 5, within 4 s, from daemons that have passed such an answer on half a second before or earlier and ran undisturbed since.

--- a/soak/checks.go
+++ b/soak/checks.go
@@ -57,6 +57,7 @@
 		h.succeeded++
 	}
 	h.mu.Unlock()
+	h.recordLimit(d, reply)
 	h.checkAnswer(id, path, reply)
 	h.checkRefusal(id, reply)
 	if h.planned {
@@ -138,6 +139,7 @@
 		c.check(h)
 	}
 	h.checkLeavingServers()
+	h.checkLimits()
 	client := &http.Client{}
 	for _, d := range h.daemons {
 		for v := 1; v <= h.version; v++ {
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -42,6 +42,7 @@
 	}
 	rate := 0.1 + 0.4*h.random.Float64()
 	status := []int{http.StatusServiceUnavailable, http.StatusTooManyRequests}[h.random.IntN(2)]
+	perSecond := []float64{0, 0.5, 1, 2, 5, 20}[h.random.IntN(6)]
 	mode := []Mode{Blackhole, RequestsOnly, Slow}[h.random.IntN(3)]
 	faults := append(planned,
 		func(context.Context) { h.restart(d, syscall.SIGKILL) },
@@ -64,6 +65,8 @@
 		func(ctx context.Context) {
 			h.serverFault(ctx, s, standin.ServerFaults{Slow: 200 * time.Millisecond}, duration)
 		},
+		func(ctx context.Context) { stateLimit(ctx, s, perSecond, 3*duration) },
+		func(ctx context.Context) { stateLimit(ctx, s, perSecond, 3*duration) },
 	)
 	return faults[h.random.IntN(len(faults))]
 }
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -36,6 +36,9 @@
 	Duration      time.Duration
 	// NoFaults leaves out all faults but the crash requests and RestartAllAt.
 	NoFaults bool
+	// LimitedServers is the number of servers that state a request limit of one a
+	// second throughout the run.
+	LimitedServers int
 	// RestartAllAt holds the times at which all daemons are killed at once.
 	RestartAllAt []time.Duration
 }
@@ -77,6 +80,10 @@
 	leavingServers []*standin.Server
 	receivers      map[string]*daemon
 	faults         map[string][]span
+	// allServers holds every server that was started. told holds when each daemon
+	// passed on answers that state a limit, by server.
+	allServers []*standin.Server
+	told       map[string]map[*daemon][]time.Time
 	// version is the version of the last published configuration; publishedAt
 	// holds the publication time of each version.
 	version     int
@@ -100,7 +107,7 @@
 // changes only.
 func Run(options Options) (Report, error) {
 	h := &harness{options: options, random: rand.New(rand.NewPCG(options.Seed, 1)), store: standin.NewStore(), ledger: standin.NewLedger(),
-		cloud: standin.NewCloud(), proxies: make(map[string]*Proxy), servers: make(map[string]*standin.Server), receivers: make(map[string]*daemon), faults: make(map[string][]span), planned: options.Seed%3 == 0}
+		cloud: standin.NewCloud(), proxies: make(map[string]*Proxy), servers: make(map[string]*standin.Server), receivers: make(map[string]*daemon), faults: make(map[string][]span), told: make(map[string]map[*daemon][]time.Time), planned: options.Seed%3 == 0}
 	if err := h.setUp(); err != nil {
 		h.stop()
 		return Report{}, err
@@ -123,6 +130,9 @@
 			running.Go(func() { c.sendRepeatedly(ctx, h, i) })
 		}
 	}
+	for _, s := range h.allServers[:options.LimitedServers] {
+		s.StateLimit(1)
+	}
 	for _, at := range h.options.RestartAllAt {
 		running.Go(func() {
 			sleep(ctx, at)
@@ -217,6 +227,7 @@
 	})
 	h.mu.Lock()
 	h.servers[id] = s
+	h.allServers = append(h.allServers, s)
 	h.mu.Unlock()
 	return err
 }
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -75,6 +75,12 @@
 		RestartAllAt: []time.Duration{4 * time.Second, 9 * time.Second}})
 }
 
+// TestServersInNeedGetNoMoreThanTheirLimit guards against daemons that each keep the
+// request limit of a server, or none, so that it gets more than that from all of them.
+func TestServersInNeedGetNoMoreThanTheirLimit(t *testing.T) {
+	runSeed(t, soak.Options{Seed: 1, Binary: buildDaemon(t), Daemons: 7, Servers: 5, Callers: 14, Duration: 10 * time.Second, NoFaults: true, LimitedServers: 4})
+}
+
 func buildDaemon(t *testing.T) string {
 	t.Helper()
 	binary := filepath.Join(t.TempDir(), "monsooncrankd")
