Keep the request limit of a server over all daemons

Cause: no daemon read the limit; and one that each daemon keeps by itself is exceeded by all of them together. The class of fault is a bound over all daemons without an owner. Fix: pkg/serverlimit, a core without I/O. Limits spread between daemons by coordination/changelog, at once; a few senders, chosen alike by all daemons, share three quarters of a limit, and all others use other servers. Daemons that hear half of the others or fewer send equal portions in turn; senders wait after a start and after a change. Each attempt needs a permit, whether first, repeated or resumed.

--- a/pkg/edge/daemon.go
+++ b/pkg/edge/daemon.go
@@ -89,6 +89,7 @@
 		registry: o.Registry, idle: newIdleConnections()}
 	d.registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	d.state.fleetMetrics.register(d.registry)
+	d.registry.MustRegister(d.state.limitMetrics.changes, d.state.limitMetrics.active)
 	d.state.startQuarantine(o.Platform, d.registry)
 	d.front = relay.NewHandler(relay.Options{Codec: o.Codec, Controller: d.state, Quarantine: d.state.quarantine, Pool: pool, Metrics: relay.NewMetrics(d.registry)})
 	d.peerPool = peer.NewPool(peer.PoolOptions{})
--- a/pkg/edge/exchange.go
+++ b/pkg/edge/exchange.go
@@ -66,6 +66,8 @@
 		QuarantineReceived: neighbor.Quarantine.Received,
 	}
 	m.Quarantine, m.QuarantineSpan = s.quarantine.EntriesFor(node, neighbor.Quarantine.Acknowledged, !s.peers.IsFullMesh(), maxQuarantineEntries)
+	m.LimitsReceived = neighbor.Limits.Received
+	m.Limits, m.LimitsSpan = s.limits.EntriesFor(node, neighbor.Limits.Acknowledged)
 	if s.catalog != nil {
 		m.CatalogVersion = s.catalog.Version
 		if s.shouldSendCatalog(now, node, neighbor.CatalogVersion) {
@@ -151,6 +153,7 @@
 	s.placement.ApplyPeerLoads(time.Now())
 	s.quota.SetStaleness(s.peers.MaxStaleness())
 	s.applyFleet(m)
+	s.applyLimits(m)
 }
 
 // decompressCatalog decodes a configuration received from a peer.
@@ -222,8 +225,8 @@
 	return s.messageFor(m.Record.Node).Encode()
 }
 
-// exchangeLoop starts the exchanges that are due and removes servers whose grace
-// period has ended.
+// exchangeLoop starts the exchanges that are due, removes servers whose grace period
+// has ended and chooses the senders to servers with a request limit.
 func (d *Daemon) exchangeLoop(ctx context.Context) {
 	tick := time.NewTicker(exchangeCheckInterval)
 	defer tick.Stop()
@@ -239,6 +242,7 @@
 		due := append(s.urgentPeers, s.peers.Due(bootNow())...)
 		s.urgentPeers = nil
 		s.applyServerEvents(s.fleet.RemoveExpired(bootNow()), "grace period")
+		s.refreshLimitMembers(bootNow())
 		s.mu.Unlock()
 		for i := range due {
 			go d.exchange(ctx, due[i])
--- /dev/null
+++ b/pkg/edge/limits.go
@@ -0,0 +1,99 @@
+package edge
+
+import (
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"k8s.io/klog/v2"
+
+	"github.com/monsooncrank/monsooncrank/pkg/fleet"
+	"github.com/monsooncrank/monsooncrank/pkg/mesh"
+	"github.com/monsooncrank/monsooncrank/pkg/placement"
+	"github.com/monsooncrank/monsooncrank/pkg/serverlimit"
+)
+
+// memberMaxAge is the age of a daemon's last record at which it no longer counts as
+// alive when senders are chosen. It is several times the age at which records arrive.
+const memberMaxAge = 3 * time.Second
+
+// memberInterval is how often the senders are chosen again.
+const memberInterval = 250 * time.Millisecond
+
+// limitMetrics counts what this daemon learns of request limits of servers.
+type limitMetrics struct {
+	changes *prometheus.CounterVec
+	active  prometheus.Gauge
+}
+
+func newLimitMetrics() *limitMetrics {
+	return &limitMetrics{
+		changes: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "monsooncrank_server_limit_changes_total",
+			Help: "Changes of request limits of servers that this daemon has learned of, by source."}, []string{"source"}),
+		active: prometheus.NewGauge(prometheus.GaugeOpts{Name: "monsooncrank_server_limits",
+			Help: "Servers with a request limit."}),
+	}
+}
+
+// Answered records what the answer to a request that was sent at a time says about a
+// request limit of its server. Other daemons are told of a change at once.
+func (s *state) Answered(server *fleet.Server, sentAt time.Time, limit serverlimit.Statement) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	e, changed := s.limits.Observe(time.Now(), server.RunID(), sentAt, limit)
+	if changed {
+		s.logLimit(&e, "answer")
+		s.wakeExchange()
+	}
+}
+
+// applyLimits merges the request limits that a neighbor knows of. Hubs tell others at
+// once.
+func (s *state) applyLimits(m *mesh.Message) {
+	changed := false
+	for i := range m.Limits {
+		if s.limits.Merge(time.Now(), m.Record.Node, m.Limits[i]) {
+			s.logLimit(&m.Limits[i], "peer "+m.Record.Node)
+			changed = true
+		}
+	}
+	if changed && !s.peers.IsFullMesh() {
+		s.wakeExchange()
+	}
+}
+
+// refreshLimitMembers calls updateLimitMembers if that is due.
+func (s *state) refreshLimitMembers(now time.Time) {
+	if now.Sub(s.membersUpdatedAt) >= memberInterval {
+		s.updateLimitMembers()
+	}
+}
+
+// updateLimitMembers tells the limits which daemons are alive.
+func (s *state) updateLimitMembers() {
+	s.membersUpdatedAt = bootNow()
+	if s.limits.Active() > 0 {
+		s.limits.SetMembers(time.Now(), s.peers.Members(bootNow(), memberMaxAge), s.stopping)
+	}
+}
+
+// logLimit logs a change of the request limit of a server.
+func (s *state) logLimit(e *serverlimit.Entry, source string) {
+	s.updateLimitMembers()
+	s.limitMetrics.changes.WithLabelValues(changeSource(source)).Inc()
+	s.limitMetrics.active.Set(float64(s.limits.Active()))
+	role, rate := s.limits.RoleOf(e.Run)
+	klog.InfoS("request limit of a server", "server", e.Run, "limited", e.Limited, "perSecond", e.PerSecond, "version", e.Version,
+		"source", source, "role", role.String(), "ownPerSecond", rate, "daemons", s.peers.Size())
+}
+
+// mayUse reports whether a request may be sent to a server now as far as its request
+// limit is concerned.
+func (s *state) mayUse(server *fleet.Server) bool {
+	return s.limits.Available(time.Now(), server.RunID())
+}
+
+// usePermit takes the permit for a request to the selected server. Its limit counts
+// all requests that arrive, so that a permit is not returned when the request fails.
+func (s *state) usePermit(d *placement.Decision) {
+	d.Limited = s.limits.Take(time.Now(), d.Server.RunID())
+}
--- /dev/null
+++ b/pkg/edge/limits_test.go
@@ -0,0 +1,134 @@
+package edge
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"github.com/monsooncrank/monsooncrank/pkg/fleet"
+	"github.com/monsooncrank/monsooncrank/pkg/placement"
+	"github.com/monsooncrank/monsooncrank/pkg/serverlimit"
+)
+
+// limitedFleet returns daemons in a full mesh that know of n servers. They started long
+// ago, so that a limit holds for them at once.
+func limitedFleet(t *testing.T, daemons, servers int) ([]*Daemon, []fleet.Server) {
+	t.Helper()
+	var list []fleet.Server
+	var entries []fleet.Entry
+	for i := range servers {
+		s := fleet.Server{ID: fmt.Sprint("x", i), Service: "s", Address: fmt.Sprintf("10.0.0.%d:80", i+1), Slots: 32, StartedUnixMilli: 1}
+		list, entries = append(list, s), append(entries, fleet.Entry{ID: s.ID, Server: &s})
+	}
+	all := make([]*Daemon, daemons)
+	for i := range all {
+		all[i] = namedState(t, fmt.Sprint("daemon-", i))
+		s := all[i].state
+		s.mu.Lock()
+		s.limits = serverlimit.New(time.Now().Add(-time.Hour), s.settings.Node, s.incarnation)
+		s.applyServerEvents(s.fleet.ApplySnapshot(bootNow(), 5, entries), "store")
+		s.mu.Unlock()
+	}
+	meet(t, all)
+	return all, list
+}
+
+// meet makes each pair of daemons exchange messages.
+func meet(t *testing.T, all []*Daemon) {
+	for i := range all {
+		for j := range i {
+			exchangeBetween(t, all[i], all[j])
+		}
+	}
+}
+
+func limitQuery() *placement.Query {
+	return &placement.Query{Service: "s", LatencyTarget: 200 * time.Millisecond, Deadline: time.Now().Add(5 * time.Second)}
+}
+
+// Guards against a request limit that only the daemon keeps which got the answer: all
+// must know it with the next exchange, one of them may send, and the others use other
+// servers, also for retries and streams that go on elsewhere.
+func TestAllDaemonsKnowTheLimitOfAServer(t *testing.T) {
+	g := gomega.NewWithT(t)
+	all, servers := limitedFleet(t, 5, 2)
+	all[0].state.Answered(&servers[0], time.Now(), serverlimit.Statement{Limited: true, PerSecond: 1})
+	meet(t, all)
+	senders := 0
+	for _, d := range all {
+		s := d.state
+		for i := range 20 {
+			q := limitQuery()
+			q.AlreadyStarted = i%2 == 0
+			decision, err := s.Place(q)
+			g.Expect(err).NotTo(gomega.HaveOccurred())
+			g.Expect(decision.Server.ID).To(gomega.Equal("x1"), "no daemon may send at once")
+		}
+		q := limitQuery()
+		q.Exclude = []string{"x1"}
+		_, err := s.Place(q)
+		g.Expect(err).To(gomega.HaveOccurred(), "a request that no server accepts is refused at once")
+		s.mu.Lock()
+		if role, _ := s.limits.RoleOf(servers[0].RunID()); role == serverlimit.RoleSender {
+			senders++
+		}
+		s.mu.Unlock()
+	}
+	g.Expect(senders).To(gomega.Equal(1))
+	all[1].state.Answered(&servers[0], time.Now(), serverlimit.Statement{})
+	meet(t, all)
+	for _, d := range all {
+		d.state.mu.Lock()
+		g.Expect(d.state.limits.Active()).To(gomega.BeZero())
+		d.state.mu.Unlock()
+	}
+}
+
+// Guards against a restarted daemon that sends to a server in need because it has
+// forgotten the server's limit.
+func TestARestartedDaemonIsToldOfLimits(t *testing.T) {
+	g := gomega.NewWithT(t)
+	all, servers := limitedFleet(t, 3, 1)
+	all[0].state.Answered(&servers[0], time.Now(), serverlimit.Statement{Limited: true, PerSecond: 2})
+	meet(t, all)
+	restarted := namedState(t, "daemon-0")
+	exchangeBetween(t, restarted, all[2])
+	restarted.state.mu.Lock()
+	defer restarted.state.mu.Unlock()
+	g.Expect(restarted.state.limits.Active()).To(gomega.Equal(1))
+	g.Expect(restarted.state.mayUse(&servers[0])).To(gomega.BeFalse())
+}
+
+// Guards against a daemon that takes those for alive from which it hears nothing, or
+// that shut down, and waits for a sender that does not exist.
+func TestSendersAreAlive(t *testing.T) {
+	g := gomega.NewWithT(t)
+	all, _ := limitedFleet(t, 3, 1)
+	s := all[0].state
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	alive := func(now time.Time) int {
+		n := 0
+		for _, m := range s.peers.Members(now, memberMaxAge) {
+			if m.Alive {
+				n++
+			}
+		}
+		return n
+	}
+	g.Expect(alive(bootNow())).To(gomega.Equal(2))
+	g.Expect(alive(bootNow().Add(memberMaxAge))).To(gomega.BeZero())
+}
+
+// Guards against a permit that is not used up by the request that is sent with it.
+func TestPermitsAreUsedUp(t *testing.T) {
+	g := gomega.NewWithT(t)
+	all, servers := limitedFleet(t, 1, 1)
+	s := all[0].state
+	s.Answered(&servers[0], time.Now(), serverlimit.Statement{Limited: true, PerSecond: 4})
+	g.Eventually(func() error { _, err := s.Place(limitQuery()); return err }).WithTimeout(3 * time.Second).Should(gomega.Succeed())
+	_, err := s.Place(limitQuery())
+	g.Expect(err).To(gomega.HaveOccurred())
+}
--- a/pkg/edge/state.go
+++ b/pkg/edge/state.go
@@ -53,7 +53,9 @@
 	quota        *quota.Core
 	usage        *usage.Core
 	peers        *mesh.Directory
+	limits       *serverlimit.Core
 	fleetMetrics *fleetMetrics
+	limitMetrics *limitMetrics
 	quarantine   *quarantine.Manager
 	retryBudgets map[string]*retry.Window
 	storeUp      bool
@@ -78,6 +80,9 @@
 	// catalogLag holds the neighbors with an older configuration, by node.
 	catalogLag map[string]catalogLag
 	stopping   bool
+	// membersUpdatedAt is when the senders to servers with a request limit were last
+	// chosen.
+	membersUpdatedAt time.Time
 	// urgentPeers are the daemons with which to exchange messages immediately.
 	urgentPeers []mesh.Peer
 	// sequence is the sequence number of this daemon's last record.
@@ -100,7 +105,9 @@
 		usage:       usage.New(settings.UsageWindow),
 		peers: mesh.NewDirectory(settings.Node, settings.Cores, mesh.Options{Interval: exchangeInterval, LeafInterval: leafInterval,
 			PeerExpiry: peerExpiry, FullMeshLimit: fullMeshLimit, HubCount: hubCount}),
+		limits:       serverlimit.New(time.Now(), settings.Node, incarnation),
 		fleetMetrics: newFleetMetrics(),
+		limitMetrics: newLimitMetrics(),
 		retryBudgets: make(map[string]*retry.Window),
 		catalogLag:   make(map[string]catalogLag),
 		exchangeWake: make(chan struct{}, 1),
@@ -196,6 +203,9 @@
 		if e.Change != fleet.ServerJoined {
 			s.pool.CloseIdle(e.Server.ID)
 		}
+		if e.Change == fleet.ServerGone {
+			s.limits.Forget(e.Server.RunID())
+		}
 	}
 	if tell {
 		s.wakeExchange()
@@ -227,7 +237,13 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	q.Zone = s.settings.AvailabilityZone
+	if s.limits.Active() > 0 {
+		q.MayUse = s.mayUse
+	}
 	d, err := s.placement.Pick(time.Now(), q)
+	if err == nil {
+		s.usePermit(&d)
+	}
 	d.FleetVersion, d.FleetAge = s.fleet.Version(), s.fleetAge()
 	return d, err
 }
@@ -260,13 +276,6 @@
 	s.placement.Finished(time.Now(), attempt, result)
 }
 
-// Answered logs the request limit that a server states.
-func (s *state) Answered(server *fleet.Server, _ time.Time, limit serverlimit.Statement) {
-	if limit.Limited {
-		klog.InfoS("server states a request limit", "server", server.ID, "perSecond", limit.PerSecond)
-	}
-}
-
 // Alive records that a server sent data.
 func (s *state) Alive(server string) {
 	s.mu.Lock()
--- a/pkg/mesh/directory.go
+++ b/pkg/mesh/directory.go
@@ -8,6 +8,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/monsooncrank/monsooncrank/coordination/changelog"
+	"github.com/monsooncrank/monsooncrank/pkg/serverlimit"
 )
 
 // Options configures a Directory.
@@ -65,9 +66,9 @@
 	// received all records. ReceivedRevision is the neighbor's revision up to
 	// which this daemon has received them.
 	AckedRevision, ReceivedRevision uint64
-	// Quarantine and Fleet are the progress of the exchange of quarantine entries
-	// and of the views of servers.
-	Quarantine, Fleet Progress
+	// Quarantine, Limits and Fleet are the progress of the exchange of quarantine
+	// entries, of request limits and of the views of servers.
+	Quarantine, Limits, Fleet Progress
 
 	// listedVersion is the version of the daemon's entry in the store, and
 	// listedAt the time of its last change.
@@ -152,6 +153,8 @@
 	p.ReceivedRevision = m.Revision
 	p.Quarantine.Acknowledged = m.QuarantineReceived
 	p.Quarantine.Received, _ = p.Quarantine.Received.Advance(m.QuarantineSpan)
+	p.Limits.Acknowledged = m.LimitsReceived
+	p.Limits.Received, _ = p.Limits.Received.Advance(m.LimitsSpan)
 	p.Address, p.lastMessageAt, p.failures = m.Address, now, 0
 	p.CatalogVersion, p.FleetDigest, p.Fleet.Acknowledged = m.CatalogVersion, m.Fleet.Digest, m.Fleet.Received
 	p.wallOffset = time.UnixMilli(m.WallUnixMilli).Sub(now)
@@ -418,6 +421,16 @@
 	}
 }
 
+// Members returns the other daemons, and whether each has sent a record within a time
+// and is not shutting down.
+func (d *Directory) Members(now time.Time, within time.Duration) []serverlimit.Member {
+	members := make([]serverlimit.Member, 0, len(d.peers))
+	for node, p := range d.peers {
+		members = append(members, serverlimit.Member{Node: node, Alive: now.Sub(p.RecordAt) < within && !p.Record.Stopping})
+	}
+	return members
+}
+
 // Size returns the number of known daemons, including this one.
 func (d *Directory) Size() int { return len(d.peers) + 1 }
 
--- a/pkg/mesh/message.go
+++ b/pkg/mesh/message.go
@@ -18,6 +18,7 @@
 	"github.com/monsooncrank/monsooncrank/pkg/fleet"
 	"github.com/monsooncrank/monsooncrank/pkg/placement"
 	"github.com/monsooncrank/monsooncrank/pkg/quota"
+	"github.com/monsooncrank/monsooncrank/pkg/serverlimit"
 	"github.com/monsooncrank/monsooncrank/pkg/usage"
 )
 
@@ -67,6 +68,11 @@
 	Quarantine         []quarantine.Entry `cbor:"14,keyasint,omitempty"`
 	QuarantineSpan     changelog.Span     `cbor:"17,keyasint"`
 	QuarantineReceived changelog.Position `cbor:"18,keyasint"`
+	// Limits holds the request limits of servers that the receiver lacks, LimitsSpan
+	// and LimitsReceived are as for the quarantine.
+	Limits         []serverlimit.Entry `cbor:"19,keyasint,omitempty"`
+	LimitsSpan     changelog.Span      `cbor:"20,keyasint"`
+	LimitsReceived changelog.Position  `cbor:"21,keyasint"`
 }
 
 // Encode returns the CBOR encoding of the message.
--- a/pkg/placement/core.go
+++ b/pkg/placement/core.go
@@ -300,7 +300,9 @@
 }
 
 // eligible reports whether a request may be sent to the server.
-func (s *server) eligible(q *Query) bool { return !s.misdirected && !slices.Contains(q.Exclude, s.ID) }
+func (s *server) eligible(q *Query) bool {
+	return !s.misdirected && !slices.Contains(q.Exclude, s.ID) && (q.MayUse == nil || q.MayUse(&s.Server))
+}
 
 // eligibleServers returns the servers that a request may be sent to.
 func (s *service) eligibleServers(q *Query) []*server {
--- a/pkg/placement/placement_test.go
+++ b/pkg/placement/placement_test.go
@@ -354,3 +354,26 @@
 		g.Expect(c.Accepts(&d.Server)).To(gomega.BeFalse())
 	}
 }
+
+// Guards against requests to a server that accepts no more for now, as its request limit
+// is used up, although it caches the prompt; with few servers and with so many that only
+// some are compared.
+func TestServersThatMayNotBeUsedAreLeftOut(t *testing.T) {
+	g := gomega.NewWithT(t)
+	for _, engines := range []int{3, 90} {
+		c := newCore(engines, 0)
+		preferred := place(t, c, at(0), "first", engineQuery(at(0), "group", 100)).Server
+		mayUse := func(s *fleet.Server) bool { return s.ID != preferred.ID }
+		for i := range 50 {
+			q := engineQuery(at(i), "group", 100)
+			q.MayUse = mayUse
+			d, err := c.Pick(at(i), q)
+			g.Expect(err).NotTo(gomega.HaveOccurred())
+			g.Expect(d.Server.ID).NotTo(gomega.Equal(preferred.ID))
+		}
+		q := engineQuery(at(100), "group", 100)
+		q.MayUse = func(*fleet.Server) bool { return false }
+		_, err := c.Pick(at(100), q)
+		g.Expect(err).To(gomega.HaveOccurred())
+	}
+}
--- a/pkg/placement/types.go
+++ b/pkg/placement/types.go
@@ -34,6 +34,9 @@
 	Deadline      time.Time
 	// Exclude holds the IDs of servers that have already been tried.
 	Exclude []string
+	// MayUse reports whether a server accepts a further request; nil means that all
+	// servers do.
+	MayUse func(*fleet.Server) bool
 	// AlreadyStarted is set when a server has begun to run the request: refusing
 	// it now would discard the part of the answer that the caller already has.
 	AlreadyStarted bool
@@ -52,6 +55,9 @@
 	Candidates int
 	// LoadAge is the age of the oldest peer report that was used.
 	LoadAge time.Duration
+	// Limited is set if the server has a request limit, of which this request uses a
+	// part.
+	Limited bool
 	// FleetVersion and FleetAge identify the view of the fleet that was used.
 	FleetVersion uint64
 	FleetAge     time.Duration
--- a/pkg/relay/run.go
+++ b/pkg/relay/run.go
@@ -73,7 +73,7 @@
 		result, failure := x.attempt(&decision)
 		klog.InfoS("attempt", "request", x.ID, "attempt", x.attempts, "server", decision.Server.ID,
 			"zone", decision.Server.AvailabilityZone, "service", x.service, "outcome", result.String(),
-			"expectedMs", decision.ExpectedWait.Milliseconds(), "firstMs", x.firstPartAfter.Milliseconds(), "cached", decision.CachedTokens, "candidates", decision.Candidates,
+			"expectedMs", decision.ExpectedWait.Milliseconds(), "firstMs", x.firstPartAfter.Milliseconds(), "cached", decision.CachedTokens, "candidates", decision.Candidates, "limited", decision.Limited,
 			"loadAgeMs", decision.LoadAge.Milliseconds(), "fleetVersion", decision.FleetVersion,
 			"fleetAgeMs", decision.FleetAge.Milliseconds(), "configuration", x.configVersion, "status", x.status)
 		if failure != nil {
--- /dev/null
+++ b/pkg/serverlimit/serverlimit.go
@@ -0,0 +1,306 @@
+package serverlimit
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/monsooncrank/monsooncrank/coordination/changelog"
+)
+
+const (
+	// usedFraction is the fraction of a server's limit that is used. Two sets of
+	// senders, as while daemons disagree on who is alive, then stay within one and a
+	// half times the limit.
+	usedFraction = 0.75
+	// senderRate is the part of a limit, in requests per second, for which one daemon
+	// is allowed to send. A daemon's own requests must be able to use it.
+	senderRate = 2.0
+	// probeRate is the least rate, in requests per second, at which all daemons
+	// together send to a server, so that they learn of the end of a limit of 0.
+	probeRate = 0.2
+	// handoverDelay is how long a daemon must have been a sender before it sends. In
+	// this time the daemons before it learn that they are no longer.
+	handoverDelay = time.Second
+	// startDelay is how long after its start a daemon sends nothing to servers with a
+	// limit: it must hear of the other daemons first.
+	startDelay = 3 * time.Second
+	// burst is the time for which a sender may save up requests. It may always save
+	// up one.
+	burst = 250 * time.Millisecond
+	// maxEntries is the maximum number of servers of which entries are kept.
+	maxEntries = 4096
+)
+
+// Entry is what is known of the limit of one run of a server.
+type Entry struct {
+	// Run identifies the run of the server.
+	Run string `cbor:"1,keyasint"`
+	// Version increases with each change. An answer that changes the limit belongs to a
+	// request that was sent after the version before was known.
+	Version   uint64  `cbor:"2,keyasint"`
+	Limited   bool    `cbor:"3,keyasint,omitempty"`
+	PerSecond float64 `cbor:"4,keyasint,omitempty"`
+}
+
+// isStricterThan reports whether an entry allows less than another one.
+func (e *Entry) isStricterThan(o *Entry) bool {
+	if e.Limited != o.Limited {
+		return e.Limited
+	}
+	return e.Limited && e.PerSecond < o.PerSecond
+}
+
+// Role is a daemon's part in sending to a server with a limit.
+type Role int
+
+// Roles.
+const (
+	// RoleNone sends nothing.
+	RoleNone Role = iota
+	// RoleSender shares the limit with the other senders.
+	RoleSender
+	// RolePortion sends an equal portion for each known daemon, because most of them
+	// are not heard and may choose other senders.
+	RolePortion
+)
+
+// String returns the name of the role in logs.
+func (r Role) String() string { return [...]string{"none", "sender", "portion"}[r] }
+
+// Member is another daemon.
+type Member struct {
+	Node  string
+	Alive bool
+}
+
+// limit is the state of one server's limit.
+type limit struct {
+	entry Entry
+	// learnedAt is when this daemon learned of the entry.
+	learnedAt time.Time
+	role      Role
+	// rate is the number of requests per second that this daemon may send.
+	rate float64
+	// permits is the number of requests that it may send as of permitsAt, which may be
+	// in the future.
+	permits   float64
+	permitsAt time.Time
+}
+
+// Core holds the limits of servers that one daemon knows of, and decides when it may
+// send to them. It is not safe for concurrent use.
+//
+// A limit holds for all daemons together. It is not divided among them, since a
+// request of each may be too many already: a few senders share it, chosen by the hash
+// of the daemon and the server, so that all daemons choose the same ones without a
+// message. All others use other servers.
+type Core struct {
+	node      string
+	startedAt time.Time
+	limits    map[string]*limit
+	log       *changelog.Log[string]
+	// stopping is set while this daemon shuts down.
+	stopping bool
+	members  []Member
+	alive    int
+}
+
+// New returns a Core without limits for a daemon that starts now. The run identifies
+// the run of the daemon to its peers.
+func New(now time.Time, node string, run uint64) *Core {
+	return &Core{node: node, startedAt: now, limits: make(map[string]*limit), log: changelog.New[string](run), alive: 1}
+}
+
+// SetMembers sets the other daemons, and whether this one is shutting down.
+func (c *Core) SetMembers(now time.Time, members []Member, stopping bool) {
+	alive := 1
+	for _, m := range members {
+		if m.Alive {
+			alive++
+		}
+	}
+	c.members, c.alive, c.stopping = members, alive, stopping
+	for _, l := range c.limits {
+		c.assign(now, l)
+	}
+}
+
+// Observe applies what an answer of a server says, given when its request was sent. It
+// returns the entry and whether that has changed.
+func (c *Core) Observe(now time.Time, run string, sentAt time.Time, s Statement) (Entry, bool) {
+	if s.Unreadable {
+		return Entry{}, false
+	}
+	l, known := c.limits[run]
+	stated := Entry{Run: run, Version: 1, Limited: s.Limited, PerSecond: s.PerSecond}
+	if !known {
+		if !s.Limited {
+			return Entry{}, false
+		}
+		return stated, c.set(now, stated, "")
+	}
+	stated.Version = l.entry.Version + 1
+	// An answer to a request from before this daemon knew of the limit may be older
+	// than the limit.
+	if !stated.isStricterThan(&l.entry) && (stated.Limited == l.entry.Limited && stated.PerSecond == l.entry.PerSecond || sentAt.Before(l.learnedAt)) {
+		return l.entry, false
+	}
+	return stated, c.set(now, stated, "")
+}
+
+// Merge applies an entry that a peer has sent and reports whether it changed anything.
+func (c *Core) Merge(now time.Time, peer string, e Entry) bool {
+	l, known := c.limits[e.Run]
+	if known && (e.Version < l.entry.Version || e.Version == l.entry.Version && !e.isStricterThan(&l.entry)) {
+		return false
+	}
+	return c.set(now, e, peer)
+}
+
+// set replaces an entry and returns true.
+func (c *Core) set(now time.Time, e Entry, from string) bool {
+	l, known := c.limits[e.Run]
+	if !known {
+		l = &limit{}
+		c.limits[e.Run] = l
+		c.evict(e.Run)
+	}
+	l.entry, l.learnedAt = e, now
+	c.log.Record(e.Run, from)
+	c.assign(now, l)
+	return true
+}
+
+// evict removes the entry that was learned of first if there are too many.
+func (c *Core) evict(added string) {
+	if len(c.limits) <= maxEntries {
+		return
+	}
+	oldest := ""
+	for run, l := range c.limits {
+		if run != added && (oldest == "" || l.learnedAt.Before(c.limits[oldest].learnedAt)) {
+			oldest = run
+		}
+	}
+	c.Forget(oldest)
+}
+
+// Forget removes the entry of a run of a server that has ended.
+func (c *Core) Forget(run string) {
+	delete(c.limits, run)
+	c.log.Forget(run)
+}
+
+// assign determines this daemon's role and rate for a server.
+func (c *Core) assign(now time.Time, l *limit) {
+	role, rate, delay := c.roleFor(l)
+	if role != l.role {
+		l.permits, l.permitsAt = 0, now.Add(handoverDelay+delay)
+		if start := c.startedAt.Add(startDelay + delay); l.permitsAt.Before(start) {
+			l.permitsAt = start
+		}
+	} else {
+		c.refill(now, l)
+	}
+	l.role, l.rate = role, rate
+}
+
+// roleFor returns this daemon's role for a server, its rate, and by how much its first
+// request is put off so that the daemons do not all send at once.
+func (c *Core) roleFor(l *limit) (Role, float64, time.Duration) {
+	known := len(c.members) + 1
+	total := max(usedFraction*l.entry.PerSecond, probeRate)
+	switch {
+	case !l.entry.Limited || c.stopping:
+		return RoleNone, 0, 0
+	case 2*c.alive <= known:
+		rate := total / float64(known)
+		rank := c.rank(l.entry.Run, func(m Member) bool { return true })
+		return RolePortion, rate, time.Duration(float64(rank) / total * float64(time.Second))
+	}
+	senders := min(max(int(math.Ceil(l.entry.PerSecond/senderRate)), 1), c.alive)
+	if c.rank(l.entry.Run, func(m Member) bool { return m.Alive }) >= senders {
+		return RoleNone, 0, 0
+	}
+	return RoleSender, total / float64(senders), 0
+}
+
+// rank returns how many of the other daemons that count come before this one for a
+// server.
+func (c *Core) rank(run string, counts func(Member) bool) int {
+	own := weight(c.node, run)
+	rank := 0
+	for _, m := range c.members {
+		if counts(m) && cmp.Or(cmp.Compare(weight(m.Node, run), own), cmp.Compare(m.Node, c.node)) < 0 {
+			rank++
+		}
+	}
+	return rank
+}
+
+func weight(node, run string) uint64 { return xxhash.Sum64String(node + "\x00" + run) }
+
+// refill adds the permits that have accrued.
+func (c *Core) refill(now time.Time, l *limit) {
+	if now.After(l.permitsAt) {
+		l.permits = min(l.permits+l.rate*now.Sub(l.permitsAt).Seconds(), max(l.rate*burst.Seconds(), 1))
+		l.permitsAt = now
+	}
+}
+
+// Available reports whether this daemon may send a request to a server now.
+func (c *Core) Available(now time.Time, run string) bool {
+	l, known := c.limits[run]
+	if !known || !l.entry.Limited {
+		return true
+	}
+	c.refill(now, l)
+	return l.permits >= 1
+}
+
+// Take takes the permit to send a request to a server, which must be available. It
+// reports whether the server has a limit.
+func (c *Core) Take(now time.Time, run string) bool {
+	l, known := c.limits[run]
+	if !known || !l.entry.Limited {
+		return false
+	}
+	c.refill(now, l)
+	l.permits--
+	return true
+}
+
+// Active returns the number of servers with a limit.
+func (c *Core) Active() int {
+	n := 0
+	for _, l := range c.limits {
+		if l.entry.Limited {
+			n++
+		}
+	}
+	return n
+}
+
+// RoleOf returns this daemon's role for a server and the number of requests per second
+// that it may send there.
+func (c *Core) RoleOf(run string) (Role, float64) {
+	if l, known := c.limits[run]; known {
+		return l.role, l.rate
+	}
+	return RoleNone, 0
+}
+
+// EntriesFor returns the entries for a peer that has acknowledged a position, and the
+// span that they cover.
+func (c *Core) EntriesFor(peer string, acknowledged changelog.Position) ([]Entry, changelog.Span) {
+	keys, span := c.log.Since(peer, acknowledged, func(string) bool { return true }, math.MaxInt)
+	entries := make([]Entry, 0, len(keys))
+	for _, run := range keys {
+		entries = append(entries, c.limits[run].entry)
+	}
+	return slices.Clip(entries), span
+}
