Find the crash of a silent server whose entry was removed when it returns

When the entry was removed, it still accepted connections, so that it was taken for a server that shuts down without notice, and all attempts there for harmless. Its return under the same ID changed nothing. Fix: such a shutdown is assumed only. Attempts that end there without an answer stay in doubt, and a new run at the address shows that the server has crashed. Evidence: TestASilentServerWithoutAnEntryIsFoundWhenItReturns fails with the shutdown taken for certain, as before (mutant quarantine-removed-server-shut-down), and passes here. A server that does leave quietly is still no crash (TestASilentServersCrashIsDiscoveredLater).

--- a/coordination/quarantine/attempts.go
+++ b/coordination/quarantine/attempts.go
@@ -36,6 +36,9 @@
 type serverState struct {
 	// crashed is set if the server has crashed; otherwise it was shut down.
 	crashed bool
+	// assumed is set if the shutdown was not announced and only assumed because the
+	// server still accepts connections. A silent server does so too, until it returns.
+	assumed bool
 	at      time.Time
 }
 
@@ -95,7 +98,8 @@
 	}
 	delete(a.running, id)
 	suspect = Suspect{Attempt: attempt, Position: position}
-	if state, ended := a.ended[attempt.Server]; ended {
+	state, ended := a.ended[attempt.Server]
+	if ended && !state.assumed {
 		return suspect, state.crashed, !state.crashed
 	}
 	a.expire(now)
@@ -103,14 +107,14 @@
 		a.doubts = a.doubts[1:]
 	}
 	a.doubts = append(a.doubts, doubt{Suspect: suspect, endedAt: now})
-	return suspect, false, false
+	return suspect, false, ended
 }
 
 // Crashed records that a server has crashed, and returns the requests that were
 // running there. It returns none if the server's end is already known.
 func (a *Attempts) Crashed(now time.Time, server string) []Suspect {
 	a.expire(now)
-	if _, known := a.ended[server]; known {
+	if state, known := a.ended[server]; known && !state.assumed {
 		return nil
 	}
 	a.ended[server] = serverState{crashed: true, at: now}
@@ -134,10 +138,16 @@
 
 // ShutDown records that a server is being shut down as planned. Attempts that
 // break off there are not suspected.
-func (a *Attempts) ShutDown(now time.Time, server string) {
+func (a *Attempts) ShutDown(now time.Time, server string) { a.shutDown(now, server, false) }
+
+// AssumeShutDown records that a server seems to be shut down without notice. Attempts
+// that break off there are suspected if it turns out to have crashed.
+func (a *Attempts) AssumeShutDown(now time.Time, server string) { a.shutDown(now, server, true) }
+
+func (a *Attempts) shutDown(now time.Time, server string, assumed bool) {
 	a.expire(now)
-	if _, known := a.ended[server]; !known {
-		a.ended[server] = serverState{at: now}
+	if state, known := a.ended[server]; !known || state.assumed && !assumed {
+		a.ended[server] = serverState{assumed: assumed, at: now}
 	}
 }
 
--- a/coordination/quarantine/manager.go
+++ b/coordination/quarantine/manager.go
@@ -303,8 +303,8 @@
 }
 
 // ServerRemoved records that the entry of a server was removed although the
-// server had not announced its shutdown. A server that still runs shuts down
-// without notice; otherwise it has crashed.
+// server had not announced its shutdown. A server that still accepts connections
+// shuts down without notice, or is silent and returns; otherwise it has crashed.
 func (m *Manager) ServerRemoved(server, address string) {
 	m.mu.Lock()
 	inDoubt := m.attempts.InDoubt(server)
@@ -314,7 +314,9 @@
 	}
 	m.start(func() {
 		if m.probe(m.ctx, server, address) == ServerRuns {
-			m.ServerLeaving(server)
+			m.mu.Lock()
+			defer m.mu.Unlock()
+			m.attempts.AssumeShutDown(m.options.Clock.Now(), server)
 			return
 		}
 		m.serverCrashed(server, EvidenceRemovedEntry)
--- a/coordination/quarantine/manager_test.go
+++ b/coordination/quarantine/manager_test.go
@@ -137,6 +137,30 @@
 	g.Consistently(crashes(m, "leaves quietly"), 50*time.Millisecond).Should(BeZero())
 }
 
+// TestASilentServerWithoutAnEntryIsFoundWhenItReturns guards against a silent server
+// that still accepts connections when its entry is removed, and is taken for one that
+// shuts down without notice. Its return shows that it has crashed, also under requests
+// that ended after the removal.
+func TestASilentServerWithoutAnEntryIsFoundWhenItReturns(t *testing.T) {
+	g := NewWithT(t)
+	m := newManager(t, memtable.New(), &servers{}, nil)
+	attempt := func(id string) {
+		m.Started(quarantine.Attempt{ID: id, Request: id, Fingerprint: quarantine.Fingerprint(id), Server: "s#1", Address: "address"})
+	}
+	attempt("before")
+	attempt("after")
+	attempt("answered")
+	m.Abandoned("before", 0)
+	m.ServerRemoved("s#1", "address")
+	g.Consistently(crashes(m, "before"), 50*time.Millisecond).Should(BeZero())
+	g.Expect(m.Broken(context.Background(), "after", 0)).To(BeFalse())
+	m.Resolved("answered", true)
+	m.ServerJoined("s#2", "address")
+	g.Eventually(crashes(m, "before")).Should(Equal(1))
+	g.Eventually(crashes(m, "after")).Should(Equal(1))
+	g.Consistently(crashes(m, "answered"), 50*time.Millisecond).Should(BeZero())
+}
+
 // TestCrashesOfSeveralDaemonsAddUp guards against daemons that each allow a request
 // to crash servers of their own before one of them refuses it.
 func TestCrashesOfSeveralDaemonsAddUp(t *testing.T) {
