Tell apart two changes of a server that come in one answer of the store

The adapter left out the version of each row, and the view took the version of the whole answer instead, so that of two changes of one server in one answer the second one was no newer and was ignored: the server had started and was no longer needed in the same moment. Fix: each entry carries the version of its row; there is no default any more. The soak starts servers that leave at once.

--- a/pkg/edge/edge_test.go
+++ b/pkg/edge/edge_test.go
@@ -59,7 +59,7 @@
 	c := fleet.New(fleet.Options{Run: 1})
 	var entries []fleet.Entry
 	for i := range servers {
-		entries = append(entries, fleet.Entry{ID: servers[i].ID, Server: &servers[i]})
+		entries = append(entries, fleet.Entry{ID: servers[i].ID, Server: &servers[i], Version: version})
 	}
 	c.ApplySnapshot(bootNow(), version, entries)
 	v := c.ViewFor("self", changelog.Position{}, 0, true)
@@ -91,7 +91,7 @@
 func TestDifferentViewsAreSettledByTheStore(t *testing.T) {
 	g := gomega.NewWithT(t)
 	a, b := fleet.Server{ID: "a", Service: "s", Address: "10.0.0.1:80"}, fleet.Server{ID: "b", Service: "s", Address: "10.0.0.2:80"}
-	p := &fakePlatform{Store: memtable.New(), servers: []fleet.Entry{{ID: "a", Server: &a}}, serversVersion: 13}
+	p := &fakePlatform{Store: memtable.New(), servers: []fleet.Entry{{ID: "a", Server: &a, Version: 7}}, serversVersion: 13}
 	d := &Daemon{settings: settings, platform: p, state: newTestState(t)}
 	s := d.state
 	addPeers(s, 2*fullMeshLimit)
@@ -114,7 +114,7 @@
 	g := gomega.NewWithT(t)
 	s := newTestState(t)
 	server := fleet.Server{ID: "x", Service: "s", Address: "10.0.0.1:80"}
-	s.applyServerEvents(s.fleet.ApplySnapshot(bootNow(), 5, []fleet.Entry{{ID: "x", Server: &server}}), "store")
+	s.applyServerEvents(s.fleet.ApplySnapshot(bootNow(), 5, []fleet.Entry{{ID: "x", Server: &server, Version: 5}}), "store")
 	leaving := server
 	leaving.Leaving = true
 	s.applyFleet(&mesh.Message{Record: mesh.Record{Node: "peer"}, Fleet: fleet.View{Version: 6, Span: changelog.Span{Run: 1, From: 1, To: 2},
@@ -134,12 +134,12 @@
 	own.Node = "hub"
 	hub, s := newStateOf(t, own), newTestState(t)
 	for _, d := range []*state{hub, s} {
-		d.applyServerEvents(d.fleet.ApplySnapshot(bootNow(), 5, []fleet.Entry{{ID: "x", Server: &server}}), "store")
+		d.applyServerEvents(d.fleet.ApplySnapshot(bootNow(), 5, []fleet.Entry{{ID: "x", Server: &server, Version: 5}}), "store")
 	}
 	hub.peers.UpdateNeighbor(bootNow(), &mesh.Message{Record: mesh.Record{Node: "self", Incarnation: 1}}, false)
 	leaving := server
 	leaving.Leaving = true
-	hub.applyServerEvents(hub.fleet.ApplyChanges(bootNow(), 6, []fleet.Entry{{ID: "x", Server: &leaving}}), "store")
+	hub.applyServerEvents(hub.fleet.ApplyChanges(bootNow(), 6, []fleet.Entry{{ID: "x", Server: &leaving, Version: 6}}), "store")
 	hub.serversReadAt = bootNow().Add(-peerViewMaxAge)
 	s.applyFleet(hub.messageFor("self"))
 	hub.peers.UpdateNeighbor(bootNow(), s.messageFor("hub"), false)
@@ -168,7 +168,7 @@
 	hub, s := newStateOf(t, own), newTestState(t)
 	now := bootNow()
 	for _, d := range []*state{hub, s} {
-		d.applyServerEvents(d.fleet.ApplySnapshot(now, 5, []fleet.Entry{{ID: "x", Server: &server}}), "store")
+		d.applyServerEvents(d.fleet.ApplySnapshot(now, 5, []fleet.Entry{{ID: "x", Server: &server, Version: 5}}), "store")
 	}
 	exchange := func() { exchangeViews(hub, s) }
 	exchange()
@@ -192,7 +192,7 @@
 	own.Node = "hub"
 	hub, s := newStateOf(t, own), newTestState(t)
 	for _, d := range []*state{hub, s} {
-		d.applyServerEvents(d.fleet.ApplySnapshot(bootNow(), 5, []fleet.Entry{{ID: "x", Server: &server}}), "store")
+		d.applyServerEvents(d.fleet.ApplySnapshot(bootNow(), 5, []fleet.Entry{{ID: "x", Server: &server, Version: 5}}), "store")
 	}
 	exchange := func() { exchangeViews(hub, s) }
 	hub.applyServerEvents(hub.fleet.ApplyChanges(bootNow(), 6, nil), "store")
@@ -200,7 +200,7 @@
 	exchange()
 	leaving := server
 	leaving.Leaving = true
-	hub.applyServerEvents(hub.fleet.ApplySnapshot(bootNow(), 6, []fleet.Entry{{ID: "x", Server: &leaving}}), "store")
+	hub.applyServerEvents(hub.fleet.ApplySnapshot(bootNow(), 6, []fleet.Entry{{ID: "x", Server: &leaving, Version: 6}}), "store")
 	exchange()
 	g.Expect(s.fleet.Servers()[0].Leaving).To(gomega.BeTrue())
 }
@@ -215,12 +215,12 @@
 	own.Node = "hub"
 	hub, s := newStateOf(t, own), newTestState(t)
 	for _, d := range []*state{hub, s} {
-		d.applyServerEvents(d.fleet.ApplySnapshot(bootNow(), 5, []fleet.Entry{{ID: "x", Server: &server}}), "store")
+		d.applyServerEvents(d.fleet.ApplySnapshot(bootNow(), 5, []fleet.Entry{{ID: "x", Server: &server, Version: 5}}), "store")
 		d.storeUp, d.serversReadAt = true, bootNow()
 	}
 	leaving := server
 	leaving.Leaving = true
-	hub.applyServerEvents(hub.fleet.ApplyChanges(bootNow(), 6, []fleet.Entry{{ID: "x", Server: &leaving}}), "store")
+	hub.applyServerEvents(hub.fleet.ApplyChanges(bootNow(), 6, []fleet.Entry{{ID: "x", Server: &leaving, Version: 6}}), "store")
 	s.applyServerEvents(s.fleet.ApplyChanges(bootNow(), 7, nil), "store")
 	for range 2 {
 		exchangeViews(hub, s)
@@ -237,7 +237,7 @@
 	g := gomega.NewWithT(t)
 	s := newTestState(t)
 	server := fleet.Server{ID: "x", Service: "s", Address: "10.0.0.1:80"}
-	list := []fleet.Entry{{ID: "x", Server: &server}}
+	list := []fleet.Entry{{ID: "x", Server: &server, Version: 70}}
 	s.applyServerEvents(s.fleet.ApplySnapshot(bootNow(), 100, list), "store")
 	s.serversReadAt = bootNow().Add(-10 * time.Second)
 	p := &fakePlatform{Store: memtable.New(), servers: list, serversVersion: 80}
--- a/pkg/edge/limits_test.go
+++ b/pkg/edge/limits_test.go
@@ -20,7 +20,7 @@
 	var entries []fleet.Entry
 	for i := range servers {
 		s := fleet.Server{ID: fmt.Sprint("x", i), Service: "s", Address: fmt.Sprintf("10.0.0.%d:80", i+1), Slots: 32, StartedUnixMilli: 1}
-		list, entries = append(list, s), append(entries, fleet.Entry{ID: s.ID, Server: &s})
+		list, entries = append(list, s), append(entries, fleet.Entry{ID: s.ID, Server: &s, Version: 5})
 	}
 	all := make([]*Daemon, daemons)
 	for i := range all {
--- a/pkg/edge/quarantine_test.go
+++ b/pkg/edge/quarantine_test.go
@@ -120,7 +120,7 @@
 		next := server
 		next.StartedUnixMilli = run + 1
 		s.mu.Lock()
-		s.applyServerEvents(s.fleet.ApplySnapshot(bootNow(), uint64(run)+1, []fleet.Entry{{ID: "x", Server: &next}}), "store")
+		s.applyServerEvents(s.fleet.ApplySnapshot(bootNow(), uint64(run)+1, []fleet.Entry{{ID: "x", Server: &next, Version: uint64(run) + 1}}), "store")
 		s.mu.Unlock()
 		id := next.RunID()
 		s.quarantine.Started(quarantine.Attempt{ID: id, Fingerprint: "f", Server: id, Address: next.Address})
--- a/pkg/fleet/core.go
+++ b/pkg/fleet/core.go
@@ -99,7 +99,7 @@
 	var events []Event
 	for _, e := range entries {
 		present[e.ID] = e.Server != nil
-		events = c.applyEntry(now, e.at(version), src, events)
+		events = c.applyEntry(now, e, src, events)
 	}
 	for id, m := range c.members {
 		if !present[id] && m.version <= version {
@@ -117,7 +117,7 @@
 	var events []Event
 	src := source{version: version, current: version >= c.version}
 	for _, e := range entries {
-		events = c.applyEntry(now, e.at(version), src, events)
+		events = c.applyEntry(now, e, src, events)
 	}
 	c.setComplete(version)
 	return events
@@ -141,14 +141,6 @@
 	return s.peer == "" && s.version > removedVersion
 }
 
-// at returns the entry with a version.
-func (e Entry) at(version uint64) Entry {
-	if e.Version == 0 {
-		e.Version = version
-	}
-	return e
-}
-
 // setComplete records that the view is complete as of version.
 func (c *Core) setComplete(version uint64) {
 	c.initialized, c.version = true, max(c.version, version)
--- a/pkg/fleet/fleet.go
+++ b/pkg/fleet/fleet.go
@@ -41,7 +41,6 @@
 	Server *Server `cbor:"2,keyasint,omitempty"`
 	// Version is the store's version at which the entry had this state: when it was
 	// written or removed, or, for an entry that a list lacks, the list's version.
-	// 0 stands for the version of the list or the changes that it came with.
 	Version uint64 `cbor:"3,keyasint,omitempty"`
 }
 
--- a/pkg/fleet/fleet_test.go
+++ b/pkg/fleet/fleet_test.go
@@ -19,9 +19,17 @@
 	return fleet.Entry{ID: id, Server: &fleet.Server{ID: id, Service: "llm", Address: "10.0.0.1:80", StartedUnixMilli: 1}}
 }
 
+// asOf returns entries that were written or removed at a version.
+func asOf(version uint64, entries ...fleet.Entry) []fleet.Entry {
+	for i := range entries {
+		entries[i].Version = version
+	}
+	return entries
+}
+
 func newCore() *fleet.Core {
 	c := fleet.New(fleet.Options{StoreReturnGrace: 2 * time.Second, Run: 1})
-	c.ApplySnapshot(at(0), 10, []fleet.Entry{server("a"), server("b")})
+	c.ApplySnapshot(at(0), 10, asOf(10, server("a"), server("b")))
 	return c
 }
 
@@ -32,7 +40,7 @@
 	c := newCore()
 	c.MarkStoreUnavailable()
 	c.MarkStoreAvailable(at(5000))
-	g.Expect(c.ApplySnapshot(at(5010), 20, []fleet.Entry{server("a")})).To(gomega.BeEmpty())
+	g.Expect(c.ApplySnapshot(at(5010), 20, asOf(20, server("a")))).To(gomega.BeEmpty())
 	g.Expect(c.RemoveExpired(at(6900))).To(gomega.BeEmpty())
 	g.Expect(c.RemoveExpired(at(7001))).To(gomega.HaveLen(1))
 	g.Expect(c.Servers()).To(gomega.HaveLen(1))
@@ -47,8 +55,8 @@
 	c := newCore()
 	c.MarkStoreUnavailable()
 	c.MarkStoreAvailable(at(5000))
-	c.ApplySnapshot(at(5010), 20, []fleet.Entry{server("a"), server("b")})
-	events := c.ApplyChanges(at(5900), 21, []fleet.Entry{{ID: "b"}})
+	c.ApplySnapshot(at(5010), 20, asOf(20, server("a"), server("b")))
+	events := c.ApplyChanges(at(5900), 21, asOf(21, fleet.Entry{ID: "b"}))
 	g.Expect(events).To(gomega.HaveLen(1))
 	g.Expect(events[0].Change).To(gomega.Equal(fleet.ServerGone))
 }
@@ -57,8 +65,8 @@
 func TestOlderViewsAreIgnored(t *testing.T) {
 	g := gomega.NewWithT(t)
 	c := newCore()
-	c.ApplyChanges(at(100), 20, []fleet.Entry{{ID: "b"}})
-	g.Expect(c.ApplySnapshot(at(200), 15, []fleet.Entry{server("a"), server("b")})).To(gomega.BeEmpty())
+	c.ApplyChanges(at(100), 20, asOf(20, fleet.Entry{ID: "b"}))
+	g.Expect(c.ApplySnapshot(at(200), 15, asOf(15, server("a"), server("b")))).To(gomega.BeEmpty())
 	g.Expect(c.Servers()).To(gomega.HaveLen(1))
 }
 
@@ -69,7 +77,7 @@
 	c := newCore()
 	again := server("a")
 	again.Server.StartedUnixMilli = 2
-	events := c.ApplyChanges(at(100), 20, []fleet.Entry{again})
+	events := c.ApplyChanges(at(100), 20, asOf(20, again))
 	g.Expect(events).To(gomega.HaveLen(2))
 	g.Expect(events[0].Change).To(gomega.Equal(fleet.ServerGone))
 	g.Expect(events[1].Change).To(gomega.Equal(fleet.ServerJoined))
@@ -81,10 +89,10 @@
 	c := newCore()
 	leaving := server("b")
 	leaving.Server.Leaving = true
-	g.Expect(c.ApplyChanges(at(10), 11, []fleet.Entry{leaving})[0].Change).To(gomega.Equal(fleet.ServerLeaving))
+	g.Expect(c.ApplyChanges(at(10), 11, asOf(11, leaving))[0].Change).To(gomega.Equal(fleet.ServerLeaving))
 	c.MarkStoreUnavailable()
 	c.MarkStoreAvailable(at(5000))
-	g.Expect(c.ApplySnapshot(at(5010), 20, []fleet.Entry{server("a")})).To(gomega.HaveLen(1))
+	g.Expect(c.ApplySnapshot(at(5010), 20, asOf(20, server("a")))).To(gomega.HaveLen(1))
 }
 
 // exchange sends a daemon's view to a peer that has acknowledged what it received
@@ -105,11 +113,11 @@
 	entries, agreed := exchange(hub, leaf, &received)
 	g.Expect(entries).To(gomega.BeZero(), "daemons with equal views send no entries")
 	g.Expect(agreed).To(gomega.BeTrue())
-	hub.ApplyChanges(at(10), 11, []fleet.Entry{server("c"), {ID: "a"}})
+	hub.ApplyChanges(at(10), 11, asOf(11, server("c"), fleet.Entry{ID: "a"}))
 	entries, _ = exchange(hub, leaf, &received)
 	g.Expect(entries).To(gomega.Equal(2))
 	g.Expect(leaf.Servers()).To(gomega.ConsistOf(hub.Servers()))
-	hub.ApplyChanges(at(30), 12, []fleet.Entry{server("b")})
+	hub.ApplyChanges(at(30), 12, asOf(12, server("b")))
 	entries, _ = exchange(hub, leaf, &received)
 	g.Expect(entries).To(gomega.BeZero(), "a heartbeat must not count as a change for peers")
 }
@@ -120,12 +128,12 @@
 func TestAPeerThatHasJustStartedDoesNotHideRemovals(t *testing.T) {
 	g := gomega.NewWithT(t)
 	leaf, fresh := newCore(), fleet.New(fleet.Options{StoreReturnGrace: time.Second, Run: 9})
-	fresh.ApplySnapshot(at(40), 13, []fleet.Entry{server("a")})
+	fresh.ApplySnapshot(at(40), 13, asOf(13, server("a")))
 	var received changelog.Position
 	_, agreed := exchange(fresh, leaf, &received)
 	g.Expect(agreed).To(gomega.BeFalse())
 	g.Expect(leaf.Version()).To(gomega.Equal(uint64(10)))
-	leaf.ApplySnapshot(at(50), 13, []fleet.Entry{server("a")})
+	leaf.ApplySnapshot(at(50), 13, asOf(13, server("a")))
 	_, agreed = exchange(fresh, leaf, &received)
 	g.Expect(agreed).To(gomega.BeTrue())
 	g.Expect(leaf.Servers()).To(gomega.HaveLen(1))
@@ -137,9 +145,9 @@
 func TestAnOlderViewOfAPeerRestoresNothing(t *testing.T) {
 	g := gomega.NewWithT(t)
 	hub, cutOff := newCore(), newCore()
-	hub.ApplyChanges(at(10), 20, []fleet.Entry{{ID: "a"}})
+	hub.ApplyChanges(at(10), 20, asOf(20, fleet.Entry{ID: "a"}))
 	started := fleet.New(fleet.Options{StoreReturnGrace: time.Second, Run: 9})
-	started.ApplySnapshot(at(40), 30, []fleet.Entry{server("b")})
+	started.ApplySnapshot(at(40), 30, asOf(30, server("b")))
 	for _, c := range []*fleet.Core{hub, started} {
 		var received changelog.Position
 		exchange(cutOff, c, &received)
@@ -150,6 +158,19 @@
 	g.Expect(cutOff.Servers()).To(gomega.HaveLen(1))
 }
 
+// Guards against a change that is taken for an older one because another change of the
+// same server comes with the same answer of the store. A server that left right after its
+// start was used until its entry was removed (DRAIN, ganda-ho quiet-1, seed 712151595824).
+func TestTwoChangesOfAServerInOneAnswer(t *testing.T) {
+	g := gomega.NewWithT(t)
+	c := newCore()
+	started, leaving := server("c"), server("c")
+	leaving.Server.Leaving = true
+	events := c.ApplyChanges(at(10), 15, append(asOf(11, started), asOf(13, leaving)...))
+	g.Expect(events).To(gomega.HaveLen(2))
+	g.Expect(events[1].Change).To(gomega.Equal(fleet.ServerLeaving))
+}
+
 // Guards against a server that the whole fleet forgets because one peer has removed
 // it while another has seen it return, and nobody tells the first one.
 func TestAPeerWithAnOlderStateIsCorrected(t *testing.T) {
@@ -159,8 +180,8 @@
 	exchange(a, b, &fromA)
 	exchange(b, a, &fromB)
 	// The entry lapsed at 20 and was written again at 25; b only sees the result.
-	a.ApplyChanges(at(10), 20, []fleet.Entry{{ID: "b"}})
-	b.ApplyChanges(at(10), 25, []fleet.Entry{server("b")})
+	a.ApplyChanges(at(10), 20, asOf(20, fleet.Entry{ID: "b"}))
+	b.ApplyChanges(at(10), 25, asOf(25, server("b")))
 	exchange(a, b, &fromA)
 	g.Expect(b.Servers()).To(gomega.HaveLen(2))
 	exchange(b, a, &fromB)
@@ -174,15 +195,15 @@
 	hub, leaf := newCore(), newCore()
 	var received changelog.Position
 	exchange(hub, leaf, &received)
-	hub.ApplyChanges(at(10), 11, []fleet.Entry{{ID: "a"}})
+	hub.ApplyChanges(at(10), 11, asOf(11, fleet.Entry{ID: "a"}))
 	for i := range uint64(5000) {
 		id := fmt.Sprint("s", i)
-		hub.ApplyChanges(at(20), 12+2*i, []fleet.Entry{server(id)})
-		hub.ApplyChanges(at(20), 13+2*i, []fleet.Entry{{ID: id}})
+		hub.ApplyChanges(at(20), 12+2*i, asOf(12+2*i, server(id)))
+		hub.ApplyChanges(at(20), 13+2*i, asOf(13+2*i, fleet.Entry{ID: id}))
 	}
 	_, agreed := exchange(hub, leaf, &received)
 	g.Expect(agreed).To(gomega.BeFalse())
-	leaf.ApplySnapshot(at(30), hub.Version(), []fleet.Entry{server("b")})
+	leaf.ApplySnapshot(at(30), hub.Version(), asOf(hub.Version(), server("b")))
 	_, agreed = exchange(hub, leaf, &received)
 	g.Expect(agreed).To(gomega.BeTrue())
 }
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -36,6 +36,7 @@
 		func(context.Context) { d.signal(syscall.SIGHUP) },
 		func(context.Context) { h.restart(d, syscall.SIGTERM) },
 		func(context.Context) { h.replaceServer(name, s, announced) },
+		func(context.Context) { h.startAndLeave(s.Service) },
 	}
 	if h.planned {
 		return planned[h.random.IntN(len(planned))]
@@ -177,6 +178,24 @@
 	s.Drain(drainDuration, announced)
 }
 
+// startAndLeave starts a server that leaves right after its start, as one that is no
+// longer needed.
+func (h *harness) startAndLeave(service string) {
+	s, err := h.startServer(service)
+	if err != nil {
+		h.addFinding("server failed to start: %v", err)
+		return
+	}
+	h.mu.Lock()
+	h.leavingServers = append(h.leavingServers, s)
+	h.mu.Unlock()
+	time.Sleep(firstEntryTime)
+	s.Drain(drainDuration, true)
+}
+
+// firstEntryTime is the time in which a server writes its first entry.
+const firstEntryTime = 30 * time.Millisecond
+
 // drainDuration is how long a leaving server continues to serve. It covers the
 // time until daemons stop sending it requests and its longest request.
 const drainDuration = 5 * time.Second
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -197,8 +197,20 @@
 	return nil
 }
 
-// addServer starts a server of a service behind a new proxy.
+// addServer starts a server of a service and puts it into service.
 func (h *harness) addServer(service string) error {
+	s, err := h.startServer(service)
+	if err != nil {
+		return err
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.servers[s.ID] = s
+	return nil
+}
+
+// startServer starts a server of a service behind a new proxy.
+func (h *harness) startServer(service string) (*standin.Server, error) {
 	h.mu.Lock()
 	h.startedServers++
 	number := h.startedServers
@@ -206,7 +218,7 @@
 	id, zone := fmt.Sprintf("%s-%d", service, number), fmt.Sprintf("zone-%d", number%3)
 	address, err := freeAddress()
 	if err != nil {
-		return err
+		return nil, err
 	}
 	s := &standin.Server{ID: id, Service: service, Zone: zone, WorkTime: 15 * time.Millisecond, EventCount: 12, Address: address,
 		DownTime: minDownTime + time.Duration(number)*downTimeStep%(maxDownTime-minDownTime)}
@@ -226,10 +238,9 @@
 		return proxy.Address(), nil
 	})
 	h.mu.Lock()
-	h.servers[id] = s
 	h.allServers = append(h.allServers, s)
 	h.mu.Unlock()
-	return err
+	return s, err
 }
 
 // downTimeStep makes the down times of servers differ.
