Let only a full list disprove the removal of a server

A list that holds a server may show that a removal, which another daemon had inferred from an older list, was wrong. This was also concluded from the store's changes. A daemon that had been cut off for 7 s heard of the removal from a peer and then read its changes from the store, which began with the server's start and ended with its removal; it took the start for newer than the removal, under the version of the whole answer, and told all daemons. Fix: changes disprove nothing.

--- a/pkg/fleet/core.go
+++ b/pkg/fleet/core.go
@@ -94,7 +94,7 @@
 // ApplySnapshot applies a full list of the store as of version. Servers that it
 // lacks were removed, unless what is known of them is newer.
 func (c *Core) ApplySnapshot(now time.Time, version uint64, entries []Entry) []Event {
-	src := source{version: version, current: version >= c.version}
+	src := source{listVersion: version, current: version >= c.version}
 	present := make(map[string]bool, len(entries))
 	var events []Event
 	for _, e := range entries {
@@ -115,7 +115,7 @@
 // continued from a list or from earlier changes.
 func (c *Core) ApplyChanges(now time.Time, version uint64, entries []Entry) []Event {
 	var events []Event
-	src := source{version: version, current: version >= c.version}
+	src := source{current: version >= c.version}
 	for _, e := range entries {
 		events = c.applyEntry(now, e, src, events)
 	}
@@ -127,19 +127,17 @@
 type source struct {
 	// peer is the daemon that has sent the view, or empty for the store.
 	peer string
-	// version is the store's version of the list or changes, or 0 for a peer's view.
-	version uint64
+	// listVersion is the store's version of a full list, and otherwise 0.
+	listVersion uint64
 	// current is set if the store's answer is at least as new as this daemon's view:
 	// servers that the daemon doesn't know were then missed by it. In an older answer,
 	// or in a peer's view, they have been removed since.
 	current bool
 }
 
-// disproves reports whether an entry that the store returns shows that the inference
-// of a removal as of a version was wrong.
-func (s *source) disproves(removedVersion uint64) bool {
-	return s.peer == "" && s.version > removedVersion
-}
+// disproves reports whether an entry shows that the inference of a removal as of a
+// version was wrong: a later list has it. Changes may be from before the removal.
+func (s *source) disproves(removedVersion uint64) bool { return s.listVersion > removedVersion }
 
 // setComplete records that the view is complete as of version.
 func (c *Core) setComplete(version uint64) {
@@ -159,7 +157,7 @@
 		return c.applyUnknown(e, src, events)
 	}
 	if m.missing && e.Version <= m.missingVersion && src.disproves(m.missingVersion) {
-		e.Version = src.version
+		e.Version = src.listVersion
 	}
 	if e.Version <= m.newest() {
 		c.correctPeer(m, &e, src)
@@ -174,7 +172,7 @@
 	switch {
 	case removed && e.Version <= r.version && r.inferred && src.disproves(r.version):
 		// Peers that were told of the removal need a later version.
-		e.Version = src.version
+		e.Version = src.listVersion
 	case removed && e.Version <= r.version, !src.current && e.Version <= c.version:
 		return events
 	}
--- a/pkg/fleet/fleet_test.go
+++ b/pkg/fleet/fleet_test.go
@@ -171,6 +171,23 @@
 	g.Expect(events[1].Change).To(gomega.Equal(fleet.ServerLeaving))
 }
 
+// Guards against a removed server that is used again because the store's answer to a
+// daemon that was cut off begins with the server's start, before its removal: a peer had
+// told of the removal meanwhile, and the start was taken for proof against that (DRAIN,
+// kodiclub-enrol trouble-2, seed 212361424153).
+func TestEarlierChangesDoNotUndoARemoval(t *testing.T) {
+	g := gomega.NewWithT(t)
+	c, peer := newCore(), newCore()
+	peer.ApplyChanges(at(10), 30, append(asOf(15, server("c")), asOf(26, fleet.Entry{ID: "c"}, fleet.Entry{ID: "b"})...))
+	var received changelog.Position
+	peer.ApplyChanges(at(10), 31, nil)
+	exchange(peer, c, &received)
+	g.Expect(c.Servers()).To(gomega.HaveLen(1))
+	events := c.ApplyChanges(at(20), 32, append(asOf(12, server("b")), asOf(26, fleet.Entry{ID: "b"})...))
+	g.Expect(events).To(gomega.BeEmpty())
+	g.Expect(c.Servers()).To(gomega.HaveLen(1))
+}
+
 // Guards against a server that the whole fleet forgets because one peer has removed
 // it while another has seen it return, and nobody tells the first one.
 func TestAPeerWithAnOlderStateIsCorrected(t *testing.T) {
--- a/pkg/fleet/random_test.go
+++ b/pkg/fleet/random_test.go
@@ -17,8 +17,9 @@
 type simulatedStore struct {
 	version uint64
 	rows    map[string]fleet.Entry
-	// past holds the rows as of each version.
-	past map[uint64]map[string]fleet.Entry
+	// past holds the rows as of each version, and history all changes, oldest first.
+	past    map[uint64]map[string]fleet.Entry
+	history []fleet.Entry
 	// kept is the version from which changes are kept.
 	kept uint64
 }
@@ -32,6 +33,7 @@
 	}
 	rows[e.ID] = e
 	s.rows, s.past[s.version] = rows, rows
+	s.history = append(s.history, e)
 }
 
 // list returns the present rows as of a version.
@@ -45,15 +47,14 @@
 	return list
 }
 
-// changes returns the rows that changed after a version, oldest first.
+// changes returns the changes after a version, oldest first, also several of one row.
 func (s *simulatedStore) changes(after uint64) []fleet.Entry {
 	var list []fleet.Entry
-	for _, row := range s.rows {
-		if row.Version > after {
-			list = append(list, row)
+	for _, e := range s.history {
+		if e.Version > after {
+			list = append(list, e)
 		}
 	}
-	slices.SortFunc(list, func(a, b fleet.Entry) int { return int(a.Version) - int(b.Version) })
 	return list
 }
 
