Count the age of a peer's view from the time at which the peer was asked

Cause: the age that a message states was counted from its arrival, so that a view became younger by the time of its way with each hop. In a full mesh, where seven daemons exchange dozens of messages a second, daemons whose hubs had all gone could take one another's views for confirmed for longer than the 1.5 s after which they read the store themselves. Fix: an answer's age counts from the time at which the peer was asked; a message that answers nothing confirms nothing, as it is not known when it was sent. A daemon checks every 100 ms instead of 225 whether it must read the store.

--- a/pkg/edge/exchange.go
+++ b/pkg/edge/exchange.go
@@ -129,9 +129,9 @@
 	return true
 }
 
-// handleMessage applies a message from a neighbor. The parameter
-// initiatedByPeer reports whether the neighbor started the exchange.
-func (d *Daemon) handleMessage(m *mesh.Message, initiatedByPeer bool) {
+// handleMessage applies a message from a neighbor. If it answers a message of this
+// daemon, requestedAt is when that was sent; otherwise it is zero.
+func (d *Daemon) handleMessage(m *mesh.Message, requestedAt time.Time) {
 	if len(m.Catalog) > 0 && d.state.isNewerCatalog(m.CatalogVersion) {
 		c, err := d.decompressCatalog(m.Catalog)
 		if err != nil {
@@ -144,7 +144,7 @@
 	s.quarantine.MergeFrom(m.Record.Node, m.Quarantine...)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.peers.UpdateNeighbor(bootNow(), m, initiatedByPeer)
+	s.peers.UpdateNeighbor(bootNow(), m, requestedAt.IsZero())
 	s.recordPeerCatalogVersion(bootNow(), m.CatalogVersion)
 	s.applyRecord(&m.Record)
 	for i := range m.Records {
@@ -152,7 +152,7 @@
 	}
 	s.placement.ApplyPeerLoads(time.Now())
 	s.quota.SetStaleness(s.peers.MaxStaleness())
-	s.applyFleet(m)
+	s.applyFleet(m, requestedAt)
 	s.applyLimits(m)
 }
 
@@ -184,9 +184,10 @@
 
 // applyFleet merges a neighbor's view of the servers. The age of a view only grows
 // as it is forwarded, so that daemons without access to the store cannot refresh one
-// another's views. If the views differ although both daemons have each other's
+// another's views: it counts from the time at which the neighbor was asked, and a
+// message that answers nothing, of unknown age, confirms nothing. If the views differ although both daemons have each other's
 // changes, this daemon reads all entries from the store.
-func (s *state) applyFleet(m *mesh.Message) {
+func (s *state) applyFleet(m *mesh.Message, requestedAt time.Time) {
 	now, node := bootNow(), m.Record.Node
 	neighbor, _ := s.peers.Lookup(node)
 	events, received, agreed := s.fleet.Merge(now, node, neighbor.Fleet.Received, &m.Fleet)
@@ -195,8 +196,8 @@
 	switch {
 	case agreed:
 		s.fleetMetrics.views.WithLabelValues(viewAgrees).Inc()
-		confirmed := now.Add(-time.Duration(m.Fleet.AgeMillis) * time.Millisecond)
-		if m.Fleet.AgeMillis >= 0 && confirmed.After(s.peerConfirmedAt) {
+		confirmed := requestedAt.Add(-time.Duration(m.Fleet.AgeMillis) * time.Millisecond)
+		if !requestedAt.IsZero() && m.Fleet.AgeMillis >= 0 && confirmed.After(s.peerConfirmedAt) {
 			s.peerConfirmedAt = confirmed
 		}
 	case received != m.Fleet.Span.End() || neighbor.Fleet.Acknowledged != s.fleet.Head():
@@ -218,7 +219,7 @@
 	if err != nil {
 		return nil, err
 	}
-	d.handleMessage(m, true)
+	d.handleMessage(m, time.Time{})
 	s := d.state
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -271,6 +272,7 @@
 
 // exchangePayload sends an encoded message to a peer and applies its response.
 func (d *Daemon) exchangePayload(ctx context.Context, p mesh.Peer, payload []byte) error {
+	requestedAt := bootNow()
 	answer, err := d.peerPool.Fetch(ctx, p.Address, payload)
 	if err != nil {
 		// The connection may have failed while the peer is up: use a new
@@ -282,7 +284,7 @@
 	if err != nil {
 		return err
 	}
-	d.handleMessage(m, false)
+	d.handleMessage(m, requestedAt)
 	return nil
 }
 
--- a/pkg/edge/quarantine_test.go
+++ b/pkg/edge/quarantine_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"testing"
+	"time"
 
 	"github.com/onsi/gomega"
 
@@ -33,7 +34,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		to.handleMessage(m, true)
+		to.handleMessage(m, time.Time{})
 	}
 	send(a, b)
 	send(b, a)
@@ -103,7 +104,7 @@
 	m := a.state.messageFor("b")
 	a.state.mu.Unlock()
 	restarted := namedState(t, "b")
-	restarted.handleMessage(m, true)
+	restarted.handleMessage(m, time.Time{})
 	exchangeBetween(t, restarted, a)
 	crash(t, restarted, "f", "s2")
 	g.Expect(restarted.state.quarantine.Check(context.Background(), "f")).To(gomega.Equal(quarantine.VerdictRefuse))
--- a/pkg/edge/servers.go
+++ b/pkg/edge/servers.go
@@ -20,6 +20,9 @@
 	// exceeded, the daemon reads the store itself. A hub reads the store at least
 	// every 0.75 s and sends its view at least every 0.4 s.
 	peerViewMaxAge = 1500 * time.Millisecond
+	// followCheckInterval is how often a daemon checks whether it must read the store
+	// itself.
+	followCheckInterval = 100 * time.Millisecond
 	// minListInterval is the least time between two reads of all entries because of a
 	// neighbor whose view differs, as during the grace period after a store outage that
 	// only one of the two has noticed.
@@ -48,7 +51,7 @@
 			// While hubs send their views, this daemon does not read the store; it
 			// reads all entries when it starts again.
 			synced = false
-			pause(ctx, serversReadInterval/2)
+			pause(ctx, followCheckInterval)
 			continue
 		}
 		if s.listDue(bootNow()) {
--- a/pkg/edge/servers_test.go
+++ b/pkg/edge/servers_test.go
@@ -45,7 +45,7 @@
 	g := gomega.NewWithT(t)
 	s := newTestState(t)
 	deliver := func(age time.Duration) {
-		s.applyFleet(&mesh.Message{Record: mesh.Record{Node: "peer"}, Fleet: viewOf(7, age, fleet.Server{ID: "x", Service: "s", Address: "10.0.0.1:80"})})
+		s.applyFleet(&mesh.Message{Record: mesh.Record{Node: "peer"}, Fleet: viewOf(7, age, fleet.Server{ID: "x", Service: "s", Address: "10.0.0.1:80"})}, bootNow())
 	}
 	deliver(200 * time.Millisecond)
 	g.Expect(s.fleet.Initialized()).To(gomega.BeTrue())
@@ -53,10 +53,23 @@
 	deliver(5 * time.Second)
 	g.Expect(s.fleetAge()).To(gomega.BeNumerically("<", time.Second), "an older confirmation must not replace a newer one")
 	other := newTestState(t)
-	other.applyFleet(&mesh.Message{Record: mesh.Record{Node: "peer"}, Fleet: viewOf(7, 5*time.Second)})
+	other.applyFleet(&mesh.Message{Record: mesh.Record{Node: "peer"}, Fleet: viewOf(7, 5*time.Second)}, bootNow())
 	g.Expect(other.followsStore()).To(gomega.BeTrue())
 }
 
+// Guards against daemons that keep one another's views fresh although none of them
+// reads the store, because each message is younger on arrival than when it was sent: with
+// all hubs gone, the others would read the store themselves too late.
+func TestMessagesOnTheirWayConfirmNothing(t *testing.T) {
+	g := gomega.NewWithT(t)
+	s := newTestState(t)
+	server := fleet.Server{ID: "x", Service: "s", Address: "10.0.0.1:80"}
+	s.applyFleet(&mesh.Message{Record: mesh.Record{Node: "peer"}, Fleet: viewOf(7, 200*time.Millisecond, server)}, bootNow().Add(-300*time.Millisecond))
+	g.Expect(s.fleetAge()).To(gomega.BeNumerically(">=", 500*time.Millisecond))
+	s.applyFleet(&mesh.Message{Record: mesh.Record{Node: "other"}, Fleet: viewOf(7, 0, server)}, time.Time{})
+	g.Expect(s.fleetAge()).To(gomega.BeNumerically(">=", 500*time.Millisecond), "it is not known when an unasked message was sent")
+}
+
 // Guards against a daemon that goes on with its view although that of its hub differs,
 // as after a server was removed and the hub has started since: the store must settle
 // the difference at once, and the hub's view must not count as a confirmation.
@@ -67,12 +80,12 @@
 	d := &Daemon{settings: settings, platform: p, state: newTestState(t)}
 	s := d.state
 	addPeers(s, 2*fullMeshLimit)
-	s.applyFleet(&mesh.Message{Record: mesh.Record{Node: "hub"}, Fleet: viewOf(7, 0, a, b)})
+	s.applyFleet(&mesh.Message{Record: mesh.Record{Node: "hub"}, Fleet: viewOf(7, 0, a, b)}, bootNow())
 	g.Expect(s.followsStore()).To(gomega.BeFalse())
 	s.peers.UpdateNeighbor(bootNow(), &mesh.Message{Record: mesh.Record{Node: "hub", Incarnation: 2}, Fleet: fleet.View{Received: s.fleet.Head()}}, false)
 	started := viewOf(12, 0, a)
 	started.Span.Run = 2
-	s.applyFleet(&mesh.Message{Record: mesh.Record{Node: "hub", Incarnation: 2}, Fleet: started})
+	s.applyFleet(&mesh.Message{Record: mesh.Record{Node: "hub", Incarnation: 2}, Fleet: started}, bootNow())
 	g.Expect(s.followsStore()).To(gomega.BeTrue())
 	g.Expect(s.listDue(bootNow())).To(gomega.BeTrue())
 	g.Expect(d.readServers(context.Background(), false)).To(gomega.Succeed())
@@ -90,7 +103,7 @@
 	leaving := server
 	leaving.Leaving = true
 	s.applyFleet(&mesh.Message{Record: mesh.Record{Node: "peer"}, Fleet: fleet.View{Version: 6, Span: changelog.Span{Run: 1, From: 1, To: 2},
-		Entries: []fleet.Entry{{ID: "x", Server: &leaving, Version: 6}}}})
+		Entries: []fleet.Entry{{ID: "x", Server: &leaving, Version: 6}}}}, bootNow())
 	g.Expect(s.fleet.Servers()[0].Leaving).To(gomega.BeTrue())
 }
 
@@ -107,10 +120,10 @@
 	leaving.Leaving = true
 	hub.applyServerEvents(hub.fleet.ApplyChanges(bootNow(), 6, []fleet.Entry{{ID: "x", Server: &leaving, Version: 6}}), "store")
 	hub.serversReadAt = bootNow().Add(-peerViewMaxAge)
-	s.applyFleet(hub.messageFor("self"))
+	s.applyFleet(hub.messageFor("self"), bootNow())
 	hub.peers.UpdateNeighbor(bootNow(), s.messageFor("hub"), false)
 	hub.serversReadAt = bootNow()
-	s.applyFleet(hub.messageFor("self"))
+	s.applyFleet(hub.messageFor("self"), bootNow())
 	g.Expect(s.fleet.Servers()[0].Leaving).To(gomega.BeTrue())
 }
 
@@ -119,7 +132,7 @@
 	hub.serversReadAt = bootNow()
 	m := hub.messageFor(s.settings.Node)
 	s.peers.UpdateNeighbor(bootNow(), m, true)
-	s.applyFleet(m)
+	s.applyFleet(m, bootNow())
 	hub.peers.UpdateNeighbor(bootNow(), s.messageFor(hub.settings.Node), false)
 }
 
