Record the removal of a server that the daemon does not know

What callers saw: nothing; found by reading the rule that an older state never replaces a newer one. A removal of an unknown server was dropped, so that a late message of another peer could add the server again, and a hub did not pass the removal on. Fix: it is recorded like any other.

--- a/pkg/fleet/core.go
+++ b/pkg/fleet/core.go
@@ -150,6 +150,7 @@
 	m := c.members[e.ID]
 	switch {
 	case e.Server == nil && m == nil:
+		c.recordRemoval(&e, src)
 		return events
 	case e.Server == nil:
 		return c.applyRemoval(now, m, e.Version, src, events)
@@ -166,6 +167,15 @@
 	return c.update(m, e, src, events)
 }
 
+// recordRemoval records the removal of a server that this daemon does not know, so that
+// an older view does not add it. Peers may have the server.
+func (c *Core) recordRemoval(e *Entry, src source) {
+	if r, known := c.removed[e.ID]; known && r.version >= e.Version {
+		return
+	}
+	c.setRemoved(e.ID, removal{version: e.Version, inferred: src.peer != ""}, src.peer)
+}
+
 // applyUnknown adds a server unless it was removed since.
 func (c *Core) applyUnknown(e Entry, src source, events []Event) []Event {
 	r, removed := c.removed[e.ID]
@@ -229,6 +239,11 @@
 func (c *Core) remove(id string, r removal, from string) {
 	c.digest -= c.members[id].server.digest()
 	delete(c.members, id)
+	c.setRemoved(id, r, from)
+}
+
+// setRemoved records that an ID was removed.
+func (c *Core) setRemoved(id string, r removal, from string) {
 	c.removed[id] = r
 	c.log.Record(id, from)
 	if len(c.removed) > maxTombstones {
--- a/pkg/fleet/fleet_test.go
+++ b/pkg/fleet/fleet_test.go
@@ -188,6 +188,20 @@
 	g.Expect(c.Servers()).To(gomega.HaveLen(1))
 }
 
+// Guards against a server that a late message of a peer adds after its removal was told,
+// at a daemon that did not know the server.
+func TestARemovalOfAnUnknownServerCounts(t *testing.T) {
+	g := gomega.NewWithT(t)
+	c := fleet.New(fleet.Options{StoreReturnGrace: time.Second, Run: 9})
+	later := fleet.View{Span: changelog.Span{Run: 2, To: 2}, Entries: asOf(30, fleet.Entry{ID: "a"})}
+	earlier := fleet.View{Span: changelog.Span{Run: 3, To: 1}, Entries: asOf(20, server("a"))}
+	c.Merge(at(0), "one", changelog.Position{}, &later)
+	c.Merge(at(0), "two", changelog.Position{}, &earlier)
+	g.Expect(c.Servers()).To(gomega.BeEmpty())
+	c.ApplyChanges(at(10), 40, asOf(35, server("a")))
+	g.Expect(c.Servers()).To(gomega.HaveLen(1))
+}
+
 // Guards against a server that the whole fleet forgets because one peer has removed
 // it while another has seen it return, and nobody tells the first one.
 func TestAPeerWithAnOlderStateIsCorrected(t *testing.T) {
