--- a/coordination/changelog/changelog.go
+++ b/coordination/changelog/changelog.go
@@ -24,8 +24,7 @@
 
 // Span is the part of the sender's changes that a message covers: a receiver that
 // has all changes up to From has all of them up to To once it has merged the
-// message. With From 0 the message holds the sender's complete copy, unless it is
-// the first of several.
+// message. Messages from 0 on hold the sender's complete copy.
 type Span struct {
 	Run  uint64 `cbor:"1,keyasint,omitempty"`
 	From uint64 `cbor:"2,keyasint,omitempty"`
--- a/pkg/edge/exchange.go
+++ b/pkg/edge/exchange.go
@@ -185,8 +185,9 @@
 // applyFleet merges a neighbor's view of the servers. The age of a view only grows
 // as it is forwarded, so that daemons without access to the store cannot refresh one
 // another's views: it counts from the time at which the neighbor was asked, and a
-// message that answers nothing, of unknown age, confirms nothing. If the views differ although both daemons have each other's
-// changes, this daemon reads all entries from the store.
+// message that answers nothing, of unknown age, confirms nothing. If the views differ
+// although both daemons have each other's changes, this daemon reads all entries from
+// the store.
 func (s *state) applyFleet(m *mesh.Message, requestedAt time.Time) {
 	now, node := bootNow(), m.Record.Node
 	neighbor, _ := s.peers.Lookup(node)
--- a/pkg/edge/limits.go
+++ b/pkg/edge/limits.go
@@ -61,14 +61,15 @@
 	}
 }
 
-// refreshLimitMembers calls updateLimitMembers if that is due.
+// refreshLimitMembers chooses the senders to servers with a request limit again if that
+// is due.
 func (s *state) refreshLimitMembers(now time.Time) {
 	if now.Sub(s.membersUpdatedAt) >= memberInterval {
 		s.updateLimitMembers()
 	}
 }
 
-// updateLimitMembers tells the limits which daemons are alive.
+// updateLimitMembers chooses the senders among the daemons that are alive now.
 func (s *state) updateLimitMembers() {
 	s.membersUpdatedAt = bootNow()
 	if s.limits.Active() > 0 {
--- a/pkg/fleet/core.go
+++ b/pkg/fleet/core.go
@@ -53,7 +53,8 @@
 	initialized bool
 	// newestVersion is the highest version of any state that is known.
 	newestVersion uint64
-	removed       map[string]removal
+	// removed holds the removed IDs, so that an older view does not restore them.
+	removed map[string]removal
 	// log numbers the changes for peers.
 	log *changelog.Log[string]
 	// digest is the sum of the digests of all members.
@@ -252,7 +253,8 @@
 }
 
 // dropOldTombstones drops the older half of the tombstones. Peers that lack one of
-// these removals are sent the complete view.
+// these removals are sent all entries; that they still have the server shows by the
+// digest.
 func (c *Core) dropOldTombstones() {
 	versions := make([]uint64, 0, len(c.removed))
 	for _, r := range c.removed {
