Log which requests differ in their query only

Requests that come again with another query have other fingerprints, so that the logs cannot show that they are the same request. No decision changes.

--- a/pkg/relay/handler.go
+++ b/pkg/relay/handler.go
@@ -88,6 +88,8 @@
 	// cost is what the request takes from the account's usage limit.
 	cost        float64
 	fingerprint quarantine.Fingerprint
+	// pathFingerprint is the fingerprint without the query of the target, for logs.
+	pathFingerprint quarantine.Fingerprint
 	// mayHaveRun is set once a server may have begun to run the request.
 	mayHaveRun bool
 	// startCounted is set once the request counts towards the account's usage.
@@ -157,6 +159,7 @@
 	x.deadline = x.receivedAt.Add(timeLeft)
 	x.service = x.route.ServiceFor(hashFraction(x.ID))
 	x.fingerprint = quarantine.FingerprintOf(x.accountName()+"\x00"+x.Target, x.Body)
+	x.pathFingerprint = quarantine.FingerprintOf(x.accountName()+"\x00"+x.Path, x.Body)
 	if x.isQuarantined() {
 		return quarantinedProblem()
 	}
@@ -304,7 +307,7 @@
 	}
 	x.handler.metrics.requests.WithLabelValues(kind, strconv.Itoa(x.status)).Inc()
 	x.handler.metrics.duration.WithLabelValues(kind).Observe(took.Seconds())
-	klog.InfoS("request", "request", x.ID, "fingerprint", x.fingerprint.Short(), "route", route, "account", x.accountName(), "configuration", x.configVersion,
+	klog.InfoS("request", "request", x.ID, "fingerprint", x.fingerprint.Short(), "pathFingerprint", x.pathFingerprint.Short(), "route", route, "account", x.accountName(), "configuration", x.configVersion,
 		"status", x.status, "cause", x.cause, "ran", x.mayHaveRun, "attempts", x.attempts, "event", x.lastSentEventID,
 		"tookMs", took.Milliseconds(), "leftMs", timeLeft.Milliseconds())
 }
