Show the fault on BUDGET: crash requests with another query at each try, in the soak

The stand-in's servers may end for good and leave their address to another server with another ID, several callers may send one crash request, the store may be away from the start, and crash requests may carry another query at each try. Seeds of the soak draw queries and replaced servers.

--- a/soak/crashes.go
+++ b/soak/crashes.go
@@ -6,6 +6,8 @@
 	"math/rand/v2"
 	"net/http"
 	"slices"
+	"strconv"
+	"sync"
 	"time"
 
 	"github.com/monsooncrank/monsooncrank/platform/standin"
@@ -30,6 +32,8 @@
 // sends it again and again, each time with a new ID and to any daemon.
 type crashRequest struct {
 	body, path string
+
+	mu sync.Mutex
 	// receivers holds the daemon that received each attempt, by ID.
 	receivers map[string]*daemon
 }
@@ -45,16 +49,22 @@
 	return &crashRequest{body: standin.CrashBody(kind, index), path: paths[random.IntN(len(paths))], receivers: make(map[string]*daemon)}
 }
 
-// sendRepeatedly sends the request until the run ends.
-func (c *crashRequest) sendRepeatedly(ctx context.Context, h *harness, index int) {
-	random := rand.New(rand.NewPCG(h.options.Seed, uint64(index)+600))
+// sendRepeatedly sends the request as one of its callers until the run ends.
+func (c *crashRequest) sendRepeatedly(ctx context.Context, h *harness, index, sender int) {
+	random := rand.New(rand.NewPCG(h.options.Seed, uint64(index)+600+uint64(sender)<<16))
 	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 2, IdleConnTimeout: 4 * time.Second}}
 	for n := 0; ctx.Err() == nil; n++ {
 		d := h.daemons[random.IntN(len(h.daemons))]
-		id := fmt.Sprintf("crash-%d-%d-%d", h.options.Seed, index, n)
+		id := fmt.Sprintf("crash-%d-%d-%d-%d", h.options.Seed, index, sender, n)
+		c.mu.Lock()
 		c.receivers[id] = d
+		c.mu.Unlock()
+		path := c.path + "x"
+		if h.options.ChangeQueries {
+			path += "?page=" + strconv.Itoa(random.IntN(1000))
+		}
 		attemptCtx, cancel := context.WithTimeout(ctx, callerPatience)
-		reply := standin.Send(attemptCtx, client, standin.Request{ID: id, Address: d.settings.Front, Host: hostName, Path: c.path + "x",
+		reply := standin.Send(attemptCtx, client, standin.Request{ID: id, Address: d.settings.Front, Host: hostName, Path: path,
 			Key: apiKey, Deadline: requestDeadline, Body: c.body})
 		cancel()
 		h.checkRefusal(id, reply)
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -181,7 +181,7 @@
 // startAndLeave starts a server that leaves right after its start, as one that is no
 // longer needed.
 func (h *harness) startAndLeave(service string) {
-	s, err := h.startServer(service)
+	s, err := h.startServer(service, nil)
 	if err != nil {
 		h.addFinding("server failed to start: %v", err)
 		return
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -34,6 +34,16 @@
 	// runs with unplanned faults.
 	CrashRequests int
 	Duration      time.Duration
+	// CrashSenders is the number of callers that send each of them; the default is 1.
+	CrashSenders int
+	// ChangeQueries gives the requests that crash servers another query at each try.
+	ChangeQueries bool
+	// ReplaceServers makes servers that a request has crashed end for good. Other
+	// servers start at their addresses, under other IDs.
+	ReplaceServers bool
+	// StoreAwayUntil is how long the store answers nothing from the start of the
+	// requests on.
+	StoreAwayUntil time.Duration
 	// NoFaults leaves out all faults but the crash requests and RestartAllAt.
 	NoFaults bool
 	// LimitedServers is the number of servers that state a request limit of one a
@@ -127,12 +137,19 @@
 		if !h.planned {
 			c := newCrashRequest(h.options.Seed, i)
 			h.crashRequests = append(h.crashRequests, c)
-			running.Go(func() { c.sendRepeatedly(ctx, h, i) })
+			for sender := range max(h.options.CrashSenders, 1) {
+				running.Go(func() { c.sendRepeatedly(ctx, h, i, sender) })
+			}
 		}
 	}
 	for _, s := range h.allServers[:options.LimitedServers] {
 		s.StateLimit(1)
 	}
+	if h.options.StoreAwayUntil > 0 {
+		running.Go(func() {
+			h.storeFault(ctx, standin.Faults{Status: http.StatusServiceUnavailable}, h.options.StoreAwayUntil)
+		})
+	}
 	for _, at := range h.options.RestartAllAt {
 		running.Go(func() {
 			sleep(ctx, at)
@@ -199,7 +216,7 @@
 
 // addServer starts a server of a service and puts it into service.
 func (h *harness) addServer(service string) error {
-	s, err := h.startServer(service)
+	s, err := h.startServer(service, nil)
 	if err != nil {
 		return err
 	}
@@ -209,8 +226,25 @@
 	return nil
 }
 
-// startServer starts a server of a service behind a new proxy.
-func (h *harness) startServer(service string) (*standin.Server, error) {
+// replaceEndedServer starts another server at the address of one that has ended, and
+// puts it into service unless the ended one was being drained.
+func (h *harness) replaceEndedServer(ended *standin.Server) {
+	s, err := h.startServer(ended.Service, ended)
+	if err != nil {
+		h.addFinding("replacement of server %s failed to start: %v", ended.ID, err)
+		return
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.servers[ended.ID] == ended {
+		delete(h.servers, ended.ID)
+		h.servers[s.ID] = s
+	}
+}
+
+// startServer starts a server of a service behind a new proxy, or behind the one of a
+// server that has ended.
+func (h *harness) startServer(service string, ended *standin.Server) (*standin.Server, error) {
 	h.mu.Lock()
 	h.startedServers++
 	number := h.startedServers
@@ -220,6 +254,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if ended != nil {
+		zone, address = ended.Zone, ended.Address
+	}
 	s := &standin.Server{ID: id, Service: service, Zone: zone, WorkTime: 15 * time.Millisecond, EventCount: 12, Address: address,
 		DownTime: minDownTime + time.Duration(number)*downTimeStep%(maxDownTime-minDownTime)}
 	s.OnDown = func(down bool) {
@@ -227,8 +264,11 @@
 			h.addFinding("proxy of server %s failed to listen again: %v", id, err)
 		}
 	}
+	if h.options.ReplaceServers {
+		s.Replace = func() { h.replaceEndedServer(s) }
+	}
 	err = standin.StartServer(s, h.store, h.ledger, func(address string) (string, error) {
-		proxy, err := NewProxy(address)
+		proxy, err := h.proxyFor(ended, address)
 		if err != nil {
 			return "", err
 		}
@@ -243,6 +283,16 @@
 	return s, err
 }
 
+// proxyFor returns the proxy of a server that has ended, which accepts connections
+// again, or a new one.
+func (h *harness) proxyFor(ended *standin.Server, address string) (*Proxy, error) {
+	if ended == nil {
+		return NewProxy(address)
+	}
+	proxy := h.proxy(ended.ID)
+	return proxy, proxy.Refuse(false)
+}
+
 // downTimeStep makes the down times of servers differ.
 const downTimeStep = 700 * time.Millisecond
 
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -54,7 +54,8 @@
 	}
 	for _, seed := range seeds {
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
-			runSeed(t, soak.Options{Seed: seed, Binary: binary, Daemons: daemons, Servers: max(minServers, daemons/daemonsPerServer), Callers: callersPerDaemon * daemons, CrashRequests: 2, Duration: duration})
+			runSeed(t, soak.Options{Seed: seed, Binary: binary, Daemons: daemons, Servers: max(minServers, daemons/daemonsPerServer), Callers: callersPerDaemon * daemons, CrashRequests: 2,
+				ChangeQueries: seed%2 == 0, ReplaceServers: seed%4 >= 2, Duration: duration})
 		})
 	}
 }
@@ -75,6 +76,21 @@
 		RestartAllAt: []time.Duration{4 * time.Second, 9 * time.Second}})
 }
 
+// TestRequestsThatCrashServersAreContainedAcrossQueries guards against a request that
+// crashes servers and is not recognized when its caller sends it again, because only
+// its query is another one.
+func TestRequestsThatCrashServersAreContainedAcrossQueries(t *testing.T) {
+	runSeed(t, soak.Options{Seed: 1, Binary: buildDaemon(t), Daemons: 7, Callers: 14, CrashRequests: 4, ChangeQueries: true, Duration: 9 * time.Second, NoFaults: true})
+}
+
+// TestCrashesOfAllServersAreRemembered guards against crashes that are taken for
+// shutdowns, or known to one daemon only, when a request ends all servers of its service
+// at once, others start at their addresses under other IDs, and the store is away.
+func TestCrashesOfAllServersAreRemembered(t *testing.T) {
+	runSeed(t, soak.Options{Seed: 1, Binary: buildDaemon(t), Daemons: 7, Callers: 14, CrashRequests: 4, CrashSenders: 4, ReplaceServers: true,
+		StoreAwayUntil: 2 * time.Second, Duration: 16 * time.Second, NoFaults: true})
+}
+
 // TestServersInNeedGetNoMoreThanTheirLimit guards against daemons that each keep the
 // request limit of a server, or none, so that it gets more than that from all of them.
 func TestServersInNeedGetNoMoreThanTheirLimit(t *testing.T) {
