Recognize a request that crashes servers when it comes with another query

Cause: the quarantine's fingerprint covered the whole target. Evidence: in the record the last daemon sends the request 4.1 s after the third crash and answers 10 ms after its own, without the wait for a decision, so it knew of one crash only. Why it works: requests that differ in their query only count as one, until one of them has completed; then the queries of that path are different requests, so that one query that crashes servers does not refuse a whole resource. Either way each request has one fingerprint at a daemon, and the one that crashes servers never completes.

--- a/pkg/relay/buffered.go
+++ b/pkg/relay/buffered.go
@@ -38,7 +38,7 @@
 		s.result = placement.ResultFailed
 		return outcomeFailed, buffered
 	}
-	s.handler.quarantine.Succeeded(s.fingerprint)
+	s.completed()
 	s.writeResponse(buffered)
 	return outcomeDone, nil
 }
--- a/pkg/relay/crash_test.go
+++ b/pkg/relay/crash_test.go
@@ -71,6 +71,37 @@
 	g.Expect(header.Get("Retry-After")).NotTo(gomega.BeEmpty())
 }
 
+// A request that crashes servers may carry another query each time it is sent. It was
+// a new request for every daemon then.
+func TestARequestThatComesWithAnotherQueryIsRecognized(t *testing.T) {
+	g := gomega.NewWithT(t)
+	f := newFixture(t, crashingBackend(t, true), crashingBackend(t, true), crashingBackend(t, true))
+	status, _, _, _ := f.post("/once/1?page=1", "crash")
+	g.Expect(status).To(gomega.Equal(http.StatusBadGateway))
+	status, _, _, _ = f.post("/once/1", "crash")
+	g.Expect(status).To(gomega.Equal(http.StatusBadGateway))
+	status, _, _, _ = f.post("/once/1?page=2", "crash")
+	g.Expect(status).To(gomega.Equal(http.StatusServiceUnavailable))
+	g.Expect(f.crashes("/once/1")).To(gomega.Equal(2))
+}
+
+// One query of a resource that crashes servers must not keep callers from the others,
+// which complete.
+func TestOtherQueriesOfAResourceInUseAreServed(t *testing.T) {
+	g := gomega.NewWithT(t)
+	f := newFixture(t, crashingBackend(t, true), crashingBackend(t, true), crashingBackend(t, true))
+	status, _, _, err := f.post("/once/1?page=1", "harmless")
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(status).To(gomega.Equal(http.StatusOK))
+	for range 2 {
+		_, _, _, _ = f.post("/once/1?page=2", "crash")
+	}
+	status, _, _, _ = f.post("/once/1?page=2", "crash")
+	g.Expect(status).To(gomega.Equal(http.StatusServiceUnavailable))
+	status, _, _, _ = f.post("/once/1?page=3", "harmless")
+	g.Expect(status).To(gomega.Equal(http.StatusOK))
+}
+
 // A server may fall silent under a request until the caller gives up. Its crash
 // shows when it has started again.
 func TestASilentServersCrashConcernsRequestsGivenUp(t *testing.T) {
--- a/pkg/relay/handler.go
+++ b/pkg/relay/handler.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -51,8 +52,10 @@
 	codec      Codec
 	controller Controller
 	quarantine Quarantine
-	pool       *backendconn.Pool
-	metrics    *Metrics
+	// recognition decides which requests the quarantine takes for the same one.
+	recognition *quarantine.Recognition
+	pool        *backendconn.Pool
+	metrics     *Metrics
 	// closing makes responses close their connections, so that callers reconnect
 	// to another daemon.
 	closing atomic.Bool
@@ -62,7 +65,7 @@
 
 // NewHandler returns a Handler.
 func NewHandler(o Options) *Handler {
-	return &Handler{codec: o.Codec, controller: o.Controller, quarantine: o.Quarantine, pool: o.Pool, metrics: o.Metrics}
+	return &Handler{codec: o.Codec, controller: o.Controller, quarantine: o.Quarantine, recognition: quarantine.NewRecognition(), pool: o.Pool, metrics: o.Metrics}
 }
 
 // CloseConnections makes all further responses close their connections.
@@ -88,7 +91,8 @@
 	// cost is what the request takes from the account's usage limit.
 	cost        float64
 	fingerprint quarantine.Fingerprint
-	// pathFingerprint is the fingerprint without the query of the target, for logs.
+	// pathFingerprint is the fingerprint that leaves out the query of the target. It
+	// is the same as fingerprint unless queries are told apart.
 	pathFingerprint quarantine.Fingerprint
 	// mayHaveRun is set once a server may have begun to run the request.
 	mayHaveRun bool
@@ -158,14 +162,33 @@
 	}
 	x.deadline = x.receivedAt.Add(timeLeft)
 	x.service = x.route.ServiceFor(hashFraction(x.ID))
-	x.fingerprint = quarantine.FingerprintOf(x.accountName()+"\x00"+x.Target, x.Body)
-	x.pathFingerprint = quarantine.FingerprintOf(x.accountName()+"\x00"+x.Path, x.Body)
+	x.identify()
 	if x.isQuarantined() {
 		return quarantinedProblem()
 	}
 	return nil
 }
 
+// identify sets the fingerprints of the request.
+func (x *exchange) identify() {
+	x.pathFingerprint = quarantine.FingerprintOf(x.accountName()+"\x00"+x.Path, x.Body)
+	x.fingerprint = x.pathFingerprint
+	if x.hasQuery() {
+		x.fingerprint = x.handler.recognition.Fingerprint(x.pathFingerprint, quarantine.FingerprintOf(x.accountName()+"\x00"+x.Target, x.Body))
+	}
+}
+
+// hasQuery reports whether the target of the request has a query.
+func (x *exchange) hasQuery() bool { return strings.Contains(x.Target, "?") }
+
+// completed records that a server has run the request to its end.
+func (x *exchange) completed() {
+	if x.hasQuery() {
+		x.handler.recognition.Completed(x.pathFingerprint)
+	}
+	x.handler.quarantine.Succeeded(x.fingerprint)
+}
+
 // isQuarantined reports whether the request must not be sent to a server because
 // it has crashed others.
 func (x *exchange) isQuarantined() bool {
--- a/pkg/relay/stream.go
+++ b/pkg/relay/stream.go
@@ -101,7 +101,7 @@
 	s.result = placement.ResultAnswered
 	s.reusable = !response.Close
 	s.handler.quarantine.Resolved(s.id, true)
-	s.handler.quarantine.Succeeded(s.fingerprint)
+	s.completed()
 	return outcomeDone
 }
 
