Keep the crashes of a once-only request that a server fails, and check each report

What callers saw: nothing yet; found by the list of calls into the quarantine. A request on a once-only route that a server answered with a 5xx was cleared of the crashes it had caused elsewhere, although a failing server may not have run it. On other routes only a success clears.

--- a/pkg/relay/buffered.go
+++ b/pkg/relay/buffered.go
@@ -38,7 +38,10 @@
 		s.result = placement.ResultFailed
 		return outcomeFailed, buffered
 	}
-	s.completed()
+	if response.StatusCode < http.StatusInternalServerError {
+		// A failing server may not have run what crashes others.
+		s.completed()
+	}
 	s.writeResponse(buffered)
 	return outcomeDone, nil
 }
--- a/pkg/relay/relay_test.go
+++ b/pkg/relay/relay_test.go
@@ -201,7 +201,9 @@
 	*fake
 	handler    *relay.Handler
 	quarantine *quarantine.Manager
-	server     *httptest.Server
+	// reports records what the handler reports to the quarantine.
+	reports *reportRecorder
+	server  *httptest.Server
 }
 
 func newFixture(t *testing.T, backends ...*backend) *fixture {
@@ -226,7 +228,8 @@
 	options.SettleDelay = 20 * time.Millisecond
 	f.quarantine = quarantine.NewManager(quarantine.ManagerOptions{Core: options, Store: memtable.New(), Clock: clock.RealClock{}})
 	t.Cleanup(f.quarantine.Close)
-	f.handler = relay.NewHandler(relay.Options{Codec: codec{}, Controller: f.fake, Quarantine: f.quarantine, Pool: backendconn.NewPool(),
+	f.reports = &reportRecorder{Manager: f.quarantine}
+	f.handler = relay.NewHandler(relay.Options{Codec: codec{}, Controller: f.fake, Quarantine: f.reports, Pool: backendconn.NewPool(),
 		Metrics: relay.NewMetrics(prometheus.NewRegistry())})
 	f.server = httptest.NewServer(f.handler)
 	t.Cleanup(f.server.Close)
