--- a/coordination/quarantine/manager.go
+++ b/coordination/quarantine/manager.go
@@ -130,7 +130,15 @@
 	return m.core.Check(m.options.Clock.Now(), fingerprint)
 }
 
-// Started records the start of an attempt.
+// Running returns the number of attempts that have started and not ended.
+func (m *Manager) Running() int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return len(m.attempts.running)
+}
+
+// Started records the start of an attempt. It is followed by one call of Resolved,
+// Abandoned or Broken.
 func (m *Manager) Started(a Attempt) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/pkg/daemon/quarantine.go
+++ b/pkg/daemon/quarantine.go
@@ -42,9 +42,15 @@
 		Name: "monsooncrank_quarantine_entries",
 		Help: "Requests in quarantine.",
 	}, func() float64 { return float64(len(q.manager.List())) })
-	if err := registry.Register(size); err != nil {
-		q.close()
-		return nil, errors.Trace(err)
+	running := prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+		Name: "monsooncrank_quarantine_running_attempts",
+		Help: "Attempts at servers that have started and not ended, as the quarantine knows them.",
+	}, func() float64 { return float64(q.manager.Running()) })
+	for _, gauge := range []prometheus.Collector{size, running} {
+		if err := registry.Register(gauge); err != nil {
+			q.close()
+			return nil, errors.Trace(err)
+		}
 	}
 	return q, nil
 }
--- a/pkg/edge/quarantine.go
+++ b/pkg/edge/quarantine.go
@@ -16,6 +16,10 @@
 // to a peer; the rest follows with the next messages.
 const maxQuarantineEntries = 128
 
+// runningAttemptsMetric is the name of the gauge of attempts in progress. It is 0 when
+// no request is in progress; otherwise the end of an attempt was not reported.
+const runningAttemptsMetric = "monsooncrank_quarantine_running_attempts"
+
 // quarantineMetrics holds the metrics of the quarantine.
 type quarantineMetrics struct {
 	changes *prometheus.CounterVec
@@ -53,6 +57,8 @@
 		OnError:  func(err error) { klog.InfoS("failed to read or write quarantine entries", "err", err) },
 		Isolated: s.isolated,
 	})
+	registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: runningAttemptsMetric,
+		Help: "Attempts at servers that have started and not ended, as the quarantine knows them."}, func() float64 { return float64(s.quarantine.Running()) }))
 }
 
 // isolated reports whether this daemon hears from no other daemon.
--- a/pkg/streaming/helpers_test.go
+++ b/pkg/streaming/helpers_test.go
@@ -136,6 +136,8 @@
 type hookedClient struct {
 	*engine.HTTPClient
 	beforeStart, beforeExport, beforeImport func()
+	// startErrors are returned by the first attempts instead of a stream.
+	startErrors []error
 }
 
 func runHook(hook func()) {
@@ -146,6 +148,11 @@
 
 func (c *hookedClient) Start(ctx context.Context, address string, req *engine.Request) (engine.Stream, error) {
 	runHook(c.beforeStart)
+	if len(c.startErrors) > 0 {
+		err := c.startErrors[0]
+		c.startErrors = c.startErrors[1:]
+		return nil, err
+	}
 	return c.HTTPClient.Start(ctx, address, req)
 }
 
--- a/soak/checks.go
+++ b/soak/checks.go
@@ -139,6 +139,7 @@
 		c.check(h)
 	}
 	h.checkLeavingServers()
+	h.checkReportedEnds()
 	h.checkLimits()
 	client := &http.Client{}
 	for _, d := range h.daemons {
--- a/soak/crashes.go
+++ b/soak/crashes.go
@@ -98,6 +98,18 @@
 	}
 }
 
+// checkReportedEnds checks that no daemon has attempts in progress, as its quarantine
+// knows them, while none of its callers has a request in progress.
+func (h *harness) checkReportedEnds() {
+	client := &http.Client{Timeout: time.Second}
+	for _, d := range h.daemons {
+		running, err := metric(client, d.metricsAddress(), "monsooncrank_quarantine_running_attempts")
+		if err != nil || running != 0 {
+			h.addFinding("daemon %s has %g attempts in progress after the last request (error: %v)", d.settings.Node, running, err)
+		}
+	}
+}
+
 // crashSend is one arrival of a crashRequest at a server.
 type crashSend struct {
 	run    standin.Run
--- a/soak/daemon.go
+++ b/soak/daemon.go
@@ -1,12 +1,15 @@
 package soak
 
 import (
+	"io"
 	"math/rand/v2"
 	"net"
+	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
 	"strconv"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -105,6 +108,35 @@
 		UsageWindow: 2 * time.Second}}, nil
 }
 
+// metricsAddress returns the address at which the daemon serves its metrics.
+func (d *daemon) metricsAddress() string {
+	return net.JoinHostPort("127.0.0.1", strconv.Itoa(d.settings.MetricsPort))
+}
+
+// metric reads the value of a gauge or counter without labels.
+func metric(client *http.Client, address, name string) (float64, error) {
+	response, err := client.Get("http://" + address + "/metrics")
+	if err != nil {
+		return 0, err
+	}
+	defer func() { _ = response.Body.Close() }()
+	body, err := io.ReadAll(response.Body)
+	if err != nil {
+		return 0, err
+	}
+	for line := range strings.Lines(string(body)) {
+		if value, found := strings.CutPrefix(line, name+" "); found {
+			return strconv.ParseFloat(strings.TrimSpace(value), 64)
+		}
+	}
+	return 0, &NoMetricError{Name: name}
+}
+
+// NoMetricError reports that a daemon serves no such metric.
+type NoMetricError struct{ Name string }
+
+func (e *NoMetricError) Error() string { return "no metric " + e.Name }
+
 // start writes the settings file and starts the process. Each start has a log
 // file of its own.
 func (d *daemon) start() error {
