--- a/coordination/quarantine/manager_test.go
+++ b/coordination/quarantine/manager_test.go
@@ -161,6 +161,28 @@
 	g.Consistently(crashes(m, "answered"), 50*time.Millisecond).Should(BeZero())
 }
 
+// TestACrashIsFoundWhenAnotherServerHasTakenTheAddress guards against the end of a server
+// that passes for a shutdown because another server, with an ID of its own, accepts
+// connections at its address by the time its entry is removed.
+func TestACrashIsFoundWhenAnotherServerHasTakenTheAddress(t *testing.T) {
+	for _, joinedFirst := range []bool{false, true} {
+		g := NewWithT(t)
+		m := newManager(t, memtable.New(), &servers{}, nil)
+		m.Started(quarantine.Attempt{ID: "a", Request: "a", Fingerprint: "f", Server: "s#1", Address: "address"})
+		m.Abandoned("a", 0)
+		if joinedFirst {
+			m.ServerJoined("other#2", "address")
+		}
+		m.ServerRemoved("s#1", "address")
+		if !joinedFirst {
+			g.Consistently(crashes(m, "f"), 50*time.Millisecond).Should(BeZero())
+			m.ServerJoined("other#2", "address")
+		}
+		g.Eventually(crashes(m, "f")).Should(Equal(1))
+		g.Consistently(crashes(m, "f"), 50*time.Millisecond).Should(Equal(1))
+	}
+}
+
 // TestCrashesOfSeveralDaemonsAddUp guards against daemons that each allow a request
 // to crash servers of their own before one of them refuses it.
 func TestCrashesOfSeveralDaemonsAddUp(t *testing.T) {
