Log the software versions of servers and the streams that callers take up

The entry of a server names the version of its software, and a caller that takes a stream up names the attempt that brought its first event. Neither was read. Both are decoded and logged, with the server's changes, each attempt and each request; nothing is decided on them.

--- a/pkg/edge/state.go
+++ b/pkg/edge/state.go
@@ -196,7 +196,7 @@
 		tell = tell || e.Change != fleet.ServerJoined
 		s.fleetMetrics.changes.WithLabelValues(e.Change.String(), changeSource(source)).Inc()
 		klog.InfoS("server", "server", e.Server.ID, "change", e.Change.String(), "service", e.Server.Service,
-			"address", e.Server.Address, "zone", e.Server.AvailabilityZone, "reclaimable", e.Server.Reclaimable,
+			"address", e.Server.Address, "version", e.Server.Version, "zone", e.Server.AvailabilityZone, "reclaimable", e.Server.Reclaimable,
 			"leavesInMs", e.Server.LeavesIn.Milliseconds(), "fleetVersion", s.fleet.Version(), "fleetAgeMs", s.fleetAge().Milliseconds(), "source", source)
 		s.placement.Handle(*e)
 		s.reportServerChange(e, i+1 < len(events) && events[i+1].Server.ID == e.Server.ID)
--- a/pkg/fleet/fleet.go
+++ b/pkg/fleet/fleet.go
@@ -29,6 +29,8 @@
 	// StartedUnixMilli is the start time in Unix milliseconds. It distinguishes
 	// runs of a server with the same ID.
 	StartedUnixMilli int64 `cbor:"9,keyasint,omitempty"`
+	// Version is the version of the server's software.
+	Version string `cbor:"10,keyasint,omitempty"`
 }
 
 // RunID identifies the run of the server.
@@ -100,6 +102,6 @@
 // digest returns a hash of the state, by which daemons find that they have the same
 // servers.
 func (s *Server) digest() uint64 {
-	return xxhash.Sum64String(fmt.Sprintf("%q %q %q %q %d %t %t %d", s.ID, s.Service, s.Address, s.AvailabilityZone, s.Slots, s.Leaving,
-		s.Reclaimable, s.StartedUnixMilli))
+	return xxhash.Sum64String(fmt.Sprintf("%q %q %q %q %d %t %t %d %q", s.ID, s.Service, s.Address, s.AvailabilityZone, s.Slots, s.Leaving,
+		s.Reclaimable, s.StartedUnixMilli, s.Version))
 }
--- a/pkg/relay/handler.go
+++ b/pkg/relay/handler.go
@@ -331,7 +331,7 @@
 	x.handler.metrics.requests.WithLabelValues(kind, strconv.Itoa(x.status)).Inc()
 	x.handler.metrics.duration.WithLabelValues(kind).Observe(took.Seconds())
 	klog.InfoS("request", "request", x.ID, "fingerprint", x.fingerprint.Short(), "pathFingerprint", x.pathFingerprint.Short(), "route", route, "account", x.accountName(), "configuration", x.configVersion,
-		"status", x.status, "cause", x.cause, "ran", x.mayHaveRun, "attempts", x.attempts, "event", x.lastSentEventID,
+		"status", x.status, "cause", x.cause, "ran", x.mayHaveRun, "attempts", x.attempts, "event", x.lastSentEventID, "resumes", x.ResumedID, "resumesAfter", x.LastEventID,
 		"tookMs", took.Milliseconds(), "leftMs", timeLeft.Milliseconds())
 }
 
--- a/pkg/relay/run.go
+++ b/pkg/relay/run.go
@@ -71,7 +71,7 @@
 		x.attempts++
 		x.firstPartAfter = -time.Millisecond
 		result, failure := x.attempt(&decision)
-		klog.InfoS("attempt", "request", x.ID, "attempt", x.attempts, "server", decision.Server.ID,
+		klog.InfoS("attempt", "request", x.ID, "attempt", x.attempts, "server", decision.Server.ID, "version", decision.Server.Version,
 			"zone", decision.Server.AvailabilityZone, "service", x.service, "outcome", result.String(),
 			"expectedMs", decision.ExpectedWait.Milliseconds(), "firstMs", x.firstPartAfter.Milliseconds(), "cached", decision.CachedTokens, "candidates", decision.Candidates, "limited", decision.Limited,
 			"loadAgeMs", decision.LoadAge.Milliseconds(), "fleetVersion", decision.FleetVersion,
--- a/pkg/relay/types.go
+++ b/pkg/relay/types.go
@@ -42,8 +42,9 @@
 	OutputTokens          int
 	EstimatedOutputTokens int
 	// LastEventID is the last event that the caller received, if it resumes a
-	// stream.
+	// stream, and ResumedID the ID of its attempt that brought the first event.
 	LastEventID string
+	ResumedID   string
 }
 
 // Attempt holds what a Codec adds to a request for one attempt at a
