Show the fault on ORDER: servers of several software versions in the soak

The stand-in's servers have a software version, which may be another one after a restart under the same ID, and name it in their events. Callers of the soak take streams up at any daemon when they break off, up to three times, naming the attempt that brought the first event. The soak checks the two rules of the users: no more than two streams with events of two versions, and of 12 or more streams taken up at daemons in touch, while two servers of their version serve, at least half of the share that new streams have.

--- a/soak/checks.go
+++ b/soak/checks.go
@@ -37,20 +37,27 @@
 				d = h.daemons[random.IntN(len(h.daemons))]
 			}
 		}
-		path := []string{"/once/", "/once/", "/look/", "/stream/resumable/", "/stream/once/"}[random.IntN(5)]
-		h.sendRequest(client, d, fmt.Sprintf("%d-%d-%d", h.options.Seed, callerIndex, n), path)
+		path := []string{"/once/", "/once/", "/look/", resumablePath, "/stream/once/"}[random.IntN(5)]
+		id := fmt.Sprintf("%d-%d-%d", h.options.Seed, callerIndex, n)
+		if path == resumablePath {
+			h.runStream(client, random, d, id)
+		} else {
+			h.checkAnswer(id, path, h.send(client, d, path, standin.Request{ID: id}))
+		}
 		time.Sleep(time.Duration(random.IntN(60)) * time.Millisecond)
 	}
 }
 
-// sendRequest sends one attempt and checks its answer.
-func (h *harness) sendRequest(client *http.Client, d *daemon, id, path string) {
+// send sends one attempt to a daemon and checks what does not depend on its answer's
+// content.
+func (h *harness) send(client *http.Client, d *daemon, path string, request standin.Request) standin.Response {
+	id := request.ID
 	starts, stoppingAt := d.state()
 	h.mu.Lock()
 	h.receivers[id] = d
 	h.mu.Unlock()
-	reply := standin.Send(context.Background(), client, standin.Request{ID: id, Address: d.settings.Front, Host: hostName, Path: path + "x",
-		Key: apiKey, Deadline: requestDeadline})
+	request.Address, request.Host, request.Path, request.Key, request.Deadline = d.settings.Front, hostName, path+"x", apiKey, requestDeadline
+	reply := standin.Send(context.Background(), client, request)
 	h.mu.Lock()
 	h.sent++
 	if reply.Err == nil && reply.Status == http.StatusOK {
@@ -58,11 +65,11 @@
 	}
 	h.mu.Unlock()
 	h.recordLimit(d, reply)
-	h.checkAnswer(id, path, reply)
 	h.checkRefusal(id, reply)
 	if h.planned {
 		h.checkNotInterrupted(d, id, path, starts, stoppingAt, reply)
 	}
+	return reply
 }
 
 // checkAnswer checks that a successful answer is complete and belongs to the
@@ -77,13 +84,7 @@
 		}
 		return
 	}
-	var expected strings.Builder
-	for n := 1; n <= 12; n++ {
-		expected.WriteString(standin.StreamEvent(id, n))
-	}
-	if reply.Body != expected.String() {
-		h.addFinding("stream %s ended as complete with %d of %d bytes", id, len(reply.Body), expected.Len())
-	}
+	h.checkEvents(id, 0, reply)
 }
 
 // checkRefusal checks that a once-only request did not run if its answer says
@@ -140,6 +141,7 @@
 	}
 	h.checkLeavingServers()
 	h.checkReportedEnds()
+	h.checkStreams()
 	h.checkLimits()
 	client := &http.Client{}
 	for _, d := range h.daemons {
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -104,6 +104,17 @@
 	running.Wait()
 }
 
+// killInTurn kills one daemon after the other and starts each again at once.
+func (h *harness) killInTurn(ctx context.Context, pause time.Duration) {
+	for i := 0; ; i++ {
+		sleep(ctx, pause)
+		if ctx.Err() != nil {
+			return
+		}
+		h.restart(h.daemons[i%len(h.daemons)], syscall.SIGKILL)
+	}
+}
+
 // stopping returns the number of daemons that are being stopped.
 func (h *harness) stopping() int {
 	n := 0
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -44,7 +44,14 @@
 	// StoreAwayUntil is how long the store answers nothing from the start of the
 	// requests on.
 	StoreAwayUntil time.Duration
-	// NoFaults leaves out all faults but the crash requests and RestartAllAt.
+	// Versions is the number of software versions of the servers; the default is 1.
+	Versions int
+	// CutAnswers is the share of the answers that each server breaks off.
+	CutAnswers float64
+	// KillEvery is the time after which the next daemon is killed and started again; 0
+	// means never.
+	KillEvery time.Duration
+	// NoFaults leaves out all faults but those of the options above and RestartAllAt.
 	NoFaults bool
 	// LimitedServers is the number of servers that state a request limit of one a
 	// second throughout the run.
@@ -98,9 +105,16 @@
 	// holds the publication time of each version.
 	version     int
 	publishedAt []time.Time
-	findings    []string
-	sent        int
-	succeeded   int
+	// streamTries holds the tries of streams that may be taken up, and mixedStreams those
+	// that hold events of several software versions.
+	streamTries  []streamTry
+	mixedStreams []string
+	// resumedTries counts the tries to take a stream up at daemons in touch, while servers
+	// of its version served, and resumed those that went on.
+	resumed, resumedTries int
+	findings              []string
+	sent                  int
+	succeeded             int
 }
 
 // Report holds the results of a run: the requests that callers sent, those that
@@ -110,7 +124,10 @@
 	Planned   bool
 	Sent      int
 	Succeeded int
-	Findings  []string
+	// Resumed is the number of streams that went on, of ResumedTries that were taken up
+	// while this was to be expected.
+	Resumed, ResumedTries int
+	Findings              []string
 }
 
 // Run executes the run of one seed. Seeds divisible by 3 have planned stops and
@@ -150,6 +167,12 @@
 			h.storeFault(ctx, standin.Faults{Status: http.StatusServiceUnavailable}, h.options.StoreAwayUntil)
 		})
 	}
+	for _, s := range h.allServers {
+		s.SetFaults(standin.ServerFaults{Cut: h.options.CutAnswers})
+	}
+	if h.options.KillEvery > 0 {
+		running.Go(func() { h.killInTurn(ctx, h.options.KillEvery) })
+	}
 	for _, at := range h.options.RestartAllAt {
 		running.Go(func() {
 			sleep(ctx, at)
@@ -168,7 +191,7 @@
 func (h *harness) report() Report {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return Report{Seed: h.options.Seed, Planned: h.planned, Sent: h.sent, Succeeded: h.succeeded, Findings: h.findings}
+	return Report{Seed: h.options.Seed, Planned: h.planned, Sent: h.sent, Succeeded: h.succeeded, Resumed: h.resumed, ResumedTries: h.resumedTries, Findings: h.findings}
 }
 
 // addFinding records a violated guarantee.
@@ -259,6 +282,8 @@
 	}
 	s := &standin.Server{ID: id, Service: service, Zone: zone, WorkTime: 15 * time.Millisecond, EventCount: 12, Address: address,
 		DownTime: minDownTime + time.Duration(number)*downTimeStep%(maxDownTime-minDownTime)}
+	s.Version = h.versionOf(number)
+	s.NextVersion = func() string { return h.versionOf(rand.IntN(max(h.options.Versions, 1)) * servicesCount) }
 	s.OnDown = func(down bool) {
 		if err := h.proxy(id).Refuse(down); err != nil {
 			h.addFinding("proxy of server %s failed to listen again: %v", id, err)
@@ -293,6 +318,14 @@
 	return proxy, proxy.Refuse(false)
 }
 
+// servicesCount is the number of services, whose servers are started in turn.
+const servicesCount = 2
+
+// versionOf returns the software version of a server by its number.
+func (h *harness) versionOf(number int) string {
+	return fmt.Sprint("v", number/servicesCount%max(h.options.Versions, 1)+1)
+}
+
 // downTimeStep makes the down times of servers differ.
 const downTimeStep = 700 * time.Millisecond
 
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -91,6 +91,14 @@
 		StoreAwayUntil: 2 * time.Second, Duration: 16 * time.Second, NoFaults: true})
 }
 
+// TestStreamsGoOnAtTheVersionThatBeganThem guards against streams that hold events from
+// servers of two software versions, in one answer or over the tries of their caller, and
+// against streams that are refused for want of knowing their version.
+func TestStreamsGoOnAtTheVersionThatBeganThem(t *testing.T) {
+	runSeed(t, soak.Options{Seed: 1, Binary: buildDaemon(t), Daemons: 7, Servers: 6, Callers: 28, Versions: 2, NoFaults: true,
+		CutAnswers: 0.3, KillEvery: 1500 * time.Millisecond, Duration: 12 * time.Second})
+}
+
 // TestServersInNeedGetNoMoreThanTheirLimit guards against daemons that each keep the
 // request limit of a server, or none, so that it gets more than that from all of them.
 func TestServersInNeedGetNoMoreThanTheirLimit(t *testing.T) {
@@ -127,7 +135,8 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	t.Logf("seed %d: planned %t, %d requests sent, %d succeeded", seed, report.Planned, report.Sent, report.Succeeded)
+	t.Logf("seed %d: planned %t, %d requests sent, %d succeeded, %d of %d streams taken up went on", seed, report.Planned, report.Sent, report.Succeeded,
+		report.Resumed, report.ResumedTries)
 	for _, finding := range report.Findings {
 		t.Errorf("seed %d: %s", seed, finding)
 	}
--- /dev/null
+++ b/soak/streams.go
@@ -0,0 +1,137 @@
+package soak
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/monsooncrank/monsooncrank/platform/standin"
+)
+
+const (
+	// resumablePath is the path of streams that may be taken up.
+	resumablePath = "/stream/resumable/"
+	// streamEvents is the number of events of a stream.
+	streamEvents = 12
+	// maxTries is how often the caller of a stream sends it.
+	maxTries = 4
+	// allowedMixed is the number of streams of a run that may hold events of two versions.
+	allowedMixed = 2
+	// minResumed is the number of streams taken up from which on their share is checked,
+	// and minSameVersion that of the servers of their version.
+	minResumed     = 12
+	minSameVersion = 2
+)
+
+// streamTry is one try of a caller to begin a stream or to take it up.
+type streamTry struct {
+	daemon  *daemon
+	at      time.Time
+	resumes bool
+	// progressed is set if the try brought an event.
+	progressed bool
+	// servers is the number of servers of the stream's version that served at the begin
+	// and at the end of the try, whichever is less.
+	servers int
+}
+
+// runStream sends a stream, takes it up at any daemon when it breaks off, and records
+// what came of each try.
+func (h *harness) runStream(client *http.Client, random *rand.Rand, d *daemon, id string) {
+	var versions []string
+	request := standin.Request{ID: id}
+	for try := range maxTries {
+		if try > 0 {
+			request.ID = fmt.Sprintf("%s-%d", id, try)
+			d = h.daemons[random.IntN(len(h.daemons))]
+		}
+		request.LastEventID = strconv.Itoa(len(versions))
+		t := streamTry{daemon: d, at: time.Now(), resumes: len(versions) > 0}
+		if t.resumes {
+			t.servers = h.servingAt(versions[0])
+		}
+		reply := h.send(client, d, resumablePath, request)
+		got := h.checkEvents(request.ID, len(versions), reply)
+		t.progressed = len(got) > 0
+		if t.resumes {
+			t.servers = min(t.servers, h.servingAt(versions[0]))
+		} else if t.progressed {
+			request.Resumes = request.ID
+		}
+		versions = append(versions, got...)
+		h.mu.Lock()
+		h.streamTries = append(h.streamTries, t)
+		h.mu.Unlock()
+		if reply.Err == nil && reply.Status == http.StatusOK {
+			break
+		}
+		time.Sleep(time.Duration(20+random.IntN(100)) * time.Millisecond)
+	}
+	if distinct := slices.Compact(slices.Sorted(slices.Values(versions))); len(distinct) > 1 {
+		h.mu.Lock()
+		defer h.mu.Unlock()
+		h.mixedStreams = append(h.mixedStreams, fmt.Sprintf("%s %v", id, versions))
+	}
+}
+
+// checkEvents checks the events of an answer to a stream that goes on after the given
+// number of events, and returns the versions of their servers.
+func (h *harness) checkEvents(id string, after int, reply standin.Response) []string {
+	if reply.Status != http.StatusOK {
+		return nil
+	}
+	versions, expected := standin.EventVersions(reply.Body), ""
+	for i, version := range versions {
+		expected += standin.StreamEvent(id, after+i+1, version)
+	}
+	complete := reply.Err == nil
+	if reply.Body[:min(len(expected), len(reply.Body))] != expected || complete && (reply.Body != expected || after+len(versions) != streamEvents) {
+		h.addFinding("stream %s after event %d got unexpected events (complete: %t): %.300q", id, after, complete, reply.Body)
+	}
+	return versions
+}
+
+// servingAt returns the number of servers of a version that accept streams.
+func (h *harness) servingAt(version string) int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	n := 0
+	for _, s := range h.servers {
+		if s.Service == "models" && s.Serves(version) {
+			n++
+		}
+	}
+	return n
+}
+
+// checkStreams checks that streams hold events of one version only, and that streams
+// which are taken up are not refused much more often than new ones.
+func (h *harness) checkStreams() {
+	if len(h.mixedStreams) > allowedMixed {
+		h.addFinding("%d streams hold events of two software versions, such as %s", len(h.mixedStreams), h.mixedStreams[0])
+	}
+	var begun, begunTries, resumed, resumedTries float64
+	for i := range h.streamTries {
+		t := &h.streamTries[i]
+		if !h.inTouch(t.daemon, t.at) {
+			continue
+		}
+		progressed := 0.0
+		if t.progressed {
+			progressed = 1
+		}
+		switch {
+		case !t.resumes:
+			begun, begunTries = begun+progressed, begunTries+1
+		case t.servers >= minSameVersion:
+			resumed, resumedTries = resumed+progressed, resumedTries+1
+		}
+	}
+	h.resumed, h.resumedTries = int(resumed), int(resumedTries)
+	if resumedTries >= minResumed && begunTries > 0 && resumed/resumedTries < begun/begunTries/2 {
+		h.addFinding("of %g streams taken up %g went on, of %g new ones %g began", resumedTries, resumed, begunTries, begun)
+	}
+}
