--- a/pkg/catalog/catalog.go
+++ b/pkg/catalog/catalog.go
@@ -77,6 +77,11 @@
 	return r.Kind == KindIdempotent || r.Kind == KindStream && r.Resumable
 }
 
+// Allows reports whether requests of the route may be sent to a service.
+func (r *Route) Allows(service string) bool {
+	return slices.ContainsFunc(r.Split, func(s Share) bool { return s.Service == service && s.Weight > 0 })
+}
+
 // ServiceFor returns the service that a request is sent to, according to the
 // weights in Split. The parameter point is uniformly distributed in [0, 1); the
 // same point always yields the same service.
--- a/pkg/edge/daemon.go
+++ b/pkg/edge/daemon.go
@@ -90,9 +90,11 @@
 	d.registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	d.state.fleetMetrics.register(d.registry)
 	d.registry.MustRegister(d.state.limitMetrics.changes, d.state.limitMetrics.active)
+	d.state.streamMetrics.register(d.registry)
 	d.state.startQuarantine(o.Platform, d.registry)
 	d.front = relay.NewHandler(relay.Options{Codec: o.Codec, Controller: d.state, Quarantine: d.state.quarantine, Pool: pool, Metrics: relay.NewMetrics(d.registry)})
 	d.peerPool = peer.NewPool(peer.PoolOptions{})
+	d.state.callPeer = d.peerPool.Streams
 	server, err := peer.NewServer(peer.ServerOptions{Address: o.Settings.PeerAddress, PlatformEndsTLS: true}, d.peerHandlers())
 	if err != nil {
 		return nil, errors.Trace(err)
@@ -116,7 +118,7 @@
 	if err != nil {
 		return err
 	}
-	for _, loop := range []func(context.Context){d.followCatalog, d.followServers, d.register, d.exchangeLoop, d.maintenanceLoop} {
+	for _, loop := range []func(context.Context){d.followCatalog, d.followServers, d.register, d.exchangeLoop, d.state.copyStreams, d.maintenanceLoop} {
 		running.Go(func() { loop(ctx) })
 	}
 	dutiesCtx, stopDuties := context.WithCancel(ctx)
--- a/pkg/edge/exchange.go
+++ b/pkg/edge/exchange.go
@@ -68,6 +68,7 @@
 	m.Quarantine, m.QuarantineSpan = s.quarantine.EntriesFor(node, neighbor.Quarantine.Acknowledged, !s.peers.IsFullMesh(), maxQuarantineEntries)
 	m.LimitsReceived = neighbor.Limits.Received
 	m.Limits, m.LimitsSpan = s.limits.EntriesFor(node, neighbor.Limits.Acknowledged)
+	m.Versions = s.streams.History(now)
 	if s.catalog != nil {
 		m.CatalogVersion = s.catalog.Version
 		if s.shouldSendCatalog(now, node, neighbor.CatalogVersion) {
@@ -154,6 +155,10 @@
 	s.quota.SetStaleness(s.peers.MaxStaleness())
 	s.applyFleet(m, requestedAt)
 	s.applyLimits(m)
+	s.confirmVersions()
+	if !requestedAt.IsZero() {
+		s.streams.MergeHistory(bootNow(), requestedAt, &m.Versions)
+	}
 }
 
 // decompressCatalog decodes a configuration received from a peer.
@@ -245,6 +250,7 @@
 		s.urgentPeers = nil
 		s.applyServerEvents(s.fleet.RemoveExpired(bootNow()), "grace period")
 		s.refreshLimitMembers(bootNow())
+		s.confirmVersions()
 		s.mu.Unlock()
 		for i := range due {
 			go d.exchange(ctx, due[i])
@@ -312,4 +318,6 @@
 }
 
 // peerHandlers returns the handlers for calls from peers.
-func (d *Daemon) peerHandlers() peer.Handlers { return peer.Handlers{Fetch: d.handleExchange} }
+func (d *Daemon) peerHandlers() peer.Handlers {
+	return peer.Handlers{Fetch: d.handleExchange, Streams: d.state.handleStreams}
+}
--- a/pkg/edge/state.go
+++ b/pkg/edge/state.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"context"
 	"sync"
 	"time"
 
@@ -16,6 +17,7 @@
 	"github.com/monsooncrank/monsooncrank/pkg/placement"
 	"github.com/monsooncrank/monsooncrank/pkg/quota"
 	"github.com/monsooncrank/monsooncrank/pkg/serverlimit"
+	"github.com/monsooncrank/monsooncrank/pkg/streamversion"
 	"github.com/monsooncrank/monsooncrank/pkg/usage"
 )
 
@@ -46,19 +48,23 @@
 	startedAt   time.Time
 	pool        *backendconn.Pool
 
-	mu           sync.Mutex
-	catalog      *catalog.Catalog
-	fleet        *fleet.Core
-	placement    *placement.Core
-	quota        *quota.Core
-	usage        *usage.Core
-	peers        *mesh.Directory
-	limits       *serverlimit.Core
-	fleetMetrics *fleetMetrics
-	limitMetrics *limitMetrics
-	quarantine   *quarantine.Manager
-	retryBudgets map[string]*retry.Window
-	storeUp      bool
+	mu        sync.Mutex
+	catalog   *catalog.Catalog
+	fleet     *fleet.Core
+	placement *placement.Core
+	quota     *quota.Core
+	usage     *usage.Core
+	peers     *mesh.Directory
+	limits    *serverlimit.Core
+	streams   *streamversion.Core
+	// callPeer sends a message about streams to a peer and returns its reply.
+	callPeer      func(ctx context.Context, address string, payload []byte) ([]byte, error)
+	fleetMetrics  *fleetMetrics
+	limitMetrics  *limitMetrics
+	streamMetrics *streamMetrics
+	quarantine    *quarantine.Manager
+	retryBudgets  map[string]*retry.Window
+	storeUp       bool
 	// serversReadAt is when the store last confirmed the view to this daemon, and
 	// serversListedAt when this daemon last read all entries.
 	serversReadAt   time.Time
@@ -105,12 +111,14 @@
 		usage:       usage.New(settings.UsageWindow),
 		peers: mesh.NewDirectory(settings.Node, settings.Cores, mesh.Options{Interval: exchangeInterval, LeafInterval: leafInterval,
 			PeerExpiry: peerExpiry, FullMeshLimit: fullMeshLimit, HubCount: hubCount}),
-		limits:       serverlimit.New(time.Now(), settings.Node, incarnation),
-		fleetMetrics: newFleetMetrics(),
-		limitMetrics: newLimitMetrics(),
-		retryBudgets: make(map[string]*retry.Window),
-		catalogLag:   make(map[string]catalogLag),
-		exchangeWake: make(chan struct{}, 1),
+		limits:        serverlimit.New(time.Now(), settings.Node, incarnation),
+		streams:       streamversion.New(settings.Node, settings.AvailabilityZone, incarnation),
+		fleetMetrics:  newFleetMetrics(),
+		limitMetrics:  newLimitMetrics(),
+		streamMetrics: newStreamMetrics(),
+		retryBudgets:  make(map[string]*retry.Window),
+		catalogLag:    make(map[string]catalogLag),
+		exchangeWake:  make(chan struct{}, 1),
 	}
 }
 
@@ -168,6 +176,7 @@
 		limits[a.Name] = quota.Limit{Rate: a.Rate, Burst: a.Burst}
 	}
 	s.quota.SetLimits(bootNow(), limits)
+	s.streams.SetStreamAge(streamAge(c))
 	for name, service := range c.Services {
 		if service.Engine != nil {
 			s.placement.SetEngine(name, service.Engine.Slots, service.Engine.KVCapacityTokens)
@@ -199,6 +208,7 @@
 			"address", e.Server.Address, "version", e.Server.Version, "zone", e.Server.AvailabilityZone, "reclaimable", e.Server.Reclaimable,
 			"leavesInMs", e.Server.LeavesIn.Milliseconds(), "fleetVersion", s.fleet.Version(), "fleetAgeMs", s.fleetAge().Milliseconds(), "source", source)
 		s.placement.Handle(*e)
+		s.streams.HandleServer(bootNow(), e)
 		s.reportServerChange(e, i+1 < len(events) && events[i+1].Server.ID == e.Server.ID)
 		if e.Change != fleet.ServerJoined {
 			s.pool.CloseIdle(e.Server.ID)
--- a/pkg/edge/store.go
+++ b/pkg/edge/store.go
@@ -136,6 +136,7 @@
 	Incarnation uint64 `json:"incarnation"`
 	// Cores is the number of CPU cores available to the daemon.
 	Cores float64 `json:"cores"`
+	Zone  string  `json:"zone"`
 	// Refreshed counts the refreshes, so that each one writes a different value.
 	Refreshed uint64 `json:"refreshed"`
 }
@@ -167,8 +168,8 @@
 	}
 	own := table.Key{Partition: daemonPartition, Sort: d.settings.Node}
 	var version uint64
-	var row daemonRow
 	for _, item := range items {
+		var row daemonRow
 		if item.Key == own {
 			version = item.Version
 		}
@@ -183,7 +184,7 @@
 		return nil
 	}
 	// Marshal cannot fail for strings and finite numbers.
-	value, _ := json.Marshal(daemonRow{Address: d.settings.PeerAddress, Incarnation: d.state.incarnation, Cores: d.settings.Cores, Refreshed: refreshed})
+	value, _ := json.Marshal(daemonRow{Address: d.settings.PeerAddress, Incarnation: d.state.incarnation, Cores: d.settings.Cores, Zone: d.settings.AvailabilityZone, Refreshed: refreshed})
 	err = d.platform.Transact(ctx, []table.Write{{Key: own, Version: version, Value: value}})
 	if err == nil {
 		d.refreshedAt = time.Now()
@@ -198,6 +199,7 @@
 	defer s.mu.Unlock()
 	if s.peers.UpdateEntry(bootNow(), node, row.Address, row.Cores, version) {
 		s.quota.AddPeer(node)
+		s.peers.SetZone(node, row.Zone)
 	}
 }
 
--- /dev/null
+++ b/pkg/edge/streams.go
@@ -0,0 +1,237 @@
+package edge
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"k8s.io/klog/v2"
+
+	"github.com/monsooncrank/monsooncrank/pkg/catalog"
+	"github.com/monsooncrank/monsooncrank/pkg/fleet"
+	"github.com/monsooncrank/monsooncrank/pkg/mesh"
+	"github.com/monsooncrank/monsooncrank/pkg/streamversion"
+)
+
+const (
+	// copyInterval is how often records of streams are copied to their holders. A daemon
+	// that is killed takes the records of this time with it.
+	copyInterval = 200 * time.Millisecond
+	// copyTimeout is the timeout of one copy.
+	copyTimeout = 400 * time.Millisecond
+	// lookupTimeout is the timeout of each of the two rounds in which daemons are asked
+	// for the origin of a stream. It is many times the round trip between zones.
+	lookupTimeout = 200 * time.Millisecond
+	// timeoutsPerStream is how many timeouts of its route a stream may last over all tries
+	// of its caller.
+	timeoutsPerStream = 2
+	// minStreamAge is the least time for which the origin of a stream is kept.
+	minStreamAge = 10 * time.Second
+)
+
+// streamMetrics counts where the origins of streams that callers take up come from.
+type streamMetrics struct{ origins *prometheus.CounterVec }
+
+func newStreamMetrics() *streamMetrics {
+	return &streamMetrics{origins: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "monsooncrank_stream_origins_total",
+		Help: "Streams that callers have taken up, by where the version that began them is known from."}, []string{"source"})}
+}
+
+func (m *streamMetrics) register(registry prometheus.Registerer) { registry.MustRegister(m.origins) }
+
+// Sources of the origin of a stream.
+const (
+	originRecorded = "record"
+	originOnly     = "only version"
+	originPeer     = "peer"
+	originUnknown  = "unknown"
+)
+
+// streamAge returns how long after its begin a stream may be taken up.
+func streamAge(c *catalog.Catalog) time.Duration {
+	age := minStreamAge
+	for _, r := range c.Routes {
+		if r.Kind == catalog.KindStream && r.Resumable {
+			age = max(age, timeoutsPerStream*r.Timeout)
+		}
+	}
+	return age
+}
+
+// confirmVersions records when the view of the servers was last complete.
+func (s *state) confirmVersions() {
+	if age := s.fleetAge(); age >= 0 {
+		s.streams.Confirmed(bootNow().Add(-age))
+	}
+}
+
+// StreamBegan records the server that began a stream.
+func (s *state) StreamBegan(stream string, server *fleet.Server) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.streams.Began(bootNow(), time.Now(), stream, server)
+}
+
+// StreamOrigin returns the origin of a stream that a caller takes up. It asks the other
+// daemons if this one does not know it: first those in its own AvailabilityZone, to which
+// callers usually return, then all others.
+func (s *state) StreamOrigin(ctx context.Context, request, service, stream string) (streamversion.Origin, bool) {
+	startedAt := time.Now()
+	origin, source := s.knownOrigin(service, stream)
+	asked, from := 0, ""
+	if source == originUnknown && stream != "" {
+		near, far := s.lookupPeers()
+		for _, peers := range [][]mesh.Peer{near, far} {
+			asked += len(peers)
+			var found bool
+			if origin, from, found = s.askForOrigin(ctx, peers, stream); found {
+				source = originPeer
+				s.mu.Lock()
+				s.streams.Learned(bootNow(), stream, origin)
+				s.mu.Unlock()
+				break
+			}
+		}
+	}
+	s.streamMetrics.origins.WithLabelValues(source).Inc()
+	klog.InfoS("stream taken up", "request", request, "stream", stream, "source", source, "from", from, "service", origin.Service,
+		"version", origin.Version, "asked", asked, "tookMs", time.Since(startedAt).Milliseconds())
+	return origin, source != originUnknown
+}
+
+// knownOrigin returns the origin of a stream as far as this daemon knows it by itself.
+func (s *state) knownOrigin(service, stream string) (streamversion.Origin, string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := bootNow()
+	if origin, ok := s.streams.Recorded(now, stream); ok && stream != "" {
+		return origin, originRecorded
+	}
+	if version, ok := s.streams.OnlyVersion(now, service); ok {
+		return streamversion.Origin{Service: service, Version: version}, originOnly
+	}
+	return streamversion.Origin{}, originUnknown
+}
+
+// lookupPeers returns the daemons in this one's zone and all others.
+func (s *state) lookupPeers() (near, far []mesh.Peer) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, p := range s.peers.Alive(bootNow(), memberMaxAge) {
+		if p.Zone == s.settings.AvailabilityZone {
+			near = append(near, p)
+		} else {
+			far = append(far, p)
+		}
+	}
+	return near, far
+}
+
+// askForOrigin asks daemons for the origin of a stream and returns the first answer that
+// holds it, with the daemon that gave it.
+func (s *state) askForOrigin(ctx context.Context, peers []mesh.Peer, stream string) (streamversion.Origin, string, bool) {
+	type answer struct {
+		origin streamversion.Origin
+		from   string
+		found  bool
+	}
+	ctx, cancel := context.WithTimeout(ctx, lookupTimeout)
+	defer cancel()
+	answers := make(chan answer, len(peers))
+	lookup := streamversion.LookupOf(stream)
+	for _, p := range peers {
+		go func() {
+			reply, err := s.exchangeStreams(ctx, &p, &lookup)
+			if err != nil {
+				answers <- answer{}
+				return
+			}
+			origin, found := reply.OriginOf(stream)
+			answers <- answer{origin: origin, from: p.Node, found: found}
+		}()
+	}
+	for range peers {
+		if a := <-answers; a.found {
+			return a.origin, a.from, true
+		}
+	}
+	return streamversion.Origin{}, "", false
+}
+
+// exchangeStreams sends a message about streams to a daemon and returns its reply.
+func (s *state) exchangeStreams(ctx context.Context, p *mesh.Peer, m *streamversion.Message) (*streamversion.Reply, error) {
+	payload, err := streamversion.Encode(m)
+	if err != nil {
+		return nil, err
+	}
+	answer, err := s.callPeer(ctx, p.Address, payload)
+	if err != nil {
+		klog.V(1).InfoS("message about streams failed", "peer", p.Node, "err", err)
+		return nil, err
+	}
+	return streamversion.Decode[streamversion.Reply](answer)
+}
+
+// handleStreams handles a message about streams from another daemon.
+func (s *state) handleStreams(_ context.Context, payload []byte) ([]byte, error) {
+	m, err := streamversion.Decode[streamversion.Message](payload)
+	if err != nil {
+		return nil, err
+	}
+	s.mu.Lock()
+	reply := s.streams.Handle(bootNow(), m)
+	s.mu.Unlock()
+	return streamversion.Encode(&reply)
+}
+
+// copyStreams copies the records of this daemon's streams to their holders until the
+// context ends.
+func (s *state) copyStreams(ctx context.Context) {
+	tick := time.NewTicker(copyInterval)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+			s.copyStreamsOnce(ctx)
+		}
+	}
+}
+
+// copyStreamsOnce sends each holder the records that it lacks.
+func (s *state) copyStreamsOnce(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, copyTimeout)
+	defer cancel()
+	s.mu.Lock()
+	now := bootNow()
+	peers := make(map[string]mesh.Peer)
+	var members []streamversion.Member
+	for _, p := range s.peers.Alive(now, memberMaxAge) {
+		peers[p.Node] = p
+		members = append(members, streamversion.Member{Node: p.Node, Zone: p.Zone, Run: p.Record.Incarnation})
+	}
+	s.streams.SetMembers(members)
+	batches := make(map[string]streamversion.Batch)
+	for _, node := range s.streams.Holders() {
+		if batch, ok := s.streams.BatchFor(now, node); ok {
+			batches[node] = batch
+		}
+	}
+	s.mu.Unlock()
+	var running sync.WaitGroup
+	for node, batch := range batches {
+		running.Go(func() {
+			p := peers[node]
+			reply, err := s.exchangeStreams(ctx, &p, &streamversion.Message{Batch: batch})
+			if err != nil {
+				return
+			}
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			s.streams.Acknowledged(node, reply.Run, &batch)
+		})
+	}
+	running.Wait()
+}
--- /dev/null
+++ b/pkg/edge/streams_test.go
@@ -0,0 +1,181 @@
+package edge
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/onsi/gomega"
+
+	"github.com/monsooncrank/monsooncrank/pkg/catalog"
+	"github.com/monsooncrank/monsooncrank/pkg/fleet"
+	"github.com/monsooncrank/monsooncrank/pkg/mesh"
+)
+
+func milliseconds(n int) time.Duration { return time.Duration(n) * time.Millisecond }
+
+// streamNetwork connects the states of daemons, by their node names as addresses.
+type streamNetwork struct {
+	mu      sync.Mutex
+	daemons map[string]*state
+	// calls counts the messages to each daemon.
+	calls map[string]int
+}
+
+func newStreamNetwork() *streamNetwork {
+	return &streamNetwork{daemons: make(map[string]*state), calls: make(map[string]int)}
+}
+
+// add adds a daemon that knows all others.
+func (n *streamNetwork) add(t *testing.T, node, zone string) *state {
+	own := settings
+	own.Node, own.AvailabilityZone = node, zone
+	s := newStateOf(t, own)
+	s.callPeer = func(ctx context.Context, address string, payload []byte) ([]byte, error) {
+		n.mu.Lock()
+		to, ok := n.daemons[address]
+		n.calls[address]++
+		n.mu.Unlock()
+		if !ok {
+			return nil, errors.New("no daemon")
+		}
+		return to.handleStreams(ctx, payload)
+	}
+	n.daemons[node] = s
+	for name, other := range n.daemons {
+		if name != node {
+			n.meet(s, other)
+			n.meet(other, s)
+		}
+	}
+	return s
+}
+
+// kill ends daemons.
+func (n *streamNetwork) kill(nodes ...string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, node := range nodes {
+		delete(n.daemons, node)
+	}
+}
+
+// called returns the number of daemons that were called since the last time.
+func (n *streamNetwork) called() int {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	called := len(n.calls)
+	clear(n.calls)
+	return called
+}
+
+// meet lets a daemon know another one.
+func (n *streamNetwork) meet(s, other *state) {
+	node := other.settings.Node
+	s.peers.UpdateEntry(bootNow(), node, node, 1, 1)
+	s.peers.SetZone(node, other.settings.AvailabilityZone)
+	s.peers.MergeRecord(bootNow(), &mesh.Record{Node: node, Incarnation: other.incarnation, Sequence: 1})
+}
+
+// TestAStreamThatIsTakenUpElsewhereKeepsItsVersion guards against a daemon that does not
+// find out which version began a stream, because another daemon passed its events on, also
+// when that one has been killed since, and against asking all daemons when one near knows.
+func TestAStreamThatIsTakenUpElsewhereKeepsItsVersion(t *testing.T) {
+	g := gomega.NewWithT(t)
+	n := newStreamNetwork()
+	first := n.add(t, "first", "zone-1")
+	for i := range 8 {
+		n.add(t, fmt.Sprint("other-", i), fmt.Sprint("zone-", i%4))
+	}
+	first.StreamBegan("stream", &fleet.Server{ID: "x", Service: "s", Version: "v1"})
+	origin, known := n.daemons["other-1"].StreamOrigin(context.Background(), "again", "s", "stream")
+	g.Expect(known).To(gomega.BeTrue())
+	g.Expect(origin.Version).To(gomega.Equal("v1"))
+	g.Expect(n.called()).To(gomega.BeNumerically("<=", 2), "only daemons of the zone are asked")
+
+	first.copyStreamsOnce(context.Background())
+	holders := first.streams.Holders()
+	g.Expect(holders).To(gomega.HaveLen(2))
+	n.kill("first")
+	others := []*state{n.daemons["other-0"], n.daemons["other-2"], n.daemons["other-3"]}
+	for range 2 {
+		for _, s := range others {
+			origin, known := s.StreamOrigin(context.Background(), "again", "s", "stream")
+			g.Expect(known).To(gomega.BeTrue(), s.settings.Node)
+			g.Expect(origin.Version).To(gomega.Equal("v1"))
+		}
+		n.called()
+	}
+	n.kill(holders...)
+	for _, s := range others {
+		_, _ = s.StreamOrigin(context.Background(), "again", "s", "stream")
+	}
+	g.Expect(n.called()).To(gomega.BeZero(), "it was learned before")
+	fresh := n.add(t, "fresh", "zone-9")
+	n.kill("other-0", "other-1", "other-2", "other-3", "other-4", "other-5", "other-6", "other-7")
+	_, known = fresh.StreamOrigin(context.Background(), "again", "s", "stream")
+	g.Expect(known).To(gomega.BeFalse(), "no daemon that knows it is left")
+}
+
+// TestServersOfAServiceWithOneVersionNeedNoLookup guards against daemons that ask all others
+// for each stream although only one version can have begun it, and against one that does
+// not although it has just started.
+func TestServersOfAServiceWithOneVersionNeedNoLookup(t *testing.T) {
+	g := gomega.NewWithT(t)
+	n := newStreamNetwork()
+	s := n.add(t, "a", "zone-1")
+	n.add(t, "b", "zone-1")
+	server := fleet.Server{ID: "x", Service: "s", Address: "127.0.0.1:1", Version: "v1"}
+	apply := func(version uint64, entries ...fleet.Entry) {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.applyServerEvents(s.fleet.ApplySnapshot(bootNow(), version, entries), "store")
+		s.serversReadAt = bootNow()
+		s.confirmVersions()
+	}
+	apply(1, fleet.Entry{ID: "x", Server: &server, Version: 1})
+	_, known := s.StreamOrigin(context.Background(), "again", "s", "stream")
+	g.Expect(known).To(gomega.BeFalse(), "the daemon has just started")
+	n.called()
+	confirmed := newStateOf(t, s.settings)
+	confirmed.callPeer = s.callPeer
+	confirmed.mu.Lock()
+	now := bootNow()
+	confirmed.applyServerEvents(confirmed.fleet.ApplySnapshot(now, 1, []fleet.Entry{{ID: "x", Server: &server, Version: 1}}), "store")
+	for ms := 60_000; ms >= 0; ms -= 1000 {
+		confirmed.streams.Confirmed(now.Add(-milliseconds(ms)))
+	}
+	confirmed.mu.Unlock()
+	origin, known := confirmed.StreamOrigin(context.Background(), "again", "s", "stream")
+	g.Expect(known).To(gomega.BeTrue())
+	g.Expect(origin.Version).To(gomega.Equal("v1"))
+	g.Expect(n.called()).To(gomega.BeZero())
+}
+
+// TestAnEntryWithAnotherVersionIsAnotherRun guards against a server that goes on under its
+// ID with another version and passes for the same run.
+func TestAnEntryWithAnotherVersionIsAnotherRun(t *testing.T) {
+	g := gomega.NewWithT(t)
+	s := newStreamNetwork().add(t, "a", "zone-1")
+	server := fleet.Server{ID: "x", Service: "s", Address: "127.0.0.1:1", Version: "v1"}
+	later := server
+	later.Version = "v2"
+	s.fleet.ApplySnapshot(bootNow(), 1, []fleet.Entry{{ID: "x", Server: &server, Version: 1}})
+	events := s.fleet.ApplySnapshot(bootNow(), 2, []fleet.Entry{{ID: "x", Server: &later, Version: 2}})
+	g.Expect(events).To(gomega.HaveLen(2))
+	g.Expect(events[0].Change).To(gomega.Equal(fleet.ServerGone))
+	g.Expect(events[1].Server.Version).To(gomega.Equal("v2"))
+}
+
+// TestStreamsAreKeptForAsLongAsCallersReturn guards against records that expire before the
+// caller of a long stream has taken it up.
+func TestStreamsAreKeptForAsLongAsCallersReturn(t *testing.T) {
+	g := gomega.NewWithT(t)
+	c := &catalog.Catalog{Routes: []*catalog.Route{{Kind: catalog.KindStream, Timeout: milliseconds(60_000)},
+		{Kind: catalog.KindStream, Resumable: true, Timeout: milliseconds(12_000)}}}
+	g.Expect(streamAge(c)).To(gomega.Equal(milliseconds(24_000)))
+	g.Expect(streamAge(&catalog.Catalog{})).To(gomega.Equal(minStreamAge))
+}
--- a/pkg/fleet/fleet.go
+++ b/pkg/fleet/fleet.go
@@ -89,7 +89,7 @@
 
 // isOtherRun reports whether two states of one ID describe different runs.
 func (s *Server) isOtherRun(o *Server) bool {
-	return s.StartedUnixMilli != o.StartedUnixMilli || s.Address != o.Address || s.Service != o.Service
+	return s.StartedUnixMilli != o.StartedUnixMilli || s.Version != o.Version || s.Address != o.Address || s.Service != o.Service
 }
 
 // isEquivalent reports whether peers that have one state need not be told of the
--- a/pkg/mesh/directory.go
+++ b/pkg/mesh/directory.go
@@ -50,6 +50,8 @@
 type Peer struct {
 	Node    string
 	Address string
+	// Zone is the AvailabilityZone of the daemon, or empty if it is not known.
+	Zone string
 	// Weight is the number of CPU cores available to the daemon. Daemons with the
 	// highest weights become hubs.
 	Weight float64
@@ -126,6 +128,13 @@
 	return true
 }
 
+// SetZone sets the AvailabilityZone of a known daemon.
+func (d *Directory) SetZone(node, zone string) {
+	if p, ok := d.peers[node]; ok {
+		p.Zone = zone
+	}
+}
+
 // peer returns a daemon's state and adds the daemon if it is new.
 func (d *Directory) peer(now time.Time, node string) *Peer {
 	p, ok := d.peers[node]
@@ -431,6 +440,18 @@
 	return members
 }
 
+// Alive returns the other daemons that have sent a record within a time and are not
+// shutting down.
+func (d *Directory) Alive(now time.Time, within time.Duration) []Peer {
+	var alive []Peer
+	for _, p := range d.peers {
+		if now.Sub(p.RecordAt) < within && !p.Record.Stopping {
+			alive = append(alive, *p)
+		}
+	}
+	return alive
+}
+
 // Size returns the number of known daemons, including this one.
 func (d *Directory) Size() int { return len(d.peers) + 1 }
 
--- a/pkg/mesh/message.go
+++ b/pkg/mesh/message.go
@@ -19,6 +19,7 @@
 	"github.com/monsooncrank/monsooncrank/pkg/placement"
 	"github.com/monsooncrank/monsooncrank/pkg/quota"
 	"github.com/monsooncrank/monsooncrank/pkg/serverlimit"
+	"github.com/monsooncrank/monsooncrank/pkg/streamversion"
 	"github.com/monsooncrank/monsooncrank/pkg/usage"
 )
 
@@ -73,6 +74,8 @@
 	Limits         []serverlimit.Entry `cbor:"19,keyasint,omitempty"`
 	LimitsSpan     changelog.Span      `cbor:"20,keyasint"`
 	LimitsReceived changelog.Position  `cbor:"21,keyasint"`
+	// Versions holds the software versions of servers that the sender has seen lately.
+	Versions streamversion.History `cbor:"22,keyasint"`
 }
 
 // Encode returns the CBOR encoding of the message.
--- a/pkg/peer/pool.go
+++ b/pkg/peer/pool.go
@@ -139,6 +139,11 @@
 	return p.payload(ctx, address, methodFetch, payload)
 }
 
+// Streams sends records of streams to the daemon at address, or asks for them.
+func (p *Pool) Streams(ctx context.Context, address string, payload []byte) ([]byte, error) {
+	return p.payload(ctx, address, methodStreams, payload)
+}
+
 // payload sends a payload together with the time that remains until the
 // deadline, and returns the payload of the reply.
 func (p *Pool) payload(ctx context.Context, address, method string, payload []byte) ([]byte, error) {
--- a/pkg/peer/service.go
+++ b/pkg/peer/service.go
@@ -20,6 +20,7 @@
 	methodAnnounce  = "Peer.Announce"
 	methodHandOver  = "Peer.HandOver"
 	methodFetch     = "Peer.Fetch"
+	methodStreams   = "Peer.Streams"
 	methodPing      = "Peer.Ping"
 )
 
@@ -36,9 +37,10 @@
 	Announce  func(*membership.Message)
 	HandOver  PayloadHandler
 	Fetch     PayloadHandler
+	Streams   PayloadHandler
 }
 
-// PayloadArgs is the request of HandOver and Fetch. It is exported because
+// PayloadArgs is the request of HandOver, Fetch and Streams. It is exported because
 // net/rpc requires exported types.
 type PayloadArgs struct {
 	Payload []byte `cbor:"1,keyasint,omitempty"`
@@ -46,7 +48,7 @@
 	TimeoutMillis int64 `cbor:"2,keyasint"`
 }
 
-// PayloadReply is the reply of HandOver and Fetch. A non-empty Code reports an
+// PayloadReply is the reply of HandOver, Fetch and Streams. A non-empty Code reports an
 // error.
 type PayloadReply struct {
 	Payload []byte `cbor:"1,keyasint,omitempty"`
@@ -104,6 +106,12 @@
 	return nil
 }
 
+// Streams stores or returns records of streams.
+func (s *service) Streams(args *PayloadArgs, reply *PayloadReply) error {
+	s.runPayloadHandler(s.handlers.Streams, methodStreams, args, reply)
+	return nil
+}
+
 // Ping returns an empty reply, which shows that the connection works.
 func (s *service) Ping(_ *Empty, _ *Empty) error { return nil }
 
--- a/pkg/placement/core.go
+++ b/pkg/placement/core.go
@@ -130,7 +130,7 @@
 // Accepts reports whether a run of a server accepts requests.
 func (c *Core) Accepts(f *fleet.Server) bool {
 	s, ok := c.servers[f.ID]
-	return ok && !s.misdirected && s.RunID() == f.RunID() && s.Address == f.Address
+	return ok && !s.misdirected && s.RunID() == f.RunID() && s.Address == f.Address && s.Version == f.Version
 }
 
 func (c *Core) join(f fleet.Server) {
@@ -301,7 +301,7 @@
 
 // eligible reports whether a request may be sent to the server.
 func (s *server) eligible(q *Query) bool {
-	return !s.misdirected && !slices.Contains(q.Exclude, s.ID) && (q.MayUse == nil || q.MayUse(&s.Server))
+	return !s.misdirected && (!q.OnlyVersion || q.Version != "" && q.Version == s.Version) && !slices.Contains(q.Exclude, s.ID) && (q.MayUse == nil || q.MayUse(&s.Server))
 }
 
 // eligibleServers returns the servers that a request may be sent to.
--- a/pkg/placement/placement_test.go
+++ b/pkg/placement/placement_test.go
@@ -345,6 +345,10 @@
 			s.StartedUnixMilli++
 			return fleet.Event{Change: fleet.ServerJoined, Server: s}
 		},
+		func(s fleet.Server) fleet.Event {
+			s.Version = "v2"
+			return fleet.Event{Change: fleet.ServerJoined, Server: s}
+		},
 	} {
 		c := newCore(1, 0)
 		d, err := c.Pick(at(0), engineQuery(at(0), "group", 100))
@@ -377,3 +381,34 @@
 		g.Expect(err).To(gomega.HaveOccurred())
 	}
 }
+
+// Guards against a stream that goes on at a server of another software version than the one
+// that began it, also at the one that caches its prompt; with few servers and with so many
+// that only some are compared.
+func TestOnlyServersOfAVersionAreUsed(t *testing.T) {
+	g := gomega.NewWithT(t)
+	for _, engines := range []int{4, 90} {
+		c := newCore(0, 0)
+		for i := range engines {
+			e := joined(fmt.Sprintf("e%d", i), models, 64)
+			e.Server.Version = []string{"v1", "v2", ""}[i%3]
+			c.Handle(e)
+		}
+		preferred := place(t, c, at(0), "first", engineQuery(at(0), "group", 100)).Server
+		for _, version := range []string{"v1", "v2"} {
+			for i := range 50 {
+				q := engineQuery(at(i), "group", 100)
+				q.OnlyVersion, q.Version = true, version
+				d, err := c.Pick(at(i), q)
+				g.Expect(err).NotTo(gomega.HaveOccurred())
+				g.Expect(d.Server.Version).To(gomega.Equal(version), "preferred: %s", preferred.Version)
+			}
+		}
+		for _, version := range []string{"", "v3"} {
+			q := engineQuery(at(100), "group", 100)
+			q.OnlyVersion, q.Version = true, version
+			_, err := c.Pick(at(100), q)
+			g.Expect(err).To(gomega.HaveOccurred(), "version %q", version)
+		}
+	}
+}
--- a/pkg/placement/types.go
+++ b/pkg/placement/types.go
@@ -37,6 +37,10 @@
 	// MayUse reports whether a server accepts a further request; nil means that all
 	// servers do.
 	MayUse func(*fleet.Server) bool
+	// OnlyVersion is set if the request may run at servers of one software version only,
+	// which is Version. An empty version is not known, and no server has it.
+	OnlyVersion bool
+	Version     string
 	// AlreadyStarted is set when a server has begun to run the request: refusing
 	// it now would discard the part of the answer that the caller already has.
 	AlreadyStarted bool
--- a/pkg/relay/handler.go
+++ b/pkg/relay/handler.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -31,6 +32,9 @@
 	// quarantineRetryAfter is the Retry-After value for a quarantined request;
 	// by then an operator may have released it.
 	quarantineRetryAfter = 5 * time.Second
+	// unknownVersionRetryAfter is the Retry-After value for a stream that the caller takes
+	// up and of which no daemon in reach knows the version. One may be back by then.
+	unknownVersionRetryAfter = 500 * time.Millisecond
 	// lowestEnginePriority is the least urgent scheduling priority at an engine.
 	lowestEnginePriority = 9
 	// accountPriorityWeight gives the priority of an account precedence over that
@@ -104,6 +108,10 @@
 	// firstPartAfter is the time from the start of the last attempt to the first
 	// part of its response, or negative if none has arrived.
 	firstPartAfter time.Duration
+	// begun is set once the caller has events of the stream, and version is the software
+	// version that began it.
+	begun   bool
+	version string
 	// lastSentEventID is the ID of the last event sent to the caller.
 	lastSentEventID string
 	// eventsSent is the number of events sent to the caller.
@@ -161,11 +169,29 @@
 		timeLeft = min(timeLeft, x.TimeLeft)
 	}
 	x.deadline = x.receivedAt.Add(timeLeft)
-	x.service = x.route.ServiceFor(hashFraction(x.ID))
+	x.service = x.route.ServiceFor(hashFraction(x.streamID()))
 	x.identify()
 	if x.isQuarantined() {
 		return quarantinedProblem()
 	}
+	return x.takeUp()
+}
+
+// streamID returns the ID by which the caller names the stream if it takes it up: that of
+// the attempt which brings the first event.
+func (x *exchange) streamID() string { return cmp.Or(x.ResumedID, x.ID) }
+
+// takeUp finds out which version of which service has begun a stream that the caller
+// takes up. Events of two versions do not fit together.
+func (x *exchange) takeUp() *api.Problem {
+	if x.LastEventID == "" || x.route.Kind != catalog.KindStream || !x.route.Resumable {
+		return nil
+	}
+	origin, known := x.handler.controller.StreamOrigin(x.caller, x.ID, x.service, x.ResumedID)
+	if !known || !x.route.Allows(origin.Service) {
+		return api.NewNotRunProblem(api.ProblemNoBackendServer, http.StatusServiceUnavailable, "version of the stream not known").WithRetryAfter(unknownVersionRetryAfter)
+	}
+	x.begun, x.service, x.version = true, origin.Service, origin.Version
 	return nil
 }
 
@@ -344,7 +370,7 @@
 	}
 	return &placement.Query{Service: x.service, Parts: x.Parts, PromptTokens: x.PromptTokens,
 		OutputTokens: output, LatencyTarget: x.route.LatencyTarget, Deadline: x.deadline,
-		Exclude: exclude, AlreadyStarted: x.mayHaveRun}
+		Exclude: exclude, AlreadyStarted: x.mayHaveRun, OnlyVersion: x.begun, Version: x.version}
 }
 
 // enginePriority returns the scheduling priority at an engine, from 0 (most
--- a/pkg/relay/relay_test.go
+++ b/pkg/relay/relay_test.go
@@ -25,6 +25,7 @@
 	"github.com/monsooncrank/monsooncrank/pkg/placement"
 	"github.com/monsooncrank/monsooncrank/pkg/relay"
 	"github.com/monsooncrank/monsooncrank/pkg/serverlimit"
+	"github.com/monsooncrank/monsooncrank/pkg/streamversion"
 )
 
 // codec implements relay.Codec with test headers; the relay itself defines none.
@@ -33,7 +34,7 @@
 func (codec) Decode(r *http.Request) *relay.Request {
 	left, _ := time.ParseDuration(r.Header.Get("Left"))
 	return &relay.Request{ID: r.Header.Get("Id"), Method: r.Method, Host: r.Host, Target: r.RequestURI, Path: r.URL.Path,
-		Header: http.Header{}, APIKey: r.Header.Get("Key"), TimeLeft: left}
+		LastEventID: r.Header.Get("After"), ResumedID: r.Header.Get("Resumes"), Header: http.Header{}, APIKey: r.Header.Get("Key"), TimeLeft: left}
 }
 
 func (codec) BackendHeader(r *relay.Request, a *relay.Attempt) http.Header {
@@ -66,6 +67,10 @@
 	retriesSpent bool
 	// leaveAtConnect holds servers that begin to leave while they are connected to.
 	leaveAtConnect map[string]bool
+	// origins holds the origins of streams by ID.
+	origins map[string]streamversion.Origin
+	// originService is the service for which an origin was last asked.
+	originService string
 }
 
 func (f *fake) Catalog() *catalog.Catalog { return f.catalog }
@@ -93,6 +98,7 @@
 		for _, id := range q.Exclude {
 			tried = tried || id == s.ID
 		}
+		tried = tried || q.OnlyVersion && (q.Version == "" || q.Version != s.Version)
 		if !tried {
 			return placement.Decision{Server: s, ExpectedWait: 20 * time.Millisecond}, nil
 		}
@@ -107,6 +113,18 @@
 	defer f.mu.Unlock()
 	f.results = append(f.results, r)
 }
+func (f *fake) StreamBegan(stream string, s *fleet.Server) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.origins[stream] = streamversion.Origin{Service: "s", Version: s.Version}
+}
+func (f *fake) StreamOrigin(_ context.Context, _, service, stream string) (streamversion.Origin, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.originService = service
+	origin, ok := f.origins[stream]
+	return origin, ok
+}
 func (f *fake) Answered(*fleet.Server, time.Time, serverlimit.Statement) {}
 func (f *fake) Alive(string)                                             {}
 func (f *fake) SilentFor(string) time.Duration                           { return f.silentFor }
@@ -220,9 +238,9 @@
 	route("/whole/", catalog.KindStream, 2, false)
 	route("/often/", catalog.KindIdempotent, 4, false)
 	c.Index()
-	f := &fixture{fake: &fake{catalog: c, silentFor: time.Hour}}
+	f := &fixture{fake: &fake{catalog: c, silentFor: time.Hour, origins: make(map[string]streamversion.Origin)}}
 	for i, b := range backends {
-		f.servers = append(f.servers, fleet.Server{ID: fmt.Sprint("server-", i), Address: b.listener.Addr().String()})
+		f.servers = append(f.servers, fleet.Server{ID: fmt.Sprint("server-", i), Address: b.listener.Addr().String(), Version: "v1"})
 	}
 	options := quarantine.DefaultOptions()
 	options.SettleDelay = 20 * time.Millisecond
--- a/pkg/relay/stream.go
+++ b/pkg/relay/stream.go
@@ -41,6 +41,7 @@
 		if err := control.Flush(); err != nil {
 			return s.callerDisconnected()
 		}
+		s.beginStream()
 		s.exchange.lastSentEventID = event.id
 		s.exchange.eventsSent++
 		s.handler.controller.Alive(s.decision.Server.ID)
@@ -48,6 +49,17 @@
 	}
 }
 
+// beginStream records, at the first event of a stream, the version that has begun it.
+func (s *serverAttempt) beginStream() {
+	if s.begun {
+		return
+	}
+	s.exchange.begun, s.exchange.version = true, s.decision.Server.Version
+	if s.route.Resumable {
+		s.handler.controller.StreamBegan(s.streamID(), &s.decision.Server)
+	}
+}
+
 // isNewEvent reports whether the caller has not received an event yet. Events
 // without a numeric ID count as new.
 func (s *serverAttempt) isNewEvent(id string) bool {
--- a/pkg/relay/types.go
+++ b/pkg/relay/types.go
@@ -13,6 +13,7 @@
 	"github.com/monsooncrank/monsooncrank/pkg/fleet"
 	"github.com/monsooncrank/monsooncrank/pkg/placement"
 	"github.com/monsooncrank/monsooncrank/pkg/serverlimit"
+	"github.com/monsooncrank/monsooncrank/pkg/streamversion"
 )
 
 // Request is a caller's request after its header has been decoded.
@@ -106,6 +107,11 @@
 	FirstEvent(attempt string)
 	// Finished records the result of an attempt.
 	Finished(attempt string, result placement.Result)
+	// StreamBegan records the server that began a stream, which is named by the request
+	// that brought its first event. StreamOrigin returns the service and version that
+	// began a stream which a request takes up, and false if they are not known.
+	StreamBegan(stream string, server *fleet.Server)
+	StreamOrigin(ctx context.Context, request, service, stream string) (streamversion.Origin, bool)
 	// Answered records what the answer to a request that was sent at a time says about
 	// a request limit of its server.
 	Answered(server *fleet.Server, sentAt time.Time, limit serverlimit.Statement)
--- /dev/null
+++ b/pkg/streamversion/history.go
@@ -0,0 +1,149 @@
+package streamversion
+
+import (
+	"time"
+
+	"github.com/monsooncrank/monsooncrank/pkg/fleet"
+)
+
+// history holds which versions of each service had servers, and until when.
+type history struct {
+	// coveredSince is the time since which no version in use was missed, and confirmedAt
+	// when the store last confirmed the view of the servers.
+	coveredSince, confirmedAt time.Time
+	services                  map[string]map[string]*versionUse
+	// servers holds the origin that each server gives to streams, by ID.
+	servers map[string]Origin
+}
+
+// versionUse is the use of one version of a service.
+type versionUse struct {
+	servers int
+	// endedAt is when the last of the servers was gone.
+	endedAt time.Time
+}
+
+func newHistory() *history {
+	return &history{services: make(map[string]map[string]*versionUse), servers: make(map[string]Origin)}
+}
+
+func (h *history) use(o Origin) *versionUse {
+	versions, ok := h.services[o.Service]
+	if !ok {
+		versions = make(map[string]*versionUse)
+		h.services[o.Service] = versions
+	}
+	use, ok := versions[o.Version]
+	if !ok {
+		use = &versionUse{}
+		versions[o.Version] = use
+	}
+	return use
+}
+
+func (h *history) handle(now time.Time, e *fleet.Event) {
+	if before, known := h.servers[e.Server.ID]; known {
+		use := h.use(before)
+		if use.servers--; use.servers == 0 {
+			use.endedAt = now
+		}
+		delete(h.servers, e.Server.ID)
+	}
+	if e.Change == fleet.ServerGone {
+		return
+	}
+	origin := Origin{Service: e.Server.Service, Version: e.Server.Version}
+	h.servers[e.Server.ID] = origin
+	h.use(origin).servers++
+}
+
+// maxConfirmationGap is the time between two confirmations of the view of servers from
+// which on a version may have come and gone unseen.
+const maxConfirmationGap = 3 * time.Second
+
+// Confirmed records that the view of the servers was complete at a time.
+func (c *Core) Confirmed(at time.Time) {
+	h := c.versions
+	if at.Sub(h.confirmedAt) > maxConfirmationGap {
+		h.coveredSince = at
+	}
+	if at.After(h.confirmedAt) {
+		h.confirmedAt = at
+	}
+}
+
+// only returns the one version that had servers within streamAge.
+func (h *history) only(now time.Time, service string, streamAge time.Duration) (string, bool) {
+	if now.Sub(h.confirmedAt) > maxConfirmationGap || now.Sub(h.coveredSince) < streamAge {
+		return "", false
+	}
+	found, count := "", 0
+	for version, use := range h.services[service] {
+		if use.servers > 0 || now.Sub(use.endedAt) < streamAge {
+			found = version
+			count++
+		} else {
+			delete(h.services[service], version)
+		}
+	}
+	if count != 1 || found == "" {
+		return "", false
+	}
+	return found, true
+}
+
+// Use is the use of a version as it is told to other daemons.
+type Use struct {
+	Service string `cbor:"1,keyasint"`
+	Version string `cbor:"2,keyasint,omitempty"`
+	// AgeMillis is the time since the version last had servers.
+	AgeMillis int64 `cbor:"3,keyasint,omitempty"`
+}
+
+// History is what a daemon knows of the versions in use.
+type History struct {
+	// ConfirmedMillis is the time since the view was last complete, and CoveredMillis the
+	// time since which no version was missed.
+	ConfirmedMillis int64 `cbor:"1,keyasint,omitempty"`
+	CoveredMillis   int64 `cbor:"2,keyasint,omitempty"`
+	Uses            []Use `cbor:"3,keyasint,omitempty"`
+}
+
+// History returns the versions that were in use lately. It is empty until the view of
+// the servers was complete.
+func (c *Core) History(now time.Time) History {
+	v := c.versions
+	if v.confirmedAt.IsZero() {
+		return History{}
+	}
+	h := History{ConfirmedMillis: now.Sub(v.confirmedAt).Milliseconds(), CoveredMillis: now.Sub(v.coveredSince).Milliseconds()}
+	for service, versions := range v.services {
+		for version, use := range versions {
+			age := time.Duration(0)
+			if use.servers == 0 {
+				age = now.Sub(use.endedAt)
+			}
+			if age < c.streamAge {
+				h.Uses = append(h.Uses, Use{Service: service, Version: version, AgeMillis: age.Milliseconds()})
+			}
+		}
+	}
+	return h
+}
+
+// MergeHistory adds what another daemon knew at some time since it was asked, so that a
+// daemon that has just started or was cut off knows what was in use before.
+func (c *Core) MergeHistory(now, askedAt time.Time, other *History) {
+	// Of the two times, the one is used that makes the history shorter and each use later.
+	ago := func(millis int64) time.Time { return now.Add(-time.Duration(millis) * time.Millisecond) }
+	confirmedAt := askedAt.Add(-time.Duration(other.ConfirmedMillis) * time.Millisecond)
+	for _, u := range other.Uses {
+		use := c.versions.use(Origin{Service: u.Service, Version: u.Version})
+		if endedAt := ago(u.AgeMillis); endedAt.After(use.endedAt) {
+			use.endedAt = endedAt
+		}
+	}
+	if h := c.versions; other.CoveredMillis > 0 && !confirmedAt.Before(h.coveredSince) && ago(other.CoveredMillis).Before(h.coveredSince) {
+		h.coveredSince = ago(other.CoveredMillis)
+	}
+}
--- /dev/null
+++ b/pkg/streamversion/message.go
@@ -0,0 +1,62 @@
+package streamversion
+
+import (
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/juju/errors"
+)
+
+// Message carries records to a holder, or asks a daemon for the origins of streams.
+type Message struct {
+	Batch Batch `cbor:"1,keyasint"`
+	// Lookup holds the keys of the streams whose origins are asked for.
+	Lookup []uint64 `cbor:"2,keyasint,omitempty"`
+}
+
+// Reply is the response to a Message.
+type Reply struct {
+	// Run identifies the run of the daemon that has stored the batch.
+	Run uint64 `cbor:"1,keyasint"`
+	// Origins holds those of the streams that the daemon knows, by key.
+	Origins map[uint64]Origin `cbor:"2,keyasint,omitempty"`
+}
+
+// LookupOf returns the message that asks for the origin of a stream.
+func LookupOf(stream string) Message { return Message{Lookup: []uint64{keyOf(stream)}} }
+
+// OriginOf returns the origin of a stream from a reply.
+func (r *Reply) OriginOf(stream string) (Origin, bool) {
+	origin, ok := r.Origins[keyOf(stream)]
+	return origin, ok
+}
+
+// Handle stores the records of a message and answers its questions.
+func (c *Core) Handle(now time.Time, m *Message) Reply {
+	c.store(now, &m.Batch)
+	reply := Reply{Run: c.run}
+	for _, key := range m.Lookup {
+		if origin, ok := c.recorded(now, key); ok {
+			if reply.Origins == nil {
+				reply.Origins = make(map[uint64]Origin)
+			}
+			reply.Origins[key] = origin
+		}
+	}
+	return reply
+}
+
+// Encode returns the CBOR encoding of a message or a reply.
+func Encode[T Message | Reply](m *T) ([]byte, error) {
+	encoded, err := cbor.Marshal(m)
+	return encoded, errors.Annotate(err, "encode records of streams")
+}
+
+// Decode decodes a message or a reply encoded by Encode.
+func Decode[T Message | Reply](encoded []byte) (*T, error) {
+	var m T
+	if err := cbor.Unmarshal(encoded, &m); err != nil {
+		return nil, errors.Annotate(err, "decode records of streams")
+	}
+	return &m, nil
+}
--- /dev/null
+++ b/pkg/streamversion/streamversion.go
@@ -0,0 +1,168 @@
+// Package streamversion decides at which software version of its service a stream may
+// go on.
+//
+// What two versions of a server write does not fit together, and servers do not check
+// it: a stream may go on only at the version that began it. The daemon that passes on
+// the first event of a stream records the version. A caller may take the stream up at
+// any other daemon, also after the first one has ended, so that while a service has
+// servers of several versions, records are copied to a few holders and looked up at
+// other daemons on demand. While a service has had servers of one version only for as
+// long as a stream lasts, that version began every stream, and nothing is copied.
+//
+// The package does no I/O: it is told the time, the changes of the servers and what
+// other daemons sent.
+package streamversion
+
+import (
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/monsooncrank/monsooncrank/pkg/fleet"
+)
+
+const (
+	// defaultStreamAge is how long after a stream has begun a caller may take it up, until
+	// the configuration is known.
+	defaultStreamAge = 30 * time.Second
+	// maxOwnRecords and maxCopies limit the records of streams that this daemon has
+	// begun, and the copies of those of others. The oldest are dropped first.
+	maxOwnRecords = 16384
+	maxCopies     = 65536
+)
+
+// Origin is the service and the software version that began a stream. An empty version
+// is one that the server does not state; no other server has it.
+type Origin struct {
+	Service string `cbor:"1,keyasint"`
+	Version string `cbor:"2,keyasint,omitempty"`
+}
+
+// record is what is known of one stream.
+type record struct {
+	origin  Origin
+	expires time.Time
+	// server is the ID of the server that began the stream and beganAt when it did, for
+	// streams that this daemon has begun. The revision numbers the changes to records of
+	// which holders need a copy; it is 0 for others.
+	server   string
+	beganAt  time.Time
+	revision uint64
+}
+
+// Core holds what one daemon knows of versions and streams. It is not safe for
+// concurrent use.
+type Core struct {
+	// node, zone and run identify this daemon, its AvailabilityZone and its run.
+	node, zone string
+	run        uint64
+	versions   *history
+	own        records
+	copies     records
+	// streamAge is how long after a stream has begun a caller may take it up.
+	streamAge time.Duration
+	// revision is the number of changes to records of which holders need a copy.
+	revision uint64
+	holders  map[string]*holder
+}
+
+// New returns an empty Core of a daemon.
+func New(node, zone string, run uint64) *Core {
+	return &Core{node: node, zone: zone, run: run, streamAge: defaultStreamAge, versions: newHistory(), own: newRecords(maxOwnRecords), copies: newRecords(maxCopies),
+		holders: make(map[string]*holder)}
+}
+
+// SetStreamAge sets how long after a stream has begun a caller may take it up.
+func (c *Core) SetStreamAge(age time.Duration) { c.streamAge = age }
+
+// keyOf returns the key of a stream, which is named by the ID of the caller's attempt
+// that brought its first event.
+func keyOf(stream string) uint64 { return xxhash.Sum64String(stream) }
+
+// Began records that a server has begun a stream. It is called when the first event is
+// passed on to the caller; beganAt is that moment by the wall clock.
+func (c *Core) Began(now, beganAt time.Time, stream string, server *fleet.Server) {
+	c.own.put(now, keyOf(stream), record{origin: Origin{Service: server.Service, Version: server.Version}, expires: now.Add(c.streamAge),
+		server: server.ID, beganAt: beganAt})
+}
+
+// Learned records the origin of a stream that another daemon has stated.
+func (c *Core) Learned(now time.Time, stream string, origin Origin) {
+	c.copies.put(now, keyOf(stream), record{origin: origin, expires: now.Add(c.streamAge)})
+}
+
+// Recorded returns the recorded origin of a stream.
+func (c *Core) Recorded(now time.Time, stream string) (Origin, bool) {
+	return c.recorded(now, keyOf(stream))
+}
+
+func (c *Core) recorded(now time.Time, key uint64) (Origin, bool) {
+	if r, ok := c.own.get(now, key); ok {
+		return r.origin, true
+	}
+	r, ok := c.copies.get(now, key)
+	return r.origin, ok
+}
+
+// OnlyVersion returns the version that has begun all streams of a service which callers
+// may still take up, if there is only one. It is not known to a daemon whose knowledge
+// does not reach back far enough.
+func (c *Core) OnlyVersion(now time.Time, service string) (string, bool) {
+	return c.versions.only(now, service, c.streamAge)
+}
+
+// HandleServer applies a change of a server. A server that starts again under its ID may
+// have served requests before its new entry is known: streams that it has begun since
+// its start are of the version in that entry.
+func (c *Core) HandleServer(now time.Time, e *fleet.Event) {
+	c.versions.handle(now, e)
+	if e.Change == fleet.ServerGone || e.Server.StartedUnixMilli == 0 {
+		return
+	}
+	startedAt := time.UnixMilli(e.Server.StartedUnixMilli)
+	origin := Origin{Service: e.Server.Service, Version: e.Server.Version}
+	for key, r := range c.own.byKey {
+		if r.server != e.Server.ID || r.origin == origin || r.beganAt.Before(startedAt.Add(-clockTolerance)) {
+			continue
+		}
+		r.origin = origin
+		if r.beganAt.Before(startedAt.Add(clockTolerance)) {
+			// Which of the two runs began it can't be told.
+			r.origin.Version = ""
+		}
+		if r.revision > 0 {
+			c.revision++
+			r.revision = c.revision
+		}
+		c.own.byKey[key] = r
+	}
+}
+
+// clockTolerance is by how much the clocks of a daemon and a server may differ.
+const clockTolerance = 500 * time.Millisecond
+
+// records is a bounded set of records by key. Records expire in the order in which they
+// were put, because all are kept for the same time.
+type records struct {
+	limit int
+	byKey map[uint64]record
+	order []uint64
+}
+
+func newRecords(limit int) records { return records{limit: limit, byKey: make(map[uint64]record)} }
+
+func (r *records) put(now time.Time, key uint64, value record) {
+	if _, known := r.byKey[key]; !known {
+		r.order = append(r.order, key)
+	}
+	r.byKey[key] = value
+	for len(r.order) > 0 && (len(r.order) > r.limit || !now.Before(r.byKey[r.order[0]].expires)) {
+		delete(r.byKey, r.order[0])
+		r.order = r.order[1:]
+	}
+}
+
+func (r *records) get(now time.Time, key uint64) (record, bool) {
+	value, ok := r.byKey[key]
+	return value, ok && now.Before(value.expires)
+}
--- /dev/null
+++ b/pkg/streamversion/streamversion_test.go
@@ -0,0 +1,336 @@
+package streamversion_test
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/monsooncrank/monsooncrank/pkg/fleet"
+	"github.com/monsooncrank/monsooncrank/pkg/streamversion"
+)
+
+// start is the time at which the daemons of the tests start.
+var start = time.Unix(1_700_000_000, 0)
+
+// after returns the time some milliseconds after the start.
+func after(millis int) time.Time { return start.Add(time.Duration(millis) * time.Millisecond) }
+
+// streamAge is the time for which streams may be taken up in the tests.
+const streamAge = 10 * time.Second
+
+func newCore(node string) *streamversion.Core {
+	c := streamversion.New(node, "zone-a", 1)
+	c.SetStreamAge(streamAge)
+	return c
+}
+
+func server(id, version string) *fleet.Server {
+	return &fleet.Server{ID: id, Service: "s", Version: version}
+}
+
+// join applies the entry of a new server.
+func join(c *streamversion.Core, at time.Time, s *fleet.Server) {
+	c.HandleServer(at, &fleet.Event{Server: *s, Change: fleet.ServerJoined})
+}
+
+// gone applies the removal of a server.
+func gone(c *streamversion.Core, at time.Time, s *fleet.Server) {
+	c.HandleServer(at, &fleet.Event{Server: *s, Change: fleet.ServerGone})
+}
+
+// confirm confirms the view of the servers every second in a span of time.
+func confirm(c *streamversion.Core, from, to int) {
+	for ms := from; ms <= to; ms += 1000 {
+		c.Confirmed(after(ms))
+	}
+}
+
+// origin returns the origin that a core has recorded, as text.
+func origin(c *streamversion.Core, at time.Time, stream string) string {
+	o, ok := c.Recorded(at, stream)
+	if !ok {
+		return "unknown"
+	}
+	return o.Service + " " + o.Version
+}
+
+// copyTo sends a holder what it lacks, and returns how many records these were.
+func copyTo(from, to *streamversion.Core, at time.Time, node string, run uint64) int {
+	batch, ok := from.BatchFor(at, node)
+	if !ok {
+		return 0
+	}
+	to.Handle(at, &streamversion.Message{Batch: batch})
+	from.Acknowledged(node, run, &batch)
+	n := 0
+	for _, g := range batch.Groups {
+		n += len(g.Streams)
+	}
+	return n
+}
+
+// TestAStreamKeepsTheVersionThatBeganIt guards against a stream whose version is taken
+// from what serves now: its server may be gone, and others of its ID or service there.
+func TestAStreamKeepsTheVersionThatBeganIt(t *testing.T) {
+	g := NewWithT(t)
+	c := newCore("a")
+	join(c, after(0), server("x", "v1"))
+	c.Began(after(100), after(100), "stream", server("x", "v1"))
+	gone(c, after(200), server("x", "v1"))
+	join(c, after(300), server("y", "v2"))
+	g.Expect(origin(c, after(400), "stream")).To(Equal("s v1"))
+	g.Expect(origin(c, after(400), "other")).To(Equal("unknown"))
+	g.Expect(origin(c, after(100).Add(streamAge), "stream")).To(Equal("unknown"), "no caller takes it up any more")
+}
+
+// TestAServerThatStartsAgainUnderItsIDIsFoundOut guards against streams that a server has
+// begun at another version than the one in its entry, which was not updated yet.
+func TestAServerThatStartsAgainUnderItsIDIsFoundOut(t *testing.T) {
+	g := NewWithT(t)
+	c := newCore("a")
+	old := server("x", "v1")
+	old.StartedUnixMilli = after(-60_000).UnixMilli()
+	join(c, after(0), old)
+	c.Began(after(1000), after(1000), "before", old)
+	c.Began(after(5100), after(5100), "at the start", old)
+	c.Began(after(6000), after(6000), "after", old)
+	again := server("x", "v2")
+	again.StartedUnixMilli = after(5000).UnixMilli()
+	gone(c, after(6200), old)
+	join(c, after(6200), again)
+	g.Expect(origin(c, after(6300), "before")).To(Equal("s v1"))
+	g.Expect(origin(c, after(6300), "at the start")).To(Equal("s "), "either run may have begun it")
+	g.Expect(origin(c, after(6300), "after")).To(Equal("s v2"))
+}
+
+// TestHoldersKnowTheStreamsOfADaemonThatIsKilled guards against streams whose version is
+// lost with the daemon that began them.
+func TestHoldersKnowTheStreamsOfADaemonThatIsKilled(t *testing.T) {
+	g := NewWithT(t)
+	a, b := newCore("a"), newCore("b")
+	a.SetMembers([]streamversion.Member{{Node: "b", Zone: "zone-a", Run: 7}})
+	a.Began(after(0), after(0), "first", server("x", "v1"))
+	a.Began(after(0), after(0), "second", server("y", "v2"))
+	g.Expect(copyTo(a, b, after(100), "b", 7)).To(Equal(2))
+	g.Expect(origin(b, after(200), "first")).To(Equal("s v1"))
+	g.Expect(origin(b, after(200), "second")).To(Equal("s v2"))
+	g.Expect(copyTo(a, b, after(300), "b", 7)).To(BeZero(), "nothing is sent twice")
+	g.Expect(origin(b, after(0).Add(streamAge+time.Second), "first")).To(Equal("unknown"))
+}
+
+// TestAHolderThatIsRestartedGetsEverythingAgain guards against a holder that is taken to
+// have what its earlier run had, and against a copy that a holder has never confirmed.
+func TestAHolderThatIsRestartedGetsEverythingAgain(t *testing.T) {
+	g := NewWithT(t)
+	a := newCore("a")
+	a.SetMembers([]streamversion.Member{{Node: "b", Run: 7}})
+	a.Began(after(0), after(0), "first", server("x", "v1"))
+	lost, ok := a.BatchFor(after(100), "b")
+	g.Expect(ok).To(BeTrue())
+	g.Expect(copyTo(a, newCore("b"), after(200), "b", 7)).To(Equal(1), "the copy before was lost")
+	a.SetMembers([]streamversion.Member{{Node: "b", Run: 8}})
+	a.Acknowledged("b", 7, &lost)
+	restarted := newCore("b")
+	g.Expect(copyTo(a, restarted, after(300), "b", 8)).To(Equal(1))
+	g.Expect(origin(restarted, after(300), "first")).To(Equal("s v1"))
+}
+
+// TestNothingIsCopiedWhileAServiceHasOneVersion guards against the cost of copies that no
+// daemon needs, and against streams that are not copied although a second version has
+// come since they began.
+func TestNothingIsCopiedWhileAServiceHasOneVersion(t *testing.T) {
+	g := NewWithT(t)
+	a, b := newCore("a"), newCore("b")
+	a.SetMembers([]streamversion.Member{{Node: "b", Run: 7}})
+	join(a, after(0), server("x", "v1"))
+	confirm(a, 0, 20_000)
+	a.Began(after(20_000), after(20_000), "first", server("x", "v1"))
+	g.Expect(copyTo(a, b, after(20_200), "b", 7)).To(BeZero())
+	join(a, after(20_300), server("y", "v2"))
+	a.Began(after(20_400), after(20_400), "second", server("y", "v2"))
+	g.Expect(copyTo(a, b, after(20_400), "b", 7)).To(Equal(2))
+	g.Expect(origin(b, after(20_500), "first")).To(Equal("s v1"))
+}
+
+// TestTheOnlyVersionIsKnown covers what a daemon may conclude about a stream of which no
+// record is found. A wrong conclusion lets a stream go on at another version.
+func TestTheOnlyVersionIsKnown(t *testing.T) {
+	one, two := server("x", "v1"), server("y", "v2")
+	tests := []struct {
+		name    string
+		prepare func(c *streamversion.Core)
+		version string
+	}{
+		{"one version for long", func(c *streamversion.Core) {
+			join(c, after(0), one)
+			confirm(c, 0, 30_000)
+		}, "v1"},
+		{"the daemon has just started", func(c *streamversion.Core) {
+			join(c, after(25_000), one)
+			confirm(c, 25_000, 30_000)
+		}, ""},
+		{"the view was never complete", func(c *streamversion.Core) { join(c, after(0), one) }, ""},
+		{"two versions", func(c *streamversion.Core) {
+			join(c, after(0), one)
+			join(c, after(29_000), two)
+			confirm(c, 0, 30_000)
+		}, ""},
+		{"another version until lately", func(c *streamversion.Core) {
+			join(c, after(0), one)
+			join(c, after(0), two)
+			confirm(c, 0, 30_000)
+			gone(c, after(21_000), two)
+		}, ""},
+		{"another version long ago", func(c *streamversion.Core) {
+			join(c, after(0), one)
+			join(c, after(0), two)
+			confirm(c, 0, 30_000)
+			gone(c, after(19_000), two)
+		}, "v1"},
+		{"a server changed its version lately", func(c *streamversion.Core) {
+			join(c, after(0), server("x", "v2"))
+			confirm(c, 0, 30_000)
+			join(c, after(25_000), one)
+		}, ""},
+		{"a version that the server does not state", func(c *streamversion.Core) {
+			join(c, after(0), server("x", ""))
+			confirm(c, 0, 30_000)
+		}, ""},
+		{"cut off now", func(c *streamversion.Core) {
+			join(c, after(0), one)
+			confirm(c, 0, 26_000)
+		}, ""},
+		{"cut off lately", func(c *streamversion.Core) {
+			join(c, after(0), one)
+			confirm(c, 0, 18_000)
+			confirm(c, 23_000, 30_000)
+		}, ""},
+		{"no server any more", func(c *streamversion.Core) {
+			join(c, after(0), one)
+			confirm(c, 0, 30_000)
+			gone(c, after(1_000), one)
+		}, ""},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			g := NewWithT(t)
+			c := newCore("a")
+			test.prepare(c)
+			version, known := c.OnlyVersion(after(30_000), "s")
+			g.Expect(version).To(Equal(test.version))
+			g.Expect(known).To(Equal(test.version != ""))
+		})
+	}
+}
+
+// TestADaemonLearnsWhatWasInUseBefore guards against a daemon that has started again and
+// refuses each stream that is taken up, and against one that takes an old history for a
+// complete one.
+func TestADaemonLearnsWhatWasInUseBefore(t *testing.T) {
+	for _, test := range []struct {
+		name    string
+		before  func(c *streamversion.Core)
+		askedAt int
+		version string
+	}{
+		{"one version", func(*streamversion.Core) {}, 30_500, "v1"},
+		{"another version until lately", func(c *streamversion.Core) {
+			join(c, after(0), server("y", "v2"))
+			gone(c, after(25_000), server("y", "v2"))
+		}, 30_500, ""},
+		{"asked before its own view was complete", func(*streamversion.Core) {}, 29_500, ""},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			g := NewWithT(t)
+			peer := newCore("peer")
+			join(peer, after(0), server("x", "v1"))
+			test.before(peer)
+			confirm(peer, 0, test.askedAt)
+			peer.Confirmed(after(test.askedAt))
+			history := peer.History(after(test.askedAt))
+			c := newCore("a")
+			join(c, after(30_000), server("x", "v1"))
+			c.Confirmed(after(30_000))
+			c.Confirmed(after(31_000))
+			c.MergeHistory(after(31_000), after(test.askedAt), &history)
+			version, _ := c.OnlyVersion(after(31_000), "s")
+			g.Expect(version).To(Equal(test.version))
+		})
+	}
+}
+
+// TestHoldersAreInTwoZones guards against holders that are lost together with the daemon,
+// and against holders that change when daemons come or go that are none.
+func TestHoldersAreInTwoZones(t *testing.T) {
+	g := NewWithT(t)
+	var members []streamversion.Member
+	for i := range 40 {
+		members = append(members, streamversion.Member{Node: fmt.Sprint("daemon-", i), Zone: fmt.Sprint("zone-", string(rune('a'+i%4))), Run: 1})
+	}
+	a := newCore("a")
+	a.SetMembers(members)
+	holders := a.Holders()
+	g.Expect(holders).To(HaveLen(2))
+	zones := make(map[string]bool)
+	for _, m := range members {
+		if slices.Contains(holders, m.Node) {
+			zones[m.Zone] = true
+		}
+	}
+	g.Expect(zones).To(HaveLen(2))
+	g.Expect(zones).To(HaveKey("zone-a"))
+	for _, m := range members {
+		a.SetMembers(slices.DeleteFunc(slices.Clone(members), func(o streamversion.Member) bool { return o == m }))
+		if !slices.Contains(holders, m.Node) {
+			g.Expect(a.Holders()).To(Equal(holders))
+		} else {
+			g.Expect(a.Holders()).NotTo(ContainElement(m.Node))
+			g.Expect(a.Holders()).To(HaveLen(2))
+		}
+	}
+	a.SetMembers([]streamversion.Member{{Node: "b", Zone: "zone-a"}, {Node: "c", Zone: "zone-a"}, {Node: "d", Zone: "zone-a"}})
+	g.Expect(a.Holders()).To(HaveLen(2), "all daemons are in one zone")
+	a.SetMembers(nil)
+	g.Expect(a.Holders()).To(BeEmpty())
+}
+
+// TestARecordIsAskedFor guards against a daemon that answers for a stream it does not know,
+// or not for one it holds.
+func TestARecordIsAskedFor(t *testing.T) {
+	g := NewWithT(t)
+	a, b := newCore("a"), newCore("b")
+	a.Began(after(0), after(0), "stream", server("x", "v1"))
+	ask := func(stream string) (streamversion.Origin, bool) {
+		lookup := streamversion.LookupOf(stream)
+		encoded, err := streamversion.Encode(&lookup)
+		g.Expect(err).NotTo(HaveOccurred())
+		m, err := streamversion.Decode[streamversion.Message](encoded)
+		g.Expect(err).NotTo(HaveOccurred())
+		reply := a.Handle(after(100), m)
+		encoded, err = streamversion.Encode(&reply)
+		g.Expect(err).NotTo(HaveOccurred())
+		decoded, err := streamversion.Decode[streamversion.Reply](encoded)
+		g.Expect(err).NotTo(HaveOccurred())
+		return decoded.OriginOf(stream)
+	}
+	found, ok := ask("stream")
+	g.Expect(ok).To(BeTrue())
+	b.Learned(after(100), "stream", found)
+	g.Expect(origin(b, after(200), "stream")).To(Equal("s v1"), "it is taken up a second time")
+	_, ok = ask("other")
+	g.Expect(ok).To(BeFalse())
+}
+
+// TestRecordsAreBounded guards against records that grow without limit.
+func TestRecordsAreBounded(t *testing.T) {
+	g := NewWithT(t)
+	a := newCore("a")
+	for i := range 100_000 {
+		a.Began(after(0), after(0), fmt.Sprint("stream-", i), server("x", "v1"))
+	}
+	g.Expect(origin(a, after(1), "stream-0")).To(Equal("unknown"))
+	g.Expect(origin(a, after(1), "stream-99999")).To(Equal("s v1"))
+}
