Ask a server which run of it answers before a stream goes on there

What callers could see: a stream that goes on at another software version (ORDER) at a server that has started again under its ID and at its address with that version. Its entry shows it up to a heartbeat and a read of the store later, and the server itself checks its ID only. Fix: an attempt that must keep to a version first asks, on the same connection, when the server started, and is not sent to another run than the listed one. Only streams that go on pay for the question, one round trip and one probe. TestAStreamDoesNotGoOnAtAnotherRun covers the listed run, one that closes the connection, one that states no start and another run; it fails without the check (mutant).

--- a/pkg/relay/relay_test.go
+++ b/pkg/relay/relay_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -46,6 +47,13 @@
 	return h
 }
 
+func (codec) RunPath() string { return "/run" }
+
+func (codec) RunStart(description []byte) (int64, bool) {
+	n, err := strconv.ParseInt(string(description), 10, 64)
+	return n, err == nil
+}
+
 func (codec) ResponseInfo(response *http.Response) relay.ResponseInfo {
 	return relay.ResponseInfo{RequestID: response.Header.Get("Id"), NotRun: response.Header.Get("Not-Run") != "",
 		Sealed: response.Header.Get("Seal") != ""}
--- a/pkg/relay/run.go
+++ b/pkg/relay/run.go
@@ -235,7 +235,7 @@
 // as a failed attempt at the server.
 func (x *exchange) connect(d *placement.Decision) (*backendconn.Conn, error) {
 	controller := x.handler.controller
-	conn, err := x.handler.pool.Get(x.caller, d.Server.ID, d.Server.Address, controller.ConnectionLimit(d.Server.ID, x.service))
+	conn, err := x.connectToRun(&d.Server)
 	if err != nil {
 		q := x.query(nil)
 		id := x.attemptID()
--- /dev/null
+++ b/pkg/relay/runcheck.go
@@ -0,0 +1,102 @@
+package relay
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"github.com/monsooncrank/monsooncrank/pkg/backendconn"
+	"github.com/monsooncrank/monsooncrank/pkg/fleet"
+)
+
+const (
+	// runCheckTimeout is the timeout of the question which run of a server answers. It is
+	// a few hundred round trips.
+	runCheckTimeout = 300 * time.Millisecond
+	// maxRunReportBytes limits the answer.
+	maxRunReportBytes = 256 << 10
+)
+
+// OtherRunError reports that a server has started again since its entry was written. It
+// may have another software version now.
+type OtherRunError struct {
+	Server                   string
+	ListedMilli, ActualMilli int64
+}
+
+func (e *OtherRunError) Error() string {
+	return fmt.Sprintf("server %s started at %d, not at %d as listed", e.Server, e.ActualMilli, e.ListedMilli)
+}
+
+// connectToRun returns a connection to a server on which the run in its entry answers. A
+// server may start again under its ID and at its address with another software version,
+// which shows in its entry only later.
+func (x *exchange) connectToRun(server *fleet.Server) (*backendconn.Conn, error) {
+	limit := x.handler.controller.ConnectionLimit(server.ID, x.service)
+	conn, err := x.handler.pool.Get(x.caller, server.ID, server.Address, limit)
+	if err != nil || !x.begun || server.StartedUnixMilli == 0 {
+		return conn, err
+	}
+	closes, err := x.checkRun(conn, server)
+	if err == nil && !closes {
+		return conn, nil
+	}
+	x.handler.pool.Discard(conn)
+	if err != nil {
+		return nil, err
+	}
+	return x.handler.pool.Get(x.caller, server.ID, server.Address, limit)
+}
+
+// checkRun asks a server when it started. It returns an error if another run answers or
+// none does, and whether the server closes the connection after its answer.
+func (x *exchange) checkRun(conn *backendconn.Conn, server *fleet.Server) (closes bool, err error) {
+	if err := conn.SetDeadline(time.Now().Add(runCheckTimeout)); err != nil {
+		return false, err
+	}
+	request := &http.Request{Method: http.MethodGet}
+	if _, err := fmt.Fprintf(conn, "GET %s HTTP/1.1\r\nHost: %s\r\n\r\n", x.handler.codec.RunPath(), server.Address); err != nil {
+		return false, err
+	}
+	response, body, err := x.readRunReport(conn, request)
+	if err != nil {
+		return false, err
+	}
+	startedUnixMilli, stated := x.handler.codec.RunStart(body)
+	if response.StatusCode == http.StatusOK && stated && startedUnixMilli != server.StartedUnixMilli {
+		klog.InfoS("server has started again since its entry was written", "request", x.ID, "server", server.ID,
+			"listed", server.StartedUnixMilli, "actual", startedUnixMilli)
+		return false, &OtherRunError{Server: server.ID, ListedMilli: server.StartedUnixMilli, ActualMilli: startedUnixMilli}
+	}
+	return response.Close, conn.SetDeadline(time.Time{})
+}
+
+// readRunReport reads the answer to the question for the run. Late answers to requests on
+// the connection are skipped.
+func (x *exchange) readRunReport(conn *backendconn.Conn, request *http.Request) (*http.Response, []byte, error) {
+	for range maxForeignResponses {
+		response, err := http.ReadResponse(conn.Reader, request)
+		if err != nil {
+			return nil, nil, err
+		}
+		body, err := io.ReadAll(io.LimitReader(response.Body, maxRunReportBytes))
+		if err != nil {
+			return nil, nil, err
+		}
+		if x.handler.codec.ResponseInfo(response).RequestID == "" {
+			return response, body, nil
+		}
+	}
+	return nil, nil, &ForeignResponsesError{Address: conn.RemoteAddr().String()}
+}
+
+// ForeignResponsesError reports that a connection delivered only responses to other
+// requests.
+type ForeignResponsesError struct{ Address string }
+
+func (e *ForeignResponsesError) Error() string {
+	return "received only responses to other requests from " + e.Address
+}
--- a/pkg/relay/types.go
+++ b/pkg/relay/types.go
@@ -82,6 +82,10 @@
 	Decode(r *http.Request) *Request
 	// BackendHeader returns the header of a request to a BackendServer.
 	BackendHeader(r *Request, a *Attempt) http.Header
+	// RunPath is the path at which a BackendServer describes itself, and RunStart returns
+	// the start of its run from that description, if it states one.
+	RunPath() string
+	RunStart(description []byte) (unixMilli int64, stated bool)
 	// ResponseInfo decodes the header of a BackendServer's response.
 	ResponseInfo(response *http.Response) ResponseInfo
 }
--- a/pkg/relay/version_test.go
+++ b/pkg/relay/version_test.go
@@ -130,6 +130,45 @@
 	g.Expect(services).To(gomega.HaveLen(1))
 }
 
+// TestAStreamDoesNotGoOnAtAnotherRun guards against a stream that goes on at a server which
+// has started again under its ID, and may have another version, before its entry shows it;
+// also when the server closes the connection after its description or states no start.
+func TestAStreamDoesNotGoOnAtAnotherRun(t *testing.T) {
+	for _, test := range []struct {
+		name, description, header string
+		goesOn                    bool
+	}{
+		{"the listed run", "1", "", true},
+		{"the listed run, which closes the connection", "1", "Connection: close\r\n", true},
+		{"no start stated", "none", "", true},
+		{"another run", "2", "", false},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			b := newBackend(t, func(_ int, r *http.Request, c net.Conn) bool {
+				if r.URL.Path == "/run" {
+					fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%sContent-Length: %d\r\n\r\n%s", test.header, len(test.description), test.description)
+					return test.header == ""
+				}
+				events(c, r.Header.Get("Id"), 3, 4, true)
+				return true
+			})
+			f := newFixture(t, b)
+			f.servers[0].StartedUnixMilli = 1
+			f.origins["first"] = streamversion.Origin{Service: "s", Version: "v1"}
+			status, body, err := f.take("first", "again", "2")
+			g.Expect(err).NotTo(gomega.HaveOccurred())
+			if !test.goesOn {
+				g.Expect(status).To(gomega.Equal(http.StatusServiceUnavailable), "nothing was sent")
+				g.Expect(b.count()).To(gomega.Equal(1))
+				return
+			}
+			g.Expect(status).To(gomega.Equal(http.StatusOK))
+			g.Expect(body).To(gomega.ContainSubstring("data: e4\n"))
+		})
+	}
+}
+
 // TestAStreamOfUnknownVersionIsRefused guards against a stream that goes on although no
 // daemon knows which version began it, or at a service to which its route does not lead.
 func TestAStreamOfUnknownVersionIsRefused(t *testing.T) {
