--- a/soak/faults.go
+++ b/soak/faults.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net/http"
 	"sync"
 	"syscall"
@@ -104,6 +105,49 @@
 	running.Wait()
 }
 
+// replaceInTurn replaces the servers one after the other and lets some of them be stuck
+// for longer than requests wait. It returns once the last of them has left.
+func (h *harness) replaceInTurn(ctx context.Context, pause time.Duration) {
+	random := rand.New(rand.NewPCG(h.options.Seed, 700))
+	var running sync.WaitGroup
+	defer running.Wait()
+	for n := 0; ; n++ {
+		sleep(ctx, pause)
+		if ctx.Err() != nil {
+			return
+		}
+		h.mu.Lock()
+		names := sortedNames(h.servers)
+		leaving, stuck := h.servers[names[random.IntN(len(names))]], h.servers[names[random.IntN(len(names))]]
+		h.mu.Unlock()
+		announced, duration := random.IntN(3) > 0, time.Duration(500+random.IntN(2000))*time.Millisecond
+		running.Go(func() { h.replaceServer(leaving.ID, leaving, announced) })
+		running.Go(func() { h.serverFault(ctx, stuck, standin.ServerFaults{Slow: stuckTime}, duration) })
+	}
+}
+
+// stuckTime is the time that a stuck server adds to each request.
+const stuckTime = 1200 * time.Millisecond
+
+// disturbRepeatedly pauses, kills or cuts off a daemon again and again.
+func (h *harness) disturbRepeatedly(ctx context.Context, index int) {
+	d, random := h.daemons[index], rand.New(rand.NewPCG(h.options.Seed, 800+uint64(index)))
+	for ctx.Err() == nil {
+		duration := time.Duration(500+random.IntN(3000)) * time.Millisecond
+		switch random.IntN(4) {
+		case 0:
+			d.signal(syscall.SIGSTOP)
+			sleep(ctx, duration)
+			d.signal(syscall.SIGCONT)
+		case 1:
+			h.restart(d, syscall.SIGKILL)
+		default:
+			h.linkFault(ctx, d.settings.Node, []Mode{Blackhole, RequestsOnly, Slow}[random.IntN(3)], duration)
+		}
+		sleep(ctx, time.Duration(random.IntN(1500))*time.Millisecond)
+	}
+}
+
 // killInTurn kills one daemon after the other and starts each again at once.
 func (h *harness) killInTurn(ctx context.Context, pause time.Duration) {
 	for i := 0; ; i++ {
--- a/soak/leaving.go
+++ b/soak/leaving.go
@@ -50,6 +50,8 @@
 	for _, s := range h.leavingServers {
 		left[s.ID] = s
 	}
+	checked := 0
+	defer func() { h.leavingChecked = checked }()
 	for id, runs := range h.ledger.All() {
 		d := h.receivers[id]
 		for _, run := range runs {
@@ -58,6 +60,9 @@
 				continue
 			}
 			late := run.At.Sub(s.LeftAt())
+			if late > 0 && h.inTouch(d, run.At) {
+				checked++
+			}
 			if late > drainLimit && h.calm(storeName, s.LeftAt()) && h.calm(s.ID, run.At) && h.inTouch(d, run.At) {
 				h.addFinding("request %s reached server %s from daemon %s %v after it had left", id, s.ID, d.settings.Node, late)
 			}
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -51,6 +51,12 @@
 	// KillEvery is the time after which the next daemon is killed and started again; 0
 	// means never.
 	KillEvery time.Duration
+	// LeaveEvery is the time after which the next server of each service is replaced; 0
+	// means never. Servers are stuck for a while in turn meanwhile.
+	LeaveEvery time.Duration
+	// DisturbedDaemons is the number of daemons that are paused, killed and cut off from
+	// the store while the others are left alone.
+	DisturbedDaemons int
 	// NoFaults leaves out all faults but those of the options above and RestartAllAt.
 	NoFaults bool
 	// LimitedServers is the number of servers that state a request limit of one a
@@ -112,9 +118,12 @@
 	// resumedTries counts the tries to take a stream up at daemons in touch, while servers
 	// of its version served, and resumed those that went on.
 	resumed, resumedTries int
-	findings              []string
-	sent                  int
-	succeeded             int
+	// leavingChecked is the number of requests that reached leaving servers from daemons in
+	// touch.
+	leavingChecked int
+	findings       []string
+	sent           int
+	succeeded      int
 }
 
 // Report holds the results of a run: the requests that callers sent, those that
@@ -127,7 +136,10 @@
 	// Resumed is the number of streams that went on, of ResumedTries that were taken up
 	// while this was to be expected.
 	Resumed, ResumedTries int
-	Findings              []string
+	// LeavingChecked is the number of requests that reached servers after they had left,
+	// whether in time or not, from daemons in touch.
+	LeavingChecked int
+	Findings       []string
 }
 
 // Run executes the run of one seed. Seeds divisible by 3 have planned stops and
@@ -170,6 +182,12 @@
 	for _, s := range h.allServers {
 		s.SetFaults(standin.ServerFaults{Cut: h.options.CutAnswers})
 	}
+	if h.options.LeaveEvery > 0 {
+		running.Go(func() { h.replaceInTurn(ctx, h.options.LeaveEvery) })
+	}
+	for i := range h.options.DisturbedDaemons {
+		running.Go(func() { h.disturbRepeatedly(ctx, i) })
+	}
 	if h.options.KillEvery > 0 {
 		running.Go(func() { h.killInTurn(ctx, h.options.KillEvery) })
 	}
@@ -191,7 +209,7 @@
 func (h *harness) report() Report {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return Report{Seed: h.options.Seed, Planned: h.planned, Sent: h.sent, Succeeded: h.succeeded, Resumed: h.resumed, ResumedTries: h.resumedTries, Findings: h.findings}
+	return Report{Seed: h.options.Seed, Planned: h.planned, Sent: h.sent, Succeeded: h.succeeded, Resumed: h.resumed, ResumedTries: h.resumedTries, LeavingChecked: h.leavingChecked, Findings: h.findings}
 }
 
 // addFinding records a violated guarantee.
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -99,6 +99,14 @@
 		CutAnswers: 0.3, KillEvery: 1500 * time.Millisecond, Duration: 12 * time.Second})
 }
 
+// TestLeavingServersGetNoRequests guards against requests that still reach servers after
+// they have left, from daemons that nothing disturbs, while servers leave and are stuck in
+// quick succession and other daemons are paused, killed and cut off from the store.
+func TestLeavingServersGetNoRequests(t *testing.T) {
+	runSeed(t, soak.Options{Seed: 1, Binary: buildDaemon(t), Daemons: 7, Servers: 5, Callers: 42, LeaveEvery: 600 * time.Millisecond,
+		DisturbedDaemons: 3, Duration: 12 * time.Second, NoFaults: true})
+}
+
 // TestServersInNeedGetNoMoreThanTheirLimit guards against daemons that each keep the
 // request limit of a server, or none, so that it gets more than that from all of them.
 func TestServersInNeedGetNoMoreThanTheirLimit(t *testing.T) {
@@ -135,8 +143,8 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	t.Logf("seed %d: planned %t, %d requests sent, %d succeeded, %d of %d streams taken up went on", seed, report.Planned, report.Sent, report.Succeeded,
-		report.Resumed, report.ResumedTries)
+	t.Logf("seed %d: planned %t, %d requests sent, %d succeeded, %d of %d streams taken up went on, %d requests at leaving servers", seed, report.Planned,
+		report.Sent, report.Succeeded, report.Resumed, report.ResumedTries, report.LeavingChecked)
 	for _, finding := range report.Findings {
 		t.Errorf("seed %d: %s", seed, finding)
 	}
