Ask all daemons of a small deployment at once for the version of a stream

Two rounds of up to 200 ms delay a stream that is taken up for no saving while a daemon talks to all others anyway.

--- a/pkg/edge/streams.go
+++ b/pkg/edge/streams.go
@@ -77,8 +77,8 @@
 }
 
 // StreamOrigin returns the origin of a stream that a caller takes up. It asks the other
-// daemons if this one does not know it: first those in its own AvailabilityZone, to which
-// callers usually return, then all others.
+// daemons if this one does not know it: in a large deployment first those in its own
+// AvailabilityZone, to which callers usually return, then all others.
 func (s *state) StreamOrigin(ctx context.Context, request, service, stream string) (streamversion.Origin, bool) {
 	startedAt := time.Now()
 	origin, source := s.knownOrigin(service, stream)
@@ -117,12 +117,13 @@
 	return streamversion.Origin{}, originUnknown
 }
 
-// lookupPeers returns the daemons in this one's zone and all others.
+// lookupPeers returns the daemons to ask first and those to ask then: those in this one's
+// zone and all others, or all at once if they are few.
 func (s *state) lookupPeers() (near, far []mesh.Peer) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, p := range s.peers.Alive(bootNow(), memberMaxAge) {
-		if p.Zone == s.settings.AvailabilityZone {
+		if s.peers.IsFullMesh() || p.Zone == s.settings.AvailabilityZone {
 			near = append(near, p)
 		} else {
 			far = append(far, p)
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -129,6 +129,19 @@
 // stuckTime is the time that a stuck server adds to each request.
 const stuckTime = 1200 * time.Millisecond
 
+// disturbStore lets the store fail in some way for a moment, again and again.
+func (h *harness) disturbStore(ctx context.Context, pause time.Duration) {
+	random := rand.New(rand.NewPCG(h.options.Seed, 900))
+	for {
+		sleep(ctx, pause)
+		if ctx.Err() != nil {
+			return
+		}
+		faults := []standin.Faults{{Status: http.StatusServiceUnavailable}, {LoseAnswers: true}, {HistoryLost: true}, {Delay: 300 * time.Millisecond}}
+		h.storeFault(ctx, faults[random.IntN(len(faults))], time.Duration(300+random.IntN(2000))*time.Millisecond)
+	}
+}
+
 // disturbRepeatedly pauses, kills or cuts off a daemon again and again.
 func (h *harness) disturbRepeatedly(ctx context.Context, index int) {
 	d, random := h.daemons[index], rand.New(rand.NewPCG(h.options.Seed, 800+uint64(index)))
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -57,6 +57,9 @@
 	// DisturbedDaemons is the number of daemons that are paused, killed and cut off from
 	// the store while the others are left alone.
 	DisturbedDaemons int
+	// StoreFaultEvery is the time after which the store is disturbed for a moment again; 0
+	// means never.
+	StoreFaultEvery time.Duration
 	// NoFaults leaves out all faults but those of the options above and RestartAllAt.
 	NoFaults bool
 	// LimitedServers is the number of servers that state a request limit of one a
@@ -185,6 +188,9 @@
 	if h.options.LeaveEvery > 0 {
 		running.Go(func() { h.replaceInTurn(ctx, h.options.LeaveEvery) })
 	}
+	if h.options.StoreFaultEvery > 0 {
+		running.Go(func() { h.disturbStore(ctx, h.options.StoreFaultEvery) })
+	}
 	for i := range h.options.DisturbedDaemons {
 		running.Go(func() { h.disturbRepeatedly(ctx, i) })
 	}
