Keep ports of the soak free while other processes start

What was seen: with several runs of the soak at a time, two of nine tests failed at their start, twice, and one once more: "bind: address already in use" at a port that was found free just before. Cause: a process that is being started holds all open files of its parent until it executes its program. The listener with which a port is tried out then lives on for a moment after it was closed. Fix: no process is started while ports are tried out. TestFreePortsAreFreeWhileProcessesStart fails at once without the lock and passes with it.

--- a/soak/daemon.go
+++ b/soak/daemon.go
@@ -59,6 +59,10 @@
 func freePorts(n int) ([]int, error) {
 	allocatedPorts.Lock()
 	defer allocatedPorts.Unlock()
+	// A process that is being started holds all open files until it executes its program, and
+	// with them the ports that are tried out here.
+	syscall.ForkLock.RLock()
+	defer syscall.ForkLock.RUnlock()
 	ports := make([]int, 0, n)
 	var lastErr error
 	for tries := 0; len(ports) < n && tries < 100*n; tries++ {
--- a/soak/daemon_test.go
+++ b/soak/daemon_test.go
@@ -1,6 +1,12 @@
 package soak
 
-import "testing"
+import (
+	"context"
+	"net"
+	"os/exec"
+	"sync"
+	"testing"
+)
 
 // Guards against two daemons of a run that are assigned the same address. This
 // happened once with seed 3: the second daemon could not start, and the requests
@@ -20,3 +26,33 @@
 		}
 	}
 }
+
+// TestFreePortsAreFreeWhileProcessesStart guards against ports that are in use for a moment
+// after they were returned, because a process that was started meanwhile holds them.
+func TestFreePortsAreFreeWhileProcessesStart(t *testing.T) {
+	ctx, cancel := context.WithCancel(context.Background())
+	var starting sync.WaitGroup
+	defer starting.Wait()
+	defer cancel()
+	for range 4 {
+		starting.Go(func() {
+			for ctx.Err() == nil {
+				if err := exec.Command("true").Run(); err != nil {
+					t.Error(err)
+					return
+				}
+			}
+		})
+	}
+	for range 400 {
+		address, err := freeAddress()
+		if err != nil {
+			t.Fatal(err)
+		}
+		listener, err := net.Listen("tcp", address)
+		if err != nil {
+			t.Fatalf("a free address is in use: %v", err)
+		}
+		_ = listener.Close()
+	}
+}
