Look for DRAIN on real processes: servers that leave in series, and during outages

The check of leaving servers now counts from when the store was stable, instead of leaving servers out that left while it was not. Tests of the soak run three at a time.

--- a/soak/faults.go
+++ b/soak/faults.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"cmp"
 	"context"
 	"math/rand/v2"
 	"net/http"
@@ -243,7 +244,7 @@
 	h.mu.Lock()
 	h.leavingServers = append(h.leavingServers, s)
 	h.mu.Unlock()
-	s.Drain(drainDuration, announced)
+	s.Drain(h.drainTime(), announced)
 }
 
 // startAndLeave starts a server that leaves right after its start, as one that is no
@@ -258,12 +259,14 @@
 	h.leavingServers = append(h.leavingServers, s)
 	h.mu.Unlock()
 	time.Sleep(firstEntryTime)
-	s.Drain(drainDuration, true)
+	s.Drain(h.drainTime(), true)
 }
 
 // firstEntryTime is the time in which a server writes its first entry.
 const firstEntryTime = 30 * time.Millisecond
 
-// drainDuration is how long a leaving server continues to serve. It covers the
-// time until daemons stop sending it requests and its longest request.
-const drainDuration = 5 * time.Second
+// defaultDrainTime covers the time until daemons stop sending requests to a leaving server
+// and its longest request.
+const defaultDrainTime = 5 * time.Second
+
+func (h *harness) drainTime() time.Duration { return cmp.Or(h.options.DrainTime, defaultDrainTime) }
--- a/soak/leaving.go
+++ b/soak/leaving.go
@@ -37,6 +37,22 @@
 	return true
 }
 
+// stableFrom returns when the store was stable after a time: it must have been undisturbed
+// for contactTime. A server that left while the store was not is known to have left then.
+func (h *harness) stableFrom(at time.Time) time.Time {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for moved := true; moved; {
+		moved = false
+		for _, f := range h.faults[storeName] {
+			if f.from.Before(at) && f.to.Add(contactTime).After(at) {
+				at, moved = f.to.Add(contactTime), true
+			}
+		}
+	}
+	return at
+}
+
 // inTouch reports whether a daemon, its link to the store and the store itself were
 // undisturbed for contactTime before a time.
 func (h *harness) inTouch(d *daemon, at time.Time) bool {
@@ -44,7 +60,8 @@
 }
 
 // checkLeavingServers checks that servers get no requests later than drainLimit after
-// the store has accepted that they are leaving, from any daemon that is in touch.
+// the store has accepted that they are leaving and is stable, from any daemon that is in
+// touch.
 func (h *harness) checkLeavingServers() {
 	left := make(map[string]*standin.Server)
 	for _, s := range h.leavingServers {
@@ -52,6 +69,10 @@
 	}
 	checked := 0
 	defer func() { h.leavingChecked = checked }()
+	leftAt := make(map[string]time.Time)
+	for id, s := range left {
+		leftAt[id] = h.stableFrom(s.LeftAt())
+	}
 	for id, runs := range h.ledger.All() {
 		d := h.receivers[id]
 		for _, run := range runs {
@@ -59,11 +80,11 @@
 			if s == nil || d == nil || s.LeftAt().IsZero() {
 				continue
 			}
-			late := run.At.Sub(s.LeftAt())
+			late := run.At.Sub(leftAt[s.ID])
 			if late > 0 && h.inTouch(d, run.At) {
 				checked++
 			}
-			if late > drainLimit && h.calm(storeName, s.LeftAt()) && h.calm(s.ID, run.At) && h.inTouch(d, run.At) {
+			if late > drainLimit && h.calm(s.ID, run.At) && h.inTouch(d, run.At) {
 				h.addFinding("request %s reached server %s from daemon %s %v after it had left", id, s.ID, d.settings.Node, late)
 			}
 		}
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -54,6 +54,8 @@
 	// LeaveEvery is the time after which the next server of each service is replaced; 0
 	// means never. Servers are stuck for a while in turn meanwhile.
 	LeaveEvery time.Duration
+	// DrainTime is how long a leaving server continues to serve; the default is 5 s.
+	DrainTime time.Duration
 	// DisturbedDaemons is the number of daemons that are paused, killed and cut off from
 	// the store while the others are left alone.
 	DisturbedDaemons int
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -1,11 +1,13 @@
 package soak_test
 
 import (
+	"flag"
 	"fmt"
 	"os"
 	"os/exec"
 	"path/filepath"
 	"strconv"
+	"sync"
 	"testing"
 	"time"
 
@@ -36,6 +38,7 @@
 // first seed, SOAK_RUNS the number of seeds and SOAK_DAEMONS that of daemons; the
 // folder of a failed seed is kept with its logs.
 func TestSoak(t *testing.T) {
+	t.Parallel()
 	daemons := defaultDaemons
 	if n, err := strconv.Atoi(os.Getenv("SOAK_DAEMONS")); err == nil {
 		daemons = n
@@ -64,6 +67,7 @@
 // one server after another because its caller sends it again to any daemon: once
 // it has crashed three servers, the daemons must keep it from further ones.
 func TestRequestsThatCrashServersAreContained(t *testing.T) {
+	t.Parallel()
 	// The seed draws each kind of crash, on routes of each kind.
 	runSeed(t, soak.Options{Seed: 1, Binary: buildDaemon(t), Daemons: 7, Callers: 14, CrashRequests: 4, Duration: 9 * time.Second, NoFaults: true})
 }
@@ -72,6 +76,7 @@
 // forget such requests when all of them are killed at the same time, and crash
 // further servers after each restart.
 func TestRestartedDaemonsKnowRequestsThatCrashServers(t *testing.T) {
+	t.Parallel()
 	runSeed(t, soak.Options{Seed: 10, Binary: buildDaemon(t), Daemons: 7, Callers: 14, CrashRequests: 3, Duration: 16 * time.Second, NoFaults: true,
 		RestartAllAt: []time.Duration{4 * time.Second, 9 * time.Second}})
 }
@@ -80,6 +85,7 @@
 // crashes servers and is not recognized when its caller sends it again, because only
 // its query is another one.
 func TestRequestsThatCrashServersAreContainedAcrossQueries(t *testing.T) {
+	t.Parallel()
 	runSeed(t, soak.Options{Seed: 1, Binary: buildDaemon(t), Daemons: 7, Callers: 14, CrashRequests: 4, ChangeQueries: true, Duration: 9 * time.Second, NoFaults: true})
 }
 
@@ -87,6 +93,7 @@
 // shutdowns, or known to one daemon only, when a request ends all servers of its service
 // at once, others start at their addresses under other IDs, and the store is away.
 func TestCrashesOfAllServersAreRemembered(t *testing.T) {
+	t.Parallel()
 	runSeed(t, soak.Options{Seed: 1, Binary: buildDaemon(t), Daemons: 7, Callers: 14, CrashRequests: 4, CrashSenders: 4, ReplaceServers: true,
 		StoreAwayUntil: 2 * time.Second, Duration: 16 * time.Second, NoFaults: true})
 }
@@ -95,6 +102,7 @@
 // servers of two software versions, in one answer or over the tries of their caller, and
 // against streams that are refused for want of knowing their version.
 func TestStreamsGoOnAtTheVersionThatBeganThem(t *testing.T) {
+	t.Parallel()
 	runSeed(t, soak.Options{Seed: 1, Binary: buildDaemon(t), Daemons: 7, Servers: 6, Callers: 28, Versions: 2, NoFaults: true,
 		CutAnswers: 0.3, KillEvery: 1500 * time.Millisecond, Duration: 12 * time.Second})
 }
@@ -103,30 +111,73 @@
 // they have left, from daemons that nothing disturbs, while servers leave and are stuck in
 // quick succession and other daemons are paused, killed and cut off from the store.
 func TestLeavingServersGetNoRequests(t *testing.T) {
+	t.Parallel()
 	runSeed(t, soak.Options{Seed: 1, Binary: buildDaemon(t), Daemons: 7, Servers: 5, Callers: 42, LeaveEvery: 600 * time.Millisecond,
 		DisturbedDaemons: 3, Duration: 12 * time.Second, NoFaults: true})
 }
 
+// TestServersThatLeaveDuringOutagesGetNoRequests guards against requests that still reach
+// servers which have left while the store was away, after it has been back for long enough.
+func TestServersThatLeaveDuringOutagesGetNoRequests(t *testing.T) {
+	t.Parallel()
+	runSeed(t, soak.Options{Seed: 1, Binary: buildDaemon(t), Daemons: 7, Servers: 5, Callers: 28, LeaveEvery: 500 * time.Millisecond, DrainTime: 14 * time.Second,
+		StoreFaultEvery: 7 * time.Second, Duration: 20 * time.Second, NoFaults: true})
+}
+
 // TestServersInNeedGetNoMoreThanTheirLimit guards against daemons that each keep the
 // request limit of a server, or none, so that it gets more than that from all of them.
 func TestServersInNeedGetNoMoreThanTheirLimit(t *testing.T) {
+	t.Parallel()
 	runSeed(t, soak.Options{Seed: 1, Binary: buildDaemon(t), Daemons: 7, Servers: 5, Callers: 14, Duration: 10 * time.Second, NoFaults: true, LimitedServers: 4})
 }
 
 // TestSeedsThatFailed repeats the runs of seeds that have failed with more daemons than
 // CI usually starts.
 func TestSeedsThatFailed(t *testing.T) {
+	t.Parallel()
 	binary := buildDaemon(t)
 	// Seed 9800: the crash of a silent server was missed when its entry had been removed,
 	// and the request that silences servers was sent on.
 	runSeed(t, soak.Options{Seed: 9800, Binary: binary, Daemons: 7, Servers: 3, Callers: 42, CrashRequests: 2, Duration: 15 * time.Second})
 }
 
+// parallelRuns is the number of tests that run at the same time. Each starts several
+// daemons, which need some of the machine's processors.
+const parallelRuns = "3"
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	if err := flag.Set("test.parallel", parallelRuns); err != nil {
+		panic(err)
+	}
+	code := m.Run()
+	if binary, err := daemonBinary(); err == nil {
+		err = os.RemoveAll(filepath.Dir(binary))
+		if err != nil {
+			panic(err)
+		}
+	}
+	os.Exit(code)
+}
+
+// daemonBinary builds the daemon once for all tests.
+var daemonBinary = sync.OnceValues(func() (string, error) {
+	folder, err := os.MkdirTemp("", "soak-daemon-")
+	if err != nil {
+		return "", err
+	}
+	binary := filepath.Join(folder, "monsooncrankd")
+	if out, err := exec.Command("go", "build", "-o", binary, "../cmd/monsooncrankd").CombinedOutput(); err != nil {
+		return "", fmt.Errorf("build the daemon: %w\n%s", err, out)
+	}
+	return binary, nil
+})
+
 func buildDaemon(t *testing.T) string {
 	t.Helper()
-	binary := filepath.Join(t.TempDir(), "monsooncrankd")
-	if out, err := exec.Command("go", "build", "-o", binary, "../cmd/monsooncrankd").CombinedOutput(); err != nil {
-		t.Fatalf("build the daemon: %v\n%s", err, out)
+	binary, err := daemonBinary()
+	if err != nil {
+		t.Fatal(err)
 	}
 	return binary
 }
