Let a stream in progress follow the correction of its version

What callers could see: a stream that goes on at another version within one answer (ORDER) after its server had started again under its ID, with another version, before its entry showed it. The record of the stream is corrected when the entry changes; the answer in progress kept the version of the old entry. Fix: the version is read from the record again before each further attempt.

--- a/pkg/relay/relay_test.go
+++ b/pkg/relay/relay_test.go
@@ -126,6 +126,14 @@
 	defer f.mu.Unlock()
 	f.origins[stream] = streamversion.Origin{Service: "s", Version: s.Version}
 }
+func (f *fake) StreamVersion(stream, stated string) string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if origin, ok := f.origins[stream]; ok {
+		return origin.Version
+	}
+	return stated
+}
 func (f *fake) StreamOrigin(_ context.Context, _, service, stream string) (streamversion.Origin, bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/pkg/relay/run.go
+++ b/pkg/relay/run.go
@@ -116,6 +116,9 @@
 
 // place selects a server that is not in exclude.
 func (x *exchange) place(exclude []string) (placement.Decision, error) {
+	if x.begun {
+		x.version = x.handler.controller.StreamVersion(x.streamID(), x.version)
+	}
 	decision, err := x.handler.controller.Place(x.query(exclude))
 	if err != nil && len(exclude) > 0 {
 		klog.V(1).InfoS("no other server", "request", x.ID, "tried", len(exclude), "err", err)
--- a/pkg/relay/types.go
+++ b/pkg/relay/types.go
@@ -114,7 +114,10 @@
 	// StreamBegan records the server that began a stream, which is named by the request
 	// that brought its first event. StreamOrigin returns the service and version that
 	// began a stream which a request takes up, and false if they are not known.
+	// StreamVersion returns the version that began a stream as far as it is known now: the
+	// one stated may be that of an earlier run of the server.
 	StreamBegan(stream string, server *fleet.Server)
+	StreamVersion(stream, stated string) string
 	StreamOrigin(ctx context.Context, request, service, stream string) (streamversion.Origin, bool)
 	// Answered records what the answer to a request that was sent at a time says about
 	// a request limit of its server.
--- a/pkg/relay/version_test.go
+++ b/pkg/relay/version_test.go
@@ -75,6 +75,31 @@
 	g.Expect(f.origins).To(gomega.Equal(map[string]streamversion.Origin{"first": {Service: "s", Version: "v1"}}))
 }
 
+// TestAStreamFollowsTheCorrectionOfItsVersion guards against a stream that goes on at the
+// version in an entry which was of an earlier run of its server, although the daemon has
+// learned of the later one since.
+func TestAStreamFollowsTheCorrectionOfItsVersion(t *testing.T) {
+	g := gomega.NewWithT(t)
+	var f *fixture
+	first := newBackend(t, func(_ int, r *http.Request, c net.Conn) bool {
+		events(c, r.Header.Get("Id"), 1, 2, false)
+		g.Eventually(func() bool {
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			_, begun := f.origins["first"]
+			f.origins["first"] = streamversion.Origin{Service: "s", Version: "v2"}
+			return begun
+		}).Should(gomega.BeTrue())
+		return false
+	})
+	stale, right := streamingServer(t), streamingServer(t)
+	f = newFixture(t, first, stale, right)
+	f.servers[2].Version = "v2"
+	_, _, _, _ = f.post("/stream/1", "first")
+	g.Expect(stale.count()).To(gomega.BeZero())
+	g.Expect(right.count()).To(gomega.Equal(1))
+}
+
 // TestAStreamWithoutAServerOfItsVersionIsCut guards against a stream that goes on at
 // another version because no server of its own is left, or because its server states none.
 func TestAStreamWithoutAServerOfItsVersionIsCut(t *testing.T) {
