Treat a stream that its caller takes up as one that has begun

What callers saw: under overload a stream that its caller takes up was refused like a new one, at 1.5 times its target for the first event, although the caller has a part of the answer that is lost then.

--- a/pkg/relay/relay_test.go
+++ b/pkg/relay/relay_test.go
@@ -77,6 +77,8 @@
 	leaveAtConnect map[string]bool
 	// origins holds the origins of streams by ID.
 	origins map[string]streamversion.Origin
+	// alreadyStarted holds, for each selection, whether the request had begun to run.
+	alreadyStarted []bool
 	// originService is the service for which an origin was last asked.
 	originService string
 }
@@ -99,6 +101,7 @@
 func (f *fake) Place(q *placement.Query) (placement.Decision, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.alreadyStarted = append(f.alreadyStarted, q.AlreadyStarted)
 	for range f.servers {
 		s := f.servers[f.next%len(f.servers)]
 		f.next++
--- a/pkg/relay/version_test.go
+++ b/pkg/relay/version_test.go
@@ -139,6 +139,7 @@
 	}
 	g.Expect(backends[0].count() + backends[2].count()).To(gomega.BeZero())
 	g.Expect(f.origins).To(gomega.HaveLen(1), "the stream keeps its name")
+	g.Expect(f.alreadyStarted).To(gomega.HaveEach(true), "the caller has a part of the answer")
 }
 
 // TestAStreamIsTakenUpAtItsService guards against a stream on a route with several services
