--- a/soak/daemon.go
+++ b/soak/daemon.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"errors"
 	"io"
 	"math/rand/v2"
 	"net"
@@ -14,6 +15,8 @@
 	"syscall"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"github.com/monsooncrank/monsooncrank/platform/standin"
 )
 
@@ -70,12 +73,10 @@
 		if allocatedPorts.taken[port] {
 			continue
 		}
-		l, err := net.Listen("tcp", net.JoinHostPort("127.0.0.1", strconv.Itoa(port)))
-		if err != nil {
+		if err := tryPort(port); err != nil {
 			lastErr = err
 			continue
 		}
-		defer func() { _ = l.Close() }()
 		allocatedPorts.taken[port] = true
 		ports = append(ports, port)
 	}
@@ -85,6 +86,20 @@
 	return ports, nil
 }
 
+// tryPort returns an error if a loopback port is in use. It does not listen, since a
+// listener of package net may hold its port for a moment after it was closed.
+func tryPort(port int) error {
+	socket, err := unix.Socket(unix.AF_INET, unix.SOCK_STREAM|unix.SOCK_CLOEXEC, 0)
+	if err != nil {
+		return err
+	}
+	err = unix.Bind(socket, &unix.SockaddrInet4{Port: port, Addr: [4]byte{127, 0, 0, 1}})
+	if closeErr := unix.Close(socket); err == nil {
+		err = closeErr
+	}
+	return err
+}
+
 // freeAddress returns a loopback address with a port that is not in use.
 func freeAddress() (string, error) {
 	ports, err := freePorts(1)
@@ -94,10 +109,36 @@
 	return net.JoinHostPort("127.0.0.1", strconv.Itoa(ports[0])), nil
 }
 
-// NoPortsError reports that not enough free ports were found.
+// maxAddressTries is how many addresses are tried until one is not taken by another process
+// before it is used.
+const maxAddressTries = 3
+
+// withFreeAddress calls use with a free loopback address, and with another one if that was
+// taken meanwhile.
+func withFreeAddress(use func(address string) error) error {
+	var err error
+	for range maxAddressTries {
+		var address string
+		if address, err = freeAddress(); err != nil {
+			return err
+		}
+		if err = use(address); !errors.Is(err, syscall.EADDRINUSE) {
+			return err
+		}
+	}
+	return err
+}
+
+// NoPortsError reports that not enough free ports were found. The cause is nil if all
+// ports that were tried had been returned before.
 type NoPortsError struct{ Cause error }
 
-func (e *NoPortsError) Error() string { return "not enough free ports on loopback: " + e.Cause.Error() }
+func (e *NoPortsError) Error() string {
+	if e.Cause == nil {
+		return "not enough free ports on loopback: all that were tried have been returned before"
+	}
+	return "not enough free ports on loopback: " + e.Cause.Error()
+}
 
 func newDaemon(binary, folder, node, zone, store, cloud string) (*daemon, error) {
 	ports, err := freePorts(4)
--- a/soak/proxy.go
+++ b/soak/proxy.go
@@ -45,12 +45,11 @@
 
 // NewProxy listens on loopback and forwards to target.
 func NewProxy(target string) (*Proxy, error) {
-	address, err := freeAddress()
-	if err != nil {
-		return nil, err
-	}
-	p := &Proxy{target: target, address: address, conns: make(map[net.Conn]struct{})}
-	return p, p.listen()
+	p := &Proxy{target: target, conns: make(map[net.Conn]struct{})}
+	return p, withFreeAddress(func(address string) error {
+		p.address = address
+		return p.listen()
+	})
 }
 
 // listen starts to accept connections.
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -299,14 +299,10 @@
 	number := h.startedServers
 	h.mu.Unlock()
 	id, zone := fmt.Sprintf("%s-%d", service, number), fmt.Sprintf("zone-%d", number%3)
-	address, err := freeAddress()
-	if err != nil {
-		return nil, err
-	}
 	if ended != nil {
-		zone, address = ended.Zone, ended.Address
+		zone = ended.Zone
 	}
-	s := &standin.Server{ID: id, Service: service, Zone: zone, WorkTime: 15 * time.Millisecond, EventCount: 12, Address: address,
+	s := &standin.Server{ID: id, Service: service, Zone: zone, WorkTime: 15 * time.Millisecond, EventCount: streamEvents,
 		DownTime: minDownTime + time.Duration(number)*downTimeStep%(maxDownTime-minDownTime)}
 	s.Version = h.versionOf(number)
 	s.NextVersion = func() string { return h.versionOf(rand.IntN(max(h.options.Versions, 1)) * servicesCount) }
@@ -318,20 +314,32 @@
 	if h.options.ReplaceServers {
 		s.Replace = func() { h.replaceEndedServer(s) }
 	}
-	err = standin.StartServer(s, h.store, h.ledger, func(address string) (string, error) {
-		proxy, err := h.proxyFor(ended, address)
-		if err != nil {
-			return "", err
-		}
-		h.mu.Lock()
-		defer h.mu.Unlock()
-		h.proxies[id] = proxy
-		return proxy.Address(), nil
-	})
+	start := func(address string) error {
+		s.Address = address
+		return standin.StartServer(s, h.store, h.ledger, func(address string) (string, error) {
+			proxy, err := h.proxyFor(ended, address)
+			if err != nil {
+				return "", err
+			}
+			h.mu.Lock()
+			defer h.mu.Unlock()
+			h.proxies[id] = proxy
+			return proxy.Address(), nil
+		})
+	}
+	var err error
+	if ended != nil {
+		err = start(ended.Address)
+	} else {
+		err = withFreeAddress(start)
+	}
+	if err != nil {
+		return nil, err
+	}
 	h.mu.Lock()
+	defer h.mu.Unlock()
 	h.allServers = append(h.allServers, s)
-	h.mu.Unlock()
-	return s, err
+	return s, nil
 }
 
 // proxyFor returns the proxy of a server that has ended, which accepts connections
