--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -90,11 +90,12 @@
 }
 
 // TestCrashesOfAllServersAreRemembered guards against crashes that are taken for
-// shutdowns, or known to one daemon only, when a request ends all servers of its service
-// at once, others start at their addresses under other IDs, and the store is away.
+// shutdowns, known to one daemon only, or counted against another request, when several
+// callers send a request with varying queries that ends all servers of its service at once,
+// others start at their addresses under other IDs, and the store is away.
 func TestCrashesOfAllServersAreRemembered(t *testing.T) {
 	t.Parallel()
-	runSeed(t, soak.Options{Seed: 1, Binary: buildDaemon(t), Daemons: 7, Callers: 14, CrashRequests: 4, CrashSenders: 4, ReplaceServers: true,
+	runSeed(t, soak.Options{Seed: 1, Binary: buildDaemon(t), Daemons: 7, Callers: 14, CrashRequests: 4, CrashSenders: 4, ChangeQueries: true, ReplaceServers: true,
 		StoreAwayUntil: 2 * time.Second, Duration: 16 * time.Second, NoFaults: true})
 }
 
