--- a/pkg/edge/quarantine_reports_test.go
+++ b/pkg/edge/quarantine_reports_test.go
@@ -28,9 +28,10 @@
 func TestEachChangeOfAServerIsReportedToTheQuarantine(t *testing.T) {
 	address := closedAddress(t)
 	server := fleet.Server{ID: "x", Service: "s", Address: address, StartedUnixMilli: 1}
-	leaving, later, other := server, server, server
+	leaving, later, moved, other := server, server, server, server
 	leaving.Leaving = true
 	later.StartedUnixMilli = 2
+	moved.StartedUnixMilli, moved.Address = 2, closedAddress(t)
 	other.ID = "y"
 	tests := []struct {
 		name    string
@@ -44,6 +45,7 @@
 		{"announces its shutdown and ends", [][]fleet.Entry{serverEntries(leaving, 2), {}}, true, 0},
 		{"is removed and runs no more", [][]fleet.Entry{{}}, true, 1},
 		{"starts again", [][]fleet.Entry{serverEntries(later, 2)}, true, 1},
+		{"starts again at another address", [][]fleet.Entry{serverEntries(moved, 2)}, true, 1},
 		{"has its address taken", [][]fleet.Entry{append(serverEntries(server, 1), serverEntries(other, 2)...)}, true, 1},
 		{"is listed again", [][]fleet.Entry{serverEntries(server, 1)}, true, 0},
 	}
@@ -78,6 +80,18 @@
 	}
 }
 
+// TestTheEndOfALeavingServerIsNoCrash guards against a server that has served for so long
+// after its announcement that the quarantine has forgotten it, and whose end passes for a
+// crash.
+func TestTheEndOfALeavingServerIsNoCrash(t *testing.T) {
+	g := gomega.NewWithT(t)
+	s := namedState(t, "a").state
+	server := fleet.Server{ID: "x", Service: "s", Address: closedAddress(t), Leaving: true}
+	s.quarantine.Started(quarantine.Attempt{ID: "1", Fingerprint: "f", Server: server.RunID(), Address: server.Address})
+	s.reportServerChange(&fleet.Event{Server: server, Change: fleet.ServerGone}, false)
+	g.Consistently(func() bool { _, suspected := s.quarantine.Entry("f"); return suspected }, 50*time.Millisecond).Should(gomega.BeFalse())
+}
+
 // countingStore counts the reads of the quarantine's entries.
 type countingStore struct {
 	table.Store
