--- a/pkg/streaming/reports_test.go
+++ b/pkg/streaming/reports_test.go
@@ -57,6 +57,9 @@
 // Guards against attempts of a stream whose start or end is not reported to the
 // quarantine, is reported twice or as something else.
 var _ = Describe("the driver's reports to the quarantine", func() {
+	ends := func(reports []string) []string {
+		return slices.DeleteFunc(slices.Clone(reports), func(r string) bool { return r[:7] == "started" })
+	}
 	run := func(recorder *reportRecorder, errs []error, out *sink, modify func(*deployment)) []string {
 		d := deploy(GinkgoTB(), slowEngine, func(o *streaming.Options) { o.Quarantine = recorder })
 		d.client.startErrors = errs
@@ -64,11 +67,13 @@
 			modify(d)
 		}
 		_ = d.driver.Chat(context.Background(), chatRequest("r1", 64), out)
+		// The caller may have the answer before the end of the attempt is reported.
+		Eventually(func() bool {
+			reports := recorder.all()
+			return len(reports) > 0 && 2*len(ends(reports)) == len(reports)
+		}, time.Second).Should(BeTrue(), "each attempt has a start and an end")
 		return recorder.all()
 	}
-	ends := func(reports []string) []string {
-		return slices.DeleteFunc(slices.Clone(reports), func(r string) bool { return r[:7] == "started" })
-	}
 	It("covers an answered attempt", func() {
 		reports := run(&reportRecorder{}, nil, &sink{}, nil)
 		Expect(reports).To(HaveLen(2))
