--- a/pkg/edge/daemon.go
+++ b/pkg/edge/daemon.go
@@ -69,18 +69,17 @@
 
 // Daemon serves client requests. Create it with New and start it with Run.
 type Daemon struct {
-	options     Options
-	settings    Settings
-	platform    Platform
-	state       *state
-	pool        *backendconn.Pool
-	front       *relay.Handler
-	peerPool    *peer.Pool
-	peerServer  *peer.Server
-	registry    *prometheus.Registry
-	idle        *idleConnections
-	refreshedAt time.Time
-	serverFeed  serverFeed
+	options    Options
+	settings   Settings
+	platform   Platform
+	state      *state
+	pool       *backendconn.Pool
+	front      *relay.Handler
+	peerPool   *peer.Pool
+	peerServer *peer.Server
+	registry   *prometheus.Registry
+	idle       *idleConnections
+	serverFeed serverFeed
 }
 
 // New returns a Daemon. It sets the memory limit of the Go runtime and starts
--- a/pkg/edge/exchange.go
+++ b/pkg/edge/exchange.go
@@ -16,12 +16,13 @@
 	// engine processes about ten thousand prompt tokens in this time.
 	exchangeInterval = 250 * time.Millisecond
 	// leafInterval is the time between two exchanges of a hub with a daemon that
-	// is not a hub. A message with the records of all daemons takes a small host
-	// one millisecond to process.
+	// is not a hub.
 	leafInterval = 400 * time.Millisecond
-	// exchangeCheckInterval is how often the daemon checks which exchanges are
-	// due.
-	exchangeCheckInterval = 50 * time.Millisecond
+	// exchangeCheckInterval and minExchangeCheckInterval are the longest and the shortest
+	// time between two checks of which exchanges are due. Servers whose grace period has
+	// ended are removed at the latest after the former.
+	exchangeCheckInterval    = 200 * time.Millisecond
+	minExchangeCheckInterval = 10 * time.Millisecond
 	// exchangeTimeout is the timeout of one exchange. It is many times the round
 	// trip between zones.
 	exchangeTimeout = 700 * time.Millisecond
@@ -37,6 +38,9 @@
 	// daemons and forward records. With three hubs, one remains when two hosts
 	// fail at the same time.
 	hubCount = 3
+	// daemonsPerHub is the number of daemons for each of which there is a hub in
+	// larger deployments. A hub answers 2.5 exchanges of each a second.
+	daemonsPerHub = 100
 	// catalogDeliveryTimeout is how long a daemon waits for an announced
 	// configuration before it reads the store, and how long a hub waits before it
 	// sends the configuration to a neighbor whose primary hub is another one.
@@ -48,13 +52,26 @@
 
 // newRecord returns the next record of this daemon.
 func (s *state) newRecord() mesh.Record {
+	now := bootNow()
+	r := s.newPartialRecord()
+	r.Partial = false
+	r.Loads, r.Work, r.Quota = s.placement.Own(), s.placement.OwnWork(), s.quota.Totals(now)
+	r.Usage, r.Placed = s.usage.Own(), s.placement.RecentPlacements(time.Now())
+	if !s.peers.Collects() && s.digests.hubSettled {
+		// The hub knows the levels.
+		r.Quota.Level = nil
+	}
+	s.digests.sent.Add(mesh.SentRecord{Sequence: r.Sequence, Loads: r.Loads, Used: r.Quota.Used})
+	return r
+}
+
+// newPartialRecord returns the next record of this daemon for a receiver to which a digest
+// tells the rest.
+func (s *state) newPartialRecord() mesh.Record {
 	s.sequence++
 	return mesh.Record{
-		Node: s.settings.Node, Incarnation: s.incarnation, Sequence: s.sequence, Loads: s.placement.Own(),
-		Work:  s.placement.OwnWork(),
-		Quota: s.quota.Totals(bootNow()), Usage: s.usage.Own(), Placed: s.placement.RecentPlacements(time.Now()), Stopping: s.stopping,
-		ForwardAddress: s.settings.MetricsAddress, OutOfReach: s.forward.reach.OutOfReach(),
-		Refusals: s.limits.OwnRefusals(),
+		Node: s.settings.Node, Incarnation: s.incarnation, Sequence: s.sequence, Stopping: s.stopping, Partial: true,
+		ForwardAddress: s.settings.MetricsAddress, OutOfReach: s.forward.reach.OutOfReach(), Refusals: s.limits.OwnRefusals(),
 	}
 }
 
@@ -63,9 +80,17 @@
 	now := bootNow()
 	neighbor, _ := s.peers.Lookup(node)
 	m := &mesh.Message{
-		Record: s.newRecord(), Address: s.settings.PeerAddress, WallUnixMilli: time.Now().UnixMilli(),
+		Address: s.settings.PeerAddress, WallUnixMilli: time.Now().UnixMilli(), Collects: s.peers.Collects(),
 		Records: s.peers.RecordsFor(now, node), Revision: s.peers.Revision(), ReceivedRevision: s.peers.ReceivedRevisionOf(node),
-		QuarantineReceived: neighbor.Quarantine.Received,
+		QuarantineReceived: neighbor.Quarantine.Received, MembersReceived: neighbor.Members.Received, PlacedReceived: neighbor.Placed.Received,
+	}
+	if s.peers.SendsRecord(node) {
+		m.Record = s.newRecord()
+	} else {
+		m.Record = s.newPartialRecord()
+	}
+	if s.peers.SendsMembers(node) || s.peers.SendsDigest(node) {
+		s.addDigest(now, m, &neighbor, node)
 	}
 	m.Quarantine, m.QuarantineSpan = s.quarantine.EntriesFor(node, neighbor.Quarantine.Acknowledged, !s.peers.IsFullMesh(), maxQuarantineEntries)
 	m.LimitsReceived = neighbor.Limits.Received
@@ -149,11 +174,13 @@
 	defer s.mu.Unlock()
 	s.peers.UpdateNeighbor(bootNow(), m, requestedAt.IsZero())
 	s.recordPeerCatalogVersion(bootNow(), m.CatalogVersion)
+	s.updateRole(bootNow())
+	s.applyDigest(bootNow(), m, !requestedAt.IsZero())
 	s.applyRecord(&m.Record)
 	for i := range m.Records {
 		s.applyRecord(&m.Records[i])
 	}
-	s.placement.ApplyPeerLoads(time.Now())
+	s.placement.ExpirePeers(time.Now())
 	s.quota.SetStaleness(s.peers.MaxStaleness())
 	s.applyFleet(m, requestedAt)
 	s.applyLimits(m)
@@ -172,14 +199,18 @@
 	return d.platform.DecodeCatalog(source)
 }
 
-// applyRecord applies another daemon's record unless it is outdated.
+// applyRecord applies another daemon's record unless it is outdated. A daemon that takes
+// the sums of all records from a hub's digest adds no record to them.
 func (s *state) applyRecord(r *mesh.Record) {
 	now := bootNow()
 	if !s.peers.MergeRecord(now, r) {
 		return
 	}
-	s.usage.SetPeer(r.Node, r.Incarnation, r.Usage)
 	s.limits.PeerRefusals(time.Now(), r.Node, r.Incarnation, r.Refusals, s.placement.RunningAt)
+	if r.Partial || !s.peers.Collects() {
+		return
+	}
+	s.usage.SetPeer(r.Node, r.Incarnation, r.Usage)
 	if r.Stopping {
 		s.quota.RemovePeer(r.Node)
 		s.placement.SetPeer(time.Now(), r.Node, nil, nil)
@@ -238,23 +269,26 @@
 // exchangeLoop starts the exchanges that are due, removes servers whose grace period
 // has ended and chooses the senders to servers with a request limit.
 func (d *Daemon) exchangeLoop(ctx context.Context) {
-	tick := time.NewTicker(exchangeCheckInterval)
-	defer tick.Stop()
+	timer := time.NewTimer(exchangeCheckInterval)
+	defer timer.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case <-tick.C:
+		case <-timer.C:
 		case <-d.state.exchangeWake:
 		}
 		s := d.state
 		s.mu.Lock()
-		due := append(s.urgentPeers, s.peers.Due(bootNow())...)
-		s.urgentPeers = nil
-		s.applyServerEvents(s.fleet.RemoveExpired(bootNow()), "grace period")
-		s.refreshLimitMembers(bootNow())
+		now := bootNow()
+		s.updateRole(now)
+		s.applyServerEvents(s.fleet.RemoveExpired(now), "grace period")
+		s.refreshLimitMembers(now)
 		s.confirmVersions()
+		due := s.peers.Due(now)
+		next := s.peers.NextDue(now.Add(exchangeCheckInterval))
 		s.mu.Unlock()
+		timer.Reset(max(next.Sub(now), minExchangeCheckInterval))
 		for i := range due {
 			go d.exchange(ctx, due[i])
 		}
--- a/pkg/edge/forward.go
+++ b/pkg/edge/forward.go
@@ -25,8 +25,10 @@
 	// resetDelay is how long a probe waits for a reset of the connection. It is many round
 	// trips between zones, as a full server may be slow.
 	resetDelay = 100 * time.Millisecond
-	// probeCheckInterval is how often the daemon checks whether servers are to be probed.
-	probeCheckInterval = 50 * time.Millisecond
+	// probeCheckInterval is how often the daemon checks whether servers are to be probed
+	// while links may be lost, and idleProbeCheckInterval otherwise.
+	probeCheckInterval     = 50 * time.Millisecond
+	idleProbeCheckInterval = time.Second
 	// forwardedPerCore is how many forwarded requests in progress a daemon takes for each of
 	// its cores, beside its own; a request takes a few milliseconds of a core and lasts
 	// seconds. minForwarded is the least number.
@@ -183,21 +185,32 @@
 
 // probeLoop probes servers of services to which connections have failed.
 func (d *Daemon) probeLoop(ctx context.Context) {
-	tick := time.NewTicker(probeCheckInterval)
-	defer tick.Stop()
+	timer := time.NewTimer(idleProbeCheckInterval)
+	defer timer.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case <-tick.C:
+		case <-timer.C:
 		case <-d.state.forward.wake:
 		}
+		timer.Reset(d.state.probeCheckAfter())
 		for service, servers := range d.state.dueProbes(time.Now()) {
 			go d.probeServers(ctx, service, servers)
 		}
 	}
 }
 
+// probeCheckAfter returns the time after which to check whether servers are to be probed.
+func (s *state) probeCheckAfter() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.forward.reach.Pending() {
+		return probeCheckInterval
+	}
+	return idleProbeCheckInterval
+}
+
 // dueProbes returns the servers to probe now, by service.
 func (s *state) dueProbes(now time.Time) map[string][]fleet.Server {
 	s.mu.Lock()
--- a/pkg/edge/limits.go
+++ b/pkg/edge/limits.go
@@ -16,6 +16,10 @@
 // alive when senders are chosen. It is several times the age at which records arrive.
 const memberMaxAge = 3 * time.Second
 
+// toldMemberMaxAge is the age of a daemon's last record at which a hub tells others that it
+// is not alive. With the time until they are told it is about memberMaxAge.
+const toldMemberMaxAge = 2500 * time.Millisecond
+
 // memberInterval is how often the senders are chosen again.
 const memberInterval = 250 * time.Millisecond
 
--- a/pkg/edge/servers.go
+++ b/pkg/edge/servers.go
@@ -22,7 +22,7 @@
 	peerViewMaxAge = 1500 * time.Millisecond
 	// followCheckInterval is how often a daemon checks whether it must read the store
 	// itself.
-	followCheckInterval = 100 * time.Millisecond
+	followCheckInterval = 200 * time.Millisecond
 	// minListInterval is the least time between two reads of all entries because of a
 	// neighbor whose view differs, as during the grace period after a store outage that
 	// only one of the two has noticed.
--- a/pkg/edge/state.go
+++ b/pkg/edge/state.go
@@ -90,8 +90,7 @@
 	// membersUpdatedAt is when the senders to servers with a request limit were last
 	// chosen.
 	membersUpdatedAt time.Time
-	// urgentPeers are the daemons with which to exchange messages immediately.
-	urgentPeers []mesh.Peer
+	digests          digestState
 	// sequence is the sequence number of this daemon's last record.
 	sequence uint64
 	// exchangeWake wakes exchangeLoop before its next tick.
@@ -110,8 +109,9 @@
 		placement:   placement.NewCore(placement.Options{Seed: incarnation}),
 		quota:       quota.New(now, quota.Options{Window: settings.QuotaWindow, Overage: settings.QuotaOverage, Slack: settings.QuotaSlack}),
 		usage:       usage.New(settings.UsageWindow),
-		peers: mesh.NewDirectory(settings.Node, settings.Cores, mesh.Options{Interval: exchangeInterval, LeafInterval: leafInterval,
-			PeerExpiry: peerExpiry, FullMeshLimit: fullMeshLimit, HubCount: hubCount}),
+		peers: mesh.NewDirectory(settings.Node, incarnation, settings.Cores, mesh.Options{Interval: exchangeInterval, LeafInterval: leafInterval,
+			PeerExpiry: peerExpiry, FullMeshLimit: fullMeshLimit, HubCount: hubCount, DaemonsPerHub: daemonsPerHub, MemberMaxAge: toldMemberMaxAge}),
+		digests:       digestState{log: mesh.NewDigestLog(incarnation)},
 		limits:        serverlimit.New(time.Now(), settings.Node, incarnation),
 		streams:       streamversion.New(settings.Node, settings.AvailabilityZone, incarnation),
 		fleetMetrics:  newFleetMetrics(),
@@ -191,7 +191,7 @@
 
 // wakeExchange makes all exchanges with peers due immediately.
 func (s *state) wakeExchange() {
-	s.urgentPeers = append(s.urgentPeers, s.peers.MakeExchangesDue(bootNow())...)
+	s.peers.MakeExchangesDue(bootNow())
 	select {
 	case s.exchangeWake <- struct{}{}:
 	default:
--- a/pkg/edge/store.go
+++ b/pkg/edge/store.go
@@ -21,6 +21,9 @@
 	// versions that no hub has announced. All changes between two reads cost the
 	// daemon a single call.
 	leafCatalogReadInterval = 8 * time.Second
+	// catalogReaders is the number of daemons that read the configuration within
+	// leafCatalogReadInterval; with more of them each reads less often.
+	catalogReaders = 64
 	// catalogCheckInterval is how often a daemon checks whether a configuration
 	// announced by a hub is overdue. It is a small part of the time within which
 	// a configuration must be in force.
@@ -28,8 +31,13 @@
 	// storeRetryDelay is the pause after a failed call to the store.
 	storeRetryDelay = 250 * time.Millisecond
 	// registerInterval is how often a daemon refreshes its own row and reads the
-	// rows of the other daemons.
-	registerInterval = 15 * time.Second
+	// rows of the other daemons. A daemon that a hub tells of the others refreshes
+	// its row every leafRegisterInterval, which is shorter than peerExpiry.
+	registerInterval     = 15 * time.Second
+	leafRegisterInterval = 30 * time.Second
+	// rowsToldMaxAge is the age of what a hub has told of the other daemons at which
+	// a daemon reads their rows itself.
+	rowsToldMaxAge = 3 * time.Second
 	// initialRegisterInterval is how often a daemon reads the rows shortly after
 	// its start, when the other daemons may be starting too.
 	initialRegisterInterval = 2 * time.Second
@@ -118,7 +126,8 @@
 // waits for leafCatalogReadInterval, or until an announced version is overdue,
 // and then reads without waiting for a change.
 func (d *Daemon) awaitCatalogRead(ctx context.Context) time.Duration {
-	for waited := time.Duration(0); waited < leafCatalogReadInterval; waited += catalogCheckInterval {
+	interval := d.state.catalogReadInterval()
+	for waited := time.Duration(0); waited < interval; waited += catalogCheckInterval {
 		if d.state.followsStore() {
 			return catalogWatchTimeout
 		}
@@ -130,6 +139,14 @@
 	return 0
 }
 
+// catalogReadInterval returns the time between two reads of the configuration on a daemon
+// to which hubs send new versions.
+func (s *state) catalogReadInterval() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return leafCatalogReadInterval * time.Duration(max((s.peers.Size()+catalogReaders-1)/catalogReaders, 1))
+}
+
 // daemonRow is the value of a daemon's row in the table.
 type daemonRow struct {
 	Address     string `json:"address"`
@@ -142,13 +159,25 @@
 }
 
 // register periodically refreshes this daemon's row and reads the rows of the
-// other daemons.
+// other daemons, unless a hub tells it of them.
 func (d *Daemon) register(ctx context.Context) {
 	startedAt := time.Now()
-	var refreshed uint64
+	var row ownRow
 	for ctx.Err() == nil {
-		refreshed++
-		if err := d.registerOnce(ctx, refreshed); err != nil {
+		var err error
+		told := d.toldOfDaemons()
+		if !told {
+			err = d.readDaemons(ctx, &row)
+		}
+		d.expirePeers()
+		interval := registerInterval
+		if told {
+			interval = leafRegisterInterval
+		}
+		if err == nil && (row.refreshedAt.IsZero() || time.Since(row.refreshedAt) >= interval) {
+			err = d.refreshRow(ctx, &row)
+		}
+		if err != nil {
 			klog.InfoS("failed to refresh the list of daemons", "err", err)
 		}
 		wait := registerInterval
@@ -159,35 +188,61 @@
 	}
 }
 
-// registerOnce reads the rows of all daemons and refreshes this daemon's row if
-// that is due. The parameter refreshed is the count that the refreshed row holds.
-func (d *Daemon) registerOnce(ctx context.Context, refreshed uint64) error {
+// ownRow is what a daemon knows of its row.
+type ownRow struct {
+	version     uint64
+	refreshed   uint64
+	refreshedAt time.Time
+}
+
+// toldOfDaemons reports whether a hub tells this daemon of the others.
+func (d *Daemon) toldOfDaemons() bool {
+	s := d.state
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return !s.peers.Collects() && s.peers.ToldAge(bootNow()) < rowsToldMaxAge
+}
+
+// readDaemons reads the rows of all daemons.
+func (d *Daemon) readDaemons(ctx context.Context, own *ownRow) error {
 	items, err := d.platform.Query(ctx, daemonPartition, "", maxDaemonRows)
 	if err != nil {
 		return err
 	}
-	own := table.Key{Partition: daemonPartition, Sort: d.settings.Node}
-	var version uint64
 	for _, item := range items {
-		var row daemonRow
-		if item.Key == own {
-			version = item.Version
+		if item.Key.Sort == d.settings.Node {
+			own.version = item.Version
 		}
+		var row daemonRow
 		if err := json.Unmarshal(item.Value, &row); err != nil {
 			klog.ErrorS(err, "failed to decode the row of a daemon", "daemon", item.Key.Sort)
 			continue
 		}
 		d.updatePeerEntry(item.Key.Sort, row, item.Version)
 	}
-	d.expirePeers()
-	if version != 0 && refreshed > 1 && time.Since(d.refreshedAt) < registerInterval {
-		return nil
-	}
+	return nil
+}
+
+// refreshRow writes this daemon's row again.
+func (d *Daemon) refreshRow(ctx context.Context, own *ownRow) error {
+	key := table.Key{Partition: daemonPartition, Sort: d.settings.Node}
+	own.refreshed++
 	// Marshal cannot fail for strings and finite numbers.
-	value, _ := json.Marshal(daemonRow{Address: d.settings.PeerAddress, Incarnation: d.state.incarnation, Cores: d.settings.Cores, Zone: d.settings.AvailabilityZone, Refreshed: refreshed})
-	err = d.platform.Transact(ctx, []table.Write{{Key: own, Version: version, Value: value}})
+	value, _ := json.Marshal(daemonRow{Address: d.settings.PeerAddress, Incarnation: d.state.incarnation, Cores: d.settings.Cores, Zone: d.settings.AvailabilityZone, Refreshed: own.refreshed})
+	err := d.platform.Transact(ctx, []table.Write{{Key: key, Version: own.version, Value: value}})
 	if err == nil {
-		d.refreshedAt = time.Now()
+		own.version++
+		own.refreshedAt = time.Now()
+		return nil
+	}
+	// The row may have been written by an earlier call whose response was lost.
+	item, readErr := d.platform.Get(ctx, key)
+	var missing *table.NotFoundError
+	switch {
+	case readErr == nil:
+		own.version = item.Version
+	case errors.As(readErr, &missing):
+		own.version = 0
 	}
 	return err
 }
--- a/pkg/mesh/bench_test.go
+++ b/pkg/mesh/bench_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"github.com/monsooncrank/monsooncrank/coordination/changelog"
 	"github.com/monsooncrank/monsooncrank/pkg/mesh"
 	"github.com/monsooncrank/monsooncrank/pkg/placement"
 	"github.com/monsooncrank/monsooncrank/pkg/quota"
@@ -27,47 +28,119 @@
 		counts[account] = 40
 	}
 	for i := range 4 {
-		r.Placed = append(r.Placed, placement.Placed{Sequence: uint64(i), Server: "i-0000abcd", PrefixHashes: []uint64{1 << 60, 1 << 61}, Uncached: 3000})
+		r.Placed = append(r.Placed, placement.Placed{Sequence: uint64(i), Server: 7, PrefixHashes: []uint64{1 << 60, 1 << 61}, Uncached: 3000})
 	}
 	r.Usage = usage.Windows{1: counts, 2: counts, 3: counts}
 	return r
 }
 
-// BenchmarkLeafExchange measures one exchange of a leaf with a hub that forwards
-// the records of all daemons: the leaf encodes its own message, decodes the
-// hub's message and stores the records.
+// loads returns the summed loads of a number of servers.
+func loads(servers int) []placement.ServerLoad {
+	list := make([]placement.ServerLoad, servers)
+	for i := range list {
+		list[i] = placement.ServerLoad{Server: uint32(i) * 2654435761, Running: 20, PrefillTokens: 9000, KVTokens: 90_000, Generating: 12, InsertedTokens: 4_000_000}
+	}
+	return list
+}
+
+// digestOf returns the digest that a hub sends in a deployment of a number of daemons,
+// with a server and three requests a second for each.
+func digestOf(daemons int) *mesh.Digest {
+	d := &mesh.Digest{Daemons: daemons, Loads: loads(min(daemons, 250)), Quota: quota.Levels{Level: make(map[string]float64), Settled: true}}
+	for i := range 16 {
+		d.Quota.Level[fmt.Sprintf("account%02d", i)] = 65432
+	}
+	return d
+}
+
+// placements returns a list of placements.
+func placements(n int) []placement.Placed {
+	list := make([]placement.Placed, n)
+	for i := range list {
+		list[i] = placement.Placed{Server: 1 << 30, Origin: 1 << 29, PrefixHashes: []uint64{1 << 60}, Uncached: 3000}
+	}
+	return list
+}
+
+// BenchmarkLeafExchange measures one exchange of a leaf with a hub, without the calls of
+// its cores: the leaf encodes its own record and decodes the hub's digest and the
+// placements of 0.4 s, a quarter of which are news.
 func BenchmarkLeafExchange(b *testing.B) {
-	for _, n := range []int{7, 64, 590} {
+	for _, n := range []int{64, 295, 590} {
 		b.Run(fmt.Sprint(n), func(b *testing.B) {
 			own := &mesh.Message{Record: busyRecord(n)}
-			hub := &mesh.Message{Record: busyRecord(0)}
-			for i := 1; i < n; i++ {
-				r := busyRecord(i)
-				r.Quota.Level, r.Usage, r.Work = nil, nil, nil
-				hub.Records = append(hub.Records, r)
+			own.Record.Quota.Level = nil
+			log := mesh.NewDigestLog(1)
+			now := time.Unix(1000, 0)
+			for i := range 4 {
+				if err := log.Put(now.Add(time.Duration(i)*100*time.Millisecond), digestOf(n), nil, placements(n*3/10/4)); err != nil {
+					b.Fatal(err)
+				}
 			}
+			hub := &mesh.Message{Record: mesh.Record{Node: "hub", Incarnation: 1, Sequence: 1, Partial: true}}
+			log.Fill(hub, "self", changelog.Position{})
 			encoded, err := hub.Encode()
 			if err != nil {
 				b.Fatal(err)
 			}
-			d := mesh.NewDirectory("self", 1, options)
-			now := time.Unix(1000, 0)
+			d := mesh.NewDirectory("self", 1, 1, options)
 			b.ReportAllocs()
-			for i := 0; b.Loop(); i++ {
-				if _, err := own.Encode(); err != nil {
+			var sent int
+			for b.Loop() {
+				payload, err := own.Encode()
+				if err != nil {
 					b.Fatal(err)
 				}
+				sent = len(payload)
 				m, err := mesh.DecodeMessage(encoded)
 				if err != nil {
 					b.Fatal(err)
 				}
 				d.UpdateNeighbor(now, m, false)
-				for j := range m.Records {
-					m.Records[j].Sequence = uint64(i + 2)
-					d.MergeRecord(now, &m.Records[j])
+				if _, err := m.DecodeDigest(); err != nil {
+					b.Fatal(err)
+				}
+				if _, err := m.DecodePlaced(changelog.Position{}); err != nil {
+					b.Fatal(err)
+				}
+			}
+			b.ReportMetric(float64(len(encoded)), "bytes-received/exchange")
+			b.ReportMetric(float64(sent), "bytes-sent/exchange")
+		})
+	}
+}
+
+// BenchmarkHubExchange measures what an exchange with a leaf costs a hub: decoding the
+// leaf's record, and adding the digest, which several leaves share, to its answer.
+func BenchmarkHubExchange(b *testing.B) {
+	for _, n := range []int{64, 295, 590} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			leaf := &mesh.Message{Record: busyRecord(n)}
+			leaf.Record.Quota.Level = nil
+			encoded, err := leaf.Encode()
+			if err != nil {
+				b.Fatal(err)
+			}
+			log := mesh.NewDigestLog(1)
+			now := time.Unix(1000, 0)
+			if err := log.Put(now, digestOf(n), nil, placements(n*3/10)); err != nil {
+				b.Fatal(err)
+			}
+			d := mesh.NewDirectory("self", 1, 1, options)
+			b.ReportAllocs()
+			for b.Loop() {
+				m, err := mesh.DecodeMessage(encoded)
+				if err != nil {
+					b.Fatal(err)
+				}
+				d.UpdateNeighbor(now, m, true)
+				d.MergeRecord(now, &m.Record)
+				answer := &mesh.Message{Record: mesh.Record{Node: "hub", Incarnation: 1, Sequence: 1, Partial: true}}
+				log.Fill(answer, "self", changelog.Position{})
+				if _, err := answer.Encode(); err != nil {
+					b.Fatal(err)
 				}
 			}
-			b.ReportMetric(float64(len(encoded)), "bytes/exchange")
 		})
 	}
 }
--- a/pkg/mesh/directory.go
+++ b/pkg/mesh/directory.go
@@ -23,16 +23,26 @@
 	// FullMeshLimit is the number of daemons up to which each daemon exchanges
 	// messages with every other one.
 	FullMeshLimit int
-	// HubCount is the number of daemons that rank as hubs. They always read the
+	// HubCount is the least number of daemons that rank as hubs. They always read the
 	// store on behalf of the other daemons, and with more than FullMeshLimit
-	// daemons they also forward records.
+	// daemons they also exchange the records of all daemons and send the others
+	// digests of them.
 	HubCount int
+	// DaemonsPerHub is the number of daemons for each of which there is one hub, if
+	// that makes more than HubCount. 0 means no limit.
+	DaemonsPerHub int
+	// MemberMaxAge is the age of a daemon's last record at which a hub no longer
+	// tells others that the daemon is alive.
+	MemberMaxAge time.Duration
 }
 
 const (
 	// maxBackoffFactor is the maximum factor by which the exchange interval grows
 	// for a neighbor that does not answer.
 	maxBackoffFactor = 4
+	// firstRetryDelay is the time after the first failed exchange with a neighbor until
+	// the next one.
+	firstRetryDelay = 100 * time.Millisecond
 	// unresponsiveFailures is the number of consecutive failed exchanges after
 	// which a daemon does not rank as a hub.
 	unresponsiveFailures = 2
@@ -44,6 +54,9 @@
 	clockMaxAge = 3 * time.Second
 	// recordMaxAge is the age at which a record is no longer forwarded.
 	recordMaxAge = 5 * time.Second
+	// minUrgentGap is the least time between two urgent exchanges with one daemon, so
+	// that a series of changes takes few messages.
+	minUrgentGap = 100 * time.Millisecond
 )
 
 // Peer is the state that a Directory keeps of one other daemon.
@@ -68,9 +81,10 @@
 	// received all records. ReceivedRevision is the neighbor's revision up to
 	// which this daemon has received them.
 	AckedRevision, ReceivedRevision uint64
-	// Quarantine, Limits and Fleet are the progress of the exchange of quarantine
-	// entries, of request limits and of the views of servers.
-	Quarantine, Limits, Fleet Progress
+	// Quarantine, Limits, Fleet, Members and Placed are the progress of the exchange of
+	// quarantine entries, of request limits, of the views of servers, of the list of
+	// daemons and of placements.
+	Quarantine, Limits, Fleet, Members, Placed Progress
 
 	// listedVersion is the version of the daemon's entry in the store, and
 	// listedAt the time of its last change.
@@ -79,9 +93,16 @@
 	lastMessageAt  time.Time
 	wallOffset     time.Duration
 	nextExchangeAt time.Time
-	inFlight       bool
-	failures       int
-	lastRetryAt    time.Time
+	// urgentAt is when an urgent exchange is due, or zero. exchangedAt is when the last
+	// exchange began.
+	urgentAt, exchangedAt time.Time
+	inFlight              bool
+	failures              int
+	lastRetryAt           time.Time
+	// collects is set if the daemon has stated that it receives the records of all.
+	collects bool
+	// told is what a hub has last stated of the daemon.
+	told Member
 }
 
 // Progress is how far this daemon and a neighbor have received each other's changes.
@@ -103,11 +124,21 @@
 	removedVersions map[string]uint64
 	revision        uint64
 	lastRequestAt   time.Time
+	// hubs caches the ranked hubs until hubsValid is cleared.
+	hubs      []string
+	hubsValid bool
+	members   memberList
+	// toldAt is when a hub last stated which daemons are alive.
+	toldAt time.Time
+	// collectsSince is when this daemon was first found to collect the records of all, or
+	// zero if it does not.
+	collectsSince time.Time
 }
 
-// NewDirectory returns a Directory without peers for the daemon named self.
-func NewDirectory(self string, weight float64, options Options) *Directory {
-	return &Directory{options: options, self: self, weight: weight, peers: make(map[string]*Peer), removedVersions: make(map[string]uint64)}
+// NewDirectory returns a Directory without peers for one run of the daemon named self.
+func NewDirectory(self string, run uint64, weight float64, options Options) *Directory {
+	return &Directory{options: options, self: self, weight: weight, peers: make(map[string]*Peer), removedVersions: make(map[string]uint64),
+		members: newMemberList(run)}
 }
 
 // UpdateEntry applies a daemon's entry in the store. The version changes with
@@ -121,13 +152,19 @@
 	if p.listedVersion != version {
 		p.listedVersion, p.listedAt = version, now
 	}
-	p.Weight = weight
+	d.setWeight(p, weight)
 	if p.lastMessageAt.IsZero() {
 		p.Address = address
 	}
 	return true
 }
 
+func (d *Directory) setWeight(p *Peer, weight float64) {
+	if p.Weight != weight {
+		p.Weight, d.hubsValid = weight, false
+	}
+}
+
 // SetZone sets the AvailabilityZone of a known daemon.
 func (d *Directory) SetZone(node, zone string) {
 	if p, ok := d.peers[node]; ok {
@@ -141,6 +178,7 @@
 	if !ok {
 		p = &Peer{Node: node, nextExchangeAt: now, listedAt: now}
 		d.peers[node] = p
+		d.hubsValid = false
 	}
 	return p
 }
@@ -164,7 +202,14 @@
 	p.Quarantine.Received, _ = p.Quarantine.Received.Advance(m.QuarantineSpan)
 	p.Limits.Acknowledged = m.LimitsReceived
 	p.Limits.Received, _ = p.Limits.Received.Advance(m.LimitsSpan)
-	p.Address, p.lastMessageAt, p.failures = m.Address, now, 0
+	p.Members.Acknowledged, p.Placed.Acknowledged = m.MembersReceived, m.PlacedReceived
+	if p.failures >= unresponsiveFailures {
+		d.hubsValid = false
+	}
+	if p.isToldDead() {
+		d.setTold(p, Member{})
+	}
+	p.Address, p.lastMessageAt, p.failures, p.collects = m.Address, now, 0, m.Collects
 	p.CatalogVersion, p.FleetDigest, p.Fleet.Acknowledged = m.CatalogVersion, m.Fleet.Digest, m.Fleet.Received
 	p.wallOffset = time.UnixMilli(m.WallUnixMilli).Sub(now)
 	p.nextExchangeAt = now.Add(d.interval(p.Node))
@@ -182,9 +227,10 @@
 }
 
 // MergeRecord stores a daemon's record. It returns false if the record is not
-// newer than the stored one or belongs to this daemon.
+// newer than the stored one or belongs to this daemon. A hub stores no partial
+// records, which it could not forward.
 func (d *Directory) MergeRecord(now time.Time, r *Record) bool {
-	if r.Node == d.self {
+	if r.Node == d.self || r.Partial && d.RanksAsHub() {
 		return false
 	}
 	p := d.peer(now, r.Node)
@@ -202,7 +248,7 @@
 	if d.isFullMesh() {
 		return d.options.Interval
 	}
-	if hubs := d.rankedHubs(); slices.Contains(hubs, node) && slices.Contains(hubs, d.self) {
+	if d.isRankedHub(node) && d.isRankedHub(d.self) {
 		return d.options.Interval
 	}
 	return d.options.LeafInterval
@@ -223,32 +269,58 @@
 // Revision returns the number of records stored so far.
 func (d *Directory) Revision() uint64 { return d.revision }
 
-// RecordsFor returns the records of other daemons that a neighbor may not have.
-// It returns none in a full mesh, in which records are not forwarded.
+// RecordsFor returns the records of other daemons that a hub may not have. Daemons
+// that are not hubs are sent a digest instead. It returns none in a full mesh, in
+// which records are not forwarded.
 func (d *Directory) RecordsFor(now time.Time, node string) []Record {
 	p, ok := d.peers[node]
-	if !ok || d.isFullMesh() {
+	if !ok || d.isFullMesh() || !d.SendsRecord(node) {
 		return nil
 	}
-	toHub := slices.Contains(d.rankedHubs(), node)
 	var records []Record
 	for _, other := range d.peers {
-		if other == p || other.Revision <= p.AckedRevision || now.Sub(other.RecordAt) >= recordMaxAge {
+		if other == p || other.Record.Partial || other.Revision <= p.AckedRevision || now.Sub(other.RecordAt) >= recordMaxAge {
 			continue
 		}
 		r := other.Record
 		// Only a daemon that has just started uses quota levels, and it takes them
 		// from the neighbors' own records.
 		r.Quota.Level = nil
-		if !toHub {
-			// Only hubs perform the duties that use these fields.
-			r.Usage, r.Work = nil, nil
-		}
 		records = append(records, r)
 	}
 	return records
 }
 
+// Collects reports whether this daemon receives the records of all daemons, and not
+// digests of them.
+func (d *Directory) Collects() bool { return d.isFullMesh() || d.RanksAsHub() }
+
+// collectsBy reports whether a daemon receives the records of all: as it has stated, or as
+// it ranks if it was never heard.
+func (d *Directory) collectsBy(node string) bool {
+	if p, ok := d.peers[node]; ok && !p.lastMessageAt.IsZero() {
+		return p.collects
+	}
+	return d.isRankedHub(node)
+}
+
+// SendsRecord reports whether a daemon is sent this one's complete record: because it
+// collects the records of all, or because this daemon relies on it as a hub.
+func (d *Directory) SendsRecord(node string) bool {
+	return d.isFullMesh() || d.collectsBy(node) || d.isRankedHub(node)
+}
+
+// SendsMembers reports whether a daemon is sent the list of daemons. One that takes itself
+// for a hub without ranking as one knows too few of them.
+func (d *Directory) SendsMembers(node string) bool { return !d.isFullMesh() && !d.isRankedHub(node) }
+
+// SendsDigest reports whether a daemon is sent a digest. A daemon that does not collect
+// records itself sends none to those that it relies on: the digest would come back to
+// them later than they know it.
+func (d *Directory) SendsDigest(node string) bool {
+	return !d.isFullMesh() && !d.collectsBy(node) && (d.RanksAsHub() || !d.isRankedHub(node))
+}
+
 // ReceivedRevisionOf returns a neighbor's revision up to which this daemon has
 // received all records.
 func (d *Directory) ReceivedRevisionOf(node string) uint64 {
@@ -281,8 +353,11 @@
 
 // rankedHubs returns the responsive daemons that rank as hubs. Daemons are ordered
 // by descending weight, then by the hash of their names, so that all daemons
-// compute the same order.
+// compute the same order. The result must not be changed.
 func (d *Directory) rankedHubs() []string {
+	if d.hubsValid {
+		return d.hubs
+	}
 	type candidate struct {
 		node   string
 		weight float64
@@ -290,20 +365,27 @@
 	}
 	candidates := []candidate{{d.self, d.weight, xxhash.Sum64String(d.self)}}
 	for node, p := range d.peers {
-		if p.failures < unresponsiveFailures {
+		if p.failures < unresponsiveFailures && !p.isToldDead() {
 			candidates = append(candidates, candidate{node, p.Weight, xxhash.Sum64String(node)})
 		}
 	}
 	slices.SortFunc(candidates, func(a, b candidate) int {
 		return cmp.Or(cmp.Compare(b.weight, a.weight), cmp.Compare(a.hash, b.hash))
 	})
-	hubs := make([]string, 0, d.options.HubCount)
-	for i := range min(len(candidates), d.options.HubCount) {
-		hubs = append(hubs, candidates[i].node)
+	count := d.options.HubCount
+	if perHub := d.options.DaemonsPerHub; perHub > 0 {
+		count = max(count, (len(d.peers)+perHub)/perHub)
 	}
-	return hubs
+	d.hubs = make([]string, 0, count)
+	for i := range min(len(candidates), count) {
+		d.hubs = append(d.hubs, candidates[i].node)
+	}
+	d.hubsValid = true
+	return d.hubs
 }
 
+func (d *Directory) isRankedHub(node string) bool { return slices.Contains(d.rankedHubs(), node) }
+
 // IsHub reports whether this daemon acts as a hub, which reads the store and
 // forwards updates: either it ranks as a hub, or other daemons use it as one.
 func (d *Directory) IsHub(now time.Time) bool {
@@ -326,7 +408,7 @@
 
 // RanksAsHub reports whether this daemon ranks as a hub among the responsive
 // daemons.
-func (d *Directory) RanksAsHub() bool { return slices.Contains(d.rankedHubs(), d.self) }
+func (d *Directory) RanksAsHub() bool { return d.isRankedHub(d.self) }
 
 // neighbors returns the daemons to exchange messages with.
 func (d *Directory) neighbors() []string {
@@ -337,7 +419,7 @@
 		}
 		return nodes
 	}
-	hubs := d.rankedHubs()
+	hubs := slices.Clone(d.rankedHubs())
 	if slices.Contains(hubs, d.self) {
 		return slices.DeleteFunc(hubs, func(node string) bool { return node == d.self })
 	}
@@ -349,30 +431,52 @@
 	return hubs[:min(len(hubs), 1)]
 }
 
-// Due returns the neighbors to exchange messages with now and marks their
+// Due returns the daemons to exchange messages with now and marks their
 // exchanges as in flight.
 func (d *Directory) Due(now time.Time) []Peer {
 	var due []Peer
+	begin := func(p *Peer) {
+		p.inFlight, p.exchangedAt, p.urgentAt = true, now, time.Time{}
+		due = append(due, *p)
+	}
 	for _, node := range d.neighbors() {
 		p := d.peers[node]
 		if !p.inFlight && !now.Before(p.nextExchangeAt) && p.Address != "" {
-			p.inFlight = true
-			due = append(due, *p)
+			begin(p)
 		}
 	}
+	retried := false
 	for _, p := range d.peers {
-		// Periodically retry one unresponsive daemon that could rank as a hub before
-		// this one.
-		if p.failures >= unresponsiveFailures && !p.inFlight && !now.Before(p.nextExchangeAt) && !d.isFullMesh() && p.Weight >= d.weight &&
-			now.Sub(p.lastRetryAt) > activeWindow {
-			p.inFlight, p.lastRetryAt = true, now
-			due = append(due, *p)
-			break
+		switch {
+		case p.inFlight:
+		case !p.urgentAt.IsZero() && !now.Before(p.urgentAt):
+			begin(p)
+		case !retried && p.failures >= unresponsiveFailures && !now.Before(p.nextExchangeAt) && !d.isFullMesh() && p.Weight >= d.weight &&
+			now.Sub(p.lastRetryAt) > activeWindow:
+			// Periodically retry one unresponsive daemon that could rank as a hub before
+			// this one.
+			retried, p.lastRetryAt = true, now
+			begin(p)
 		}
 	}
 	return due
 }
 
+// NextDue returns when the next exchange is due, or the latest time given.
+func (d *Directory) NextDue(latest time.Time) time.Time {
+	for _, node := range d.neighbors() {
+		if p := d.peers[node]; !p.inFlight && p.Address != "" && p.nextExchangeAt.Before(latest) {
+			latest = p.nextExchangeAt
+		}
+	}
+	for _, p := range d.peers {
+		if !p.inFlight && !p.urgentAt.IsZero() && p.urgentAt.Before(latest) {
+			latest = p.urgentAt
+		}
+	}
+	return latest
+}
+
 // ExchangeDone records the end of an exchange and schedules the next one.
 func (d *Directory) ExchangeDone(now time.Time, node string, failed bool) {
 	p, ok := d.peers[node]
@@ -383,25 +487,40 @@
 	wait := d.interval(node)
 	if failed {
 		p.failures++
+		d.hubsValid = false
 		wait *= time.Duration(min(p.failures, maxBackoffFactor))
+		if p.failures == 1 {
+			// A single message may have been lost.
+			wait = firstRetryDelay
+		}
 		p.AckedRevision, p.ReceivedRevision = 0, 0
 	}
 	p.nextExchangeAt = now.Add(wait)
 }
 
-// MakeExchangesDue makes the exchanges with all neighbors due immediately. On a
-// hub it also returns the daemons that have sent a message recently, and marks
-// their exchanges as in flight.
-func (d *Directory) MakeExchangesDue(now time.Time) []Peer {
-	var due []Peer
+// MakeExchangesDue makes the exchanges with all neighbors due at once, and on a
+// hub those with the daemons that have sent a message recently. A daemon with
+// which an exchange began less than minUrgentGap ago follows that much later.
+func (d *Directory) MakeExchangesDue(now time.Time) {
+	urgent := func(p *Peer) {
+		if p.urgentAt.IsZero() && p.Address != "" {
+			p.urgentAt = now
+			if earliest := p.exchangedAt.Add(minUrgentGap); earliest.After(now) {
+				p.urgentAt = earliest
+			}
+		}
+	}
+	for _, node := range d.neighbors() {
+		urgent(d.peers[node])
+	}
+	if d.isFullMesh() {
+		return
+	}
 	for _, p := range d.peers {
-		p.nextExchangeAt = now
-		if !d.isFullMesh() && now.Sub(p.lastMessageAt) < activeWindow && p.Address != "" && !p.inFlight {
-			p.inFlight = true
-			due = append(due, *p)
+		if now.Sub(p.lastMessageAt) < activeWindow {
+			urgent(p)
 		}
 	}
-	return due
 }
 
 // Expire removes the daemons whose last record and last change of the store entry
@@ -413,6 +532,9 @@
 		if p.listedAt.After(last) {
 			last = p.listedAt
 		}
+		if p.told.Alive && d.toldAt.After(last) {
+			last = d.toldAt
+		}
 		if now.Sub(last) > d.options.PeerExpiry {
 			d.Remove(node)
 			expired = append(expired, node)
@@ -427,26 +549,31 @@
 	if p, ok := d.peers[node]; ok {
 		d.removedVersions[node] = p.listedVersion
 		delete(d.peers, node)
+		d.hubsValid = false
 	}
 }
 
 // Members returns the other daemons, sorted by name, and whether each has sent a record within a time
-// and is not shutting down.
+// and is not shutting down, or a hub has stated so.
 func (d *Directory) Members(now time.Time, within time.Duration) []serverlimit.Member {
 	members := make([]serverlimit.Member, 0, len(d.peers))
 	for node, p := range d.peers {
-		members = append(members, serverlimit.Member{Node: node, Alive: now.Sub(p.RecordAt) < within && !p.Record.Stopping})
+		members = append(members, serverlimit.Member{Node: node, Alive: d.isAlive(p, now, within)})
 	}
 	slices.SortFunc(members, func(a, b serverlimit.Member) int { return cmp.Compare(a.Node, b.Node) })
 	return members
 }
 
+func (d *Directory) isAlive(p *Peer, now time.Time, within time.Duration) bool {
+	return now.Sub(p.RecordAt) < within && !p.Record.Stopping || p.told.Alive && now.Sub(d.toldAt) < within
+}
+
 // Alive returns the other daemons that have sent a record within a time and are not
-// shutting down.
+// shutting down, or of which a hub has stated so.
 func (d *Directory) Alive(now time.Time, within time.Duration) []Peer {
 	var alive []Peer
 	for _, p := range d.peers {
-		if now.Sub(p.RecordAt) < within && !p.Record.Stopping {
+		if d.isAlive(p, now, within) {
 			alive = append(alive, *p)
 		}
 	}
--- a/pkg/mesh/directory_test.go
+++ b/pkg/mesh/directory_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -17,9 +18,9 @@
 
 func at(ms int) time.Time { return epoch.Add(time.Duration(ms) * time.Millisecond) }
 
-var options = mesh.Options{Interval: 250 * time.Millisecond, LeafInterval: 400 * time.Millisecond, PeerExpiry: 30 * time.Second, FullMeshLimit: 4, HubCount: 3}
+var options = mesh.Options{Interval: 250 * time.Millisecond, LeafInterval: 400 * time.Millisecond, PeerExpiry: 30 * time.Second, FullMeshLimit: 4, HubCount: 3, MemberMaxAge: 2500 * time.Millisecond}
 
-func newDirectory() *mesh.Directory { return mesh.NewDirectory("self", 1, options) }
+func newDirectory() *mesh.Directory { return mesh.NewDirectory("self", 1, 1, options) }
 
 func message(node string, wall time.Time) *mesh.Message {
 	return &mesh.Message{Record: mesh.Record{Node: node, Incarnation: 1, Sequence: 1}, Address: node + ":1", WallUnixMilli: wall.UnixMilli()}
@@ -81,47 +82,102 @@
 	g.Expect(merge(1, 9)).To(gomega.BeFalse())
 }
 
-// cluster delivers messages between directories without a network.
+// cluster delivers messages between directories without a network. Digests are modeled by
+// the times at which the daemons made the records in them.
 type cluster struct {
 	nodes map[string]*mesh.Directory
 	seq   map[string]uint64
-	down  map[string]bool
-	sent  int
+	// made holds when each record of a daemon was made, and told the digest that each
+	// daemon was last sent.
+	made map[string]map[uint64]time.Time
+	told map[string]map[string]time.Time
+	// digests holds the digest that each daemon made at the time refreshed.
+	digests   map[string]map[string]time.Time
+	refreshed map[string]time.Time
+	down      map[string]bool
+	random    *rand.Rand
+	// lost is the share of exchanges that fail.
+	lost float64
+	sent int
 }
 
 func newCluster(n int) *cluster {
-	c := &cluster{nodes: make(map[string]*mesh.Directory), seq: make(map[string]uint64), down: make(map[string]bool)}
+	c := &cluster{nodes: make(map[string]*mesh.Directory), seq: make(map[string]uint64), down: make(map[string]bool),
+		made: make(map[string]map[uint64]time.Time), told: make(map[string]map[string]time.Time),
+		digests: make(map[string]map[string]time.Time), refreshed: make(map[string]time.Time), random: rand.New(rand.NewPCG(7, 7))}
 	for i := range n {
-		name := fmt.Sprintf("d%02d", i)
-		weight := 0.2
-		if i < 5 {
-			weight = 0.8
-		}
-		c.nodes[name] = mesh.NewDirectory(name, weight, options)
+		c.add(0, fmt.Sprintf("d%03d", i))
 	}
-	for name, d := range c.nodes {
+	for _, d := range c.nodes {
 		for other := range c.nodes {
-			weight := 0.2
-			if other < "d05" {
-				weight = 0.8
-			}
-			d.UpdateEntry(at(0), other, other+":1", weight, 1)
+			d.UpdateEntry(at(0), other, other+":1", weightOf(other), 1)
 		}
-		_ = name
 	}
 	return c
 }
 
-func (c *cluster) message(now time.Time, from, to string) *mesh.Message {
+// weightOf returns the weight of a daemon: five have more than the others.
+func weightOf(name string) float64 {
+	if name < "d005" {
+		return 0.8
+	}
+	return 0.2
+}
+
+func (c *cluster) add(ms int, name string) {
+	c.nodes[name] = mesh.NewDirectory(name, uint64(ms)+1, weightOf(name), options)
+	c.made[name], c.told[name] = make(map[uint64]time.Time), make(map[string]time.Time)
+}
+
+// view returns when the newest records that a daemon knows of were made, by daemon.
+func (c *cluster) view(name string) map[string]time.Time {
+	d := c.nodes[name]
+	view := map[string]time.Time{}
+	for other, at := range c.told[name] {
+		view[other] = at
+	}
+	for other := range c.nodes {
+		if p, ok := d.Lookup(other); ok && !p.Record.Partial && c.made[other][p.Record.Sequence].After(view[other]) {
+			view[other] = c.made[other][p.Record.Sequence]
+		}
+	}
+	return view
+}
+
+type clusterMessage struct {
+	*mesh.Message
+	digest map[string]time.Time
+}
+
+func (c *cluster) message(now time.Time, from, to string) clusterMessage {
 	d := c.nodes[from]
 	c.seq[from]++
-	return &mesh.Message{Record: mesh.Record{Node: from, Incarnation: 1, Sequence: c.seq[from]}, Address: from + ":1",
-		WallUnixMilli: now.UnixMilli(), Records: d.RecordsFor(now, to), Revision: d.Revision(), ReceivedRevision: d.ReceivedRevisionOf(to)}
+	c.made[from][c.seq[from]] = now
+	neighbor, _ := d.Lookup(to)
+	m := clusterMessage{Message: &mesh.Message{Record: mesh.Record{Node: from, Incarnation: 1, Sequence: c.seq[from], Partial: !d.SendsRecord(to)}, Address: from + ":1", Collects: d.Collects(),
+		WallUnixMilli: now.UnixMilli(), Records: d.RecordsFor(now, to), Revision: d.Revision(), ReceivedRevision: d.ReceivedRevisionOf(to),
+		MembersReceived: neighbor.Members.Received}}
+	if d.SendsMembers(to) || d.SendsDigest(to) {
+		if c.refreshed[from] != now {
+			d.RefreshMembers(now, mesh.Member{Address: from + ":1", Incarnation: 1, Alive: true})
+			c.refreshed[from], c.digests[from] = now, c.view(from)
+			c.digests[from][from] = now
+		}
+		m.Members, m.MembersSpan = d.MembersFor(to, neighbor.Members.Acknowledged)
+	}
+	if d.SendsDigest(to) {
+		m.digest = c.digests[from]
+	}
+	return m
 }
 
-func (c *cluster) deliver(now time.Time, to string, m *mesh.Message, initiatedByPeer bool) {
+func (c *cluster) deliver(now time.Time, to string, m clusterMessage, initiatedByPeer bool) {
 	d := c.nodes[to]
-	d.UpdateNeighbor(now, m, initiatedByPeer)
+	d.UpdateNeighbor(now, m.Message, initiatedByPeer)
+	d.MergeMembers(now, m.Record.Node, m.Members, m.MembersSpan)
+	if m.digest != nil && !d.RanksAsHub() {
+		c.told[to] = m.digest
+	}
 	d.MergeRecord(now, &m.Record)
 	for i := range m.Records {
 		d.MergeRecord(now, &m.Records[i])
@@ -138,7 +194,7 @@
 			}
 			for _, p := range d.Due(now) {
 				c.sent++
-				if c.down[p.Node] {
+				if c.down[p.Node] || c.random.Float64() < c.lost {
 					d.ExchangeDone(now, p.Node, true)
 					continue
 				}
@@ -150,20 +206,21 @@
 	}
 }
 
-// maxRecordAge returns the greatest age of any record that a running daemon has of
-// another running daemon, or an hour if a record is missing.
+// maxRecordAge returns the greatest age of what any running daemon knows of another
+// running daemon, or an hour if it knows nothing.
 func (c *cluster) maxRecordAge(now time.Time) time.Duration {
 	var oldest time.Duration
-	for name, d := range c.nodes {
+	for name := range c.nodes {
+		view := c.view(name)
 		for other := range c.nodes {
 			if c.down[name] || c.down[other] || name == other {
 				continue
 			}
-			p, ok := d.Lookup(other)
-			if !ok || p.RecordAt.IsZero() {
+			made, ok := view[other]
+			if !ok {
 				return time.Hour
 			}
-			oldest = max(oldest, now.Sub(p.RecordAt))
+			oldest = max(oldest, now.Sub(made))
 		}
 	}
 	return oldest
@@ -206,6 +263,94 @@
 	g.Expect(c.maxRecordAge(at(16_000))).To(gomega.BeNumerically("<=", time.Second))
 }
 
+// Guards against daemons that do not hear of one another for longer than two seconds when
+// messages are lost and a hub dies, at the size of the largest deployments.
+func TestHundredsOfDaemonsHearOfOneAnother(t *testing.T) {
+	g := gomega.NewWithT(t)
+	for _, n := range []int{64, 295, 590} {
+		c := newCluster(n)
+		c.run(0, 3000)
+		c.lost = 0.1
+		c.run(3000, 5000)
+		g.Expect(c.maxRecordAge(at(5000))).To(gomega.BeNumerically("<=", 2*time.Second), "%d daemons", n)
+		c.down["d000"] = true
+		c.run(5000, 9000)
+		g.Expect(c.maxRecordAge(at(9000))).To(gomega.BeNumerically("<=", 2*time.Second), "%d daemons, after the death of a hub", n)
+		alive := 0
+		for _, m := range c.nodes["d040"].Members(at(9000), 3*time.Second) {
+			if m.Alive {
+				alive++
+			}
+		}
+		g.Expect(alive).To(gomega.Equal(n-2), "all but itself and the dead one, of %d", n)
+	}
+}
+
+// Guards against leaves that are sent the records of all daemons, whose number and size grow
+// with the deployment, and against leaves that forward what they are told.
+func TestLeavesAreSentNoRecords(t *testing.T) {
+	g := gomega.NewWithT(t)
+	c := newCluster(80)
+	c.run(0, 4000)
+	for name, d := range c.nodes {
+		for other := range c.nodes {
+			records := d.RecordsFor(at(4000), other)
+			if d.RanksAsHub() && c.nodes[other].RanksAsHub() && name != other {
+				continue
+			}
+			g.Expect(len(records)).To(gomega.BeNumerically("<=", 3), "%s to %s", name, other)
+		}
+	}
+}
+
+// Guards against a list of daemons that grows old: a daemon that a hub no longer hears is
+// not alive for the others, one that was removed is removed there, and one that joins is
+// known to all.
+func TestLeavesAreToldWhichDaemonsLive(t *testing.T) {
+	g := gomega.NewWithT(t)
+	c := newCluster(40)
+	c.run(0, 3000)
+	c.down["d020"] = true
+	c.add(3000, "d999")
+	c.nodes["d999"].UpdateEntry(at(3000), "d010", "d010:1", 0.2, 1)
+	c.run(3000, 9000)
+	leaf := c.nodes["d030"]
+	byName := make(map[string]bool)
+	for _, m := range leaf.Members(at(9000), 3*time.Second) {
+		byName[m.Node] = m.Alive
+	}
+	g.Expect(byName["d020"]).To(gomega.BeFalse())
+	g.Expect(byName["d999"]).To(gomega.BeTrue(), "joined through a daemon that is no hub")
+	g.Expect(c.nodes["d999"].Size()).To(gomega.Equal(41))
+	c.run(9000, 42_000)
+	for name, d := range c.nodes {
+		if !c.down[name] {
+			d.Expire(at(42_000))
+		}
+	}
+	c.run(42_000, 44_000)
+	_, known := leaf.Lookup("d020")
+	g.Expect(known).To(gomega.BeFalse())
+}
+
+// Guards against a change that costs as many messages as there are changes: urgent
+// exchanges with one daemon keep a distance, and the last change is still told.
+func TestUrgentExchangesKeepADistance(t *testing.T) {
+	g := gomega.NewWithT(t)
+	d := newDirectory()
+	d.UpdateNeighbor(at(0), message("a", at(0)), false)
+	n := 0
+	for ms := 0; ms < 200; ms += 10 {
+		d.MakeExchangesDue(at(ms))
+		for range d.Due(at(ms)) {
+			n++
+			d.ExchangeDone(at(ms), "a", false)
+		}
+	}
+	g.Expect(n).To(gomega.Equal(2))
+	g.Expect(d.NextDue(at(10_000))).To(gomega.Equal(at(200)))
+}
+
 // Guards against messages that change in their encoding, and against truncated
 // messages that are accepted.
 func TestMessageEncodingRoundTrip(t *testing.T) {
--- a/pkg/mesh/message.go
+++ b/pkg/mesh/message.go
@@ -3,10 +3,11 @@
 // when. Each daemon describes its own state in a Record. A small number of
 // daemons forms a full mesh and exchanges records directly. With more daemons,
 // a few act as hubs: every other daemon, called a leaf, exchanges messages with
-// one hub, and the hubs forward the records of all daemons. The number of
-// messages therefore grows linearly with the number of daemons and not
-// quadratically. Through its peers, a daemon also receives the changes that it
-// cannot read from the store.
+// one hub. The hubs exchange the records of all daemons, and each leaf is sent a
+// Digest, which sums them, and the changes to the list of daemons. The number of
+// messages therefore grows linearly with the number of daemons, and what a leaf
+// receives does not grow with it. Through its peers, a daemon also receives the
+// changes that it cannot read from the store.
 package mesh
 
 import (
@@ -47,6 +48,19 @@
 	OutOfReach     []string `cbor:"11,keyasint,omitempty"`
 	// Refusals holds how many requests of the daemon each brittle server has turned away.
 	Refusals map[string]uint64 `cbor:"12,keyasint,omitempty"`
+	// Partial is set on a hub's record to a leaf: the hub's loads, usage, work and
+	// placements are in the digest.
+	Partial bool `cbor:"13,keyasint,omitempty"`
+}
+
+// Digest is the sum of the records of all daemons, the sender and the receiver
+// included.
+type Digest struct {
+	// Sequence increases with every digest of a run of the sender.
+	Sequence uint64                 `cbor:"4,keyasint"`
+	Daemons  int                    `cbor:"1,keyasint"`
+	Loads    []placement.ServerLoad `cbor:"2,keyasint,omitempty"`
+	Quota    quota.Levels           `cbor:"3,keyasint"`
 }
 
 // Message is the request or the response of an exchange between two daemons.
@@ -82,6 +96,21 @@
 	LimitsReceived changelog.Position  `cbor:"21,keyasint"`
 	// Versions holds the software versions of servers that the sender has seen lately.
 	Versions streamversion.History `cbor:"22,keyasint"`
+	// Collects is set if the sender receives the records of all daemons.
+	Collects bool `cbor:"31,keyasint,omitempty"`
+	// Digest is an encoded Digest. Included is the sequence number of the receiver's
+	// record that it includes, or 0 if that is not known.
+	Digest   cbor.RawMessage `cbor:"23,keyasint,omitempty"`
+	Included uint64          `cbor:"24,keyasint,omitempty"`
+	// Members holds what the receiver lacks of the list of daemons.
+	Members         []Member           `cbor:"25,keyasint,omitempty"`
+	MembersSpan     changelog.Span     `cbor:"26,keyasint"`
+	MembersReceived changelog.Position `cbor:"27,keyasint"`
+	// Placed holds the placements of all daemons that the receiver lacks: one encoded list
+	// of placement.Placed for each position of PlacedSpan.
+	Placed         []cbor.RawMessage  `cbor:"28,keyasint,omitempty"`
+	PlacedSpan     changelog.Span     `cbor:"29,keyasint"`
+	PlacedReceived changelog.Position `cbor:"30,keyasint"`
 }
 
 // Encode returns the CBOR encoding of the message.
--- a/pkg/placement/attempts.go
+++ b/pkg/placement/attempts.go
@@ -20,25 +20,33 @@
 		a.load.KVTokens = uncached + q.OutputTokens
 		a.queuedPrefillTokens = s.totalLoad().PrefillTokens + uncached
 		shared := prefixHashes(q.Parts)
-		s.recordParts(now, shared, uncached)
+		announced := s.recordParts(now, shared, uncached)
+		s.unsummedTokens += uncached
 		w := c.work[q.Service]
 		w.Requests++
 		w.PrefillTokens += uncached
 		c.work[q.Service] = w
-		c.placements.add(Placed{Server: s.ID, PrefixHashes: shared, Uncached: uncached}, now)
+		if announced {
+			shared = nil
+		}
+		c.placements.add(now, s, shared, uncached)
 	}
 	s.own.add(a.load)
 	c.attempts[id] = a
 }
 
 // recordParts records the prompt parts that a server caches after a request,
-// and the number of tokens that the request added to its KV cache.
-func (s *server) recordParts(now time.Time, prefixes []uint64, uncached int) {
+// and the number of tokens that the request added to its KV cache. It reports whether all
+// parts were known to have been used there within refreshPeriod.
+func (s *server) recordParts(now time.Time, prefixes []uint64, uncached int) (fresh bool) {
 	s.insertedTokens += uncached
+	fresh = true
 	for _, prefix := range prefixes {
-		if _, known := s.cached[prefix]; !known {
+		part, known := s.cached[prefix]
+		if !known {
 			s.service.serversByPrefix[prefix] = append(s.service.serversByPrefix[prefix], s)
 		}
+		fresh = fresh && known && now.Sub(part.usedAt) < refreshPeriod
 		s.cached[prefix] = cachedPart{usedAt: now, insertedTokens: s.insertedTokens}
 	}
 	if len(s.cached) > maxCachedParts {
@@ -48,8 +56,13 @@
 			}
 		}
 	}
+	return fresh
 }
 
+// refreshPeriod is how long after a use of a prompt part a further one at the same server
+// is not announced. It is a small part of the time for which parts are cached.
+const refreshPeriod = 3 * time.Second
+
 // removePart removes a prompt part that the server no longer caches.
 func (s *server) removePart(prefix uint64) {
 	delete(s.cached, prefix)
--- a/pkg/placement/core.go
+++ b/pkg/placement/core.go
@@ -15,12 +15,16 @@
 // Core holds the placement state of one daemon. It is not safe for concurrent
 // use.
 type Core struct {
-	options    Options
-	random     *rand.Rand
-	services   map[string]*service
-	servers    map[string]*server
-	attempts   map[string]*attempt
-	peers      map[string]peerReport
+	options  Options
+	random   *rand.Rand
+	services map[string]*service
+	servers  map[string]*server
+	attempts map[string]*attempt
+	// serversByHash holds the servers by their short hash, which stands for the ID in sums.
+	serversByHash map[uint32]*server
+	peers         map[string]peerReport
+	// summary is the load of all daemons as another daemon has summed it.
+	summary    summary
 	placements placementLog
 	// work is the cumulative work sent to each service since the daemon started.
 	work map[string]Work
@@ -65,6 +69,9 @@
 	cached         map[uint64]cachedPart
 	// insertedTokens counts the tokens that were added to the server's KV cache.
 	insertedTokens int
+	// summedTokens is the count in the last sum of another daemon, and unsummedTokens
+	// what this daemon has added since.
+	summedTokens, unsummedTokens int
 }
 
 // cachedPart is a prompt part in a server's KV cache.
@@ -98,7 +105,7 @@
 		options.PrefillRate = defaultPrefillRate
 	}
 	return &Core{options: options, random: rand.New(rand.NewPCG(options.Seed, 0)),
-		services: make(map[string]*service), servers: make(map[string]*server), attempts: make(map[string]*attempt), peers: make(map[string]peerReport), work: make(map[string]Work)}
+		services: make(map[string]*service), servers: make(map[string]*server), serversByHash: make(map[uint32]*server), attempts: make(map[string]*attempt), peers: make(map[string]peerReport), work: make(map[string]Work)}
 }
 
 // SetEngine sets the slots and the KV cache size of each engine of a service.
@@ -125,6 +132,7 @@
 	if s, ok := c.servers[e.Server.ID]; ok && s.StartedUnixMilli == e.Server.StartedUnixMilli && s.Address == e.Server.Address {
 		s.service.remove(s)
 		delete(c.servers, e.Server.ID)
+		delete(c.serversByHash, s.shortHash())
 	}
 }
 
@@ -141,8 +149,13 @@
 	s := &server{Server: f, idHash: xxhash.Sum64String(f.ID), service: c.service(f.Service), slowness: 1,
 		cached: make(map[uint64]cachedPart)}
 	c.servers[f.ID] = s
+	c.serversByHash[s.shortHash()] = s
 	s.service.servers = append(s.service.servers, s)
-	c.sumPeerLoads()
+	if !c.summary.active() {
+		for _, p := range c.peers {
+			s.others.add(p.loads[f.ID])
+		}
+	}
 }
 
 func (s *service) remove(gone *server) {
@@ -176,10 +189,24 @@
 	return now.Sub(s.lastActivityAt)
 }
 
-// SetPeer stores the load that a peer has sent to each server. It takes effect
-// with the next call of ApplyPeerLoads.
+// SetPeer stores the load that a peer has sent to each server. While a sum of another
+// daemon is in use, it takes effect when that ends.
 func (c *Core) SetPeer(now time.Time, peer string, loads map[string]Load, work map[string]Work) {
+	old := c.peers[peer].loads
 	c.peers[peer] = peerReport{receivedAt: now, loads: loads, work: work}
+	if c.summary.active() {
+		return
+	}
+	for id, load := range old {
+		if s, ok := c.servers[id]; ok {
+			s.others.subtract(load)
+		}
+	}
+	for id, load := range loads {
+		if s, ok := c.servers[id]; ok {
+			s.others.add(load)
+		}
+	}
 }
 
 // OwnWork returns the cumulative work that this daemon has sent to each service.
@@ -201,31 +228,16 @@
 	return work
 }
 
-// ApplyPeerLoads drops outdated peer reports and recomputes the servers' loads
-// from the remaining ones.
-func (c *Core) ApplyPeerLoads(now time.Time) {
-	c.expirePeers(now)
-	c.sumPeerLoads()
-}
-
-func (c *Core) expirePeers(now time.Time) {
+// ExpirePeers drops outdated reports of peers and an outdated sum.
+func (c *Core) ExpirePeers(now time.Time) {
 	for name, p := range c.peers {
 		if now.Sub(p.receivedAt) > peerLoadMaxAge {
+			c.SetPeer(now, name, nil, nil)
 			delete(c.peers, name)
 		}
 	}
-}
-
-func (c *Core) sumPeerLoads() {
-	for _, s := range c.servers {
-		s.others = Load{}
-	}
-	for _, p := range c.peers {
-		for id, load := range p.loads {
-			if s, ok := c.servers[id]; ok {
-				s.others.add(load)
-			}
-		}
+	if c.summary.active() && now.Sub(c.summary.receivedAt) > peerLoadMaxAge {
+		c.DropSummary()
 	}
 }
 
@@ -327,6 +339,9 @@
 }
 
 func (c *Core) loadAge(now time.Time) time.Duration {
+	if c.summary.active() {
+		return now.Sub(c.summary.receivedAt)
+	}
 	var age time.Duration
 	for _, p := range c.peers {
 		age = max(age, now.Sub(p.receivedAt))
--- a/pkg/placement/herd_test.go
+++ b/pkg/placement/herd_test.go
@@ -66,7 +66,7 @@
 				}
 			}
 			for _, core := range cores {
-				core.ApplyPeerLoads(now)
+				core.ExpirePeers(now)
 			}
 		}
 		daemon := random.IntN(herdDaemons)
--- a/pkg/placement/types.go
+++ b/pkg/placement/types.go
@@ -126,6 +126,13 @@
 	l.Generating += o.Generating
 }
 
+func (l *Load) subtract(o Load) {
+	l.Running -= o.Running
+	l.PrefillTokens -= o.PrefillTokens
+	l.KVTokens -= o.KVTokens
+	l.Generating -= o.Generating
+}
+
 // Result says how an attempt at a server ended.
 type Result int
 
--- a/pkg/quota/quota.go
+++ b/pkg/quota/quota.go
@@ -100,6 +100,16 @@
 	staleness time.Duration
 	buckets   map[string]*bucket
 	peers     map[string]*peer
+	// silent lists the peers without a report for peerSilenceTimeout as of silentAt.
+	silent   []*peer
+	silentAt time.Time
+	// levelsAt is when the levels of another daemon were last adopted, which stand for
+	// levelsDaemons daemons.
+	levelsAt      time.Time
+	levelsDaemons int
+	// collectingAt is when this daemon began to receive the totals of its peers one by
+	// one instead.
+	collectingAt time.Time
 }
 
 // New returns a Core without limits.
@@ -163,14 +173,14 @@
 		b.ownSpent += b.recent[0].cost
 		b.recent = b.recent[1:]
 	}
-	if len(c.peers) == 0 || len(b.recent) == 0 {
+	if c.daemons() == 1 || len(b.recent) == 0 {
 		return true
 	}
 	spent := 0.0
 	for _, r := range b.recent {
 		spent += r.cost
 	}
-	share := 1 / float64(len(c.peers)+1)
+	share := 1 / float64(c.daemons())
 	if total := b.ownSpent + b.peersSpent; total > 0 {
 		share = math.Max(share, b.ownSpent/total)
 	}
@@ -199,7 +209,7 @@
 // a single request may cost more than a daemon's portion of the bucket although
 // the total demand on all daemons is far below the limit.
 func (c *Core) withinFairShare(b *bucket, requested, cost float64) bool {
-	share := b.limit.Rate * fairShareWindow.Seconds() / float64(len(c.peers)+1)
+	share := b.limit.Rate * fairShareWindow.Seconds() / float64(c.daemons())
 	return b.level >= fairShareMinLevel*b.limit.Burst && requested+cost <= max(cost, fairShareFactor*share)
 }
 
@@ -239,14 +249,37 @@
 	b.level += b.limit.Rate * elapsed
 	decay := math.Exp2(-elapsed / shareHalfLife.Seconds())
 	b.ownSpent, b.peersSpent = b.ownSpent*decay, b.peersSpent*decay
-	share := b.limit.Rate * elapsed / float64(len(c.peers)+1)
+	share := b.limit.Rate * elapsed / float64(c.daemons())
+	for _, p := range c.silentPeers(now) {
+		b.level -= share
+		p.assumed[account] += share
+	}
+	b.level = math.Min(b.level, b.limit.Burst)
+}
+
+// daemons returns the number of daemons, this one included.
+func (c *Core) daemons() int { return max(len(c.peers)+1, c.levelsDaemons) }
+
+// silentCheckInterval is how often the silent peers are determined. It is a small part
+// of peerSilenceTimeout.
+const silentCheckInterval = 50 * time.Millisecond
+
+// silentPeers returns the peers that are assumed to spend their equal share. There are
+// none while the levels of another daemon are adopted, which contain what all spend.
+func (c *Core) silentPeers(now time.Time) []*peer {
+	if age := now.Sub(c.silentAt); age < silentCheckInterval && age >= 0 && !c.silentAt.IsZero() {
+		return c.silent
+	}
+	c.silentAt, c.silent = now, c.silent[:0]
+	if !c.levelsAt.IsZero() && now.Sub(c.levelsAt) <= peerSilenceTimeout {
+		return nil
+	}
 	for _, p := range c.peers {
 		if now.Sub(p.lastReportAt) > peerSilenceTimeout {
-			b.level -= share
-			p.assumed[account] += share
+			c.silent = append(c.silent, p)
 		}
 	}
-	b.level = math.Min(b.level, b.limit.Burst)
+	return c.silent
 }
 
 // AddPeer adds a peer that has not reported yet. Until its first report, the
@@ -254,6 +287,7 @@
 func (c *Core) AddPeer(name string) {
 	if _, ok := c.peers[name]; !ok {
 		c.peers[name] = &peer{assumed: make(map[string]float64)}
+		c.silentAt = time.Time{}
 	}
 }
 
@@ -282,6 +316,12 @@
 
 func (c *Core) settled(now time.Time) bool { return now.Sub(c.startedAt) > adoptionPeriod }
 
+// adopting reports whether this daemon takes over lower levels of its peers: it has
+// just started, or has just begun to receive their totals.
+func (c *Core) adopting(now time.Time) bool {
+	return !c.settled(now) || !c.collectingAt.IsZero() && now.Sub(c.collectingAt) <= adoptionPeriod
+}
+
 // SetPeer applies the totals that a peer reports.
 func (c *Core) SetPeer(now time.Time, name string, incarnation uint64, totals Totals) {
 	p, ok := c.peers[name]
@@ -303,10 +343,77 @@
 		b.peersSpent += math.Max(spent, 0)
 		delete(p.assumed, account)
 	}
+	if now.Sub(p.lastReportAt) > peerSilenceTimeout {
+		c.silentAt = time.Time{}
+	}
 	p.used, p.lastReportAt = totals.Used, now
 	c.adoptLevels(now, totals)
 }
 
+// Levels is what a daemon that knows the spending of all states of the buckets.
+type Levels struct {
+	Level map[string]float64 `cbor:"1,keyasint,omitempty"`
+	// Settled is set unless the daemon is still taking over the levels of others.
+	Settled bool `cbor:"2,keyasint,omitempty"`
+}
+
+// Levels returns the bucket levels of the accounts that have a limit.
+func (c *Core) Levels(now time.Time) Levels {
+	l := Levels{Level: make(map[string]float64, len(c.buckets)), Settled: !c.adopting(now)}
+	for name, b := range c.buckets {
+		if b.limit.Rate > 0 {
+			c.refill(now, name, b)
+			l.Level[name] = math.Round(b.level)
+		}
+	}
+	return l
+}
+
+// Used returns the total admitted cost of each account that has a limit.
+func (c *Core) Used() map[string]float64 {
+	used := make(map[string]float64, len(c.buckets))
+	for name, b := range c.buckets {
+		if b.used != 0 {
+			used[name] = b.used
+		}
+	}
+	return used
+}
+
+// Adopt replaces this daemon's levels by those of a daemon that receives the totals of
+// all. They include this daemon's spending as far as its totals were included; what it
+// has spent since is deducted. If included is nil it is not known what they include, or
+// if the other daemon has just started, its levels only lower this daemon's.
+func (c *Core) Adopt(now time.Time, l Levels, included map[string]float64, daemons int) {
+	c.levelsAt, c.levelsDaemons, c.silentAt = now, daemons, time.Time{}
+	for account, level := range l.Level {
+		b, ok := c.buckets[account]
+		if !ok || b.limit.Rate == 0 {
+			continue
+		}
+		c.refill(now, account, b)
+		if included != nil {
+			level -= b.used - included[account]
+		}
+		level = math.Min(level, b.limit.Burst)
+		b.peersSpent += math.Max(b.level-level, 0)
+		if level < b.level || included != nil && l.Settled {
+			b.level = level
+		}
+	}
+}
+
+// Collect makes this daemon rely on the totals of its peers, which it begins to receive
+// one by one, instead of another daemon's levels. Until all have reported, it takes over
+// lower levels of its peers.
+func (c *Core) Collect(now time.Time) {
+	c.collectingAt, c.levelsAt, c.levelsDaemons, c.silentAt = now, time.Time{}, 0, time.Time{}
+	for _, p := range c.peers {
+		// What a peer has spent so far is in the adopted levels.
+		p.incarnation, p.lastReportAt = 0, now
+	}
+}
+
 // subtractUsed deducts what a peer has spent between its start and its first
 // report.
 func (c *Core) subtractUsed(now time.Time, used map[string]float64) {
@@ -316,10 +423,10 @@
 	}
 }
 
-// adoptLevels lowers the buckets of a daemon that has just started to the
-// levels of a peer that has run for longer.
+// adoptLevels lowers the buckets of a daemon that takes over levels to those of a
+// peer that has run for longer.
 func (c *Core) adoptLevels(now time.Time, totals Totals) {
-	if c.settled(now) || !totals.Settled {
+	if !c.adopting(now) || !totals.Settled {
 		return
 	}
 	for account, level := range totals.Level {
@@ -330,4 +437,7 @@
 }
 
 // RemovePeer removes a peer that has stopped or left permanently.
-func (c *Core) RemovePeer(name string) { delete(c.peers, name) }
+func (c *Core) RemovePeer(name string) {
+	delete(c.peers, name)
+	c.silentAt = time.Time{}
+}
--- a/pkg/reach/reach.go
+++ b/pkg/reach/reach.go
@@ -187,3 +187,13 @@
 
 // Services returns the services for which results have been recorded, sorted.
 func (c *Core) Services() []string { return slices.Sorted(maps.Keys(c.services)) }
+
+// Pending reports whether a service has, or may soon have, a round of probes due.
+func (c *Core) Pending() bool {
+	for _, s := range c.services {
+		if s.due || s.probing || s.state != Reachable {
+			return true
+		}
+	}
+	return false
+}
--- a/pkg/usage/usage.go
+++ b/pkg/usage/usage.go
@@ -12,9 +12,14 @@
 // the Unix epoch.
 type Windows map[int64]Counts
 
-// retainedWindows is the number of most recent windows whose counts are
-// retained.
-const retainedWindows = 8
+const (
+	// retainedWindows is the number of most recent windows whose counts are
+	// retained.
+	retainedWindows = 8
+	// statedWindows is the number of most recent windows that a daemon states to its
+	// peers. Older ones are reported already.
+	statedWindows = 4
+)
 
 // daemonStart identifies one start of a daemon.
 type daemonStart struct {
@@ -61,10 +66,17 @@
 	}
 }
 
-// Own returns a copy of this daemon's counts.
+// Own returns a copy of this daemon's counts of the most recent windows.
 func (c *Core) Own() Windows {
-	windows := make(Windows, len(c.own))
+	var newest int64
+	for window := range c.own {
+		newest = max(newest, window)
+	}
+	windows := make(Windows, statedWindows)
 	for window, counts := range c.own {
+		if window <= newest-statedWindows {
+			continue
+		}
 		copied := make(Counts, len(counts))
 		for account, n := range counts {
 			copied[account] = n
