--- a/pkg/mesh/directory.go
+++ b/pkg/mesh/directory.go
@@ -213,7 +213,9 @@
 	p.CatalogVersion, p.FleetDigest, p.Fleet.Acknowledged = m.CatalogVersion, m.Fleet.Digest, m.Fleet.Received
 	p.wallOffset = time.UnixMilli(m.WallUnixMilli).Sub(now)
 	p.nextExchangeAt = now.Add(d.interval(p.Node))
-	if initiatedByPeer {
+	if initiatedByPeer && !m.Collects {
+		// The neighbor relies on this daemon. One that collects records itself, as a hub
+		// does, only pushes a change.
 		d.lastRequestAt = now
 	}
 }
--- a/pkg/mesh/directory_test.go
+++ b/pkg/mesh/directory_test.go
@@ -303,6 +303,30 @@
 	}
 }
 
+// Guards against a read of the store by each of hundreds of daemons whenever a hub pushes a
+// change to them, as with each server that joins or leaves: only those on which others
+// rely read it.
+func TestPushedChangesMakeNoHubs(t *testing.T) {
+	g := gomega.NewWithT(t)
+	c := newCluster(295)
+	c.run(0, 3000)
+	for ms := 3000; ms < 6000; ms += 200 {
+		for _, d := range c.nodes {
+			if d.RanksAsHub() {
+				d.MakeExchangesDue(at(ms))
+			}
+		}
+		c.run(ms, ms+200)
+	}
+	readers := 0
+	for _, d := range c.nodes {
+		if d.IsHub(at(6000)) {
+			readers++
+		}
+	}
+	g.Expect(readers).To(gomega.Equal(options.HubCount))
+}
+
 // Guards against a list of daemons that grows old: a daemon that a hub no longer hears is
 // not alive for the others, one that was removed is removed there, and one that joins is
 // known to all.
