Keep the software versions in use in the store

Change: the holder of the duties keeps the versions that may have begun streams in one row, written when one comes into use or has been out of it for as long as streams last. A daemon that finds no record of a stream at its peers reads the row, once a second at most, and adds the servers that it has seen since its start. Ruled out: a row for each stream (a write each); refusing less strictly (a stream would hold events of two versions). Result: TestStreamsGoOnAfterAllDaemonsWereLost fails without the read of the row.

--- a/pkg/edge/daemon.go
+++ b/pkg/edge/daemon.go
@@ -99,6 +99,7 @@
 		BufferBytes: int(bufferMemoryFraction * float64(o.Settings.MemoryBytes))})
 	d.peerPool = peer.NewPool(peer.PoolOptions{})
 	d.state.callPeer = d.peerPool.Streams
+	d.state.versionStore = o.Platform
 	server, err := peer.NewServer(peer.ServerOptions{Address: o.Settings.PeerAddress, PlatformEndsTLS: true}, d.peerHandlers())
 	if err != nil {
 		return nil, errors.Trace(err)
--- a/pkg/edge/duties.go
+++ b/pkg/edge/duties.go
@@ -63,6 +63,7 @@
 	fencingNumber uint64
 	// cleanedWindow is the window after whose report old rows were last deleted.
 	cleanedWindow int64
+	versions      storedVersions
 	// actedAt is the latest time at which this host may have performed a duty.
 	actedAt time.Time
 }
@@ -125,6 +126,7 @@
 			u.scaling = make(map[string]*scaling.Core)
 			u.storedSizes = make(map[string]storedSize)
 			u.reported = make(map[int64]bool)
+			u.versions = storedVersions{}
 		}
 		u.actedAt = bootNow()
 		if u.daemon.settings.ReportsUsage {
@@ -133,6 +135,7 @@
 		if u.daemon.settings.OrdersServers {
 			u.orderServers(ctx)
 		}
+		u.storeVersions(ctx)
 		u.actedAt = bootNow()
 	}
 }
--- a/pkg/edge/state.go
+++ b/pkg/edge/state.go
@@ -10,6 +10,7 @@
 
 	"github.com/monsooncrank/monsooncrank/coordination/quarantine"
 	"github.com/monsooncrank/monsooncrank/coordination/retry"
+	"github.com/monsooncrank/monsooncrank/coordination/table"
 	"github.com/monsooncrank/monsooncrank/pkg/backendconn"
 	"github.com/monsooncrank/monsooncrank/pkg/catalog"
 	"github.com/monsooncrank/monsooncrank/pkg/fleet"
@@ -58,14 +59,18 @@
 	limits    *serverlimit.Core
 	streams   *streamversion.Core
 	// callPeer sends a message about streams to a peer and returns its reply.
-	callPeer      func(ctx context.Context, address string, payload []byte) ([]byte, error)
-	fleetMetrics  *fleetMetrics
-	limitMetrics  *limitMetrics
-	streamMetrics *streamMetrics
-	quarantine    *quarantine.Manager
-	forward       forwardState
-	retryBudgets  map[string]*retry.Window
-	storeUp       bool
+	callPeer func(ctx context.Context, address string, payload []byte) ([]byte, error)
+	// versionStore holds the software versions in use, and versionsReadAt is when this
+	// daemon last read them.
+	versionStore   table.Store
+	versionsReadAt time.Time
+	fleetMetrics   *fleetMetrics
+	limitMetrics   *limitMetrics
+	streamMetrics  *streamMetrics
+	quarantine     *quarantine.Manager
+	forward        forwardState
+	retryBudgets   map[string]*retry.Window
+	storeUp        bool
 	// serversReadAt is when the store last confirmed the view to this daemon, and
 	// serversListedAt when this daemon last read all entries.
 	serversReadAt   time.Time
--- a/pkg/edge/streams.go
+++ b/pkg/edge/streams.go
@@ -47,6 +47,7 @@
 const (
 	originRecorded = "record"
 	originOnly     = "only version"
+	originStored   = "only stored version"
 	originPeer     = "peer"
 	originUnknown  = "unknown"
 )
@@ -89,7 +90,8 @@
 
 // StreamOrigin returns the origin of a stream that a caller takes up. It asks the other
 // daemons if this one does not know it: in a large deployment first those in its own
-// AvailabilityZone, to which callers usually return, then all others.
+// AvailabilityZone, to which callers usually return, then all others. If none knows it, as
+// when all have been lost, the store tells which versions were in use.
 func (s *state) StreamOrigin(ctx context.Context, request, service, stream string) (streamversion.Origin, bool) {
 	startedAt := time.Now()
 	origin, source := s.knownOrigin(service, stream)
@@ -108,6 +110,12 @@
 			}
 		}
 	}
+	if source == originUnknown {
+		s.learnStoredVersions(ctx)
+		if origin, source = s.knownOrigin(service, stream); source == originOnly {
+			source = originStored
+		}
+	}
 	s.streamMetrics.origins.WithLabelValues(source).Inc()
 	klog.InfoS("stream taken up", "request", request, "stream", stream, "source", source, "from", from, "service", origin.Service,
 		"version", origin.Version, "asked", asked, "tookMs", time.Since(startedAt).Milliseconds())
--- a/pkg/edge/streams_test.go
+++ b/pkg/edge/streams_test.go
@@ -11,6 +11,7 @@
 	"github.com/onsi/gomega"
 	"github.com/prometheus/client_golang/prometheus/testutil"
 
+	"github.com/monsooncrank/monsooncrank/coordination/table/memtable"
 	"github.com/monsooncrank/monsooncrank/pkg/catalog"
 	"github.com/monsooncrank/monsooncrank/pkg/fleet"
 	"github.com/monsooncrank/monsooncrank/pkg/mesh"
@@ -182,3 +183,39 @@
 	g.Expect(streamAge(c)).To(gomega.Equal(milliseconds(24_000)))
 	g.Expect(streamAge(&catalog.Catalog{})).To(gomega.Equal(minStreamAge))
 }
+
+// TestStreamsGoOnAfterAllDaemonsWereLost guards against streams that are refused after a loss
+// of power at all hosts: the holder of the duties keeps the versions in use in the store.
+func TestStreamsGoOnAfterAllDaemonsWereLost(t *testing.T) {
+	g := gomega.NewWithT(t)
+	store := memtable.New()
+	platform := &fakePlatform{Store: store}
+	entry := fleet.Entry{ID: "i-1", Server: &fleet.Server{ID: "i-1", Service: "s", Version: "v1", Address: "10.0.0.1:80"}, Version: 3}
+	start := func() *state {
+		s := newStateWithStore(t, settings, store)
+		s.versionStore = store
+		s.streams.SetStreamAge(milliseconds(50))
+		s.applyServerEvents(s.fleet.ApplySnapshot(bootNow(), 3, []fleet.Entry{entry}), "store")
+		s.serversReadAt = bootNow()
+		s.confirmVersions()
+		return s
+	}
+	first := start()
+	u := &duties{daemon: &Daemon{settings: settings, platform: platform, state: first}}
+	u.storeVersions(context.Background())
+	_, _, err := readVersions(context.Background(), store)
+	g.Expect(err).To(gomega.HaveOccurred(), "the daemon does not know yet what was in use before")
+	time.Sleep(milliseconds(60))
+	u.storeVersions(context.Background())
+
+	restarted := start()
+	origin, known := restarted.StreamOrigin(context.Background(), "request", "s", "stream")
+	g.Expect(known).To(gomega.BeTrue())
+	g.Expect(origin.Version).To(gomega.Equal("v1"))
+	other := entry
+	other.ID, other.Server = "i-2", &fleet.Server{ID: "i-2", Service: "s", Version: "v2", Address: "10.0.0.2:80"}
+	restarted = start()
+	restarted.applyServerEvents(restarted.fleet.ApplyChanges(bootNow(), 4, []fleet.Entry{other}), "store")
+	_, known = restarted.StreamOrigin(context.Background(), "request", "s", "stream")
+	g.Expect(known).To(gomega.BeFalse())
+}
--- /dev/null
+++ b/pkg/streamversion/stored.go
@@ -0,0 +1,78 @@
+package streamversion
+
+import (
+	"slices"
+	"time"
+)
+
+// InUse holds, by service, the versions that may have begun streams which callers can still
+// take up, in order.
+type InUse map[string][]string
+
+// Contains reports whether a version of a service is among them.
+func (u InUse) Contains(service, version string) bool { return slices.Contains(u[service], version) }
+
+// Equal reports whether both hold the same versions.
+func (u InUse) Equal(o InUse) bool {
+	if len(u) != len(o) {
+		return false
+	}
+	for service, versions := range u {
+		if !slices.Equal(versions, o[service]) {
+			return false
+		}
+	}
+	return true
+}
+
+// Stored returns what to keep in the store, given what is kept there, so that a deployment
+// all of whose daemons are lost at once still knows which versions have begun streams. A
+// version is dropped only by a daemon that would have seen its use.
+func (c *Core) Stored(now time.Time, before InUse) InUse {
+	h, stored := c.versions, make(InUse)
+	add := func(service, version string) {
+		if !stored.Contains(service, version) {
+			stored[service] = append(stored[service], version)
+		}
+	}
+	for service, versions := range h.services {
+		for version, use := range versions {
+			if use.servers > 0 || now.Sub(use.endedAt) < c.streamAge {
+				add(service, version)
+			}
+		}
+	}
+	if now.Sub(h.confirmedAt) > maxConfirmationGap || now.Sub(h.coveredSince) < c.streamAge {
+		for service, versions := range before {
+			for _, version := range versions {
+				add(service, version)
+			}
+		}
+	}
+	for _, versions := range stored {
+		slices.Sort(versions)
+	}
+	return stored
+}
+
+// Covered reports whether this daemon knows all versions that were in use within the time
+// for which streams may be taken up.
+func (c *Core) Covered(now time.Time) bool {
+	return now.Sub(c.versions.confirmedAt) <= maxConfirmationGap && now.Sub(c.versions.coveredSince) >= c.streamAge
+}
+
+// MergeStored adds what the store held at a time. Together with the servers that this daemon
+// has seen since, it holds all versions that may have begun streams.
+func (c *Core) MergeStored(readAt time.Time, stored InUse) {
+	h := c.versions
+	for service, versions := range stored {
+		for _, version := range versions {
+			if use := h.use(Origin{Service: service, Version: version}); readAt.After(use.endedAt) {
+				use.endedAt = readAt
+			}
+		}
+	}
+	if covered := readAt.Add(-c.streamAge); !h.confirmedAt.IsZero() && h.coveredSince.Sub(readAt) <= maxConfirmationGap && covered.Before(h.coveredSince) {
+		h.coveredSince = covered
+	}
+}
--- a/pkg/streamversion/streamversion_test.go
+++ b/pkg/streamversion/streamversion_test.go
@@ -363,3 +363,55 @@
 	t.Logf("%d bytes a second sent, as many received", perSecond)
 	g.Expect(2 * perSecond).To(BeNumerically("<", budget))
 }
+
+// TestAllDaemonsAreLostAtOnce guards against streams of a service with one version that are
+// refused when they are taken up after all daemons have lost their power: none knows which
+// versions were in use, and the servers that have left meanwhile are not listed any more.
+func TestAllDaemonsAreLostAtOnce(t *testing.T) {
+	g := NewWithT(t)
+	one, other := server("i-1", "v1"), server("i-2", "v2")
+	holder := newCore("holder")
+	join(holder, after(0), one)
+	confirm(holder, 0, 11_000)
+	g.Expect(holder.Covered(after(11_000))).To(BeTrue())
+	stored := holder.Stored(after(11_000), nil)
+	g.Expect(stored).To(Equal(streamversion.InUse{"s": {"v1"}}))
+
+	restart := func(stored streamversion.InUse, servers ...*fleet.Server) *streamversion.Core {
+		c := newCore("restarted")
+		for _, s := range servers {
+			join(c, after(13_000), s)
+		}
+		confirm(c, 13_000, 15_000)
+		c.MergeStored(after(14_500), stored)
+		return c
+	}
+	version, known := restart(stored, one).OnlyVersion(after(15_000), "s")
+	g.Expect(known).To(BeTrue())
+	g.Expect(version).To(Equal("v1"))
+	_, known = restart(stored, one, other).OnlyVersion(after(15_000), "s")
+	g.Expect(known).To(BeFalse(), "a server of another version is there")
+	_, known = restart(streamversion.InUse{"s": {"v1", "v2"}}, one).OnlyVersion(after(15_000), "s")
+	g.Expect(known).To(BeFalse(), "servers of another version have left")
+
+	join(holder, after(12_000), other)
+	stored = holder.Stored(after(12_000), stored)
+	g.Expect(stored).To(Equal(streamversion.InUse{"s": {"v1", "v2"}}))
+	gone(holder, after(12_100), other)
+	g.Expect(holder.Stored(after(13_000), stored)).To(Equal(stored), "its streams may be taken up")
+	confirm(holder, 12_000, 23_000)
+	g.Expect(holder.Stored(after(23_000), stored)).To(Equal(streamversion.InUse{"s": {"v1"}}))
+	g.Expect(restart(stored, one).Stored(after(15_000), stored)).To(Equal(stored), "a successor drops nothing that it has not seen out of use")
+}
+
+// TestAStoredHistoryDoesNotCoverAnEarlierGap guards against a daemon that takes the stored
+// versions for all that were in use although it has not seen the servers since then.
+func TestAStoredHistoryDoesNotCoverAnEarlierGap(t *testing.T) {
+	g := NewWithT(t)
+	c := newCore("restarted")
+	join(c, after(20_000), server("i-1", "v1"))
+	c.MergeStored(after(14_500), streamversion.InUse{"s": {"v1"}})
+	confirm(c, 20_000, 21_000)
+	_, known := c.OnlyVersion(after(21_000), "s")
+	g.Expect(known).To(BeFalse())
+}
