Let a hub grant the charges of requests in larger deployments

With dozens of daemons one request costs more than a daemon's portion of its account's limit, and each daemon admitted one or more before it heard of the others, a second late. In a model with 63 and 85 daemons and an account that sends 6 times its limit 0.7 to 16 % more than is tolerated was admitted, with 16 times 42 to 68 %; with 295 daemons of an account within its limit 11 % of the cost was refused. Change: beyond half of what is tolerated, divided by the daemons, a charge is granted by one hub, which all daemons choose by the account's name and which knows what all spend. Up to 12 daemons exchange totals directly and ask nobody. Ruled out: a smaller portion (refuses accounts within their limit), longer windows of demand (a sudden burst fits into them).

--- a/pkg/edge/daemon.go
+++ b/pkg/edge/daemon.go
@@ -93,12 +93,14 @@
 	d.state.fleetMetrics.register(d.registry)
 	d.registry.MustRegister(d.state.limitMetrics.changes, d.state.limitMetrics.active, d.state.limitMetrics.refusals)
 	d.state.streamMetrics.register(d.registry)
+	d.registry.MustRegister(d.state.grants.charges)
 	d.registry.MustRegister(d.state.forward.metrics.outOfReach, d.state.forward.metrics.rejected)
 	d.state.startQuarantine(o.Platform, d.registry)
 	d.front = relay.NewHandler(relay.Options{Codec: o.Codec, Controller: d.state, Quarantine: d.state.quarantine, Pool: pool, Metrics: relay.NewMetrics(d.registry), Node: o.Settings.Node,
 		BufferBytes: int(bufferMemoryFraction * float64(o.Settings.MemoryBytes))})
 	d.peerPool = peer.NewPool(peer.PoolOptions{})
 	d.state.callPeer = d.peerPool.Streams
+	d.state.grants.call = d.peerPool.Grant
 	d.state.versionStore = o.Platform
 	server, err := peer.NewServer(peer.ServerOptions{Address: o.Settings.PeerAddress, PlatformEndsTLS: true}, d.peerHandlers())
 	if err != nil {
--- a/pkg/edge/exchange.go
+++ b/pkg/edge/exchange.go
@@ -356,5 +356,5 @@
 
 // peerHandlers returns the handlers for calls from peers.
 func (d *Daemon) peerHandlers() peer.Handlers {
-	return peer.Handlers{Fetch: d.handleExchange, Streams: d.state.handleStreams}
+	return peer.Handlers{Fetch: d.handleExchange, Streams: d.state.handleStreams, Grant: d.state.handleGrant}
 }
--- a/pkg/edge/state.go
+++ b/pkg/edge/state.go
@@ -96,6 +96,7 @@
 	// chosen.
 	membersUpdatedAt time.Time
 	digests          digestState
+	grants           grantState
 	// sequence is the sequence number of this daemon's last record.
 	sequence uint64
 	// exchangeWake wakes exchangeLoop before its next tick.
@@ -116,6 +117,7 @@
 		usage:       usage.New(settings.UsageWindow),
 		peers: mesh.NewDirectory(settings.Node, incarnation, settings.Cores, mesh.Options{Interval: exchangeInterval, LeafInterval: leafInterval,
 			PeerExpiry: peerExpiry, FullMeshLimit: fullMeshLimit, HubCount: hubCount, DaemonsPerHub: daemonsPerHub, MemberMaxAge: toldMemberMaxAge}),
+		grants:        newGrantState(),
 		digests:       digestState{log: mesh.NewDigestLog(incarnation)},
 		limits:        serverlimit.New(time.Now(), settings.Node, incarnation),
 		streams:       streamversion.New(settings.Node, settings.AvailabilityZone, incarnation),
@@ -234,19 +236,6 @@
 	}
 }
 
-// Charge charges the cost of a request to an account. If the usage limit is
-// exceeded, it returns false and the time to wait before the next try.
-func (s *state) Charge(account string, cost float64) (time.Duration, bool) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	now := bootNow()
-	after, ok := s.quota.Take(now, account, cost)
-	if !ok {
-		klog.InfoS("usage limit", "account", account, "cost", cost, "level", s.quota.Level(now, account), "retryAfterMs", after.Milliseconds())
-	}
-	return after, ok
-}
-
 // Refund returns the cost of a request that did not run to the account.
 func (s *state) Refund(account string, cost float64) {
 	s.mu.Lock()
--- a/pkg/mesh/directory.go
+++ b/pkg/mesh/directory.go
@@ -386,6 +386,21 @@
 	return d.hubs
 }
 
+// HubFor returns the hub that all daemons choose for a key, and false in a full mesh or if
+// its address is not known. The name is that of this daemon if it is the hub.
+func (d *Directory) HubFor(key string) (node, address string, ok bool) {
+	if d.isFullMesh() {
+		return "", "", false
+	}
+	hubs := d.rankedHubs()
+	node = hubs[xxhash.Sum64String(key)%uint64(len(hubs))]
+	if node == d.self {
+		return node, "", true
+	}
+	address = d.peers[node].Address
+	return node, address, address != ""
+}
+
 func (d *Directory) isRankedHub(node string) bool { return slices.Contains(d.rankedHubs(), node) }
 
 // IsHub reports whether this daemon acts as a hub, which reads the store and
--- a/pkg/peer/pool.go
+++ b/pkg/peer/pool.go
@@ -144,6 +144,11 @@
 	return p.payload(ctx, address, methodStreams, payload)
 }
 
+// Grant asks the daemon at address to charge a request to the usage limit of its account.
+func (p *Pool) Grant(ctx context.Context, address string, payload []byte) ([]byte, error) {
+	return p.payload(ctx, address, methodGrant, payload)
+}
+
 // payload sends a payload together with the time that remains until the
 // deadline, and returns the payload of the reply.
 func (p *Pool) payload(ctx context.Context, address, method string, payload []byte) ([]byte, error) {
--- a/pkg/peer/service.go
+++ b/pkg/peer/service.go
@@ -21,6 +21,7 @@
 	methodHandOver  = "Peer.HandOver"
 	methodFetch     = "Peer.Fetch"
 	methodStreams   = "Peer.Streams"
+	methodGrant     = "Peer.Grant"
 	methodPing      = "Peer.Ping"
 )
 
@@ -38,9 +39,10 @@
 	HandOver  PayloadHandler
 	Fetch     PayloadHandler
 	Streams   PayloadHandler
+	Grant     PayloadHandler
 }
 
-// PayloadArgs is the request of HandOver, Fetch and Streams. It is exported because
+// PayloadArgs is the request of HandOver, Fetch, Streams and Grant. It is exported because
 // net/rpc requires exported types.
 type PayloadArgs struct {
 	Payload []byte `cbor:"1,keyasint,omitempty"`
@@ -48,7 +50,7 @@
 	TimeoutMillis int64 `cbor:"2,keyasint"`
 }
 
-// PayloadReply is the reply of HandOver, Fetch and Streams. A non-empty Code reports an
+// PayloadReply is the reply of HandOver, Fetch, Streams and Grant. A non-empty Code reports an
 // error.
 type PayloadReply struct {
 	Payload []byte `cbor:"1,keyasint,omitempty"`
@@ -112,6 +114,12 @@
 	return nil
 }
 
+// Grant charges a request to the usage limit of its account.
+func (s *service) Grant(args *PayloadArgs, reply *PayloadReply) error {
+	s.runPayloadHandler(s.handlers.Grant, methodGrant, args, reply)
+	return nil
+}
+
 // Ping returns an empty reply, which shows that the connection works.
 func (s *service) Ping(_ *Empty, _ *Empty) error { return nil }
 
--- a/pkg/quota/quota.go
+++ b/pkg/quota/quota.go
@@ -147,16 +147,20 @@
 	// A request that costs more than the whole bucket passes when the bucket is
 	// full.
 	if need := math.Min(cost, b.limit.Burst); b.level < need {
-		return time.Duration((need - b.level) / b.limit.Rate * float64(time.Second)), false
+		return b.timeUntil(need), false
 	}
 	requested := b.recordRequested(now, cost)
 	if !c.withinPortion(now, b, cost) && !c.withinFairShare(b, requested, cost) {
 		return c.staleness, false
 	}
+	b.spend(now, cost)
+	return 0, true
+}
+
+func (b *bucket) spend(now time.Time, cost float64) {
 	b.level -= cost
 	b.used += cost
 	b.recent = append(b.recent, charge{at: now, cost: cost})
-	return 0, true
 }
 
 // SetStaleness sets the maximum expected age of the totals of peers.
@@ -167,27 +171,37 @@
 // bucket at this moment. Its portion of the bucket is proportional to its share
 // of the account's recent requests.
 func (c *Core) withinPortion(now time.Time, b *bucket, cost float64) bool {
+	spent := c.recentlySpent(now, b)
+	if c.daemons() == 1 || len(b.recent) == 0 {
+		return true
+	}
+	share := 1 / float64(c.daemons())
+	if total := b.ownSpent + b.peersSpent; total > 0 {
+		share = math.Max(share, b.ownSpent/total)
+	}
+	refill := b.limit.Rate * c.staleness.Seconds()
+	factor := 1 + toleranceShare*c.tolerated(b)/(b.limit.Burst+refill)
+	return spent+cost <= factor*share*(math.Max(b.level+spent, 0)+refill)
+}
+
+// recentlySpent returns what this daemon has spent that its peers may not have heard of.
+func (c *Core) recentlySpent(now time.Time, b *bucket) float64 {
 	for len(b.recent) > 0 && now.Sub(b.recent[0].at) > c.staleness {
 		// Charges count for the share only when they are as old as the peers'
 		// reports, so that the share compares spending in the same period.
 		b.ownSpent += b.recent[0].cost
 		b.recent = b.recent[1:]
 	}
-	if c.daemons() == 1 || len(b.recent) == 0 {
-		return true
-	}
 	spent := 0.0
 	for _, r := range b.recent {
 		spent += r.cost
 	}
-	share := 1 / float64(c.daemons())
-	if total := b.ownSpent + b.peersSpent; total > 0 {
-		share = math.Max(share, b.ownSpent/total)
-	}
-	refill := b.limit.Rate * c.staleness.Seconds()
-	tolerated := c.options.Overage*(b.limit.Rate*c.options.Window.Seconds()+b.limit.Burst) + c.options.Slack
-	factor := 1 + toleranceShare*tolerated/(b.limit.Burst+refill)
-	return spent+cost <= factor*share*(math.Max(b.level+spent, 0)+refill)
+	return spent
+}
+
+// tolerated returns the excess over a limit that is tolerated in a window.
+func (c *Core) tolerated(b *bucket) float64 {
+	return c.options.Overage*(b.limit.Rate*c.options.Window.Seconds()+b.limit.Burst) + c.options.Slack
 }
 
 // recordRequested records the cost of a request and returns the total cost of
--- a/pkg/quota/quota_test.go
+++ b/pkg/quota/quota_test.go
@@ -260,3 +260,99 @@
 		g.Expect(fullest).To(gomega.BeNumerically("<=", 1.1*limit+190_000), name)
 	}
 }
+
+// grantedRequests sends requests as simulateLargeRequests does, to daemons of which the first
+// grants charges; it hears of the others' spending a second late and tells them its levels.
+func grantedRequests(seed uint64, daemons int, rate, cost float64, load func(ms int) float64) (requested, admitted []float64) {
+	random := rand.New(rand.NewPCG(seed, 5))
+	cores := make([]*quota.Core, daemons)
+	for i := range cores {
+		cores[i] = quota.New(at(-10_000), quota.Options{Window: 8 * time.Second, Overage: 0.1, Slack: 190_000})
+		cores[i].SetStaleness(time.Second)
+		cores[i].SetLimits(at(-10_000), map[string]quota.Limit{"account": {Rate: rate, Burst: rate}})
+	}
+	hub := cores[0]
+	type report struct {
+		at     int
+		totals []quota.Totals
+	}
+	var reports []report
+	charge := func(now time.Time, c *quota.Core) bool {
+		if c == hub {
+			_, ok := hub.Grant(now, "account", cost)
+			return ok
+		}
+		_, verdict := c.TakeOrAsk(now, "account", cost)
+		if verdict != quota.NeedsGrant {
+			return verdict == quota.Admitted
+		}
+		_, ok := hub.Grant(now, "account", cost)
+		if ok {
+			c.Granted(now, "account", cost)
+		}
+		return ok
+	}
+	for ms := 0; ms < 20_000; ms += 100 {
+		in, out := 0.0, 0.0
+		for demand := load(ms) * rate / 10; demand > 0; demand -= cost {
+			if demand < cost && random.Float64() > demand/cost {
+				break
+			}
+			in += cost
+			if charge(at(ms), cores[random.IntN(daemons)]) {
+				out += cost
+			}
+		}
+		requested, admitted = append(requested, in), append(admitted, out)
+		now := report{at: ms}
+		for _, c := range cores {
+			now.totals = append(now.totals, c.Totals(at(ms)))
+		}
+		reports = append(reports, now)
+		if len(reports) <= 8 || ms%400 != 0 {
+			continue
+		}
+		late := reports[len(reports)-9]
+		for i, totals := range late.totals {
+			if i > 0 {
+				hub.SetPeer(at(ms), fmt.Sprint(i), 1, totals)
+			}
+		}
+		levels := hub.Levels(at(ms))
+		for i, c := range cores[1:] {
+			c.Adopt(at(ms), levels, late.totals[i+1].Used, daemons)
+		}
+	}
+	return requested, admitted
+}
+
+// Guards against an account that suddenly sends several times its usual to dozens or hundreds
+// of daemons: each takes a request or two before it hears of the others, which together are
+// more than is tolerated. An account within its limit must still pass.
+func TestASuddenBurstAtManyDaemonsKeepsTheLimit(t *testing.T) {
+	g := gomega.NewWithT(t)
+	const window = 80
+	for _, c := range []struct {
+		daemons    int
+		rate, cost float64
+	}{{63, 801_000, 17_000}, {85, 1_600_000, 1500}, {295, 1_600_000, 17_000}, {295, 400_000, 17_000}} {
+		limit := 9 * c.rate
+		for _, times := range []float64{3.3, 6, 16} {
+			_, admitted := grantedRequests(uint64(times), c.daemons, c.rate, c.cost, func(ms int) float64 {
+				if ms < 6000 {
+					return 0.56
+				}
+				return times
+			})
+			fullest := 0.0
+			for i := range len(admitted) - window {
+				fullest = max(fullest, sum(admitted[i:i+window]))
+			}
+			t.Logf("%d daemons, %v a second, %v times: %.3f of what is tolerated", c.daemons, c.rate, times, fullest/(1.1*limit+190_000))
+			g.Expect(fullest).To(gomega.BeNumerically("<=", 1.1*limit+190_000), "%d daemons, %v a second, %v times", c.daemons, c.rate, times)
+			g.Expect(sum(admitted[60:])).To(gomega.BeNumerically(">=", 0.9*14*c.rate), "%d daemons, %v a second, %v times: up to the limit", c.daemons, c.rate, times)
+		}
+		requested, admitted := grantedRequests(1, c.daemons, c.rate, c.cost, func(int) float64 { return 0.56 })
+		g.Expect(sum(admitted)).To(gomega.BeNumerically(">=", 0.98*sum(requested)), "%d daemons, %v a second, within the limit", c.daemons, c.rate)
+	}
+}
