Keep to what servers say of leaving and of pauses in their answers

Change: the fleet keeps the runs that have said to leave, beside what their entries state; they count as leaving at once, for connections being opened, retries and streams that go on elsewhere too. Left: other daemons learn of either from their own answers or the store, not by message.

--- a/pkg/edge/daemon.go
+++ b/pkg/edge/daemon.go
@@ -91,7 +91,7 @@
 		registry: o.Registry, idle: newIdleConnections()}
 	d.registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	d.state.fleetMetrics.register(d.registry)
-	d.registry.MustRegister(d.state.limitMetrics.changes, d.state.limitMetrics.active, d.state.limitMetrics.refusals)
+	d.registry.MustRegister(d.state.limitMetrics.changes, d.state.limitMetrics.active, d.state.limitMetrics.refusals, d.state.limitMetrics.pauses)
 	d.state.streamMetrics.register(d.registry)
 	d.registry.MustRegister(d.state.grants.charges)
 	d.registry.MustRegister(d.state.forward.metrics.outOfReach, d.state.forward.metrics.rejected)
--- a/pkg/edge/limits.go
+++ b/pkg/edge/limits.go
@@ -29,6 +29,8 @@
 	active  prometheus.Gauge
 	// refusals counts the requests of this daemon that brittle servers have turned away.
 	refusals prometheus.Counter
+	// pauses counts the pauses that servers have asked this daemon for.
+	pauses prometheus.Counter
 }
 
 func newLimitMetrics() *limitMetrics {
@@ -39,6 +41,8 @@
 			Help: "Servers that have a request limit or are brittle."}),
 		refusals: prometheus.NewCounter(prometheus.CounterOpts{Name: "monsooncrank_brittle_server_refusals_total",
 			Help: "Requests of this daemon that brittle servers have turned away."}),
+		pauses: prometheus.NewCounter(prometheus.CounterOpts{Name: "monsooncrank_server_pauses_total",
+			Help: "Pauses that servers have asked this daemon for when they turned a request away."}),
 	}
 }
 
@@ -55,11 +59,24 @@
 	}
 }
 
-// TurnedAway records that a server has turned a request away for want of room. Other daemons
-// are told at once if it is brittle.
-func (s *state) TurnedAway(d *placement.Decision) {
+// SaidLeaving records that a server has said in an answer that it leaves. It gets no further
+// requests, also if its entry in the store states that later or never.
+func (s *state) SaidLeaving(server *fleet.Server) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.applyServerEvents(s.fleet.SaidLeaving(server.RunID()), "answer")
+}
+
+// TurnedAway records that a server has turned a request away for want of room, and how long
+// it wants no request from this daemon. Other daemons are told at once if it is brittle.
+func (s *state) TurnedAway(d *placement.Decision, retryAfter time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if retryAfter > 0 {
+		s.limits.Pause(time.Now(), d.Server.Service, d.Server.RunID(), retryAfter)
+		s.limitMetrics.pauses.Inc()
+		klog.InfoS("server asks for a pause", "server", d.Server.RunID(), "service", d.Server.Service, "forMs", retryAfter.Milliseconds(), "running", d.Running)
+	}
 	if s.limits.Refused(time.Now(), d.Server.Service, d.Server.RunID(), d.Running) {
 		s.limitMetrics.refusals.Inc()
 		klog.InfoS("brittle server turned a request away", "server", d.Server.RunID(), "service", d.Server.Service, "running", d.Running, "daemons", s.peers.Size())
--- a/pkg/edge/limits_test.go
+++ b/pkg/edge/limits_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"github.com/juju/errors"
 	"github.com/onsi/gomega"
 
 	"github.com/monsooncrank/monsooncrank/pkg/fleet"
@@ -145,7 +146,7 @@
 	for _, d := range all {
 		g.Expect(d.state.mayUse(&server, 5)).To(gomega.BeTrue(), d.settings.Node)
 	}
-	all[0].state.TurnedAway(&placement.Decision{Server: server, Running: 5})
+	all[0].state.TurnedAway(&placement.Decision{Server: server, Running: 5}, 0)
 	g.Expect(all[0].state.exchangeWake).To(gomega.Receive())
 	meet(t, all)
 	for _, d := range all {
@@ -181,3 +182,24 @@
 	}
 	g.Expect(senders).To(gomega.HaveLen(1))
 }
+
+// Guards against requests to a server that has asked this daemon for a pause, or that has said
+// that it leaves, and against a refusal that sends callers back before a server takes them.
+func TestServersThatWantNothingGetNothing(t *testing.T) {
+	g := gomega.NewWithT(t)
+	all, servers := limitedFleet(t, 2, 2)
+	s := all[0].state
+	decision := &placement.Decision{Server: servers[0]}
+	s.TurnedAway(decision, 2*time.Second)
+	for range 20 {
+		d, err := s.Place(limitQuery())
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		g.Expect(d.Server.ID).To(gomega.Equal("x1"))
+	}
+	s.SaidLeaving(&servers[1])
+	_, err := s.Place(limitQuery())
+	var refused *placement.RefusedError
+	g.Expect(errors.As(err, &refused)).To(gomega.BeTrue(), "refused at once")
+	g.Expect(refused.RetryAfter).To(gomega.BeNumerically("~", 2*time.Second, 100*time.Millisecond))
+	g.Expect(s.Accepts(&servers[1])).To(gomega.BeFalse(), "also if a connection was being opened")
+}
--- a/pkg/edge/state.go
+++ b/pkg/edge/state.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/juju/errors"
 	"k8s.io/klog/v2"
 
 	"github.com/monsooncrank/monsooncrank/coordination/quarantine"
@@ -258,6 +259,10 @@
 		}
 	}
 	d.FleetVersion, d.FleetAge = s.fleet.Version(), s.fleetAge()
+	var refused *placement.RefusedError
+	if errors.As(err, &refused) && refused.Reason == placement.RefusedNoServer {
+		refused.RetryAfter = cmp.Or(s.limits.PauseLeft(time.Now(), q.Service), refused.RetryAfter)
+	}
 	return d, err
 }
 
--- a/pkg/fleet/core.go
+++ b/pkg/fleet/core.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/monsooncrank/monsooncrank/coordination/changelog"
@@ -55,6 +56,9 @@
 	newestVersion uint64
 	// removed holds the removed IDs, so that an older view does not restore them.
 	removed map[string]removal
+	// saidLeaving holds the runs of servers that have said in an answer that they leave,
+	// whatever their entries state.
+	saidLeaving map[string]bool
 	// log numbers the changes for peers.
 	log *changelog.Log[string]
 	// digest is the sum of the digests of all members.
@@ -69,7 +73,7 @@
 
 // New returns an empty Core.
 func New(options Options) *Core {
-	return &Core{options: options, members: make(map[string]*member), removed: make(map[string]removal), log: changelog.New[string](options.Run)}
+	return &Core{options: options, members: make(map[string]*member), removed: make(map[string]removal), saidLeaving: make(map[string]bool), log: changelog.New[string](options.Run)}
 }
 
 // Initialized reports whether the view was ever complete.
@@ -192,7 +196,42 @@
 	delete(c.removed, e.ID)
 	c.digest += m.server.digest()
 	c.log.Record(e.ID, src.peer)
-	return append(events, Event{Server: m.server, Change: changeOf(e.Server)})
+	return append(events, c.event(&m.server))
+}
+
+// event returns the change that leads to the state of a server.
+func (c *Core) event(s *Server) Event {
+	e := Event{Server: *s}
+	e.Server.Leaving = c.isLeaving(s)
+	e.Change = changeOf(&e.Server)
+	return e
+}
+
+// isLeaving reports whether a server leaves, by its entry or by an answer.
+func (c *Core) isLeaving(s *Server) bool { return s.Leaving || c.saidLeaving[s.RunID()] }
+
+// maxSaidLeaving is the maximum number of runs of which it is kept that they have said to
+// leave; those without an entry are dropped first.
+const maxSaidLeaving = 4096
+
+// SaidLeaving records that a run of a server has said in an answer that it leaves. Its entry
+// may state that later or never. The other daemons learn it from the server themselves.
+func (c *Core) SaidLeaving(run string) []Event {
+	id, _, _ := strings.Cut(run, "#")
+	m, ok := c.members[id]
+	if !ok || m.server.RunID() != run || c.isLeaving(&m.server) {
+		return nil
+	}
+	if len(c.saidLeaving) >= maxSaidLeaving {
+		for old := range c.saidLeaving {
+			oldID, _, _ := strings.Cut(old, "#")
+			if c.members[oldID] == nil {
+				delete(c.saidLeaving, old)
+			}
+		}
+	}
+	c.saidLeaving[run] = true
+	return []Event{c.event(&m.server)}
 }
 
 // update replaces the state of a member. A server whose start time, address or
@@ -206,9 +245,9 @@
 	}
 	switch {
 	case before.isOtherRun(&m.server):
-		return append(events, Event{Server: before, Change: ServerGone}, Event{Server: m.server, Change: changeOf(&m.server)})
-	case before.Leaving != m.server.Leaving:
-		return append(events, Event{Server: m.server, Change: changeOf(&m.server)})
+		return append(events, Event{Server: before, Change: ServerGone}, c.event(&m.server))
+	case before.Leaving != m.server.Leaving && !c.saidLeaving[m.server.RunID()]:
+		return append(events, c.event(&m.server))
 	}
 	return events
 }
@@ -308,7 +347,9 @@
 func (c *Core) Servers() []Server {
 	servers := make([]Server, 0, len(c.members))
 	for _, m := range c.members {
-		servers = append(servers, m.server)
+		server := m.server
+		server.Leaving = c.isLeaving(&server)
+		servers = append(servers, server)
 	}
 	return servers
 }
--- a/pkg/fleet/fleet_test.go
+++ b/pkg/fleet/fleet_test.go
@@ -238,3 +238,37 @@
 	_, agreed = exchange(hub, leaf, &received)
 	g.Expect(agreed).To(gomega.BeTrue())
 }
+
+// Guards against requests to a server that has said in an answer that it leaves: its entry
+// may state that later, state the opposite meanwhile, or be removed and come back.
+func TestAServerThatHasSaidThatItLeavesGetsNothing(t *testing.T) {
+	g := gomega.NewWithT(t)
+	c := fleet.New(fleet.Options{Run: 1})
+	server := fleet.Server{ID: "i-1", Service: "s", Address: "10.0.0.1:80", StartedUnixMilli: 5}
+	now := time.Unix(1000, 0)
+	entry := func(version uint64, change func(*fleet.Server)) []fleet.Entry {
+		s := server
+		change(&s)
+		return []fleet.Entry{{ID: s.ID, Server: &s, Version: version}}
+	}
+	c.ApplySnapshot(now, 1, entry(1, func(*fleet.Server) {}))
+	digest := c.Digest()
+	events := c.SaidLeaving(server.RunID())
+	g.Expect(events).To(gomega.HaveLen(1))
+	g.Expect(events[0].Change).To(gomega.Equal(fleet.ServerLeaving))
+	g.Expect(c.SaidLeaving(server.RunID())).To(gomega.BeEmpty(), "it is known")
+	g.Expect(c.SaidLeaving("i-1#4")).To(gomega.BeEmpty(), "an earlier run")
+	g.Expect(c.Servers()[0].Leaving).To(gomega.BeTrue())
+	g.Expect(c.Digest()).To(gomega.Equal(digest), "peers that have not heard it have the same view of the store")
+
+	g.Expect(c.ApplyChanges(now, 2, entry(2, func(s *fleet.Server) { s.Slots = 9 }))).To(gomega.BeEmpty())
+	g.Expect(c.ApplyChanges(now, 3, entry(3, func(s *fleet.Server) { s.Leaving = true }))).To(gomega.BeEmpty())
+	g.Expect(c.ApplyChanges(now, 4, entry(4, func(*fleet.Server) {}))).To(gomega.BeEmpty())
+	g.Expect(c.Servers()[0].Leaving).To(gomega.BeTrue())
+	c.ApplyChanges(now, 5, []fleet.Entry{{ID: "i-1", Version: 5}})
+	events = c.ApplyChanges(now, 6, entry(6, func(*fleet.Server) {}))
+	g.Expect(events).To(gomega.HaveLen(1))
+	g.Expect(events[0].Change).To(gomega.Equal(fleet.ServerLeaving), "its entry is back")
+	events = c.ApplyChanges(now, 7, entry(7, func(s *fleet.Server) { s.StartedUnixMilli = 6 }))
+	g.Expect(events[len(events)-1].Change).To(gomega.Equal(fleet.ServerJoined), "another run")
+}
--- a/pkg/relay/attempt.go
+++ b/pkg/relay/attempt.go
@@ -228,6 +228,9 @@
 			s.handler.controller.Alive(s.decision.Server.ID)
 			if response.StatusCode != http.StatusMisdirectedRequest {
 				s.handler.controller.Answered(&s.decision.Server, s.startedAt, info.RequestLimit)
+				if info.Leaving {
+					s.handler.controller.SaidLeaving(&s.decision.Server)
+				}
 			}
 			return response, info, true
 		}
@@ -254,12 +257,12 @@
 }
 
 // handleRefusal handles a response which states that the request did not run.
-func (s *serverAttempt) handleRefusal(response *http.Response) outcome {
+func (s *serverAttempt) handleRefusal(response *http.Response, info *ResponseInfo) outcome {
 	s.result = placement.ResultRefused
 	s.handler.quarantine.Resolved(s.id, false)
 	s.exchange.mayHaveRun = s.mayHaveRunBefore
 	if response.StatusCode == http.StatusServiceUnavailable {
-		s.handler.controller.TurnedAway(s.decision)
+		s.handler.controller.TurnedAway(s.decision, info.RetryAfter)
 	}
 	if response.StatusCode == http.StatusMisdirectedRequest {
 		s.handler.controller.Misdirected(s.decision.Server.ID)
--- a/pkg/relay/relay_test.go
+++ b/pkg/relay/relay_test.go
@@ -73,7 +73,14 @@
 
 func (codec) ResponseInfo(response *http.Response) relay.ResponseInfo {
 	return relay.ResponseInfo{RequestID: response.Header.Get("Id"), NotRun: response.Header.Get("Not-Run") != "",
-		Sealed: response.Header.Get("Seal") != ""}
+		Sealed: response.Header.Get("Seal") != "", Leaving: response.Header.Get("Leaves") != "", RetryAfter: pauseOf(response)}
+}
+
+// pauseOf returns the pause that a response asks for.
+func pauseOf(response *http.Response) time.Duration {
+	// Without the header there is no pause.
+	after, _ := time.ParseDuration(response.Header.Get("Pause"))
+	return after
 }
 
 // fake is a relay.Controller that selects its servers in turn.
@@ -100,6 +107,10 @@
 	targets             []relay.ForwardTarget
 	connected           []reach.Result
 	turnedAway          int
+	// saidLeaving holds the servers that have said that they leave, and retryAfter is the
+	// pause that the last one asked for that has turned a request away.
+	saidLeaving []string
+	retryAfter  time.Duration
 	// senders holds the daemon that sends the requests of all to a server.
 	senders map[string]string
 	// alreadyStarted holds, for each selection, whether the request had begun to run.
@@ -193,8 +204,18 @@
 	}
 	return relay.ForwardTarget{}, false
 }
-func (f *fake) AdmitForwarded() (func(), bool)     { return func() {}, !f.full }
-func (f *fake) TurnedAway(*placement.Decision)     { f.mu.Lock(); defer f.mu.Unlock(); f.turnedAway++ }
+func (f *fake) AdmitForwarded() (func(), bool) { return func() {}, !f.full }
+func (f *fake) SaidLeaving(s *fleet.Server) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.saidLeaving = append(f.saidLeaving, s.ID)
+}
+func (f *fake) TurnedAway(_ *placement.Decision, after time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.turnedAway++
+	f.retryAfter = after
+}
 func (f *fake) Alive(string)                       {}
 func (f *fake) SilentFor(string) time.Duration     { return f.silentFor }
 func (f *fake) Misdirected(string)                 {}
@@ -393,6 +414,27 @@
 	g.Expect(f.began).To(gomega.Equal(1))
 }
 
+// A server that turns a request away may say how long it wants none, and any answer of a
+// server that it leaves. Both reach the controller, also from the answer to another request.
+func TestWhatServersSayOfThemselvesIsReported(t *testing.T) {
+	g := gomega.NewWithT(t)
+	full := newBackend(t, func(_ int, r *http.Request, c net.Conn) bool {
+		_, err := fmt.Fprintf(c, "HTTP/1.1 503 Service Unavailable\r\nId: %s\r\nNot-Run: 1\r\nPause: 3s\r\nContent-Length: 0\r\n\r\n", r.Header.Get("Id"))
+		return err == nil
+	})
+	leaving := newBackend(t, func(_ int, r *http.Request, c net.Conn) bool {
+		_, err := fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nId: %s\r\nSeal: s\r\nLeaves: 1\r\nContent-Length: 4\r\n\r\ndone", r.Header.Get("Id"))
+		return err == nil
+	})
+	f := newFixture(t, full, leaving)
+	status, body, _, err := f.post("/once/x", "1")
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(status).To(gomega.Equal(http.StatusOK))
+	g.Expect(body).To(gomega.Equal("done"))
+	g.Expect(f.retryAfter).To(gomega.Equal(3 * time.Second))
+	g.Expect(f.saidLeaving).To(gomega.Equal([]string{"server-1"}))
+}
+
 // When all servers are full, the request is refused with a Retry-After header
 // and its usage is refunded.
 func TestARequestThatNoServerRunsIsRefusedWithRetryAfter(t *testing.T) {
--- a/pkg/relay/run.go
+++ b/pkg/relay/run.go
@@ -236,7 +236,7 @@
 	case !ok:
 		return s.handleIncomplete(), nil
 	case info.NotRun || response.StatusCode == http.StatusMisdirectedRequest:
-		return s.handleRefusal(response), nil
+		return s.handleRefusal(response, &info), nil
 	case response.StatusCode/100 == 2 && !info.Sealed:
 		return s.handleIncomplete(), nil
 	case x.route.Kind == catalog.KindStream && response.StatusCode/100 == 2:
--- a/pkg/relay/types.go
+++ b/pkg/relay/types.go
@@ -75,6 +75,10 @@
 	Sealed bool
 	// RequestLimit is what the response says about a request limit of the server.
 	RequestLimit serverlimit.Statement
+	// Leaving is set if the server says that it leaves. RetryAfter is the time for which a
+	// server that has turned the request away wants no further one from this daemon.
+	Leaving    bool
+	RetryAfter time.Duration
 }
 
 // Codec decodes and encodes the headers of the external protocol.
@@ -126,9 +130,11 @@
 	// Answered records what the answer to a request that was sent at a time says about
 	// a request limit of its server.
 	Answered(server *fleet.Server, sentAt time.Time, limit serverlimit.Statement)
+	// SaidLeaving records that a server has said that it leaves.
+	SaidLeaving(server *fleet.Server)
 	// TurnedAway records that the selected server has turned the request away for want of
-	// room.
-	TurnedAway(d *placement.Decision)
+	// room, and how long it wants no further one from this daemon.
+	TurnedAway(d *placement.Decision, retryAfter time.Duration)
 	// Alive records that a server sent data to this daemon; SilentFor returns
 	// the time since it last did.
 	Alive(server string)
--- a/pkg/serverlimit/serverlimit.go
+++ b/pkg/serverlimit/serverlimit.go
@@ -132,12 +132,14 @@
 	// for the current members.
 	senders map[string]string
 	random  *rand.Rand
+	// pauses holds the servers that have asked this daemon for a pause, by run.
+	pauses map[string]pause
 }
 
 // New returns a Core without limits for a daemon that starts now. The run identifies
 // the run of the daemon to its peers.
 func New(now time.Time, node string, run uint64) *Core {
-	return &Core{node: node, startedAt: now, limits: make(map[string]*limit), log: changelog.New[string](run), alive: 1,
+	return &Core{pauses: make(map[string]pause), node: node, startedAt: now, limits: make(map[string]*limit), log: changelog.New[string](run), alive: 1,
 		refusals: make(map[string]*refusals), brittle: make(map[string]float64), senders: make(map[string]string), random: newRandom(run)}
 }
 
@@ -222,6 +224,7 @@
 // Forget removes the entry of a run of a server that has ended.
 func (c *Core) Forget(run string) {
 	delete(c.limits, run)
+	delete(c.pauses, run)
 	delete(c.refusals, run)
 	delete(c.senders, run)
 	c.log.Forget(run)
@@ -287,6 +290,9 @@
 
 // Available reports whether this daemon may send a request to a server now.
 func (c *Core) Available(now time.Time, run string) bool {
+	if c.isPaused(now, run) {
+		return false
+	}
 	l, known := c.limits[run]
 	if !known || !l.entry.Limited {
 		return true
@@ -307,7 +313,8 @@
 	return true
 }
 
-// Active returns the number of servers that have a limit or are brittle.
+// Active returns the number of servers that have a limit, are brittle or have asked for a
+// pause.
 func (c *Core) Active() int {
 	n := 0
 	for _, l := range c.limits {
@@ -315,7 +322,7 @@
 			n++
 		}
 	}
-	return n
+	return n + len(c.pauses)
 }
 
 // RoleOf returns this daemon's role for a server and the number of requests per second
