--- a/pkg/quota/quota.go
+++ b/pkg/quota/quota.go
@@ -445,6 +445,7 @@
 	}
 	for account, level := range totals.Level {
 		if b, ok := c.buckets[account]; ok {
+			c.refill(now, account, b)
 			b.level = math.Min(b.level, level)
 		}
 	}
--- a/pkg/quota/quota_test.go
+++ b/pkg/quota/quota_test.go
@@ -356,3 +356,54 @@
 		g.Expect(sum(admitted)).To(gomega.BeNumerically(">=", 0.98*sum(requested)), "%d daemons, %v a second, within the limit", c.daemons, c.rate)
 	}
 }
+
+// Guards against spending that counts twice or not at all when a daemon takes the levels of
+// another one, and against levels that rise by what was on its way for long.
+func TestAdoptedLevelsIncludeOwnSpendingOnce(t *testing.T) {
+	g := gomega.NewWithT(t)
+	c := quota.New(at(-10_000), quota.Options{Window: 8 * time.Second, Overage: 0.1, Slack: 1e6})
+	c.SetLimits(at(0), map[string]quota.Limit{"account": {Rate: 100, Burst: 1000}})
+	take := func(cost float64) {
+		_, ok := c.Take(at(0), "account", cost)
+		g.Expect(ok).To(gomega.BeTrue())
+	}
+	level := func() float64 { return c.Level(at(0), "account") }
+	take(200)
+	included := c.Used()
+	take(100)
+	levels := quota.Levels{Level: map[string]float64{"account": 500, "other": 7}, Settled: true}
+	c.Adopt(at(0), levels, included, 20)
+	g.Expect(level()).To(gomega.BeNumerically("~", 400, 1), "what was spent since is deducted")
+	levels.Level["account"] = 900
+	levels.Settled = false
+	c.Adopt(at(0), levels, included, 20)
+	g.Expect(level()).To(gomega.BeNumerically("~", 400, 1), "only settled levels raise the own one")
+	c.Adopt(at(0), quota.Levels{Level: map[string]float64{"account": 300}}, included, 20)
+	g.Expect(level()).To(gomega.BeNumerically("~", 200, 1))
+	levels.Settled = true
+	c.Adopt(at(0), levels, nil, 20)
+	g.Expect(level()).To(gomega.BeNumerically("~", 200, 1), "it is not known what they include")
+	c.Adopt(at(0), levels, c.Used(), 20)
+	g.Expect(level()).To(gomega.BeNumerically("~", 900, 1))
+	g.Expect(c.Level(at(1000), "account")).To(gomega.BeNumerically("~", 1000, 1), "no peer is taken for silent meanwhile")
+}
+
+// Guards against daemons that are taken for silent, and their shares deducted, while another
+// daemon's levels contain what they spend, and against the opposite when those end.
+func TestPeersAreSilentOnlyWithoutLevels(t *testing.T) {
+	g := gomega.NewWithT(t)
+	c := quota.New(at(-10_000), quota.Options{Window: 8 * time.Second})
+	c.SetLimits(at(0), map[string]quota.Limit{"account": {Rate: 100, Burst: 1000}})
+	for i := range 9 {
+		c.AddPeer(fmt.Sprint(i))
+	}
+	c.Adopt(at(0), quota.Levels{Level: map[string]float64{"account": 0}, Settled: true}, c.Used(), 10)
+	g.Expect(c.Level(at(1000), "account")).To(gomega.BeNumerically("~", 100, 1))
+	g.Expect(c.Level(at(1500), "account")).To(gomega.BeNumerically("<", 150))
+	before := c.Level(at(2000), "account")
+	g.Expect(c.Level(at(3000), "account")-before).To(gomega.BeNumerically("~", 10, 1), "its equal share only")
+	c.Adopt(at(3000), quota.Levels{Level: map[string]float64{"account": 50}, Settled: true}, c.Used(), 10)
+	c.Collect(at(3000))
+	c.SetPeer(at(3100), "0", 7, quota.Totals{Used: map[string]float64{"account": 12_345}, Settled: true, Level: map[string]float64{"account": 30}})
+	g.Expect(c.Level(at(3100), "account")).To(gomega.BeNumerically("~", 30, 1), "a lower level of a peer, and not its spending of before")
+}
