--- a/pkg/mesh/directory.go
+++ b/pkg/mesh/directory.go
@@ -256,12 +256,13 @@
 	return d.options.LeafInterval
 }
 
-// MaxStaleness returns the maximum age of a record when it arrives.
+// MaxStaleness returns the maximum age of a record when it, or a digest that includes
+// it, arrives.
 func (d *Directory) MaxStaleness() time.Duration {
 	if d.isFullMesh() {
 		return d.options.Interval + deliveryTime
 	}
-	return d.options.Interval + 2*d.options.LeafInterval + deliveryTime
+	return d.options.Interval + 2*d.options.LeafInterval + digestInterval + deliveryTime
 }
 
 // deliveryTime is the maximum duration of an exchange, including the delay until
--- a/pkg/streamversion/streamversion_test.go
+++ b/pkg/streamversion/streamversion_test.go
@@ -401,7 +401,10 @@
 	g.Expect(holder.Stored(after(13_000), stored)).To(Equal(stored), "its streams may be taken up")
 	confirm(holder, 12_000, 23_000)
 	g.Expect(holder.Stored(after(23_000), stored)).To(Equal(streamversion.InUse{"s": {"v1"}}))
-	g.Expect(restart(stored, one).Stored(after(15_000), stored)).To(Equal(stored), "a successor drops nothing that it has not seen out of use")
+	successor := newCore("successor")
+	join(successor, after(13_000), one)
+	confirm(successor, 13_000, 15_000)
+	g.Expect(successor.Stored(after(15_000), streamversion.InUse{"s": {"v1", "v2"}})).To(Equal(streamversion.InUse{"s": {"v1", "v2"}}), "a successor drops nothing that it has not seen out of use")
 }
 
 // TestAStoredHistoryDoesNotCoverAnEarlierGap guards against a daemon that takes the stored
@@ -410,8 +413,8 @@
 	g := NewWithT(t)
 	c := newCore("restarted")
 	join(c, after(20_000), server("i-1", "v1"))
-	c.MergeStored(after(14_500), streamversion.InUse{"s": {"v1"}})
 	confirm(c, 20_000, 21_000)
+	c.MergeStored(after(14_500), streamversion.InUse{"s": {"v1"}})
 	_, known := c.OnlyVersion(after(21_000), "s")
 	g.Expect(known).To(BeFalse())
 }
