Let streams that are taken up together wait for the stored versions

Change: all wait for the one read. Result: TestStreamsTakenUpTogetherWaitForTheStoredVersions fails without the change.

--- a/pkg/edge/state.go
+++ b/pkg/edge/state.go
@@ -62,16 +62,18 @@
 	// callPeer sends a message about streams to a peer and returns its reply.
 	callPeer func(ctx context.Context, address string, payload []byte) ([]byte, error)
 	// versionStore holds the software versions in use, and versionsReadAt is when this
-	// daemon last read them.
-	versionStore   table.Store
-	versionsReadAt time.Time
-	fleetMetrics   *fleetMetrics
-	limitMetrics   *limitMetrics
-	streamMetrics  *streamMetrics
-	quarantine     *quarantine.Manager
-	forward        forwardState
-	retryBudgets   map[string]*retry.Window
-	storeUp        bool
+	// daemon last read them. versionsReading is held while it reads them, and locked
+	// before mu.
+	versionStore    table.Store
+	versionsReadAt  time.Time
+	versionsReading sync.Mutex
+	fleetMetrics    *fleetMetrics
+	limitMetrics    *limitMetrics
+	streamMetrics   *streamMetrics
+	quarantine      *quarantine.Manager
+	forward         forwardState
+	retryBudgets    map[string]*retry.Window
+	storeUp         bool
 	// serversReadAt is when the store last confirmed the view to this daemon, and
 	// serversListedAt when this daemon last read all entries.
 	serversReadAt   time.Time
--- a/pkg/edge/streams_test.go
+++ b/pkg/edge/streams_test.go
@@ -11,6 +11,7 @@
 	"github.com/onsi/gomega"
 	"github.com/prometheus/client_golang/prometheus/testutil"
 
+	"github.com/monsooncrank/monsooncrank/coordination/table"
 	"github.com/monsooncrank/monsooncrank/coordination/table/memtable"
 	"github.com/monsooncrank/monsooncrank/pkg/catalog"
 	"github.com/monsooncrank/monsooncrank/pkg/fleet"
@@ -219,3 +220,35 @@
 	_, known = restarted.StreamOrigin(context.Background(), "request", "s", "stream")
 	g.Expect(known).To(gomega.BeFalse())
 }
+
+// slowStore is a table that answers reads after a while.
+type slowStore struct{ table.Store }
+
+func (s slowStore) Get(ctx context.Context, key table.Key) (table.Item, error) {
+	pause(ctx, milliseconds(30))
+	return s.Store.Get(ctx, key)
+}
+
+// TestStreamsTakenUpTogetherWaitForTheStoredVersions guards against streams that are refused
+// because another one has begun to read the stored versions at the same moment, as after a
+// loss of power.
+func TestStreamsTakenUpTogetherWaitForTheStoredVersions(t *testing.T) {
+	g := gomega.NewWithT(t)
+	store := memtable.New()
+	g.Expect(store.Transact(t.Context(), []table.Write{{Key: versionsKey, Value: []byte(`{"s":["v1"]}`)}})).To(gomega.Succeed())
+	s := newStateWithStore(t, settings, store)
+	s.versionStore = slowStore{store}
+	s.applyServerEvents(s.fleet.ApplySnapshot(bootNow(), 3, []fleet.Entry{{ID: "i-1", Server: &fleet.Server{ID: "i-1", Service: "s", Version: "v1"}, Version: 3}}), "store")
+	s.serversReadAt = bootNow()
+	s.confirmVersions()
+	known := make(chan bool)
+	for range 10 {
+		go func() {
+			_, ok := s.StreamOrigin(context.Background(), "request", "s", "")
+			known <- ok
+		}()
+	}
+	for range 10 {
+		g.Expect(<-known).To(gomega.BeTrue())
+	}
+}
--- a/pkg/edge/versions.go
+++ b/pkg/edge/versions.go
@@ -77,8 +77,11 @@
 }
 
 // learnStoredVersions reads which versions may have begun streams, unless that was done
-// lately. It is needed when all daemons that knew have been lost.
+// lately. It is needed when all daemons that knew have been lost. Many callers take up
+// their streams at the same time then: all wait for the one read.
 func (s *state) learnStoredVersions(ctx context.Context) {
+	s.versionsReading.Lock()
+	defer s.versionsReading.Unlock()
 	s.mu.Lock()
 	now := bootNow()
 	due := s.versionStore != nil && now.Sub(s.versionsReadAt) >= versionsReadInterval
