Push each change at once in a full mesh

Cause: the distance of 100 ms between urgent exchanges also held for up to 12 daemons, which rely on hearing of refusals of brittle servers at once; it is needed for hundreds only. Change: the distance holds outside a full mesh. Result: TestUrgentExchangesKeepADistance covers both.

--- a/pkg/mesh/directory.go
+++ b/pkg/mesh/directory.go
@@ -54,8 +54,8 @@
 	clockMaxAge = 3 * time.Second
 	// recordMaxAge is the age at which a record is no longer forwarded.
 	recordMaxAge = 5 * time.Second
-	// minUrgentGap is the least time between two urgent exchanges with one daemon, so
-	// that a series of changes takes few messages.
+	// minUrgentGap is the least time between two urgent exchanges with one daemon outside
+	// a full mesh, so that a series of changes takes few messages.
 	minUrgentGap = 100 * time.Millisecond
 )
 
@@ -517,13 +517,14 @@
 }
 
 // MakeExchangesDue makes the exchanges with all neighbors due at once, and on a
-// hub those with the daemons that have sent a message recently. A daemon with
-// which an exchange began less than minUrgentGap ago follows that much later.
+// hub those with the daemons that have sent a message recently. Outside a full mesh,
+// a daemon with which an exchange began less than minUrgentGap ago follows that much
+// later.
 func (d *Directory) MakeExchangesDue(now time.Time) {
 	urgent := func(p *Peer) {
 		if p.urgentAt.IsZero() && p.Address != "" {
 			p.urgentAt = now
-			if earliest := p.exchangedAt.Add(minUrgentGap); earliest.After(now) {
+			if earliest := p.exchangedAt.Add(minUrgentGap); earliest.After(now) && !d.isFullMesh() {
 				p.urgentAt = earliest
 			}
 		}
