--- a/pkg/mesh/directory_test.go
+++ b/pkg/mesh/directory_test.go
@@ -2,7 +2,10 @@
 
 import (
 	"fmt"
+	"maps"
 	"math/rand/v2"
+	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -188,11 +191,15 @@
 func (c *cluster) run(from, to int) {
 	for ms := from; ms < to; ms += 50 {
 		now := at(ms)
-		for name, d := range c.nodes {
+		// In order, so that a seed gives the same run each time.
+		for _, name := range slices.Sorted(maps.Keys(c.nodes)) {
+			d := c.nodes[name]
 			if c.down[name] {
 				continue
 			}
-			for _, p := range d.Due(now) {
+			due := d.Due(now)
+			slices.SortFunc(due, func(a, b mesh.Peer) int { return strings.Compare(a.Node, b.Node) })
+			for _, p := range due {
 				c.sent++
 				if c.down[p.Node] || c.random.Float64() < c.lost {
 					d.ExchangeDone(now, p.Node, true)
