Log what servers say of leaving and pauses, and when a request was written

The logs held neither whether an answer with such a statement reached a daemon that does not know its server, nor the run of the server in the entry, nor the time from the choice of a server to the write of the request. No decision changes.

--- a/pkg/edge/limits.go
+++ b/pkg/edge/limits.go
@@ -64,6 +64,8 @@
 func (s *state) SaidLeaving(server *fleet.Server) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	klog.InfoS("server says that it leaves", "server", server.RunID(), "service", server.Service, "accepts", s.placement.Accepts(server),
+		"fleetVersion", s.fleet.Version(), "fleetAgeMs", s.fleetAge().Milliseconds())
 	s.applyServerEvents(s.fleet.SaidLeaving(server.RunID()), "answer")
 }
 
--- a/pkg/relay/attempt.go
+++ b/pkg/relay/attempt.go
@@ -223,6 +223,7 @@
 		}
 		info := s.handler.codec.ResponseInfo(response)
 		if info.RequestID == s.ID || info.RequestID == "" && response.StatusCode/100 != 2 {
+			s.stated = info
 			s.readKeepAliveTimeout(response)
 			s.answers(true)
 			s.handler.controller.Alive(s.decision.Server.ID)
--- a/pkg/relay/handler.go
+++ b/pkg/relay/handler.go
@@ -132,6 +132,12 @@
 	// firstPartAfter is the time from the start of the last attempt to the first
 	// part of its response, or negative if none has arrived.
 	firstPartAfter time.Duration
+	// selectedAt is when the server of the last attempt was selected, and connectedAfter the
+	// time from then until the request was written, or negative if it was not.
+	selectedAt     time.Time
+	connectedAfter time.Duration
+	// stated is what the header of the last attempt's response states.
+	stated ResponseInfo
 	// begun is set once the caller has events of the stream, and version is the software
 	// version that began it.
 	begun   bool
--- a/pkg/relay/run.go
+++ b/pkg/relay/run.go
@@ -86,13 +86,14 @@
 			continue
 		}
 		x.attempts++
-		x.firstPartAfter = -time.Millisecond
+		x.firstPartAfter, x.selectedAt, x.connectedAfter, x.stated = -time.Millisecond, time.Now(), -time.Millisecond, ResponseInfo{}
 		result, failure := x.attempt(&decision)
-		klog.InfoS("attempt", "request", x.ID, "attempt", x.attempts, "server", decision.Server.ID, "version", decision.Server.Version,
+		klog.InfoS("attempt", "request", x.ID, "attempt", x.attempts, "server", decision.Server.ID, "started", decision.Server.StartedUnixMilli, "version", decision.Server.Version,
 			"zone", decision.Server.AvailabilityZone, "service", x.service, "outcome", result.String(),
 			"expectedMs", decision.ExpectedWait.Milliseconds(), "firstMs", x.firstPartAfter.Milliseconds(), "cached", decision.CachedTokens, "candidates", decision.Candidates, "limited", decision.Limited,
 			"loadAgeMs", decision.LoadAge.Milliseconds(), "fleetVersion", decision.FleetVersion,
-			"fleetAgeMs", decision.FleetAge.Milliseconds(), "configuration", x.configVersion, "status", x.status)
+			"fleetAgeMs", decision.FleetAge.Milliseconds(), "connectMs", x.connectedAfter.Milliseconds(),
+			"leaving", x.stated.Leaving, "pauseMs", x.stated.RetryAfter.Milliseconds(), "configuration", x.configVersion, "status", x.status)
 		if failure != nil {
 			lastFailure = failure
 		}
@@ -226,6 +227,7 @@
 	if err != nil {
 		return outcomeNotSent, nil
 	}
+	x.connectedAfter = time.Since(x.selectedAt)
 	s := &serverAttempt{exchange: x, conn: conn, decision: d, id: x.attemptID(), startedAt: time.Now()}
 	defer s.finish()
 	if !s.send() {
