Add a soak test of servers that say that they leave or ask for a pause, failing

Servers say in all their answers that they leave, while their entries state it late or never or lapse and return; others turn requests away and ask for pauses, with or without stating that the request did not run.

--- a/soak/checks.go
+++ b/soak/checks.go
@@ -73,7 +73,7 @@
 	id := request.ID
 	starts, stoppingAt := d.state()
 	h.mu.Lock()
-	h.receivers[id] = d
+	h.receivers[id], h.sentAt[id] = d, time.Now()
 	h.mu.Unlock()
 	request.Address, request.Host, request.Path, request.Key, request.Deadline = d.settings.Front, hostName, path+"x", apiKey, requestDeadline
 	reply := standin.Send(context.Background(), client, request)
@@ -84,6 +84,7 @@
 	}
 	h.mu.Unlock()
 	h.recordLimit(d, reply)
+	h.recordLeaving(d, reply)
 	h.checkRefusal(id, reply)
 	if h.planned {
 		h.checkNotInterrupted(d, id, path, starts, stoppingAt, reply)
@@ -165,6 +166,7 @@
 	h.checkReportedEnds()
 	h.checkStreams()
 	h.checkLimits()
+	h.checkStatements()
 	h.checkCuts()
 	h.checkBrittle()
 	client := &http.Client{}
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -83,6 +83,9 @@
 	// LimitedServers is the number of servers that state a request limit of one a
 	// second throughout the run.
 	LimitedServers int
+	// StatementEvery is the time after which a server says again that it leaves, or asks for
+	// pauses, while its entry lapses or states nothing of it; 0 means never.
+	StatementEvery time.Duration
 	// RestartAllAt holds the times at which all daemons are killed at once.
 	RestartAllAt []time.Duration
 }
@@ -129,6 +132,10 @@
 	// passed on answers that state a limit, by server.
 	allServers []*standin.Server
 	told       map[string]map[*daemon][]time.Time
+	// sentAt holds when callers sent each request, and toldLeaving when the caller of each
+	// daemon received an answer which states that its server leaves, by server.
+	sentAt      map[string]time.Time
+	toldLeaving map[string]map[*daemon][]time.Time
 	// version is the version of the last published configuration; publishedAt
 	// holds the publication time of each version.
 	version     int
@@ -143,6 +150,9 @@
 	// leavingChecked is the number of requests that reached leaving servers from daemons in
 	// touch.
 	leavingChecked int
+	// toldCount is the number of answers that state that their server leaves, and
+	// pauseCount that of pauses.
+	toldCount, pauseCount int
 	// cutDaemons holds the daemons that are cut off from all servers now, serverCuts all
 	// cuts, and firstTries the first tries of callers. Of cutSent first tries at daemons that
 	// were cut off, cutServed were served.
@@ -168,6 +178,9 @@
 	// LeavingChecked is the number of requests that reached servers after they had left,
 	// whether in time or not, from daemons in touch.
 	LeavingChecked int
+	// Told is the number of answers that told daemons that their server leaves, and Paused
+	// that of pauses which servers asked for.
+	Told, Paused int
 	// CutServed is the number of first tries that were served, of CutSent at daemons that were
 	// cut off from all servers while others were not.
 	CutServed, CutSent int
@@ -178,7 +191,8 @@
 // changes only.
 func Run(options Options) (Report, error) {
 	h := &harness{options: options, random: rand.New(rand.NewPCG(options.Seed, 1)), store: standin.NewStore(), ledger: standin.NewLedger(),
-		cloud: standin.NewCloud(), proxies: make(map[string]*Proxy), servers: make(map[string]*standin.Server), receivers: make(map[string]*daemon), faults: make(map[string][]span), told: make(map[string]map[*daemon][]time.Time), cutDaemons: make(map[*daemon]bool), planned: options.Seed%3 == 0}
+		cloud: standin.NewCloud(), proxies: make(map[string]*Proxy), servers: make(map[string]*standin.Server), receivers: make(map[string]*daemon), faults: make(map[string][]span), told: make(map[string]map[*daemon][]time.Time),
+		sentAt: make(map[string]time.Time), toldLeaving: make(map[string]map[*daemon][]time.Time), cutDaemons: make(map[*daemon]bool), planned: options.Seed%3 == 0}
 	if err := h.setUp(); err != nil {
 		h.stop()
 		return Report{}, err
@@ -233,6 +247,9 @@
 	if h.options.LeaveEvery > 0 {
 		running.Go(func() { h.replaceInTurn(ctx, h.options.LeaveEvery) })
 	}
+	if h.options.StatementEvery > 0 && !h.planned {
+		running.Go(func() { h.makeStatements(ctx, h.options.StatementEvery) })
+	}
 	if h.options.StoreFaultEvery > 0 {
 		running.Go(func() { h.disturbStore(ctx, h.options.StoreFaultEvery) })
 	}
@@ -260,7 +277,7 @@
 func (h *harness) report() Report {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return Report{Seed: h.options.Seed, Planned: h.planned, Sent: h.sent, Succeeded: h.succeeded, Resumed: h.resumed, ResumedTries: h.resumedTries, LeavingChecked: h.leavingChecked, CutServed: h.cutServed, CutSent: h.cutSent, Findings: h.findings}
+	return Report{Seed: h.options.Seed, Planned: h.planned, Sent: h.sent, Succeeded: h.succeeded, Resumed: h.resumed, ResumedTries: h.resumedTries, LeavingChecked: h.leavingChecked, Told: h.toldCount, Paused: h.pauseCount, CutServed: h.cutServed, CutSent: h.cutSent, Findings: h.findings}
 }
 
 // addFinding records a violated guarantee.
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -192,6 +192,15 @@
 		Duration: 14 * time.Second, NoFaults: true})
 }
 
+// TestServersThatSaySoGetNoRequests guards against requests to servers that have told a daemon
+// in an answer that they leave, or that they want nothing for a time, when their entries state
+// it late or never, lapse and return, and nothing disturbs the daemons.
+func TestServersThatSaySoGetNoRequests(t *testing.T) {
+	t.Parallel()
+	runSeed(t, soak.Options{Seed: 1, Binary: buildDaemon(t), Daemons: 7, Servers: 6, Callers: 42, StatementEvery: 700 * time.Millisecond,
+		Duration: 16 * time.Second, NoFaults: true})
+}
+
 // parallelRuns is the number of tests that run at the same time. Each starts several
 // daemons, which need some of the machine's processors.
 const parallelRuns = "3"
@@ -202,7 +211,7 @@
 		panic(err)
 	}
 	code := m.Run()
-	if binary, err := daemonBinary(); err == nil {
+	if binary, err := daemonBinary(); err == nil && os.Getenv("SOAK_BINARY") == "" {
 		err = os.RemoveAll(filepath.Dir(binary))
 		if err != nil {
 			panic(err)
@@ -211,8 +220,12 @@
 	os.Exit(code)
 }
 
-// daemonBinary builds the daemon once for all tests.
+// daemonBinary builds the daemon once for all tests. SOAK_BINARY names another one, such as
+// an earlier version.
 var daemonBinary = sync.OnceValues(func() (string, error) {
+	if binary := os.Getenv("SOAK_BINARY"); binary != "" {
+		return binary, nil
+	}
 	folder, err := os.MkdirTemp("", "soak-daemon-")
 	if err != nil {
 		return "", err
@@ -245,8 +258,8 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	t.Logf("seed %d: planned %t, %d requests sent, %d succeeded, %d of %d streams taken up went on, %d requests at leaving servers, %d of %d first tries served at daemons cut off from servers", seed, report.Planned,
-		report.Sent, report.Succeeded, report.Resumed, report.ResumedTries, report.LeavingChecked, report.CutServed, report.CutSent)
+	t.Logf("seed %d: planned %t, %d requests sent, %d succeeded, %d of %d streams taken up went on, %d requests at leaving servers, %s, %d of %d first tries served at daemons cut off from servers", seed, report.Planned,
+		report.Sent, report.Succeeded, report.Resumed, report.ResumedTries, report.LeavingChecked, report.Statements(), report.CutServed, report.CutSent)
 	for _, finding := range report.Findings {
 		t.Errorf("seed %d: %s", seed, finding)
 	}
