Keep that a server leaves also while its entry is missing

Cause: the statement was bound to the record of the server and dropped if there was none. An entry that lapses and returns, or one that a peer still has, put the server back into use. Class: a fact bound to a record that may come later. Change: statements are kept by ID, apart from the entries; the oldest is dropped at 4,096. TestLeavingIsKeptWithoutAnEntry failed before (joined instead of leaving), TestStatementsOfLeavingAreBounded too (the newest statement was lost).

--- a/pkg/edge/limits.go
+++ b/pkg/edge/limits.go
@@ -66,7 +66,7 @@
 	defer s.mu.Unlock()
 	klog.InfoS("server says that it leaves", "server", server.RunID(), "service", server.Service, "accepts", s.placement.Accepts(server),
 		"fleetVersion", s.fleet.Version(), "fleetAgeMs", s.fleetAge().Milliseconds())
-	s.applyServerEvents(s.fleet.SaidLeaving(server.RunID()), "answer")
+	s.applyServerEvents(s.fleet.SaidLeaving(server), "answer")
 }
 
 // TurnedAway records that a server has turned a request away for want of room, and how long
--- a/pkg/fleet/core.go
+++ b/pkg/fleet/core.go
@@ -2,7 +2,6 @@
 
 import (
 	"slices"
-	"strings"
 	"time"
 
 	"github.com/monsooncrank/monsooncrank/coordination/changelog"
@@ -55,10 +54,8 @@
 	// newestVersion is the highest version of any state that is known.
 	newestVersion uint64
 	// removed holds the removed IDs, so that an older view does not restore them.
-	removed map[string]removal
-	// saidLeaving holds the runs of servers that have said in an answer that they leave,
-	// whatever their entries state.
-	saidLeaving map[string]bool
+	removed     map[string]removal
+	saidLeaving leavingStatements
 	// log numbers the changes for peers.
 	log *changelog.Log[string]
 	// digest is the sum of the digests of all members.
@@ -73,7 +70,7 @@
 
 // New returns an empty Core.
 func New(options Options) *Core {
-	return &Core{options: options, members: make(map[string]*member), removed: make(map[string]removal), saidLeaving: make(map[string]bool), log: changelog.New[string](options.Run)}
+	return &Core{options: options, members: make(map[string]*member), removed: make(map[string]removal), saidLeaving: newLeavingStatements(), log: changelog.New[string](options.Run)}
 }
 
 // Initialized reports whether the view was ever complete.
@@ -208,29 +205,17 @@
 }
 
 // isLeaving reports whether a server leaves, by its entry or by an answer.
-func (c *Core) isLeaving(s *Server) bool { return s.Leaving || c.saidLeaving[s.RunID()] }
-
-// maxSaidLeaving is the maximum number of runs of which it is kept that they have said to
-// leave; those without an entry are dropped first.
-const maxSaidLeaving = 4096
-
-// SaidLeaving records that a run of a server has said in an answer that it leaves. Its entry
-// may state that later or never. The other daemons learn it from the server themselves.
-func (c *Core) SaidLeaving(run string) []Event {
-	id, _, _ := strings.Cut(run, "#")
-	m, ok := c.members[id]
-	if !ok || m.server.RunID() != run || c.isLeaving(&m.server) {
+func (c *Core) isLeaving(s *Server) bool { return s.Leaving || c.saidLeaving.covers(s) }
+
+// SaidLeaving records that a run of a server has said in an answer that it leaves, whether its
+// entry is known or not. The entry may state that later or never. The other daemons learn it from the server themselves.
+func (c *Core) SaidLeaving(s *Server) []Event {
+	m, known := c.members[s.ID]
+	before := known && c.isLeaving(&m.server)
+	c.saidLeaving.add(s)
+	if !known || before || !c.isLeaving(&m.server) {
 		return nil
 	}
-	if len(c.saidLeaving) >= maxSaidLeaving {
-		for old := range c.saidLeaving {
-			oldID, _, _ := strings.Cut(old, "#")
-			if c.members[oldID] == nil {
-				delete(c.saidLeaving, old)
-			}
-		}
-	}
-	c.saidLeaving[run] = true
 	return []Event{c.event(&m.server)}
 }
 
@@ -246,7 +231,7 @@
 	switch {
 	case before.isOtherRun(&m.server):
 		return append(events, Event{Server: before, Change: ServerGone}, c.event(&m.server))
-	case before.Leaving != m.server.Leaving && !c.saidLeaving[m.server.RunID()]:
+	case c.isLeaving(&before) != c.isLeaving(&m.server):
 		return append(events, c.event(&m.server))
 	}
 	return events
--- a/pkg/fleet/fleet_test.go
+++ b/pkg/fleet/fleet_test.go
@@ -253,11 +253,11 @@
 	}
 	c.ApplySnapshot(now, 1, entry(1, func(*fleet.Server) {}))
 	digest := c.Digest()
-	events := c.SaidLeaving(server.RunID())
+	events := c.SaidLeaving(&server)
 	g.Expect(events).To(gomega.HaveLen(1))
 	g.Expect(events[0].Change).To(gomega.Equal(fleet.ServerLeaving))
-	g.Expect(c.SaidLeaving(server.RunID())).To(gomega.BeEmpty(), "it is known")
-	g.Expect(c.SaidLeaving("i-1#4")).To(gomega.BeEmpty(), "an earlier run")
+	g.Expect(c.SaidLeaving(&server)).To(gomega.BeEmpty(), "it is known")
+	g.Expect(c.SaidLeaving(&fleet.Server{ID: "i-1", StartedUnixMilli: 4})).To(gomega.BeEmpty(), "an earlier run")
 	g.Expect(c.Servers()[0].Leaving).To(gomega.BeTrue())
 	g.Expect(c.Digest()).To(gomega.Equal(digest), "peers that have not heard it have the same view of the store")
 
@@ -272,3 +272,42 @@
 	events = c.ApplyChanges(now, 7, entry(7, func(s *fleet.Server) { s.StartedUnixMilli = 6 }))
 	g.Expect(events[len(events)-1].Change).To(gomega.Equal(fleet.ServerJoined), "another run")
 }
+
+// TestLeavingIsKeptWithoutAnEntry guards against requests to a server that has said that it
+// leaves while its entry was missing, and whose entry then returns: from the store, or from a
+// daemon that has not heard it.
+func TestLeavingIsKeptWithoutAnEntry(t *testing.T) {
+	g := gomega.NewWithT(t)
+	c := fleet.New(fleet.Options{Run: 1})
+	server := fleet.Server{ID: "i-1", Service: "s", Address: "10.0.0.1:80", StartedUnixMilli: 5}
+	unknown := fleet.Server{ID: "i-2", Service: "s", Address: "10.0.0.2:80", StartedUnixMilli: 7}
+	now := time.Unix(1000, 0)
+	c.ApplySnapshot(now, 1, []fleet.Entry{{ID: "i-1", Server: &server, Version: 1}})
+	c.ApplyChanges(now, 2, []fleet.Entry{{ID: "i-1", Version: 2}})
+	g.Expect(c.SaidLeaving(&server)).To(gomega.BeEmpty(), "it is not in use")
+	g.Expect(c.SaidLeaving(&unknown)).To(gomega.BeEmpty())
+	events := c.ApplyChanges(now, 4, []fleet.Entry{{ID: "i-1", Server: &server, Version: 3}, {ID: "i-2", Server: &unknown, Version: 4}})
+	for _, e := range events {
+		g.Expect(e.Change).To(gomega.Equal(fleet.ServerLeaving), e.Server.ID)
+	}
+	for _, s := range c.Servers() {
+		g.Expect(s.Leaving).To(gomega.BeTrue(), s.ID)
+	}
+}
+
+// TestStatementsOfLeavingAreBounded guards against a record of servers that have left which
+// grows with each of them, and against dropping the newest.
+func TestStatementsOfLeavingAreBounded(t *testing.T) {
+	g := gomega.NewWithT(t)
+	c := fleet.New(fleet.Options{Run: 1})
+	now := time.Unix(1000, 0)
+	const n = 10_000
+	for i := range n {
+		c.SaidLeaving(&fleet.Server{ID: fmt.Sprintf("i-%d", i), StartedUnixMilli: 5})
+	}
+	old, newest := fleet.Server{ID: "i-0", StartedUnixMilli: 5}, fleet.Server{ID: fmt.Sprintf("i-%d", n-1), StartedUnixMilli: 5}
+	c.ApplySnapshot(now, 1, []fleet.Entry{{ID: old.ID, Server: &old, Version: 1}, {ID: newest.ID, Server: &newest, Version: 1}})
+	for _, s := range c.Servers() {
+		g.Expect(s.Leaving).To(gomega.Equal(s.ID == newest.ID), s.ID)
+	}
+}
