Keep to a pause for as long as the server asks

A server that had asked a daemon for 10 minutes without requests got all of that daemon's requests again after one (BUDGET; more than two until the end of the stated time). What a server asks for is its own decision; another run of it starts without a pause.

--- a/pkg/serverlimit/pause.go
+++ b/pkg/serverlimit/pause.go
@@ -2,10 +2,6 @@
 
 import "time"
 
-// maxPause is the longest pause that is kept to. A server that wants none for longer is not
-// reported to leave, and is asked again.
-const maxPause = time.Minute
-
 // pause is the time until which a server wants no request from this daemon.
 type pause struct {
 	service string
@@ -15,7 +11,7 @@
 // Pause records that a run of a server wants no request from this daemon for a time. A later
 // end than that of an earlier pause counts.
 func (c *Core) Pause(now time.Time, service, run string, d time.Duration) {
-	until := now.Add(min(d, maxPause))
+	until := now.Add(d)
 	if d > 0 && until.After(c.pauses[run].until) {
 		c.pauses[run] = pause{service: service, until: until}
 	}
