Keep pauses and request limits of servers whose entries are missing

Cause: with the removal of its entry the daemon forgot the pause and the request limit of a run; the entry returned and the server was used as if it had said nothing. Change: pauses last until their end; limits are kept for a minute after the removal, and count for the service again only once the entry returns. Peers did not tell a returned limit again, since they had told it before. TestWhatServersSayOutlivesTheirEntries failed before (both servers usable); TestLimitsOfRemovedServersAreDropped holds the bound on what is kept.

--- a/pkg/edge/limits_test.go
+++ b/pkg/edge/limits_test.go
@@ -203,3 +203,23 @@
 	g.Expect(refused.RetryAfter).To(gomega.BeNumerically("~", 2*time.Second, 100*time.Millisecond))
 	g.Expect(s.Accepts(&servers[1])).To(gomega.BeFalse(), "also if a connection was being opened")
 }
+
+// TestWhatServersSayOutlivesTheirEntries guards against requests to a server in a pause that it
+// has asked for, and against more requests than its limit, because its entry was missing for a
+// moment: it may lapse although the server lives.
+func TestWhatServersSayOutlivesTheirEntries(t *testing.T) {
+	g := gomega.NewWithT(t)
+	all, servers := limitedFleet(t, 3, 2)
+	s := all[0].state
+	s.TurnedAway(&placement.Decision{Server: servers[0]}, 10*time.Second)
+	s.Answered(&servers[1], time.Now(), serverlimit.Statement{Limited: true, PerSecond: 1})
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.applyServerEvents(s.fleet.ApplyChanges(bootNow(), 6, []fleet.Entry{{ID: "x0", Version: 6}, {ID: "x1", Version: 6}}), "store")
+	s.applyServerEvents(s.fleet.ApplyChanges(bootNow(), 8, []fleet.Entry{{ID: "x0", Server: &servers[0], Version: 7}, {ID: "x1", Server: &servers[1], Version: 8}}), "store")
+	g.Expect(s.mayUse(&servers[0], 0)).To(gomega.BeFalse(), "the pause")
+	g.Expect(s.mayUse(&servers[1], 0)).To(gomega.BeFalse(), "the limit")
+	another := servers[1]
+	another.StartedUnixMilli = time.Now().Add(time.Minute).UnixMilli()
+	g.Expect(s.mayUse(&another, 0)).To(gomega.BeTrue(), "another run")
+}
--- a/pkg/edge/state.go
+++ b/pkg/edge/state.go
@@ -231,7 +231,9 @@
 			s.pool.CloseIdle(e.Server.ID)
 		}
 		if e.Change == fleet.ServerGone {
-			s.limits.Forget(e.Server.RunID())
+			s.limits.Removed(time.Now(), e.Server.RunID())
+		} else {
+			s.limits.Returned(e.Server.RunID())
 		}
 	}
 	if tell {
--- a/pkg/serverlimit/refusals.go
+++ b/pkg/serverlimit/refusals.go
@@ -66,7 +66,7 @@
 	clear(c.brittle)
 	for _, l := range c.limits {
 		e := &l.entry
-		if !e.Brittle {
+		if !e.Brittle || !l.removedAt.IsZero() {
 			continue
 		}
 		if most, known := c.brittle[e.Service]; !known || e.MaxRefusals < most {
--- a/pkg/serverlimit/serverlimit.go
+++ b/pkg/serverlimit/serverlimit.go
@@ -32,6 +32,9 @@
 	// burst is the time for which a sender may save up requests. It may always save
 	// up one.
 	burst = 250 * time.Millisecond
+	// retention is how long what a run of a server has stated is kept after its entry was
+	// removed. An entry that has lapsed returns once the server reaches the store again.
+	retention = time.Minute
 	// maxEntries is the maximum number of servers of which entries are kept.
 	maxEntries = 4096
 )
@@ -106,6 +109,8 @@
 	// in the future.
 	permits   float64
 	permitsAt time.Time
+	// removedAt is when the server's entry was removed, or zero.
+	removedAt time.Time
 }
 
 // Core holds the limits of servers that one daemon knows of, and decides when it may
@@ -155,6 +160,7 @@
 		clear(c.senders)
 	}
 	c.members, c.alive, c.stopping = members, alive, stopping
+	c.dropEnded(now)
 	for _, l := range c.limits {
 		c.assign(now, l)
 	}
@@ -221,10 +227,41 @@
 	c.Forget(oldest)
 }
 
+// Removed records that the entry of a run of a server was removed. It may return, and the
+// server may live, so that what it has stated is kept for a while.
+func (c *Core) Removed(now time.Time, run string) {
+	l, known := c.limits[run]
+	if !known {
+		c.Forget(run)
+		return
+	}
+	l.removedAt = now
+	c.updateBrittle()
+}
+
+// Returned records that a run of a server has an entry.
+func (c *Core) Returned(run string) {
+	if l, known := c.limits[run]; known && !l.removedAt.IsZero() {
+		l.removedAt = time.Time{}
+		c.updateBrittle()
+	}
+}
+
+// dropEnded drops what is known of runs whose entries have not returned, and past pauses.
+func (c *Core) dropEnded(now time.Time) {
+	for run, l := range c.limits {
+		if !l.removedAt.IsZero() && now.Sub(l.removedAt) > retention {
+			c.Forget(run)
+		}
+	}
+	for run := range c.pauses {
+		c.isPaused(now, run)
+	}
+}
+
 // Forget removes the entry of a run of a server that has ended.
 func (c *Core) Forget(run string) {
 	delete(c.limits, run)
-	delete(c.pauses, run)
 	delete(c.refusals, run)
 	delete(c.senders, run)
 	c.log.Forget(run)
--- a/pkg/serverlimit/serverlimit_test.go
+++ b/pkg/serverlimit/serverlimit_test.go
@@ -223,6 +223,27 @@
 	g.Expect(c.Available(at(5200), "s4999")).To(gomega.BeFalse())
 }
 
+// TestLimitsOfRemovedServersAreDropped guards against entries of servers that have ended which
+// are kept for ever, and against dropping those of servers whose entries return.
+func TestLimitsOfRemovedServersAreDropped(t *testing.T) {
+	g := gomega.NewWithT(t)
+	c := daemons(1, allAlive)[0]
+	brittle := serverlimit.Statement{Brittle: true, MaxRefusals: 1}
+	for _, r := range []string{"ended#1", "returns#1"} {
+		c.Observe(at(0), "s", r, at(0), brittle)
+		c.Removed(at(100), r)
+	}
+	c.Pause(at(0), "s", "ended#1", time.Second)
+	g.Expect(c.Active()).To(gomega.Equal(3))
+	c.Refused(at(200), "s", "returns#1", 1)
+	g.Expect(c.HasRoom(at(300), "s", "returns#1", 1)).To(gomega.BeTrue(), "no server of the service is brittle")
+	c.Returned("returns#1")
+	g.Expect(c.Refused(at(400), "s", "returns#1", 1)).To(gomega.BeTrue())
+	g.Expect(c.HasRoom(at(450), "s", "returns#1", 1)).To(gomega.BeFalse(), "it is again")
+	c.SetMembers(at(61_000), nil, false)
+	g.Expect(c.Active()).To(gomega.Equal(1), "the one that has returned")
+}
+
 // Guards against daemons that disagree for good on a limit, and against an older entry
 // that replaces a newer one. Messages are lost and delayed, and daemons are restarted;
 // a restarted daemon must learn the limits that the others know.
