Keep to a pause that any 503 of a server asks for

Cause: pauses were read only from answers that state that the request did not run. Others are passed on to the caller or followed by another attempt. Change: what an answer says of its server is one type, Statements, and is applied in one place for each answer to a request, whatever becomes of the answer. TestAPauseIsNotedWhateverTheAnswerStates failed before on all three kinds of route.

--- a/pkg/edge/limits.go
+++ b/pkg/edge/limits.go
@@ -9,6 +9,7 @@
 	"github.com/monsooncrank/monsooncrank/pkg/fleet"
 	"github.com/monsooncrank/monsooncrank/pkg/mesh"
 	"github.com/monsooncrank/monsooncrank/pkg/placement"
+	"github.com/monsooncrank/monsooncrank/pkg/relay"
 	"github.com/monsooncrank/monsooncrank/pkg/serverlimit"
 )
 
@@ -46,39 +47,41 @@
 	}
 }
 
-// Answered records what the answer to a request that was sent at a time says about a
-// request limit of its server. Other daemons are told of a change at once.
-func (s *state) Answered(server *fleet.Server, sentAt time.Time, limit serverlimit.Statement) {
+// Answered records that a server has answered a request that was sent at a time, and what the
+// answer says of the server.
+func (s *state) Answered(server *fleet.Server, sentAt time.Time, said relay.Statements) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.limits.Settled(server.RunID())
-	e, changed := s.limits.Observe(time.Now(), server.Service, server.RunID(), sentAt, limit)
+	s.hear(server, sentAt, said)
+}
+
+// hear applies what a server says of itself in the answer to a request that was sent at a time:
+// a request limit, of which other daemons are told at once; that it leaves, which its entry may
+// state later or never; and for how long it wants no request from this daemon.
+func (s *state) hear(server *fleet.Server, sentAt time.Time, said relay.Statements) {
+	e, changed := s.limits.Observe(time.Now(), server.Service, server.RunID(), sentAt, said.RequestLimit)
 	if changed {
 		s.logLimit(&e, "answer")
 		s.wakeExchange()
 	}
+	if said.Leaving {
+		klog.InfoS("server says that it leaves", "server", server.RunID(), "service", server.Service, "accepts", s.placement.Accepts(server),
+			"fleetVersion", s.fleet.Version(), "fleetAgeMs", s.fleetAge().Milliseconds())
+		s.applyServerEvents(s.fleet.SaidLeaving(server), "answer")
+	}
+	if said.RetryAfter > 0 {
+		s.limits.Pause(time.Now(), server.Service, server.RunID(), said.RetryAfter)
+		s.limitMetrics.pauses.Inc()
+		klog.InfoS("server asks for a pause", "server", server.RunID(), "service", server.Service, "forMs", said.RetryAfter.Milliseconds())
+	}
 }
 
-// SaidLeaving records that a server has said in an answer that it leaves. It gets no further
-// requests, also if its entry in the store states that later or never.
-func (s *state) SaidLeaving(server *fleet.Server) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	klog.InfoS("server says that it leaves", "server", server.RunID(), "service", server.Service, "accepts", s.placement.Accepts(server),
-		"fleetVersion", s.fleet.Version(), "fleetAgeMs", s.fleetAge().Milliseconds())
-	s.applyServerEvents(s.fleet.SaidLeaving(server), "answer")
-}
-
-// TurnedAway records that a server has turned a request away for want of room, and how long
-// it wants no request from this daemon. Other daemons are told at once if it is brittle.
-func (s *state) TurnedAway(d *placement.Decision, retryAfter time.Duration) {
+// TurnedAway records that a server has turned a request away for want of room. Other daemons
+// are told at once if it is brittle.
+func (s *state) TurnedAway(d *placement.Decision) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if retryAfter > 0 {
-		s.limits.Pause(time.Now(), d.Server.Service, d.Server.RunID(), retryAfter)
-		s.limitMetrics.pauses.Inc()
-		klog.InfoS("server asks for a pause", "server", d.Server.RunID(), "service", d.Server.Service, "forMs", retryAfter.Milliseconds(), "running", d.Running)
-	}
 	if s.limits.Refused(time.Now(), d.Server.Service, d.Server.RunID(), d.Running) {
 		s.limitMetrics.refusals.Inc()
 		klog.InfoS("brittle server turned a request away", "server", d.Server.RunID(), "service", d.Server.Service, "running", d.Running, "daemons", s.peers.Size())
--- a/pkg/edge/limits_test.go
+++ b/pkg/edge/limits_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/monsooncrank/monsooncrank/pkg/fleet"
 	"github.com/monsooncrank/monsooncrank/pkg/placement"
+	"github.com/monsooncrank/monsooncrank/pkg/relay"
 	"github.com/monsooncrank/monsooncrank/pkg/serverlimit"
 )
 
@@ -56,7 +57,7 @@
 func TestAllDaemonsKnowTheLimitOfAServer(t *testing.T) {
 	g := gomega.NewWithT(t)
 	all, servers := limitedFleet(t, 5, 2)
-	all[0].state.Answered(&servers[0], time.Now(), serverlimit.Statement{Limited: true, PerSecond: 1})
+	all[0].state.Answered(&servers[0], time.Now(), relay.Statements{RequestLimit: serverlimit.Statement{Limited: true, PerSecond: 1}})
 	meet(t, all)
 	senders := 0
 	for _, d := range all {
@@ -79,7 +80,7 @@
 		s.mu.Unlock()
 	}
 	g.Expect(senders).To(gomega.Equal(1))
-	all[1].state.Answered(&servers[0], time.Now(), serverlimit.Statement{})
+	all[1].state.Answered(&servers[0], time.Now(), relay.Statements{RequestLimit: serverlimit.Statement{}})
 	meet(t, all)
 	for _, d := range all {
 		d.state.mu.Lock()
@@ -93,7 +94,7 @@
 func TestARestartedDaemonIsToldOfLimits(t *testing.T) {
 	g := gomega.NewWithT(t)
 	all, servers := limitedFleet(t, 3, 1)
-	all[0].state.Answered(&servers[0], time.Now(), serverlimit.Statement{Limited: true, PerSecond: 2})
+	all[0].state.Answered(&servers[0], time.Now(), relay.Statements{RequestLimit: serverlimit.Statement{Limited: true, PerSecond: 2}})
 	meet(t, all)
 	restarted := namedState(t, "daemon-0")
 	exchangeBetween(t, restarted, all[2])
@@ -129,7 +130,7 @@
 	g := gomega.NewWithT(t)
 	all, servers := limitedFleet(t, 1, 1)
 	s := all[0].state
-	s.Answered(&servers[0], time.Now(), serverlimit.Statement{Limited: true, PerSecond: 4})
+	s.Answered(&servers[0], time.Now(), relay.Statements{RequestLimit: serverlimit.Statement{Limited: true, PerSecond: 4}})
 	g.Eventually(func() error { _, err := s.Place(limitQuery()); return err }).WithTimeout(3 * time.Second).Should(gomega.Succeed())
 	_, err := s.Place(limitQuery())
 	g.Expect(err).To(gomega.HaveOccurred())
@@ -141,12 +142,12 @@
 	g := gomega.NewWithT(t)
 	all, servers := limitedFleet(t, 3, 1)
 	server := servers[0]
-	all[0].state.Answered(&server, time.Now(), serverlimit.Statement{Brittle: true, MaxRefusals: 1})
+	all[0].state.Answered(&server, time.Now(), relay.Statements{RequestLimit: serverlimit.Statement{Brittle: true, MaxRefusals: 1}})
 	meet(t, all)
 	for _, d := range all {
 		g.Expect(d.state.mayUse(&server, 5)).To(gomega.BeTrue(), d.settings.Node)
 	}
-	all[0].state.TurnedAway(&placement.Decision{Server: server, Running: 5}, 0)
+	all[0].state.TurnedAway(&placement.Decision{Server: server, Running: 5})
 	g.Expect(all[0].state.exchangeWake).To(gomega.Receive())
 	meet(t, all)
 	for _, d := range all {
@@ -163,7 +164,7 @@
 	g := gomega.NewWithT(t)
 	all, servers := limitedFleet(t, 13, 1)
 	server := servers[0]
-	all[0].state.Answered(&server, time.Now(), serverlimit.Statement{Brittle: true, MaxRefusals: 5})
+	all[0].state.Answered(&server, time.Now(), relay.Statements{RequestLimit: serverlimit.Statement{Brittle: true, MaxRefusals: 5}})
 	meet(t, all)
 	senders := make(map[string]bool)
 	for _, d := range all {
@@ -189,14 +190,13 @@
 	g := gomega.NewWithT(t)
 	all, servers := limitedFleet(t, 2, 2)
 	s := all[0].state
-	decision := &placement.Decision{Server: servers[0]}
-	s.TurnedAway(decision, 2*time.Second)
+	s.Answered(&servers[0], time.Now(), relay.Statements{RetryAfter: 2 * time.Second})
 	for range 20 {
 		d, err := s.Place(limitQuery())
 		g.Expect(err).NotTo(gomega.HaveOccurred())
 		g.Expect(d.Server.ID).To(gomega.Equal("x1"))
 	}
-	s.SaidLeaving(&servers[1])
+	s.Answered(&servers[1], time.Now(), relay.Statements{Leaving: true})
 	_, err := s.Place(limitQuery())
 	var refused *placement.RefusedError
 	g.Expect(errors.As(err, &refused)).To(gomega.BeTrue(), "refused at once")
@@ -211,8 +211,8 @@
 	g := gomega.NewWithT(t)
 	all, servers := limitedFleet(t, 3, 2)
 	s := all[0].state
-	s.TurnedAway(&placement.Decision{Server: servers[0]}, 10*time.Second)
-	s.Answered(&servers[1], time.Now(), serverlimit.Statement{Limited: true, PerSecond: 1})
+	s.Answered(&servers[0], time.Now(), relay.Statements{RetryAfter: 10 * time.Second})
+	s.Answered(&servers[1], time.Now(), relay.Statements{RequestLimit: serverlimit.Statement{Limited: true, PerSecond: 1}})
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.applyServerEvents(s.fleet.ApplyChanges(bootNow(), 6, []fleet.Entry{{ID: "x0", Version: 6}, {ID: "x1", Version: 6}}), "store")
--- a/pkg/relay/attempt.go
+++ b/pkg/relay/attempt.go
@@ -223,15 +223,12 @@
 		}
 		info := s.handler.codec.ResponseInfo(response)
 		if info.RequestID == s.ID || info.RequestID == "" && response.StatusCode/100 != 2 {
-			s.stated = info
+			s.said = info.Statements
 			s.readKeepAliveTimeout(response)
 			s.answers(true)
 			s.handler.controller.Alive(s.decision.Server.ID)
 			if response.StatusCode != http.StatusMisdirectedRequest {
-				s.handler.controller.Answered(&s.decision.Server, s.startedAt, info.RequestLimit)
-				if info.Leaving {
-					s.handler.controller.SaidLeaving(&s.decision.Server)
-				}
+				s.handler.controller.Answered(&s.decision.Server, s.startedAt, info.Statements)
 			}
 			return response, info, true
 		}
@@ -258,12 +255,12 @@
 }
 
 // handleRefusal handles a response which states that the request did not run.
-func (s *serverAttempt) handleRefusal(response *http.Response, info *ResponseInfo) outcome {
+func (s *serverAttempt) handleRefusal(response *http.Response) outcome {
 	s.result = placement.ResultRefused
 	s.handler.quarantine.Resolved(s.id, false)
 	s.exchange.mayHaveRun = s.mayHaveRunBefore
 	if response.StatusCode == http.StatusServiceUnavailable {
-		s.handler.controller.TurnedAway(s.decision, info.RetryAfter)
+		s.handler.controller.TurnedAway(s.decision)
 	}
 	if response.StatusCode == http.StatusMisdirectedRequest {
 		s.handler.controller.Misdirected(s.decision.Server.ID)
--- a/pkg/relay/handler.go
+++ b/pkg/relay/handler.go
@@ -136,8 +136,8 @@
 	// time from then until the request was written, or negative if it was not.
 	selectedAt     time.Time
 	connectedAfter time.Duration
-	// stated is what the header of the last attempt's response states.
-	stated ResponseInfo
+	// said is what the server of the last attempt says of itself.
+	said Statements
 	// begun is set once the caller has events of the stream, and version is the software
 	// version that began it.
 	begun   bool
--- a/pkg/relay/relay_test.go
+++ b/pkg/relay/relay_test.go
@@ -27,7 +27,6 @@
 	"github.com/monsooncrank/monsooncrank/pkg/placement"
 	"github.com/monsooncrank/monsooncrank/pkg/reach"
 	"github.com/monsooncrank/monsooncrank/pkg/relay"
-	"github.com/monsooncrank/monsooncrank/pkg/serverlimit"
 	"github.com/monsooncrank/monsooncrank/pkg/streamversion"
 )
 
@@ -73,7 +72,7 @@
 
 func (codec) ResponseInfo(response *http.Response) relay.ResponseInfo {
 	return relay.ResponseInfo{RequestID: response.Header.Get("Id"), NotRun: response.Header.Get("Not-Run") != "",
-		Sealed: response.Header.Get("Seal") != "", Leaving: response.Header.Get("Leaves") != "", RetryAfter: pauseOf(response)}
+		Sealed: response.Header.Get("Seal") != "", Statements: relay.Statements{Leaving: response.Header.Get("Leaves") != "", RetryAfter: pauseOf(response)}}
 }
 
 // pauseOf returns the pause that a response asks for.
@@ -180,7 +179,14 @@
 	origin, ok := f.origins[stream]
 	return origin, ok
 }
-func (f *fake) Answered(*fleet.Server, time.Time, serverlimit.Statement) {}
+func (f *fake) Answered(s *fleet.Server, _ time.Time, said relay.Statements) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if said.Leaving {
+		f.saidLeaving = append(f.saidLeaving, s.ID)
+	}
+	f.retryAfter = max(f.retryAfter, said.RetryAfter)
+}
 func (f *fake) Connected(_ *fleet.Server, r reach.Result) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -204,18 +210,8 @@
 	}
 	return relay.ForwardTarget{}, false
 }
-func (f *fake) AdmitForwarded() (func(), bool) { return func() {}, !f.full }
-func (f *fake) SaidLeaving(s *fleet.Server) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.saidLeaving = append(f.saidLeaving, s.ID)
-}
-func (f *fake) TurnedAway(_ *placement.Decision, after time.Duration) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.turnedAway++
-	f.retryAfter = after
-}
+func (f *fake) AdmitForwarded() (func(), bool)     { return func() {}, !f.full }
+func (f *fake) TurnedAway(*placement.Decision)     { f.mu.Lock(); defer f.mu.Unlock(); f.turnedAway++ }
 func (f *fake) Alive(string)                       {}
 func (f *fake) SilentFor(string) time.Duration     { return f.silentFor }
 func (f *fake) Misdirected(string)                 {}
@@ -435,6 +431,23 @@
 	g.Expect(f.saidLeaving).To(gomega.Equal([]string{"server-1"}))
 }
 
+// TestAPauseIsNotedWhateverTheAnswerStates guards against requests to a server that has asked
+// for a pause in an answer which does not state that the request did not run, and which is
+// passed on to the caller or followed by an attempt at another server.
+func TestAPauseIsNotedWhateverTheAnswerStates(t *testing.T) {
+	g := gomega.NewWithT(t)
+	for _, path := range []string{"/once/x", "/look/x", "/stream/x"} {
+		pauses := newBackend(t, func(_ int, r *http.Request, c net.Conn) bool {
+			_, err := fmt.Fprintf(c, "HTTP/1.1 503 Service Unavailable\r\nId: %s\r\nPause: 3s\r\nContent-Length: 0\r\n\r\n", r.Header.Get("Id"))
+			return err == nil
+		})
+		f := newFixture(t, pauses)
+		_, _, _, err := f.post(path, "1")
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		g.Expect(f.retryAfter).To(gomega.Equal(3*time.Second), path)
+	}
+}
+
 // When all servers are full, the request is refused with a Retry-After header
 // and its usage is refunded.
 func TestARequestThatNoServerRunsIsRefusedWithRetryAfter(t *testing.T) {
--- a/pkg/relay/run.go
+++ b/pkg/relay/run.go
@@ -86,14 +86,14 @@
 			continue
 		}
 		x.attempts++
-		x.firstPartAfter, x.selectedAt, x.connectedAfter, x.stated = -time.Millisecond, time.Now(), -time.Millisecond, ResponseInfo{}
+		x.firstPartAfter, x.selectedAt, x.connectedAfter, x.said = -time.Millisecond, time.Now(), -time.Millisecond, Statements{}
 		result, failure := x.attempt(&decision)
 		klog.InfoS("attempt", "request", x.ID, "attempt", x.attempts, "server", decision.Server.ID, "started", decision.Server.StartedUnixMilli, "version", decision.Server.Version,
 			"zone", decision.Server.AvailabilityZone, "service", x.service, "outcome", result.String(),
 			"expectedMs", decision.ExpectedWait.Milliseconds(), "firstMs", x.firstPartAfter.Milliseconds(), "cached", decision.CachedTokens, "candidates", decision.Candidates, "limited", decision.Limited,
 			"loadAgeMs", decision.LoadAge.Milliseconds(), "fleetVersion", decision.FleetVersion,
 			"fleetAgeMs", decision.FleetAge.Milliseconds(), "connectMs", x.connectedAfter.Milliseconds(),
-			"leaving", x.stated.Leaving, "pauseMs", x.stated.RetryAfter.Milliseconds(), "configuration", x.configVersion, "status", x.status)
+			"leaving", x.said.Leaving, "pauseMs", x.said.RetryAfter.Milliseconds(), "configuration", x.configVersion, "status", x.status)
 		if failure != nil {
 			lastFailure = failure
 		}
@@ -238,7 +238,7 @@
 	case !ok:
 		return s.handleIncomplete(), nil
 	case info.NotRun || response.StatusCode == http.StatusMisdirectedRequest:
-		return s.handleRefusal(response, &info), nil
+		return s.handleRefusal(response), nil
 	case response.StatusCode/100 == 2 && !info.Sealed:
 		return s.handleIncomplete(), nil
 	case x.route.Kind == catalog.KindStream && response.StatusCode/100 == 2:
--- a/pkg/relay/types.go
+++ b/pkg/relay/types.go
@@ -73,11 +73,17 @@
 	// Sealed is set if the response carries the server's seal. A successful
 	// response without a seal must not be forwarded.
 	Sealed bool
+	Statements
+}
+
+// Statements is what a server says of itself in a response.
+type Statements struct {
 	// RequestLimit is what the response says about a request limit of the server.
 	RequestLimit serverlimit.Statement
-	// Leaving is set if the server says that it leaves. RetryAfter is the time for which a
-	// server that has turned the request away wants no further one from this daemon.
-	Leaving    bool
+	// Leaving is set if the server says that it leaves.
+	Leaving bool
+	// RetryAfter is the time for which the server wants no further request from this daemon,
+	// or 0 if it has not asked for a pause.
 	RetryAfter time.Duration
 }
 
@@ -127,14 +133,12 @@
 	StreamBegan(stream string, server *fleet.Server)
 	StreamVersion(stream, stated string) string
 	StreamOrigin(ctx context.Context, request, service, stream string) (streamversion.Origin, bool)
-	// Answered records what the answer to a request that was sent at a time says about
-	// a request limit of its server.
-	Answered(server *fleet.Server, sentAt time.Time, limit serverlimit.Statement)
-	// SaidLeaving records that a server has said that it leaves.
-	SaidLeaving(server *fleet.Server)
+	// Answered records that a server has answered a request that was sent at a time, and
+	// what the answer says of the server.
+	Answered(server *fleet.Server, sentAt time.Time, said Statements)
 	// TurnedAway records that the selected server has turned the request away for want of
-	// room, and how long it wants no further one from this daemon.
-	TurnedAway(d *placement.Decision, retryAfter time.Duration)
+	// room.
+	TurnedAway(d *placement.Decision)
 	// Alive records that a server sent data to this daemon; SilentFor returns
 	// the time since it last did.
 	Alive(server string)
