Hear what a server says in an answer that another daemon passes on

A daemon without links to servers forwards its requests; it passes on the answers, and with them that a server leaves, without reading it. Cause: only the daemon that sends a request to a server read its answer. Change: the daemon that answers a forwarded request names the run of the server; the one that forwarded it applies what the answer says, but for a pause, which is meant for the sender. The header is named in Connection, so that a daemon of an earlier version drops it. TestWhatAForwardedAnswerSaysOfItsServerIsNoted failed before. Not seen on real processes: the soak can't tell which daemon sends a forwarded request.

--- a/pkg/fleet/fleet.go
+++ b/pkg/fleet/fleet.go
@@ -6,6 +6,8 @@
 
 import (
 	"fmt"
+	"strconv"
+	"strings"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -36,6 +38,14 @@
 // RunID identifies the run of the server.
 func (s *Server) RunID() string { return fmt.Sprintf("%s#%d", s.ID, s.StartedUnixMilli) }
 
+// SplitRunID returns the ID of a server and the start of its run, as in RunID. It returns false
+// if the run has no start, so that it began before all others.
+func SplitRunID(run string) (id string, startedUnixMilli int64, ok bool) {
+	id, started, _ := strings.Cut(run, "#")
+	startedUnixMilli, err := strconv.ParseInt(started, 10, 64)
+	return id, startedUnixMilli, err == nil
+}
+
 // Entry is the state of one ID in the store. Server is nil if the entry was
 // removed or cannot be decoded.
 type Entry struct {
--- a/pkg/relay/buffered.go
+++ b/pkg/relay/buffered.go
@@ -12,6 +12,8 @@
 
 // bufferedResponse is a complete response of a server.
 type bufferedResponse struct {
+	// server is the run of the server, or empty if another daemon has passed it on.
+	server string
 	status int
 	header http.Header
 	body   []byte
@@ -32,7 +34,7 @@
 	s.reusable = !response.Close
 	s.result = placement.ResultAnswered
 	s.recordStart()
-	buffered := &bufferedResponse{status: response.StatusCode, header: response.Header, body: body}
+	buffered := &bufferedResponse{server: s.decision.Server.RunID(), status: response.StatusCode, header: response.Header, body: body}
 	if response.StatusCode < http.StatusInternalServerError {
 		s.completed()
 	} else {
@@ -58,7 +60,7 @@
 	}
 	x.status = buffered.status
 	CopyHeader(x.w.Header(), buffered.header)
-	x.markAnswered()
+	x.markAnswered(buffered.server)
 	if buffered.status != http.StatusNoContent && buffered.status != http.StatusNotModified {
 		x.w.Header().Set("Content-Length", strconv.Itoa(len(buffered.body)))
 	}
--- a/pkg/relay/forward.go
+++ b/pkg/relay/forward.go
@@ -18,6 +18,7 @@
 	"github.com/monsooncrank/monsooncrank/pkg/api"
 	"github.com/monsooncrank/monsooncrank/pkg/backendconn"
 	"github.com/monsooncrank/monsooncrank/pkg/catalog"
+	"github.com/monsooncrank/monsooncrank/pkg/fleet"
 )
 
 // A daemon that has lost its links to the servers of a service forwards the requests for
@@ -38,6 +39,9 @@
 	headerForwardedStream = "Forwarded-Stream"
 	// headerForwardedOutcome is the outcome that the receiving daemon states.
 	headerForwardedOutcome = "Forwarded-Outcome"
+	// headerForwardedServer is the run of the server whose response it is. It is named in
+	// Connection, so that daemons that do not know it don't pass it on either.
+	headerForwardedServer = "Forwarded-Server"
 )
 
 // Values of headerForwardedOutcome.
@@ -329,6 +333,7 @@
 	response.Header.Del(headerForwardedOutcome)
 	switch f.stated {
 	case forwardAnswered:
+		f.hear(response)
 		if f.route.Kind == catalog.KindStream && response.StatusCode/100 == 2 {
 			return f.passStream(response)
 		}
@@ -350,6 +355,23 @@
 	}
 }
 
+// hear applies what a server says of itself in a response that another daemon passes on. This
+// daemon passes it on, too, and may send requests there later. A pause is meant for the daemon
+// that has sent the request.
+func (f *forwardAttempt) hear(response *http.Response) {
+	run := response.Header.Get(headerForwardedServer)
+	response.Header.Del(headerForwardedServer)
+	id, startedUnixMilli, ok := fleet.SplitRunID(run)
+	if !ok {
+		// An earlier version of the daemon does not state it.
+		klog.V(1).InfoS("forwarded response without its server", "request", f.ID, "to", f.target.Node, "server", run)
+		return
+	}
+	said := f.handler.codec.ResponseInfo(response).Statements
+	said.RetryAfter = 0
+	f.handler.controller.Said(&fleet.Server{ID: id, Service: f.service, StartedUnixMilli: startedUnixMilli}, f.startedAt, said)
+}
+
 // write writes the request as the caller sent it, with the time that is left.
 func (f *forwardAttempt) write() error {
 	var out bytes.Buffer
--- a/pkg/relay/forward_test.go
+++ b/pkg/relay/forward_test.go
@@ -280,3 +280,33 @@
 		})
 	}
 }
+
+// TestWhatAForwardedAnswerSaysOfItsServerIsNoted guards against a daemon that passes on the answer
+// of a server, which says that it leaves and how many requests it takes, and sends requests there
+// once it has links again. The pause is meant for the daemon that sent the request.
+func TestWhatAForwardedAnswerSaysOfItsServerIsNoted(t *testing.T) {
+	g := gomega.NewWithT(t)
+	for _, path := range []string{"/once/x", "/stream/1"} {
+		b := newBackend(t, func(_ int, r *http.Request, c net.Conn) bool {
+			if strings.HasPrefix(r.URL.Path, "/stream/") {
+				fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nId: %s\r\nSeal: s\r\nLeaves: 1\r\nPause: 3s\r\nContent-Length: 16\r\n\r\nid: 1\ndata: e1\n\n", r.Header.Get("Id"))
+				return true
+			}
+			answer(c, r.Header.Get("Id"), "Leaves: 1\r\nPause: 3s\r\n", "done")
+			return true
+		})
+		f := newForwardFixture(t, b)
+		f.others[0].servers[0].StartedUnixMilli = 5
+		status, _, header, err := f.post(path, "1")
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		g.Expect(status).To(gomega.Equal(http.StatusOK), path)
+		for name := range header {
+			g.Expect(name).NotTo(gomega.HavePrefix("Forwarded"))
+		}
+		g.Expect(header.Get("Connection")).NotTo(gomega.ContainSubstring("Forwarded"))
+		g.Expect(f.saidLeaving).To(gomega.Equal([]string{"server-0"}), path)
+		g.Expect(f.saidBy).To(gomega.Equal("server-0#5"))
+		g.Expect(f.retryAfter).To(gomega.BeZero())
+		g.Expect(f.others[0].retryAfter).To(gomega.Equal(3 * time.Second))
+	}
+}
--- a/pkg/relay/handler.go
+++ b/pkg/relay/handler.go
@@ -431,10 +431,13 @@
 }
 
 // markAnswered states to the daemon that has forwarded the request that the response is that
-// of a server.
-func (x *exchange) markAnswered() {
+// of a run of a server.
+func (x *exchange) markAnswered(run string) {
 	if x.hop != nil {
-		x.w.Header().Set(headerForwardedOutcome, forwardAnswered)
+		header := x.w.Header()
+		header.Set(headerForwardedOutcome, forwardAnswered)
+		header.Set(headerForwardedServer, run)
+		header.Add("Connection", headerForwardedServer)
 	}
 }
 
--- a/pkg/relay/relay_test.go
+++ b/pkg/relay/relay_test.go
@@ -109,7 +109,9 @@
 	// saidLeaving holds the servers that have said that they leave, and retryAfter is the
 	// pause that the last one asked for that has turned a request away.
 	saidLeaving []string
-	retryAfter  time.Duration
+	// saidBy is the run of the server of which anything was said last.
+	saidBy     string
+	retryAfter time.Duration
 	// senders holds the daemon that sends the requests of all to a server.
 	senders map[string]string
 	// alreadyStarted holds, for each selection, whether the request had begun to run.
@@ -192,7 +194,7 @@
 	if said.Leaving {
 		f.saidLeaving = append(f.saidLeaving, s.ID)
 	}
-	f.retryAfter = max(f.retryAfter, said.RetryAfter)
+	f.saidBy, f.retryAfter = s.RunID(), max(f.retryAfter, said.RetryAfter)
 }
 func (f *fake) Connected(_ *fleet.Server, r reach.Result) {
 	f.mu.Lock()
--- a/pkg/serverlimit/pause.go
+++ b/pkg/serverlimit/pause.go
@@ -3,9 +3,9 @@
 import (
 	"cmp"
 	"slices"
-	"strconv"
-	"strings"
 	"time"
+
+	"github.com/monsooncrank/monsooncrank/pkg/fleet"
 )
 
 // maxPauses is the maximum number of servers of which pauses are kept.
@@ -19,21 +19,13 @@
 	startedUntilMilli int64
 }
 
-// splitRun returns the ID of a server and the start of its run.
-func splitRun(run string) (id string, startedUnixMilli int64) {
-	id, started, _ := strings.Cut(run, "#")
-	// A run without a start began before all others.
-	startedUnixMilli, _ = strconv.ParseInt(started, 10, 64)
-	return id, startedUnixMilli
-}
-
 // Pause records that a server wants no request from this daemon for a time, as it has said in
 // the answer to a request that was sent at another. The server may have started again while its
 // entry describes the run before, so that the pause is that of any run which began before the
 // request was sent. A later end than that of an earlier pause counts, unless only another run
 // can have asked for it.
 func (c *Core) Pause(now, sentAt time.Time, service, run string, d time.Duration) {
-	id, started := splitRun(run)
+	id, started, _ := fleet.SplitRunID(run)
 	p := pause{service: service, until: now.Add(d), startedUntilMilli: max(started, sentAt.UnixMilli())}
 	if d <= 0 {
 		return
@@ -63,7 +55,7 @@
 
 // IsPaused reports whether a run of a server wants no request now. Past pauses are dropped.
 func (c *Core) IsPaused(now time.Time, run string) bool {
-	id, started := splitRun(run)
+	id, started, _ := fleet.SplitRunID(run)
 	p, ok := c.pauses[id]
 	if ok && !now.Before(p.until) {
 		delete(c.pauses, id)
--- a/pkg/serverlimit/serverlimit.go
+++ b/pkg/serverlimit/serverlimit.go
@@ -10,6 +10,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/monsooncrank/monsooncrank/coordination/changelog"
+	"github.com/monsooncrank/monsooncrank/pkg/fleet"
 )
 
 const (
@@ -248,10 +249,10 @@
 		c.updateBrittle()
 		return
 	}
-	id, started := splitRun(run)
+	id, started, _ := fleet.SplitRunID(run)
 	var last *limit
 	for other, l := range c.limits {
-		if otherID, _ := splitRun(other); otherID == id && l.learnedAt.UnixMilli() > started && (last == nil || l.learnedAt.After(last.learnedAt)) {
+		if otherID, _, _ := fleet.SplitRunID(other); otherID == id && l.learnedAt.UnixMilli() > started && (last == nil || l.learnedAt.After(last.learnedAt)) {
 			last = l
 		}
 	}
