Take a response for complete only if its server answers

Cause: a response without a length or chunks ends with its connection, as it does when its server crashes. Change: a server that does not answer in time is asked three times; without an answer the response counts as cut. The caller has the events already. TestTheEndOfAResponseIsConfirmedByAnAnswer failed before.

--- a/pkg/relay/end_test.go
+++ b/pkg/relay/end_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"testing"
 
 	"github.com/onsi/gomega"
@@ -70,3 +71,38 @@
 		})
 	}
 }
+
+// TestTheEndOfAResponseIsConfirmedByAnAnswer guards against a response without a length or chunks
+// that passes for complete because its crashed server's address still accepts connections and
+// answers nothing. A server that is busy for a moment answers when it is asked again.
+func TestTheEndOfAResponseIsConfirmedByAnAnswer(t *testing.T) {
+	for _, test := range []struct {
+		name string
+		// unanswered is the number of questions for the run that get no answer.
+		unanswered int
+		whole      bool
+	}{{"busy for a moment", 1, true}, {"silent", 100, false}} {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+			g := gomega.NewWithT(t)
+			var asked atomic.Int32
+			serve := unframed("id: 1\ndata: e1\n\n", false, func() {})
+			b := newBackend(t, func(n int, r *http.Request, c net.Conn) bool {
+				if r.URL.Path == "/run" && int(asked.Add(1)) <= test.unanswered {
+					_, _ = c.Read(make([]byte, 1))
+					return false
+				}
+				return serve(n, r, c)
+			})
+			f := newFixture(t, b)
+			f.servers[0].StartedUnixMilli = 2
+			status, body, _, err := f.post("/whole/1", "1")
+			g.Expect(status).To(gomega.Equal(http.StatusOK))
+			if test.whole {
+				g.Expect(err).NotTo(gomega.HaveOccurred())
+			} else {
+				g.Expect(err).To(gomega.HaveOccurred(), "body %q", body)
+			}
+		})
+	}
+}
--- a/pkg/relay/runcheck.go
+++ b/pkg/relay/runcheck.go
@@ -20,6 +20,8 @@
 	// runCheckTimeout is the timeout of the question which run of a server answers. It is
 	// a few hundred round trips.
 	runCheckTimeout = 300 * time.Millisecond
+	// maxEndChecks is how often a server is asked that does not answer in time.
+	maxEndChecks = 3
 	// maxRunReportBytes limits the answer.
 	maxRunReportBytes = 256 << 10
 )
@@ -71,21 +73,32 @@
 	server := &s.decision.Server
 	// The connection that has ended still counts.
 	limit := s.handler.controller.ConnectionLimit(server.ID, s.service) + 1
+	for range maxEndChecks {
+		err := s.checkEnd(server, limit)
+		if err == nil {
+			return true
+		}
+		s.cause = "end of response not confirmed: " + err.Error()
+		// A server that accepts connections and does not answer in time may be busy.
+		if !errors.Is(err, os.ErrDeadlineExceeded) {
+			break
+		}
+	}
+	return false
+}
+
+// checkEnd asks on a new connection whether the run of a server answers.
+func (s *serverAttempt) checkEnd(server *fleet.Server, limit int) error {
 	conn, err := s.handler.pool.Dial(context.WithoutCancel(s.caller), server.ID, server.Address, limit)
 	if err != nil {
-		s.cause = "end of response not confirmed: " + err.Error()
-		return false
+		return err
 	}
 	defer s.handler.pool.Discard(conn)
 	if server.StartedUnixMilli == 0 {
-		return true
+		return nil
 	}
-	// A server that accepts connections and does not answer in time is busy, not down.
-	if _, err = s.checkRun(conn, server); err == nil || errors.Is(err, os.ErrDeadlineExceeded) {
-		return true
-	}
-	s.cause = "end of response not confirmed: " + err.Error()
-	return false
+	_, err = s.checkRun(conn, server)
+	return err
 }
 
 // checkRun asks a server when it started. It returns an error if another run answers or
