Upgrade daemons from an earlier build in the soak

Daemons are replaced by planned stops one after the other, half-way, half-way and back, two at a time, or the other way round, beside all other faults and in runs with planned stops only. Daemons of earlier builds don't set their source address, so that faults that cut single daemons off from servers spare them.

--- a/soak/daemon.go
+++ b/soak/daemon.go
@@ -260,6 +260,13 @@
 	}
 }
 
+// setBinary sets the build that the next start runs.
+func (d *daemon) setBinary(binary string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.binary = binary
+}
+
 // restart stops the process with the signal, waits and starts it again.
 func (d *daemon) restart(s syscall.Signal) error {
 	d.signal(s)
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -86,6 +86,11 @@
 	// StatementEvery is the time after which a server says again that it leaves, or asks for
 	// pauses, while its entry lapses or states nothing of it; 0 means never.
 	StatementEvery time.Duration
+	// Upgrade is how the build of the daemons changes, between OldBinary and Binary, and
+	// UpgradeEvery the time after which the next daemon is replaced.
+	Upgrade      Upgrade
+	OldBinary    string
+	UpgradeEvery time.Duration
 	// RestartAllAt holds the times at which all daemons are killed at once.
 	RestartAllAt []time.Duration
 }
@@ -162,9 +167,11 @@
 	serverCuts         []serverCut
 	firstTries         []firstTry
 	cutServed, cutSent int
-	findings           []string
-	sent               int
-	succeeded          int
+	// upgraded is the number of daemons that were replaced by another build.
+	upgraded  int
+	findings  []string
+	sent      int
+	succeeded int
 }
 
 // Report holds the results of a run: the requests that callers sent, those that
@@ -183,6 +190,8 @@
 	// Told is the number of answers that told daemons that their server leaves, and Paused
 	// that of pauses which servers asked for.
 	Told, Paused int
+	// Upgraded is the number of daemons that were replaced by another build.
+	Upgraded int
 	// CutServed is the number of first tries that were served, of CutSent at daemons that were
 	// cut off from all servers while others were not.
 	CutServed, CutSent int
@@ -261,6 +270,9 @@
 	if h.options.KillEvery > 0 {
 		running.Go(func() { h.killInTurn(ctx, h.options.KillEvery) })
 	}
+	if h.options.Upgrade != UpgradeNone {
+		running.Go(func() { h.upgrade(ctx) })
+	}
 	for _, at := range h.options.RestartAllAt {
 		running.Go(func() {
 			sleep(ctx, at)
@@ -279,7 +291,7 @@
 func (h *harness) report() Report {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return Report{Seed: h.options.Seed, Planned: h.planned, Sent: h.sent, Succeeded: h.succeeded, Resumed: h.resumed, ResumedTries: h.resumedTries, LeavingChecked: h.leavingChecked, Told: h.toldCount, Paused: h.pauseCount, CutServed: h.cutServed, CutSent: h.cutSent, Findings: h.findings}
+	return Report{Seed: h.options.Seed, Planned: h.planned, Sent: h.sent, Succeeded: h.succeeded, Resumed: h.resumed, ResumedTries: h.resumedTries, LeavingChecked: h.leavingChecked, Told: h.toldCount, Paused: h.pauseCount, Upgraded: h.upgraded, CutServed: h.cutServed, CutSent: h.cutSent, Findings: h.findings}
 }
 
 // addFinding records a violated guarantee.
@@ -312,7 +324,7 @@
 			return err
 		}
 		h.proxies[nodeName(i)] = proxy
-		d, err := newDaemon(h.options.Binary, h.options.Folder, i, fmt.Sprintf("zone-%d", i%3), proxy.Address(), strings.TrimPrefix(cloud.URL, "http://"))
+		d, err := newDaemon(h.options.firstBinary(), h.options.Folder, i, fmt.Sprintf("zone-%d", i%3), proxy.Address(), strings.TrimPrefix(cloud.URL, "http://"))
 		if err != nil {
 			return err
 		}
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -226,6 +226,9 @@
 			panic(err)
 		}
 	}
+	if err := removeOldBinary(); err != nil {
+		panic(err)
+	}
 	os.Exit(code)
 }
 
@@ -267,8 +270,8 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	t.Logf("seed %d: planned %t, %d requests sent, %d succeeded, %d of %d streams taken up went on, %d requests at leaving servers, %s, %d of %d first tries served at daemons cut off from servers", seed, report.Planned,
-		report.Sent, report.Succeeded, report.Resumed, report.ResumedTries, report.LeavingChecked, report.Statements(), report.CutServed, report.CutSent)
+	t.Logf("seed %d: planned %t, %d requests sent, %d succeeded, %d of %d streams taken up went on, %d requests at leaving servers, %s, %d of %d first tries served at daemons cut off from servers, %d daemons replaced", seed, report.Planned,
+		report.Sent, report.Succeeded, report.Resumed, report.ResumedTries, report.LeavingChecked, report.Statements(), report.CutServed, report.CutSent, report.Upgraded)
 	for _, finding := range report.Findings {
 		t.Errorf("seed %d: %s", seed, finding)
 	}
