Let daemons state their message format, and serve those that know no digests

Cause: a daemon that says nothing of digests was taken for one that wants them. A new hub sent it partial records, which it took for empty ones, and a new leaf waited for the digests of an old hub. Change: messages state their format; the format of messages that state none shows in their fields. One place, the directory, decides what is sent to whom: a daemon that knows no digests is sent the records of all, a leaf takes records while its hub knows no digests, and hubs grant nothing until no daemon of an earlier format was heard for 5 s. Hubs say what the oldest format is that they have heard.

--- a/pkg/edge/edge_test.go
+++ b/pkg/edge/edge_test.go
@@ -181,7 +181,7 @@
 	for i := range n {
 		node := fmt.Sprint("peer-", i)
 		s.peers.UpdateEntry(bootNow(), node, "127.0.0.1:1", 1, 1)
-		s.peers.UpdateNeighbor(bootNow(), &mesh.Message{Record: mesh.Record{Node: node, Incarnation: 1}}, false)
+		s.peers.UpdateNeighbor(bootNow(), &mesh.Message{Format: mesh.CurrentFormat, Record: mesh.Record{Node: node, Incarnation: 1}}, false)
 	}
 }
 
--- a/pkg/edge/exchange.go
+++ b/pkg/edge/exchange.go
@@ -80,7 +80,7 @@
 	now := bootNow()
 	neighbor, _ := s.peers.Lookup(node)
 	m := &mesh.Message{
-		Address: s.settings.PeerAddress, WallUnixMilli: time.Now().UnixMilli(), Collects: s.peers.Collects(),
+		Format: mesh.CurrentFormat, OldestHeard: s.peers.OldestHeard(now), Address: s.settings.PeerAddress, WallUnixMilli: time.Now().UnixMilli(), Collects: s.peers.Collects(),
 		Records: s.peers.RecordsFor(now, node), Revision: s.peers.Revision(), ReceivedRevision: s.peers.ReceivedRevisionOf(node),
 		QuarantineReceived: neighbor.Quarantine.Received, MembersReceived: neighbor.Members.Received, PlacedReceived: neighbor.Placed.Received,
 	}
--- a/pkg/edge/grant.go
+++ b/pkg/edge/grant.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"fmt"
 	"time"
 
 	"github.com/juju/errors"
 	"github.com/prometheus/client_golang/prometheus"
 	"k8s.io/klog/v2"
 
+	"github.com/monsooncrank/monsooncrank/pkg/mesh"
 	"github.com/monsooncrank/monsooncrank/pkg/quota"
 )
 
@@ -55,6 +57,9 @@
 	if !ok || now.Before(s.grants.pausedUntil[hub]) || hub != s.settings.Node && s.grants.call == nil {
 		return s.chargeAlone(now, account, cost)
 	}
+	if hub == s.settings.Node && s.peers.OldestFormat(now) < mesh.FormatDigests {
+		return s.chargeAlone(now, account, cost)
+	}
 	if hub == s.settings.Node {
 		after, granted := s.quota.Grant(now, account, cost)
 		return s.charged(account, cost, after, granted, chargeGranted)
@@ -119,6 +124,14 @@
 
 func (e *NoHubError) Error() string { return "daemon " + e.Node + " is not a hub" }
 
+// EarlierVersionError reports that this daemon grants no charges, because some daemons run an
+// earlier version: they spend portions of usage limits without asking.
+type EarlierVersionError struct{ Format mesh.Format }
+
+func (e *EarlierVersionError) Error() string {
+	return fmt.Sprintf("some daemons speak format %d, which has no grants", e.Format)
+}
+
 // handleGrant charges a request of another daemon.
 func (s *state) handleGrant(_ context.Context, payload []byte) ([]byte, error) {
 	request, err := quota.DecodeGrant[quota.GrantRequest](payload)
@@ -130,6 +143,10 @@
 		s.mu.Unlock()
 		return nil, errors.Trace(&NoHubError{Node: s.settings.Node})
 	}
+	if oldest := s.peers.OldestFormat(bootNow()); oldest < mesh.FormatDigests {
+		s.mu.Unlock()
+		return nil, errors.Trace(&EarlierVersionError{Format: oldest})
+	}
 	after, ok := s.quota.Grant(bootNow(), request.Account, request.Cost)
 	s.mu.Unlock()
 	return quota.EncodeGrant(&quota.GrantReply{Granted: ok, RetryAfter: after})
--- a/pkg/mesh/directory.go
+++ b/pkg/mesh/directory.go
@@ -34,6 +34,8 @@
 	// MemberMaxAge is the age of a daemon's last record at which a hub no longer
 	// tells others that the daemon is alive.
 	MemberMaxAge time.Duration
+	// Format is the format that this daemon speaks; the default is CurrentFormat.
+	Format Format
 }
 
 const (
@@ -99,6 +101,9 @@
 	inFlight              bool
 	failures              int
 	lastRetryAt           time.Time
+	// format is the format of the daemon's last message, and oldestHeard the oldest one that
+	// the daemon has heard.
+	format, oldestHeard Format
 	// collects is set if the daemon has stated that it receives the records of all.
 	collects bool
 	// told is what a hub has last stated of the daemon.
@@ -133,6 +138,9 @@
 	// collectsSince is when this daemon was first found to collect the records of all, or
 	// zero if it does not.
 	collectsSince time.Time
+	// oldest is the oldest format of all daemons as of oldestAt.
+	oldest   Format
+	oldestAt time.Time
 }
 
 // NewDirectory returns a Directory without peers for one run of the daemon named self.
@@ -209,7 +217,13 @@
 	if p.isToldDead() {
 		d.setTold(p, Member{})
 	}
-	p.Address, p.lastMessageAt, p.failures, p.collects = m.Address, now, 0, m.Collects
+	p.Address, p.lastMessageAt, p.failures = m.Address, now, 0
+	p.format, p.oldestHeard = m.Format, cmp.Or(m.OldestHeard, m.Format)
+	// A daemon that knows no digests takes the records of all.
+	p.collects = m.Collects || m.Format < FormatDigests
+	if p.format < FormatDigests {
+		d.oldestAt = time.Time{}
+	}
 	p.CatalogVersion, p.FleetDigest, p.Fleet.Acknowledged = m.CatalogVersion, m.Fleet.Digest, m.Fleet.Received
 	p.wallOffset = time.UnixMilli(m.WallUnixMilli).Sub(now)
 	p.nextExchangeAt = now.Add(d.interval(p.Node))
--- a/pkg/mesh/directory_test.go
+++ b/pkg/mesh/directory_test.go
@@ -26,7 +26,7 @@
 func newDirectory() *mesh.Directory { return mesh.NewDirectory("self", 1, 1, options) }
 
 func message(node string, wall time.Time) *mesh.Message {
-	return &mesh.Message{Record: mesh.Record{Node: node, Incarnation: 1, Sequence: 1}, Address: node + ":1", WallUnixMilli: wall.UnixMilli()}
+	return &mesh.Message{Format: mesh.CurrentFormat, Record: mesh.Record{Node: node, Incarnation: 1, Sequence: 1}, Address: node + ":1", WallUnixMilli: wall.UnixMilli()}
 }
 
 // Guards against expired daemons that are added again because their entries
@@ -157,7 +157,7 @@
 	c.seq[from]++
 	c.made[from][c.seq[from]] = now
 	neighbor, _ := d.Lookup(to)
-	m := clusterMessage{Message: &mesh.Message{Record: mesh.Record{Node: from, Incarnation: 1, Sequence: c.seq[from], Partial: !d.SendsRecord(to)}, Address: from + ":1", Collects: d.Collects(),
+	m := clusterMessage{Message: &mesh.Message{Format: mesh.CurrentFormat, Record: mesh.Record{Node: from, Incarnation: 1, Sequence: c.seq[from], Partial: !d.SendsRecord(to)}, Address: from + ":1", Collects: d.Collects(),
 		WallUnixMilli: now.UnixMilli(), Records: d.RecordsFor(now, to), Revision: d.Revision(), ReceivedRevision: d.ReceivedRevisionOf(to),
 		MembersReceived: neighbor.Members.Received}}
 	if d.SendsMembers(to) || d.SendsDigest(to) {
--- /dev/null
+++ b/pkg/mesh/format_test.go
@@ -0,0 +1,122 @@
+package mesh_test
+
+import (
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/onsi/gomega"
+
+	"github.com/monsooncrank/monsooncrank/pkg/mesh"
+)
+
+// goldenMessages holds messages that were encoded by the code of each format: of the commits
+// 3ce50e8 and b5ba10b, whose messages state none, and of the first one that states its format.
+var goldenMessages = map[string]mesh.Format{
+	"message-3ce50e8.cbor": mesh.FormatRecords, "message-b5ba10b.cbor": mesh.FormatDigests, "message-format-3.cbor": mesh.FormatStated,
+}
+
+func golden(t testing.TB, name string) []byte {
+	t.Helper()
+	encoded, err := os.ReadFile(filepath.Join("testdata", name))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return encoded
+}
+
+// TestMessagesOfAllFormatsAreRead guards against a change of the messages between daemons that
+// those of an earlier version, which run beside this one during an upgrade, don't take part in.
+func TestMessagesOfAllFormatsAreRead(t *testing.T) {
+	for name, format := range goldenMessages {
+		t.Run(name, func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			m, err := mesh.DecodeMessage(golden(t, name))
+			g.Expect(err).NotTo(gomega.HaveOccurred())
+			g.Expect(m.Format).To(gomega.Equal(format))
+			g.Expect(m.Record.Node).To(gomega.Equal("daemon-1"))
+			g.Expect(m.Record.Quota.Used).To(gomega.HaveKeyWithValue("account", 250.0))
+			g.Expect(m.Record.Usage[7]).To(gomega.HaveKeyWithValue("account", gomega.BeEquivalentTo(4)))
+			g.Expect(m.Record.Refusals).To(gomega.HaveKeyWithValue("i-1#5", uint64(2)))
+			g.Expect(m.Records).To(gomega.HaveLen(1))
+			g.Expect(m.Records[0].Loads["i-1"].Running).To(gomega.Equal(3))
+			g.Expect(m.CatalogVersion).To(gomega.BeEquivalentTo(13))
+			g.Expect(m.Fleet.Entries).To(gomega.HaveLen(1))
+			g.Expect(m.Fleet.Entries[0].Server.RunID()).To(gomega.Equal("i-1#5"))
+			g.Expect(m.Fleet.Entries[0].Server.Version).To(gomega.Equal("v1"))
+			g.Expect(m.Limits[0].PerSecond).To(gomega.Equal(1.5))
+		})
+	}
+}
+
+// TestTheCurrentFormatHasAGoldenMessage guards against a change of the format without a message
+// of it for later versions to read, and against fields that lose their numbers.
+func TestTheCurrentFormatHasAGoldenMessage(t *testing.T) {
+	g := gomega.NewWithT(t)
+	newest := mesh.Format(0)
+	for name, format := range goldenMessages {
+		newest = max(newest, format)
+		m, err := mesh.DecodeMessage(golden(t, name))
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		encoded, err := m.Encode()
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		var before, after map[uint64]cbor.RawMessage
+		g.Expect(cbor.Unmarshal(golden(t, name), &before)).To(gomega.Succeed())
+		g.Expect(cbor.Unmarshal(encoded, &after)).To(gomega.Succeed())
+		for field := range before {
+			g.Expect(after).To(gomega.HaveKey(field), "%s, field %d", name, field)
+		}
+	}
+	g.Expect(newest).To(gomega.Equal(mesh.CurrentFormat))
+}
+
+// FuzzMessages guards against messages that make a daemon panic.
+func FuzzMessages(f *testing.F) {
+	for name := range goldenMessages {
+		f.Add(golden(f, name))
+	}
+	f.Fuzz(func(t *testing.T, encoded []byte) {
+		m, err := mesh.DecodeMessage(encoded)
+		if err != nil {
+			return
+		}
+		if m.Format == 0 {
+			t.Error("a message without a format")
+		}
+		d := newDirectory()
+		d.UpdateNeighbor(at(0), m, true)
+		d.MergeRecord(at(0), &m.Record)
+		d.Collects()
+		d.OldestFormat(at(0))
+	})
+}
+
+// TestAPeerMayChangeItsFormat guards against a daemon that is treated by the format of its earlier
+// run, that states a format of the future or another one in each message.
+func TestAPeerMayChangeItsFormat(t *testing.T) {
+	g := gomega.NewWithT(t)
+	d := newDirectory()
+	for i := range 20 {
+		d.UpdateEntry(at(0), string(rune('a'+i)), "", 0.1, 1)
+	}
+	hear := func(ms int, node string, format mesh.Format) {
+		m := message(node, at(ms))
+		m.Format, m.OldestHeard = format, format
+		d.UpdateNeighbor(at(ms), m, true)
+	}
+	const formatOfTheFuture = 99
+	for i, format := range []mesh.Format{mesh.FormatRecords, formatOfTheFuture, mesh.FormatDigests, mesh.FormatRecords, mesh.FormatStated} {
+		hear(1000*i, "a", format)
+		g.Expect(d.SendsRecord("a") || d.SendsDigest("a")).To(gomega.BeTrue())
+		g.Expect(d.OldestFormat(at(1000 * i))).To(gomega.Equal(min(format, mesh.CurrentFormat)))
+		stated, known := d.FormatOf("a")
+		g.Expect(known).To(gomega.BeTrue())
+		g.Expect(stated).To(gomega.Equal(format))
+	}
+	hear(10_000, "b", mesh.FormatRecords)
+	hear(14_000, "a", mesh.FormatStated)
+	g.Expect(d.OldestFormat(at(14_500))).To(gomega.Equal(mesh.FormatRecords))
+	g.Expect(d.OldestFormat(at(10_000).Add(5*time.Second))).To(gomega.Equal(mesh.FormatStated), "it was not heard for long")
+}
--- a/pkg/mesh/message.go
+++ b/pkg/mesh/message.go
@@ -111,6 +111,11 @@
 	Placed         []cbor.RawMessage  `cbor:"28,keyasint,omitempty"`
 	PlacedSpan     changelog.Span     `cbor:"29,keyasint"`
 	PlacedReceived changelog.Position `cbor:"30,keyasint"`
+	// Format is the format that the sender speaks. DecodeMessage sets it for messages that
+	// state none.
+	Format Format `cbor:"32,keyasint,omitempty"`
+	// OldestHeard is the oldest format that the sender has heard lately, its own included.
+	OldestHeard Format `cbor:"33,keyasint,omitempty"`
 }
 
 // Encode returns the CBOR encoding of the message.
@@ -125,5 +130,12 @@
 	if err := cbor.Unmarshal(encoded, &m); err != nil {
 		return nil, errors.Annotate(err, "decode a message")
 	}
+	if m.Format == 0 {
+		format, err := inferFormat(encoded)
+		if err != nil {
+			return nil, errors.Annotate(err, "infer the format of a message")
+		}
+		m.Format = format
+	}
 	return &m, nil
 }
--- a/pkg/mesh/roles.go
+++ b/pkg/mesh/roles.go
@@ -56,7 +56,7 @@
 // HubFor returns the hub that all daemons choose for a key, and false in a full mesh or if
 // its address is not known. The name is that of this daemon if it is the hub.
 func (d *Directory) HubFor(key string) (node, address string, ok bool) {
-	if d.isFullMesh() {
+	if d.isFullMesh() || !d.speaks(FormatDigests) {
 		return "", "", false
 	}
 	hubs := d.rankedHubs()
@@ -84,8 +84,10 @@
 func (d *Directory) RanksAsHub() bool { return d.isRankedHub(d.self) }
 
 // Collects reports whether this daemon receives the records of all daemons, and not
-// digests of them.
-func (d *Directory) Collects() bool { return d.isFullMesh() || d.RanksAsHub() }
+// digests of them. A leaf does so during an upgrade if its hub knows no digests.
+func (d *Directory) Collects() bool {
+	return d.isFullMesh() || d.RanksAsHub() || !d.speaks(FormatDigests) || d.reliesOnRecords()
+}
 
 // collectsRecords reports whether a daemon receives the records of all: as it has stated, or as
 // it ranks if it was never heard.
@@ -99,16 +101,18 @@
 // SendsRecord reports whether a daemon is sent this one's complete record: because it
 // collects the records of all, or because this daemon relies on it as a hub.
 func (d *Directory) SendsRecord(node string) bool {
-	return d.isFullMesh() || d.collectsRecords(node) || d.isRankedHub(node)
+	return d.isFullMesh() || d.collectsRecords(node) || d.isRankedHub(node) || !d.speaks(FormatDigests)
 }
 
 // SendsMembers reports whether a daemon is sent the list of daemons. One that takes itself
 // for a hub without ranking as one knows too few of them.
-func (d *Directory) SendsMembers(node string) bool { return !d.isFullMesh() && !d.isRankedHub(node) }
+func (d *Directory) SendsMembers(node string) bool {
+	return !d.isFullMesh() && !d.isRankedHub(node) && d.speaks(FormatDigests)
+}
 
 // SendsDigest reports whether a daemon is sent a digest. A daemon that does not collect
 // records itself sends none to those that it relies on: the digest would come back to
 // them later than they know it.
 func (d *Directory) SendsDigest(node string) bool {
-	return !d.isFullMesh() && !d.collectsRecords(node) && (d.RanksAsHub() || !d.isRankedHub(node))
+	return !d.isFullMesh() && d.speaks(FormatDigests) && !d.collectsRecords(node) && (d.RanksAsHub() || !d.isRankedHub(node))
 }
