--- a/cmd/monsooncrankd/main.go
+++ b/cmd/monsooncrankd/main.go
@@ -16,6 +16,7 @@
 	"k8s.io/klog/v2"
 	"k8s.io/utils/clock"
 
+	"github.com/monsooncrank/monsooncrank/pkg/buildinfo"
 	"github.com/monsooncrank/monsooncrank/pkg/daemon"
 )
 
@@ -23,6 +24,7 @@
 	app := kingpin.New("monsooncrankd", "Serves model-backed and booking requests on reclaimable hosts.\n\n"+
 		"SIGTERM and SIGINT stop it without interrupting requests in progress.\n\n"+
 		"Example: monsooncrankd --settings /etc/monsooncrank/daemon.jsonc")
+	app.Version(buildinfo.Revision())
 	file := app.Flag("settings", "Settings in JSON with comments.").Short('s').ExistingFile()
 	onPlatform := app.Flag("platform", "Serve on the users' platform, which writes the settings file.").Bool()
 	checkOnly := app.Flag("check", "Check the settings and exit.").Bool()
--- a/pkg/edge/daemon.go
+++ b/pkg/edge/daemon.go
@@ -18,6 +18,8 @@
 	"k8s.io/klog/v2"
 
 	"github.com/monsooncrank/monsooncrank/pkg/backendconn"
+	"github.com/monsooncrank/monsooncrank/pkg/buildinfo"
+	"github.com/monsooncrank/monsooncrank/pkg/mesh"
 	"github.com/monsooncrank/monsooncrank/pkg/peer"
 	"github.com/monsooncrank/monsooncrank/pkg/relay"
 )
@@ -93,6 +95,7 @@
 	d := &Daemon{options: o, settings: o.Settings, platform: o.Platform, pool: pool, state: newState(o.Settings, pool),
 		registry: o.Registry, idle: newIdleConnections()}
 	d.registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+	d.registry.MustRegister(buildinfo.NewMetric(), d.state.newFormatMetric())
 	d.state.fleetMetrics.register(d.registry)
 	d.registry.MustRegister(d.state.limitMetrics.changes, d.state.limitMetrics.active, d.state.limitMetrics.refusals, d.state.limitMetrics.pauses)
 	d.state.streamMetrics.register(d.registry)
@@ -117,7 +120,7 @@
 // progress within the grace period.
 func (d *Daemon) Run() error {
 	klog.InfoS("start", "node", d.settings.Node, "zone", d.settings.AvailabilityZone, "front", d.settings.FrontAddress,
-		"incarnation", d.state.incarnation)
+		"incarnation", d.state.incarnation, "revision", buildinfo.Revision(), "messageFormat", mesh.CurrentFormat)
 	signals := make(chan os.Signal, 4)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	ctx, cancel := context.WithCancel(context.Background())
--- a/pkg/edge/exchange.go
+++ b/pkg/edge/exchange.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus"
 	"k8s.io/klog/v2"
 
 	"github.com/monsooncrank/monsooncrank/pkg/catalog"
@@ -172,6 +173,9 @@
 	s.quarantine.MergeFrom(m.Record.Node, m.Quarantine...)
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if format, known := s.peers.FormatOf(m.Record.Node); !known || format != m.Format {
+		klog.InfoS("message format of a peer", "peer", m.Record.Node, "format", m.Format, "before", format, "own", mesh.CurrentFormat)
+	}
 	s.peers.UpdateNeighbor(bootNow(), m, requestedAt.IsZero())
 	s.recordPeerCatalogVersion(bootNow(), m.CatalogVersion)
 	s.updateRole(bootNow())
@@ -190,6 +194,16 @@
 	}
 }
 
+// newFormatMetric returns the metric that tells the oldest message format among the daemons.
+func (s *state) newFormatMetric() prometheus.Collector {
+	return prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: "monsooncrank_oldest_message_format",
+		Help: "The oldest message format among the daemons that this one has heard of in the last seconds."}, func() float64 {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		return float64(s.peers.OldestFormat(bootNow()))
+	})
+}
+
 // decompressCatalog decodes a configuration received from a peer.
 func (d *Daemon) decompressCatalog(compressed []byte) (*catalog.Catalog, error) {
 	source, err := mesh.Decompress(compressed)
