Begin with part of a usage limit's burst when a daemon starts

What was spent before is known to none of them. Change: in the first seconds of a daemon, buckets begin with half of the tolerated excess, which is what may be spent beyond the limit; the rest remains for what daemons spend before they hear of one another. Accounts that get a limit later begin full. A daemon that restarts alone takes over the levels of the others as before. Two tests of quota and the two of grants began with a full bucket at the start; their daemons run for 10 s and an hour now.

--- a/pkg/edge/grant_test.go
+++ b/pkg/edge/grant_test.go
@@ -10,6 +10,7 @@
 	"github.com/onsi/gomega"
 
 	"github.com/monsooncrank/monsooncrank/pkg/catalog"
+	"github.com/monsooncrank/monsooncrank/pkg/quota"
 )
 
 // grantNetwork returns a leaf and the hub that grants the charges of an account, whose limit is
@@ -23,6 +24,8 @@
 	own.Node, own.Cores = "leaf", 0.1
 	leaf = newStateOf(t, own)
 	for _, s := range []*state{leaf, hub} {
+		// The daemons have run for long, so that usage limits are not at their start.
+		s.quota = quota.New(bootNow().Add(-time.Hour), quota.Options{Window: s.settings.QuotaWindow, Overage: s.settings.QuotaOverage})
 		addPeers(s, 2*fullMeshLimit)
 		s.activateCatalog(c, "store")
 		for i := range 2 * fullMeshLimit {
--- a/pkg/quota/quota.go
+++ b/pkg/quota/quota.go
@@ -56,6 +56,9 @@
 	// The rest covers what they spend after the bucket has become empty and
 	// before they receive the reports of that spending.
 	toleranceShare = 0.5
+	// startShare is the fraction of the tolerated excess with which buckets begin when the
+	// daemon starts. What was spent before is not known if all daemons have been killed.
+	startShare = 0.5
 	// fairShareWindow is the time over which an account's requests at a daemon are
 	// compared with the daemon's share of the limit. It is long enough for a few
 	// requests of each account to reach one of many daemons.
@@ -96,6 +99,8 @@
 type Core struct {
 	options   Options
 	startedAt time.Time
+	// started is set once there were limits. Accounts that get one later begin with a full bucket.
+	started bool
 	// staleness is the maximum expected age of the totals of peers.
 	staleness time.Duration
 	buckets   map[string]*bucket
@@ -123,7 +128,11 @@
 	for name, limit := range limits {
 		b, ok := c.buckets[name]
 		if !ok {
-			c.buckets[name] = &bucket{limit: limit, level: limit.Burst, refilledAt: now}
+			b = &bucket{limit: limit, level: limit.Burst, refilledAt: now}
+			if !c.started && !c.settled(now) {
+				b.level = math.Min(limit.Burst, startShare*c.tolerated(b))
+			}
+			c.buckets[name] = b
 			continue
 		}
 		c.refill(now, name, b)
@@ -135,6 +144,7 @@
 			delete(c.buckets, name)
 		}
 	}
+	c.started = c.started || len(limits) > 0
 }
 
 // Take charges cost to an account, or returns the time after which to retry.
--- a/pkg/quota/quota_test.go
+++ b/pkg/quota/quota_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -105,7 +106,7 @@
 // available again.
 func TestReturnedCostCanBeSpentAgain(t *testing.T) {
 	g := gomega.NewWithT(t)
-	c := newCore(0)
+	c := newCore(-10_000)
 	spend(c, 0)
 	c.Return(at(0), "account", 500)
 	g.Expect(spend(c, 0)).To(gomega.Equal(500.0))
@@ -117,7 +118,7 @@
 // covered its cost.
 func TestARequestLargerThanTheBucketPassesWhenItIsFull(t *testing.T) {
 	g := gomega.NewWithT(t)
-	c := newCore(0)
+	c := newCore(-10_000)
 	_, ok := c.Take(at(0), "account", 3000)
 	g.Expect(ok).To(gomega.BeTrue())
 	_, ok = c.Take(at(1500), "account", 10)
@@ -407,3 +408,55 @@
 	c.SetPeer(at(3100), "0", 7, quota.Totals{Used: map[string]float64{"account": 12_345}, Settled: true, Level: map[string]float64{"account": 30}})
 	g.Expect(c.Level(at(3100), "account")).To(gomega.BeNumerically("~", 30, 1), "a lower level of a peer, and not its spending of before")
 }
+
+// TestARestartOfAllDaemonsKeepsTheLimit guards against a burst that is spent again after all daemons
+// have been killed at the same time, since none knows what was spent before. An account must not
+// have to wait for long after that either.
+func TestARestartOfAllDaemonsKeepsTheLimit(t *testing.T) {
+	const rate, cost, step, window = 10_000.0, 100.0, 100, 8000
+	for _, burst := range []float64{1, 2, 4} {
+		for _, restarts := range [][]int{nil, {5000}, {4500}, {4100}, {4500, 8000}} {
+			for _, slack := range []float64{0, 1200} {
+				g := gomega.NewWithT(t)
+				c := quota.New(at(-10_000), quota.Options{Window: window * time.Millisecond, Overage: 0.1, Slack: slack})
+				limits := map[string]quota.Limit{"account": {Rate: rate, Burst: burst * rate}}
+				c.SetLimits(at(-10_000), limits)
+				var admitted []float64
+				for ms := 0; ms < 20_000; ms += step {
+					if slices.Contains(restarts, ms) {
+						c = quota.New(at(ms), quota.Options{Window: window * time.Millisecond, Overage: 0.1, Slack: slack})
+						c.SetLimits(at(ms), limits)
+					}
+					sum := 0.0
+					// The account has used little until it asks for all it may have.
+					for asked := 0.0; ms >= 4000 && asked < 20*rate; asked += cost {
+						if _, ok := c.Take(at(ms), "account", cost); ok {
+							sum += cost
+						}
+					}
+					admitted = append(admitted, sum)
+				}
+				fullest := 0.0
+				for i := range len(admitted) - window/step {
+					fullest = max(fullest, sum(admitted[i:i+window/step]))
+				}
+				allowed := 1.1*(rate*window/1000+burst*rate) + slack
+				g.Expect(fullest).To(gomega.BeNumerically("<=", allowed), "burst %g, restarts %v, slack %g", burst, restarts, slack)
+				g.Expect(sum(admitted[40:])).To(gomega.BeNumerically(">=", 0.95*(16*rate)), "burst %g, restarts %v: up to the rate", burst, restarts)
+			}
+		}
+	}
+}
+
+// TestADaemonThatStartsServesAtOnce guards against a daemon that refuses the first requests of an
+// account because it has just started, while the others have spent little.
+func TestADaemonThatStartsServesAtOnce(t *testing.T) {
+	g := gomega.NewWithT(t)
+	c := quota.New(at(0), quota.Options{Window: 8 * time.Second, Overage: 0.1, Slack: 100})
+	c.SetLimits(at(0), map[string]quota.Limit{"account": {Rate: 1000, Burst: 1000}})
+	_, ok := c.Take(at(0), "account", 400)
+	g.Expect(ok).To(gomega.BeTrue())
+	g.Expect(c.Level(at(1000), "account")).To(gomega.BeNumerically("~", 1000, 1))
+	c.SetLimits(at(5000), map[string]quota.Limit{"account": {Rate: 1000, Burst: 1000}, "new": {Rate: 1000, Burst: 1000}})
+	g.Expect(c.Level(at(5000), "new")).To(gomega.BeNumerically("~", 1000, 1), "an account that is new to a running daemon")
+}
--- a/soak/checks.go
+++ b/soak/checks.go
@@ -82,6 +82,9 @@
 	if reply.Err == nil && reply.Status == http.StatusOK {
 		h.succeeded++
 	}
+	if reply.Err == nil && reply.Status == http.StatusTooManyRequests {
+		h.overLimit++
+	}
 	h.mu.Unlock()
 	h.recordLimit(d, reply)
 	h.recordLeaving(d, reply)
@@ -167,6 +170,7 @@
 	h.checkStreams()
 	h.checkLimits()
 	h.checkStatements()
+	h.checkUsage()
 	h.checkCuts()
 	h.checkBrittle()
 	client := &http.Client{}
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -86,6 +86,8 @@
 	// StatementEvery is the time after which a server says again that it leaves, or asks for
 	// pauses, while its entry lapses or states nothing of it; 0 means never.
 	StatementEvery time.Duration
+	// UsageRate is the usage limit of the account in requests per second; 0 means none.
+	UsageRate float64
 	// Upgrade is how the build of the daemons changes, between OldBinary and Binary, and
 	// UpgradeEvery the time after which the next daemon is replaced.
 	Upgrade      Upgrade
@@ -167,6 +169,9 @@
 	serverCuts         []serverCut
 	firstTries         []firstTry
 	cutServed, cutSent int
+	// overLimit is the number of requests that were refused for the usage limit, and
+	// fullestWindow the most that ran in usageWindow.
+	overLimit, fullestWindow int
 	// upgraded is the number of daemons that were replaced by another build.
 	upgraded  int
 	findings  []string
@@ -184,6 +189,10 @@
 	// Resumed is the number of streams that went on, of ResumedTries that were taken up
 	// while this was to be expected.
 	Resumed, ResumedTries int
+	// OverLimit is the number of requests that were refused for the usage limit, and
+	// FullestWindow the most that ran in usageWindow, of WindowLimit that may.
+	OverLimit, FullestWindow int
+	WindowLimit              float64
 	// LeavingChecked is the number of requests that reached servers after they had left,
 	// whether in time or not, from daemons in touch.
 	LeavingChecked int
@@ -291,7 +300,7 @@
 func (h *harness) report() Report {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return Report{Seed: h.options.Seed, Planned: h.planned, Sent: h.sent, Succeeded: h.succeeded, Resumed: h.resumed, ResumedTries: h.resumedTries, LeavingChecked: h.leavingChecked, Told: h.toldCount, Paused: h.pauseCount, Upgraded: h.upgraded, CutServed: h.cutServed, CutSent: h.cutSent, Findings: h.findings}
+	return Report{Seed: h.options.Seed, Planned: h.planned, Sent: h.sent, Succeeded: h.succeeded, Resumed: h.resumed, ResumedTries: h.resumedTries, LeavingChecked: h.leavingChecked, Told: h.toldCount, Paused: h.pauseCount, Upgraded: h.upgraded, OverLimit: h.overLimit, FullestWindow: h.fullestWindow, WindowLimit: h.options.windowLimit(), CutServed: h.cutServed, CutSent: h.cutSent, Findings: h.findings}
 }
 
 // addFinding records a violated guarantee.
@@ -455,7 +464,7 @@
 	for v := 1; v <= h.version; v++ {
 		routes = append(routes, standin.Route{Prefix: markerPrefix(v), Kind: standin.KindIdempotent, Service: "plain", Attempts: 2})
 	}
-	body := standin.Configuration(h.version, hostName, routes, map[string][]string{"account": {apiKey}}, 0)
+	body := standin.Configuration(h.version, hostName, routes, map[string][]string{"account": {apiKey}}, h.options.UsageRate)
 	h.mu.Unlock()
 	h.store.PutConfiguration(body)
 }
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -61,7 +61,7 @@
 	for _, seed := range seeds {
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
 			runSeed(t, soak.Options{Seed: seed, Binary: binary, Daemons: daemons, Servers: max(minServers, daemons/daemonsPerServer) + serversPerCrashPart*int(seed%2), Callers: callersPerDaemon * daemons, CrashRequests: 2,
-				CrashParts: int(seed % 2), UnframedAnswers: 0.2, BrittleMost: brittleMost(seed), BrittleRoom: 10, ChangeQueries: seed%2 == 0, ReplaceServers: seed%4 >= 2, Versions: 1 + int(seed%3), StatementEvery: statementEvery(), Duration: duration})
+				CrashParts: int(seed % 2), UnframedAnswers: 0.2, BrittleMost: brittleMost(seed), BrittleRoom: 10, ChangeQueries: seed%2 == 0, ReplaceServers: seed%4 >= 2, Versions: 1 + int(seed%3), StatementEvery: statementEvery(), UsageRate: usageRateOfAll(daemons), Duration: duration})
 		})
 	}
 }
@@ -75,6 +75,16 @@
 	return 2 * time.Second
 }
 
+// usageRateOfAll returns the usage limit that SOAK_USAGE_RATE sets in requests per second and
+// daemon, or 0.
+func usageRateOfAll(daemons int) float64 {
+	perDaemon, err := strconv.ParseFloat(os.Getenv("SOAK_USAGE_RATE"), 64)
+	if err != nil {
+		return 0
+	}
+	return perDaemon * float64(daemons)
+}
+
 // brittleMost returns how many refusals in a second the servers of a seed bear, or 0 if they
 // are not brittle: every fifth seed has brittle servers.
 func brittleMost(seed uint64) int {
@@ -275,7 +285,10 @@
 	for _, finding := range report.Findings {
 		t.Errorf("seed %d: %s", seed, finding)
 	}
-	if report.Succeeded*2 < report.Sent {
+	if options.UsageRate > 0 {
+		t.Logf("seed %d: %d requests over the usage limit, %d ran in the fullest window, where %g are allowed", seed, report.OverLimit, report.FullestWindow, report.WindowLimit)
+	}
+	if (report.Succeeded+report.OverLimit)*2 < report.Sent {
 		t.Errorf("seed %d: only %d of %d requests succeeded", seed, report.Succeeded, report.Sent)
 	}
 	if t.Failed() {
--- a/soak/upgrade_test.go
+++ b/soak/upgrade_test.go
@@ -69,7 +69,7 @@
 // twice and configurations that revert while daemons of the current build and an earlier one run
 // side by side. UPGRADE_SEED and UPGRADE_RUNS set the first seed and the number of seeds for each
 // kind of upgrade, SOAK_DAEMONS the number of daemons, and PRODUCTION the earlier commit. Seeds
-// divisible by 3 have planned stops and changes only.
+// divisible by 3 have planned stops and changes only, even ones a usage limit below what callers ask.
 func TestUpgrades(t *testing.T) {
 	t.Parallel()
 	upgrades, seeds, daemons, duration := []soak.Upgrade{soak.UpgradeAll, soak.UpgradeBack}, []uint64{3, 5}, defaultDaemons, 12*time.Second
@@ -93,7 +93,15 @@
 		t.Run(fmt.Sprintf("%v, seed %d", upgrade, seed), func(t *testing.T) {
 			runSeed(t, soak.Options{Seed: seed, Binary: binary, OldBinary: old, Upgrade: upgrade, UpgradeEvery: time.Duration(500+500*(seed%4)) * time.Millisecond,
 				Daemons: daemons, Servers: max(minServers, daemons/daemonsPerServer) + serversPerCrashPart*int(seed%2), Callers: callersPerDaemon * daemons,
-				CrashRequests: 1, CrashParts: int(seed % 2), Versions: 1 + int(seed%3), Duration: duration})
+				CrashRequests: 1, CrashParts: int(seed % 2), Versions: 1 + int(seed%3), UsageRate: usageRate(seed, daemons), Duration: duration})
 		})
 	}
 }
+
+// usageRate returns the usage limit of a seed in requests per second, or 0.
+func usageRate(seed uint64, daemons int) float64 {
+	if seed%2 == 1 {
+		return 0
+	}
+	return 15 * float64(daemons)
+}
