Determine the true time of an answer only if its server states something

Each answer took the median of the clocks of all peers, and each candidate was looked up among pauses when there were none. No decision changes.

--- a/pkg/edge/limits.go
+++ b/pkg/edge/limits.go
@@ -67,13 +67,16 @@
 // a request limit, of which other daemons are told at once; that it leaves, which its entry may
 // state later or never; and for how long it wants no request from this daemon.
 func (s *state) hear(server *fleet.Server, sentAt time.Time, said relay.Statements) {
-	// The start of a run is stated in true time, which the clocks of all daemons come closest to.
-	sentAtTrue := s.clusterTime().Add(-time.Since(sentAt))
 	e, changed := s.limits.Observe(time.Now(), server.Service, server.RunID(), sentAt, said.RequestLimit)
 	if changed {
 		s.logLimit(&e, "answer")
 		s.wakeExchange()
 	}
+	if !said.Leaving && said.RetryAfter == 0 {
+		return
+	}
+	// The start of a run is stated in true time, which the clocks of all daemons come closest to.
+	sentAtTrue := s.clusterTime().Add(-time.Since(sentAt))
 	if said.Leaving {
 		klog.InfoS("server says that it leaves", "server", server.RunID(), "service", server.Service, "accepts", s.placement.Accepts(server),
 			"fleetVersion", s.fleet.Version(), "fleetAgeMs", s.fleetAge().Milliseconds())
--- a/pkg/fleet/core.go
+++ b/pkg/fleet/core.go
@@ -208,7 +208,8 @@
 func (c *Core) isLeaving(s *Server) bool { return s.Leaving || c.saidLeaving.covers(s) }
 
 // SaidLeaving records that a server has said that it leaves in the answer to a request which was
-// sent at a time, whether its entry is known or not. The entry may state that later or never. The other daemons learn it from the server themselves.
+// sent at a time, whether its entry is known or not. The entry may state that later or never.
+// The other daemons learn it from the server themselves.
 func (c *Core) SaidLeaving(s *Server, sentAt time.Time) []Event {
 	m, known := c.members[s.ID]
 	before := known && c.isLeaving(&m.server)
--- a/pkg/serverlimit/pause.go
+++ b/pkg/serverlimit/pause.go
@@ -54,6 +54,9 @@
 
 // IsPaused reports whether a run of a server wants no request now. Past pauses are dropped.
 func (c *Core) IsPaused(now time.Time, run string) bool {
+	if len(c.pauses) == 0 {
+		return false
+	}
 	id, started, _ := fleet.SplitRunID(run)
 	p, ok := c.pauses[id]
 	if ok && !now.Before(p.until) {
