Leave out of the check of streams the times in which no daemon reaches servers

Streams are cut at that moment and taken up at once, while new ones are spread over the whole run, so that the shares can't be compared, and nothing could serve them. The rule counts machines in touch only, which a reset of their connections ends. Tries at daemons that are cut off while others are not still count.

--- a/soak/cuts.go
+++ b/soak/cuts.go
@@ -69,6 +69,17 @@
 	return false
 }
 
+// allCutAt reports whether all daemons were cut off from servers at a time.
+func (h *harness) allCutAt(at time.Time) bool {
+	cut := make(map[*daemon]bool)
+	for _, c := range h.serverCuts {
+		if c.from.Before(at) && c.to.After(at) {
+			cut[c.daemon] = true
+		}
+	}
+	return len(cut) == len(h.daemons)
+}
+
 // cutRandomDaemons cuts the daemons with the drawn indices off.
 func (h *harness) cutRandomDaemons(ctx context.Context, indices []int, alive bool, duration time.Duration) {
 	var daemons []*daemon
--- a/soak/streams.go
+++ b/soak/streams.go
@@ -108,7 +108,8 @@
 }
 
 // checkStreams checks that streams hold events of one version only, and that streams
-// which are taken up are not refused much more often than new ones.
+// which are taken up are not refused much more often than new ones. While no daemon reaches
+// servers, streams are cut and all tries to take them up fail.
 func (h *harness) checkStreams() {
 	if len(h.mixedStreams) > allowedMixed {
 		h.addFinding("%d streams hold events of two software versions, such as %s", len(h.mixedStreams), h.mixedStreams[0])
@@ -117,7 +118,7 @@
 	cut := 0
 	for i := range h.streamTries {
 		t := &h.streamTries[i]
-		if !h.inTouch(t.daemon, t.at) {
+		if !h.inTouch(t.daemon, t.at) || h.allCutAt(t.at) {
 			continue
 		}
 		if h.isCutBetween(t.daemon, t.at, t.at) {
