Send further tries of streams to ready daemons in runs with planned stops only

Traced: both tries reached daemons 2 and 3 ms after their start ("not-ready: no configuration yet"), because callers of the soak send further tries to any daemon. A load balancer sends none to a daemon that is not ready. Only usage limits lead to further tries in such runs. In runs with other faults tries go to any daemon as before.

--- a/soak/streams.go
+++ b/soak/streams.go
@@ -46,7 +46,7 @@
 	for try := range maxTries {
 		if try > 0 {
 			request.ID = fmt.Sprintf("%s-%d", id, try)
-			d = h.daemons[random.IntN(len(h.daemons))]
+			d = h.retryDaemon(random)
 		}
 		request.LastEventID = strconv.Itoa(len(versions))
 		t := streamTry{daemon: d, at: time.Now(), resumes: len(versions) > 0}
@@ -77,6 +77,17 @@
 	}
 }
 
+// retryDaemon returns the daemon for a further try of a stream. In runs with planned stops only,
+// it is one to which a load balancer would send the try: every refusal is a finding there.
+func (h *harness) retryDaemon(random *rand.Rand) *daemon {
+	client := &http.Client{Timeout: 500 * time.Millisecond}
+	d := h.daemons[random.IntN(len(h.daemons))]
+	for tries := 0; h.planned && tries < 2*len(h.daemons) && !standin.Ready(client, d.settings.Ready); tries++ {
+		d = h.daemons[random.IntN(len(h.daemons))]
+	}
+	return d
+}
+
 // checkEvents checks the events of an answer to a stream that goes on after the given
 // number of events, and returns the versions of their servers.
 func (h *harness) checkEvents(id string, after int, reply standin.Response) []string {
