Let the seed determine the kind of an upgrade

The kind followed from the place of a seed in a run, so that a single seed played another one: 45004 was an upgrade of all daemons, 46004 a downgrade.

--- a/soak/upgrade_test.go
+++ b/soak/upgrade_test.go
@@ -67,14 +67,17 @@
 
 // TestUpgrades guards against requests that are lost, run twice or falsely reported, duties held
 // twice and configurations that revert while daemons of the current build and an earlier one run
-// side by side. UPGRADE_SEED and UPGRADE_RUNS set the first seed and the number of seeds for each
-// kind of upgrade, SOAK_DAEMONS the number of daemons, and PRODUCTION the earlier commit. Seeds
+// side by side. UPGRADE_SEED and UPGRADE_RUNS set the first seed and the number of seeds, UPGRADE
+// the kind of upgrade, which the seed determines otherwise, SOAK_DAEMONS the number of daemons, and
+// PRODUCTION the earlier commit. Seeds
 // divisible by 3 have planned stops and changes only, even ones a usage limit below what callers ask.
 func TestUpgrades(t *testing.T) {
 	t.Parallel()
-	upgrades, seeds, daemons, duration := []soak.Upgrade{soak.UpgradeAll, soak.UpgradeBack}, []uint64{3, 5}, defaultDaemons, 12*time.Second
+	upgrades := []soak.Upgrade{soak.UpgradeAll, soak.UpgradeHalf, soak.UpgradeBack, soak.UpgradePairs, soak.Downgrade}
+	// In CI all daemons are replaced in a run with planned stops only, and half and back beside other faults.
+	seeds, daemons, duration := []uint64{15, 7}, defaultDaemons, 12*time.Second
 	if first, err := strconv.ParseUint(os.Getenv("UPGRADE_SEED"), 10, 64); err == nil {
-		upgrades, seeds = []soak.Upgrade{soak.UpgradeAll, soak.UpgradeHalf, soak.UpgradeBack, soak.UpgradePairs, soak.Downgrade}, nil
+		seeds = nil
 		runs, err := strconv.Atoi(os.Getenv("UPGRADE_RUNS"))
 		if err != nil {
 			runs = 1
@@ -88,8 +91,13 @@
 		daemons = n
 	}
 	binary, old := buildDaemon(t), buildOldDaemon(t)
-	for i, seed := range seeds {
-		upgrade := upgrades[i%len(upgrades)]
+	for _, seed := range seeds {
+		upgrade := upgrades[seed%uint64(len(upgrades))]
+		for _, u := range upgrades {
+			if u.String() == os.Getenv("UPGRADE") {
+				upgrade = u
+			}
+		}
 		t.Run(fmt.Sprintf("%v, seed %d", upgrade, seed), func(t *testing.T) {
 			runSeed(t, soak.Options{Seed: seed, Binary: binary, OldBinary: old, Upgrade: upgrade, UpgradeEvery: time.Duration(500+500*(seed%4)) * time.Millisecond,
 				Daemons: daemons, Servers: max(minServers, daemons/daemonsPerServer) + serversPerCrashPart*int(seed%2), Callers: callersPerDaemon * daemons,
