--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -2,4 +2,4 @@
 # Plays the case in this folder. TROUBLE=0 leaves the disruption out.
 folder=$(cd "$(dirname "$0")" && pwd)
 cd "$folder/../.." || exit 2
-exec target/review clock "$folder"
+exec target/review drill "$folder"
--- a/review/tools/store.go
+++ b/review/tools/store.go
@@ -112,6 +112,14 @@
 	s.notify()
 }
 
+// back ends the absence with all that the store had.
+func (s *store) back() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.away = false
+	s.notify()
+}
+
 // comeBack ends the absence with the content of a copy: versions go back, and the era rises.
 func (s *store) comeBack(c storeCopy) {
 	s.mu.Lock()
