--- a/review/tools/daemon.go
+++ b/review/tools/daemon.go
@@ -33,6 +33,8 @@
 	process *os.Process
 	exited  chan struct{}
 	starts  int
+	// closed is set at the end of the play, after which the process isn't started again.
+	closed bool
 }
 
 // settingsText is laid out as DEPLOY.md shows it, with the figures of the small deployments.
@@ -162,6 +164,9 @@
 func (d *daemon) start() error {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	if d.closed {
+		return fmt.Errorf("%s is not started after the end of the play", d.node)
+	}
 	d.starts++
 	log, err := os.Create(filepath.Join(d.logs, fmt.Sprintf("%s-%d.log", d.node, d.starts)))
 	if err != nil {
@@ -218,6 +223,14 @@
 	<-exited
 }
 
+// close ends the process for good.
+func (d *daemon) close() {
+	d.mu.Lock()
+	d.closed = true
+	d.mu.Unlock()
+	d.kill()
+}
+
 // isReady makes the platform's readiness check.
 func (d *daemon) isReady() bool {
 	client := http.Client{Timeout: 500 * time.Millisecond, Transport: &http.Transport{DisableKeepAlives: true}}
--- a/review/tools/deployment.go
+++ b/review/tools/deployment.go
@@ -129,7 +129,7 @@
 func (d *deployment) close() {
 	close(d.stop)
 	for _, one := range d.daemons {
-		one.kill()
+		one.close()
 	}
 	if os.Getenv("KEEP") == "" {
 		_ = os.RemoveAll(d.folder)
