Add a review case: no stream is taken up after a loss of all soon after the first start

Cause: the stored row of versions isn't complete until two timeouts after the first start, and bootstrap isn't used.

--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -3,4 +3,4 @@
 folder=$(cd "$(dirname "$0")" && pwd)
 cd "$folder/../.." || exit 2
 [ -x target/review ] && [ -x target/monsooncrankd ] || exit 2
-exec target/review drill "$folder"
+exec target/review early "$folder"
--- a/review/tools/clock.go
+++ b/review/tools/clock.go
@@ -2,9 +2,11 @@
 
 import (
 	"bufio"
+	"cmp"
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -12,8 +14,10 @@
 )
 
 const (
-	// clockBehind is how far the time of day of a worker's machine is behind.
-	clockBehind = 2400 * time.Millisecond
+	// clockAhead is by how much the time of day of the machines that serve the clients is ahead.
+	clockAhead = 2400 * time.Millisecond
+	// steppedDaemons is the number of these machines: 2 of 7 are a share of 0.28.
+	steppedDaemons = 2
 	// upgradeTime is the time from the end of a worker's run to the start of the next one.
 	upgradeTime = 500 * time.Millisecond
 	// streamsPerSecond is the rate at which streams begin around the upgrade.
@@ -32,12 +36,20 @@
 )
 
 // playClock upgrades the last worker with an old version in place: it stops and starts again under
-// its ID with the version that the others have. The clock of its machine is behind.
+// its ID with the version that the others have. The time of day of two machines is ahead, to which
+// the clients of their zone are connected. As a play may not touch the clock, true time in it is the
+// time of day of this machine less clockAhead: workers state their starts in it. What the other
+// daemons take for the time of day is of no account, as they begin no streams.
 func playClock(d *deployment, trouble bool) ([]string, error) {
+	ahead := time.Duration(0)
+	if trouble {
+		ahead = clockAhead
+		d.record.add("clock: the time of day of %s and %s is %s ahead", machines[0].node, machines[1].node, ahead)
+	}
 	var workers []*modelWorker
 	for i, version := range []string{"v1", "v2", "v2"} {
 		w := &modelWorker{id: fmt.Sprintf("i-%08x", 0x3b000000+i), zone: machines[2*i].zone, store: d.store, record: d.record}
-		if err := w.start(version, 0); err != nil {
+		if err := w.start(version, ahead); err != nil {
 			return nil, fmt.Errorf("%w: %w", errCannotRun, err)
 		}
 		workers = append(workers, w)
@@ -47,7 +59,7 @@
 	}
 	// The versions are in the store, and the daemons know the servers for as long as streams last.
 	time.Sleep(16 * time.Second)
-	c := &streamClients{deployment: d}
+	c := &streamClients{deployment: d, first: steppedDaemons}
 	stop := make(chan struct{})
 	ended := make(chan struct{})
 	go func() {
@@ -57,12 +69,7 @@
 	time.Sleep(beforeUpgrade)
 	workers[0].crash()
 	time.Sleep(upgradeTime)
-	behind := time.Duration(0)
-	if trouble {
-		behind = clockBehind
-		d.record.add("clock: the time of day at %s is %s behind", workers[0].id, behind)
-	}
-	if err := workers[0].start("v2", behind); err != nil {
+	if err := workers[0].start("v2", ahead); err != nil {
 		return nil, fmt.Errorf("%w: %w", errCannotRun, err)
 	}
 	time.Sleep(afterUpgrade)
@@ -87,6 +94,21 @@
 	takenUp    int
 	refused    int
 	joined     []string
+	tries      []streamTry
+	// delay is the time after which a client takes a stream up again; 0 stands for takeUpDelay.
+	delay time.Duration
+	// first limits the daemons that the clients use to the first ones; 0 stands for all.
+	first int
+}
+
+// streamTry is one try of a client for a stream.
+type streamTry struct {
+	// origin is the try that brought the first event, or empty for a new stream.
+	origin string
+	daemon *daemon
+	at     time.Time
+	// goesOn is set if the try brought events.
+	goesOn bool
 }
 
 // run begins streams until stop is closed and waits for their ends.
@@ -133,7 +155,7 @@
 			c.mu.Unlock()
 			break
 		}
-		time.Sleep(takeUpDelay)
+		time.Sleep(cmp.Or(c.delay, takeUpDelay))
 	}
 	if len(versions) > 1 {
 		c.mu.Lock()
@@ -147,12 +169,21 @@
 func (c *streamClients) attempt(id, origin string, last int, deadline time.Time) (status int, versions []string, ended bool) {
 	r := c.deployment.record
 	c.deployment.clients.mu.Lock()
-	ready := c.deployment.clients.ready
+	ready := slices.Clone(c.deployment.clients.ready)
 	c.deployment.clients.mu.Unlock()
+	if c.first > 0 {
+		ready = slices.DeleteFunc(ready, func(one *daemon) bool { return !slices.Contains(c.deployment.daemons[:c.first], one) })
+	}
 	if len(ready) == 0 {
 		return 0, nil, false
 	}
 	d := ready[rand.IntN(len(ready))]
+	at := time.Now()
+	defer func() {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		c.tries = append(c.tries, streamTry{origin: origin, daemon: d, at: at, goesOn: len(versions) > 0})
+	}()
 	request, err := http.NewRequest(http.MethodPost, "http://"+d.front+streamPath+"x", strings.NewReader("question "+id))
 	if err != nil {
 		panic(err)
--- a/review/tools/daemon.go
+++ b/review/tools/daemon.go
@@ -33,6 +33,8 @@
 	process *os.Process
 	exited  chan struct{}
 	starts  int
+	// startedAt is the time of the last start.
+	startedAt time.Time
 	// closed is set at the end of the play, after which the process isn't started again.
 	closed bool
 }
@@ -178,7 +180,7 @@
 	if err := command.Start(); err != nil {
 		return err
 	}
-	d.process, d.exited = command.Process, make(chan struct{})
+	d.process, d.exited, d.startedAt = command.Process, make(chan struct{}), time.Now()
 	exited := d.exited
 	go func() {
 		_ = command.Wait()
--- a/review/tools/main.go
+++ b/review/tools/main.go
@@ -20,6 +20,7 @@
 var cases = map[string]func(*deployment, bool) ([]string, error){
 	"clock": playClock,
 	"drill": playDrill,
+	"early": playEarly,
 	"flap":  playFlap,
 	"hang":  playHang,
 	"held":  playHeld,
--- a/review/tools/stream.go
+++ b/review/tools/stream.go
@@ -33,8 +33,8 @@
 	server   *http.Server
 }
 
-// start starts a run of the worker. Its host's clock is behind by clockBehind.
-func (w *modelWorker) start(version string, clockBehind time.Duration) error {
+// start starts a run of the worker. The time of day of this machine is ahead of true time.
+func (w *modelWorker) start(version string, ahead time.Duration) error {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	address := w.address
@@ -46,7 +46,7 @@
 		return err
 	}
 	first := w.address == ""
-	w.address, w.version, w.born, w.down, w.sequence = listener.Addr().String(), version, time.Now().Add(-clockBehind).UnixMilli(), false, 0
+	w.address, w.version, w.born, w.down, w.sequence = listener.Addr().String(), version, time.Now().Add(-ahead).UnixMilli(), false, 0
 	run := &modelRun{worker: w, version: version, born: w.born}
 	w.server = &http.Server{Handler: run}
 	server := w.server
