--- a/coordination/idempotency/call.go
+++ b/coordination/idempotency/call.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/monsooncrank/monsooncrank/coordination/invariant"
+	"github.com/monsooncrank/monsooncrank/coordination/table"
 )
 
 const (
@@ -118,7 +119,7 @@
 }
 
 // claim writes a claim that replaces the given version of the row.
-func (c *Call) claim(version uint64, attempts int) []CallAction {
+func (c *Call) claim(version table.Version, attempts int) []CallAction {
 	c.phase = phaseClaiming
 	c.claimTries++
 	c.record = &Stored{ID: c.spec.ID, Version: version, Record: Record{
--- a/coordination/idempotency/record.go
+++ b/coordination/idempotency/record.go
@@ -154,7 +154,7 @@
 // Stored is a record together with its ID and the version of its row.
 type Stored struct {
 	ID      ID
-	Version uint64
+	Version table.Version
 	Record  Record
 }
 
@@ -197,7 +197,7 @@
 // ClaimWrites returns the writes of a claim. The version is 0 for the first claim
 // of a key, and for a later one the version of the not_run record that it
 // replaces.
-func ClaimWrites(id ID, version uint64, r *Record) []table.Write {
+func ClaimWrites(id ID, version table.Version, r *Record) []table.Write {
 	return []table.Write{
 		{Key: id.RowKey(), Version: version, Value: encode(r)},
 		{Key: id.OpenKey(), Version: 0, Value: encode(&OpenClaim{AttemptID: r.AttemptID, SettleAfterMillis: r.SettleAfterMillis})},
@@ -209,7 +209,7 @@
 func OutcomeWrites(current *Stored, r *Record) []table.Write {
 	writes := []table.Write{{Key: current.ID.RowKey(), Version: current.Version, Value: encode(r)}}
 	if current.Record.State == StateClaimed {
-		writes = append(writes, table.Write{Key: current.ID.OpenKey(), Version: 1, Delete: true})
+		writes = append(writes, table.Write{Key: current.ID.OpenKey(), Version: current.Version.Epoch().At(1), Delete: true})
 	}
 	return writes
 }
--- a/coordination/lease/core.go
+++ b/coordination/lease/core.go
@@ -59,11 +59,13 @@
 
 // Core is the state machine that manages the leases of one daemon.
 type Core struct {
-	options      CoreOptions
-	names        []string
-	leases       map[string]*leaseState
-	daemons      int
-	draining     bool
+	options  CoreOptions
+	names    []string
+	leases   map[string]*leaseState
+	daemons  int
+	draining bool
+	// epoch is that of the last list.
+	epoch        table.Epoch
 	listing      bool
 	listAt       time.Time
 	listInterval time.Duration
@@ -72,10 +74,13 @@
 // leaseState is what a daemon has observed of one lease.
 type leaseState struct {
 	name string
-	// version and row are as last read or written; version 0 means that there
-	// is no row.
-	version uint64
+	// version and row are as last read or written. A version that does not exist
+	// means that there is no row.
+	version table.Version
 	row     Row
+	// copied is set if the row was not written in the epoch of the version, so that
+	// another daemon may hold the lease by a later row that was lost.
+	copied bool
 	// known is set once the row or its absence has been observed, and unset while
 	// the row is corrupt.
 	known bool
@@ -108,7 +113,7 @@
 	purpose purpose
 	row     Row
 	// baseVersion is the version of the row that the write replaces.
-	baseVersion uint64
+	baseVersion table.Version
 	// sentAt is when the first try of the write, which may have been applied,
 	// was sent.
 	sentAt        time.Time
@@ -149,6 +154,10 @@
 		actions = append(actions, c.wrote(now, e)...)
 	case Peers:
 		c.daemons = max(e.Daemons, 1)
+	case EpochKnown:
+		if e.Epoch != c.epoch {
+			c.listAt = earlier(c.listAt, now)
+		}
 	case Drain:
 		c.draining = true
 	}
@@ -306,7 +315,7 @@
 		remaining--
 		actions = append(actions, c.write(now, l, purposeAcquire, Row{
 			Holder:              c.options.Holder,
-			FencingNumber:       l.row.FencingNumber + 1,
+			FencingNumber:       l.row.nextFencingNumber(l.version.Epoch()),
 			DurationMillis:      c.options.Duration.Milliseconds(),
 			OrderDeadlineMillis: c.options.OrderDeadline.Milliseconds(),
 		}))
@@ -317,15 +326,18 @@
 // write starts a compare-and-set. The lease starts at now, which is before the
 // request is sent.
 func (c *Core) write(now time.Time, l *leaseState, p purpose, row Row) Action {
-	l.pending = &pendingWrite{purpose: p, row: row, baseVersion: l.version, sentAt: now, earliestOrder: l.earliestOrderTime()}
+	l.pending = &pendingWrite{purpose: p, row: row, baseVersion: l.version, sentAt: now, earliestOrder: l.earliestOrderTime(c.options.OrderDeadline)}
 	return Write{Name: l.name, Write: table.Write{Key: RowKey(l.name), Version: l.version, Value: encodeRow(row)}}
 }
 
 // earliestOrderTime returns when no order of the row's holder can be in flight
 // any more. The holder stops sending orders at the latest when the lease may be
 // taken over.
-func (l *leaseState) earliestOrderTime() time.Time {
-	if l.version == 0 {
+func (l *leaseState) earliestOrderTime(deadline time.Duration) time.Time {
+	switch {
+	case l.copied:
+		return l.takeoverAt.Add(max(l.row.orderDeadline(), deadline))
+	case !l.version.Exists():
 		return time.Time{}
 	}
 	return l.takeoverAt.Add(l.row.orderDeadline())
--- a/coordination/lease/manager.go
+++ b/coordination/lease/manager.go
@@ -157,7 +157,7 @@
 		case event := <-m.events:
 			m.handle(event)
 		case <-timer.C():
-			m.handle(Tick{})
+			m.handle(EpochKnown{Epoch: m.options.Store.Epoch()})
 		case <-m.ctx.Done():
 			timer.Stop()
 			return
@@ -170,7 +170,8 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	now := m.options.Clock.Now()
-	return max(m.core.NextWake(now).Sub(now), time.Millisecond)
+	// The epoch of the table is looked at as often as a lease is renewed.
+	return max(min(m.core.NextWake(now).Sub(now), m.core.options.Duration/renewalsPerLease), time.Millisecond)
 }
 
 // handle passes an event to the Core and performs the resulting actions in order.
@@ -241,8 +242,10 @@
 	}
 }
 
+// list reads all rows. The list fails if the epoch of the table changes meanwhile.
 func (m *Manager) list(sentAt time.Time) {
 	defer m.running.Done()
+	epoch := m.options.Store.Epoch()
 	var items []table.Item
 	after := ""
 	for {
@@ -257,7 +260,7 @@
 		}
 		after = page[len(page)-1].Key.Sort
 	}
-	m.post(Listed{SentAt: sentAt, Items: items})
+	m.post(Listed{SentAt: sentAt, Epoch: epoch, Items: items, Failed: m.options.Store.Epoch() != epoch})
 }
 
 func (m *Manager) query(after string) ([]table.Item, error) {
--- a/coordination/lease/matrix_test.go
+++ b/coordination/lease/matrix_test.go
@@ -33,6 +33,8 @@
 		}
 		s.kill(s.nodes[0])
 	}},
+	{"table returns from an older copy", func(s *simulation) { s.drill(1) }},
+	{"table returns from an old copy", func(s *simulation) { s.drill(maxCopies) }},
 	{"messages delayed", func(s *simulation) { s.advance(simDuration - time.Second) }},
 }
 
--- a/coordination/lease/observe.go
+++ b/coordination/lease/observe.go
@@ -14,13 +14,18 @@
 		c.scheduleList(now)
 		return nil
 	}
+	c.epoch = e.Epoch
 	items := make(map[string]table.Item, len(e.Items))
 	for _, item := range e.Items {
 		items[item.Key.Sort] = item
 	}
 	var actions []Action
 	for _, name := range c.names {
-		actions = append(actions, c.observe(now, e.SentAt, c.leases[name], items[name])...)
+		item, exists := items[name]
+		if !exists {
+			item.Version = e.Epoch.At(0)
+		}
+		actions = append(actions, c.observe(now, e.SentAt, c.leases[name], item)...)
 	}
 	c.scheduleList(now)
 	return actions
@@ -69,7 +74,7 @@
 // observe processes the row of a lease as read by a request sent at sentAt.
 func (c *Core) observe(now, sentAt time.Time, l *leaseState, item table.Item) []Action {
 	row := Row{}
-	if item.Version > 0 {
+	if item.Version.Exists() {
 		decoded, err := decodeRow(item)
 		if err != nil {
 			// A lease whose row is corrupt must not be acquired.
@@ -79,35 +84,41 @@
 		row = decoded
 	}
 	if l.pending != nil {
-		return c.observePending(now, sentAt, l, item.Version, row)
+		return c.observePending(now, sentAt, l, item, row)
 	}
 	if item.Version < l.version {
 		// The read is older than the last known write.
 		return nil
 	}
-	return c.recordVersion(now, l, item.Version, row)
+	return c.recordVersion(now, l, item, row)
 }
 
 // recordVersion records a version of a row. The time until the lease may be taken
 // over starts when the version is first observed.
-func (c *Core) recordVersion(now time.Time, l *leaseState, version uint64, row Row) []Action {
-	if l.known && version == l.version {
+func (c *Core) recordVersion(now time.Time, l *leaseState, item table.Item, row Row) []Action {
+	if l.known && item.Version == l.version {
 		return nil
 	}
-	_ = c.options.Reporter.Check(row.FencingNumber >= l.row.FencingNumber, invariant.FencingNumberMonotonic,
+	sameEpoch := item.Version.Epoch() == l.version.Epoch()
+	_ = c.options.Reporter.Check(row.FencingNumber >= l.row.FencingNumber || !sameEpoch, invariant.FencingNumberMonotonic,
 		"fencing number of lease %s fell from %d to %d", l.name, l.row.FencingNumber, row.FencingNumber)
 	var actions []Action
 	if l.held {
-		// Another daemon can have taken the lease over only if this one did not
-		// renew it for longer than its own clock shows.
-		_ = c.options.Reporter.Check(false, invariant.LeaseExclusive,
+		// In the same epoch another daemon can have taken the lease over only if this
+		// one did not renew it for longer than its own clock shows.
+		_ = c.options.Reporter.Check(!sameEpoch, invariant.LeaseExclusive,
 			"lease %s with fencing number %d was taken over by %s while held", l.name, l.row.FencingNumber, row.Holder)
 		l.held = false
 		actions = append(actions, Lost{Name: l.name, FencingNumber: l.row.FencingNumber, Lapsed: true})
 	}
-	l.known, l.version, l.row, l.seenAt = true, version, row, now
+	l.known, l.version, l.row, l.seenAt = true, item.Version, row, now
+	// A row that does not exist was not written in the epoch either.
+	l.copied = item.Copied()
 	l.takeoverAt = now
-	if row.Holder != "" {
+	switch {
+	case l.copied:
+		l.takeoverAt = now.Add(max(row.duration(), c.options.Duration))
+	case row.Holder != "":
 		l.takeoverAt = now.Add(row.duration())
 	}
 	return actions
@@ -116,8 +127,8 @@
 // observePending resolves a write whose result is ambiguous. A read that was sent
 // before the write, or that returns an older version than the write replaces, is
 // not evidence of its result.
-func (c *Core) observePending(now, sentAt time.Time, l *leaseState, version uint64, row Row) []Action {
-	p := l.pending
+func (c *Core) observePending(now, sentAt time.Time, l *leaseState, item table.Item, row Row) []Action {
+	p, version := l.pending, item.Version
 	if !p.ambiguous || sentAt.Before(p.sentAt) || version < p.baseVersion {
 		return nil
 	}
@@ -128,7 +139,7 @@
 		return c.applied(now, l)
 	}
 	l.pending = nil
-	return c.recordVersion(now, l, version, row)
+	return c.recordVersion(now, l, item, row)
 }
 
 // retry resends a write that has not been applied yet. The earlier try may still
@@ -203,7 +214,7 @@
 	_ = c.options.Reporter.Check(p.row.FencingNumber >= l.row.FencingNumber, invariant.FencingNumberMonotonic,
 		"fencing number of lease %s fell from %d to %d", l.name, l.row.FencingNumber, p.row.FencingNumber)
 	wasHeld := l.held
-	l.known, l.version, l.row, l.seenAt = true, p.baseVersion+1, p.row, now
+	l.known, l.version, l.row, l.copied, l.seenAt = true, p.baseVersion+1, p.row, false, now
 	if p.purpose == purposeRelease {
 		l.takeoverAt = now
 		return nil
--- a/coordination/lease/types.go
+++ b/coordination/lease/types.go
@@ -8,6 +8,18 @@
 // lease on its own monotonic clock, from before it sends the request, and stops a
 // margin before the end. Another daemon takes the lease over only after it has
 // itself observed the same version unchanged for the whole duration.
+//
+// The table may return from an older copy, which begins a new epoch (table.Version).
+// Renewals and takeovers after the copy are lost then, and their versions are given out
+// again. Whatever a row of the copy says, or the absence of a row, another daemon may
+// hold the lease. Therefore
+//   - a holder that observes a new epoch stops acting;
+//   - a lease whose row was not written in the current epoch is taken over only after
+//     the whole duration of a lease, and orders are sent only after the order deadline;
+//   - fencing numbers of an epoch are higher than all of the epochs before.
+//
+// A holder that does not observe the new epoch cannot renew its lease, which ends before
+// another daemon may take it over, since the lease was renewed before the return.
 package lease
 
 import (
@@ -44,12 +56,13 @@
 func RowKey(name string) table.Key { return table.Key{Partition: Partition, Sort: name} }
 
 // Row is the value of a lease's row. The row is never deleted, so that its
-// fencing number never decreases.
+// fencing number decreases only if the table returns from an older copy.
 type Row struct {
 	// Holder identifies the holder and is unique for each start of a daemon.
 	// It is empty if the lease is released.
 	Holder string `json:"holder,omitempty"`
-	// FencingNumber rises with every acquisition.
+	// FencingNumber rises with every acquisition. Its upper bits are the epoch of the
+	// table in which the lease was acquired.
 	FencingNumber uint64 `json:"number"`
 	// DurationMillis is how long the lease lasts from its last write, in
 	// milliseconds.
@@ -59,6 +72,16 @@
 	OrderDeadlineMillis int64 `json:"order_deadline_ms"`
 }
 
+// fencingNumberBits is the size of the part of a fencing number that counts the acquisitions
+// in an epoch. Numbers fit in the 53 bits that JSON numbers hold exactly while the epoch is below
+// two million.
+const fencingNumberBits = 32
+
+// nextFencingNumber returns the number of an acquisition in an epoch that replaces the row.
+func (r Row) nextFencingNumber(epoch table.Epoch) uint64 {
+	return max(r.FencingNumber, uint64(epoch)<<fencingNumberBits) + 1
+}
+
 func (r Row) duration() time.Duration { return time.Duration(r.DurationMillis) * time.Millisecond }
 
 func (r Row) orderDeadline() time.Duration {
@@ -90,16 +113,18 @@
 	return fmt.Sprintf("lease %s is corrupt: %s", e.Key, e.Reason)
 }
 
-// Event is an input event of a Core: Tick, Listed, Wrote, Peers or Drain.
+// Event is an input event of a Core: Tick, Listed, Wrote, Peers, EpochKnown or Drain.
 type Event interface{ event() }
 
 // Tick reports only that time has passed.
 type Tick struct{}
 
-// Listed reports the result of a List. SentAt is when the request was sent; the
-// time of the event is when the answer was received.
+// Listed reports the result of a List, which was answered in an epoch of the table.
+// SentAt is when the request was sent; the time of the event is when the answer was
+// received.
 type Listed struct {
 	SentAt time.Time
+	Epoch  table.Epoch
 	Items  []table.Item
 	Failed bool
 }
@@ -129,14 +154,19 @@
 // Peers reports how many daemons share the leases, this one included.
 type Peers struct{ Daemons int }
 
+// EpochKnown reports the newest epoch of the table that is known. The rows are listed at
+// once if it is not that of the last list.
+type EpochKnown struct{ Epoch table.Epoch }
+
 // Drain requests the release of all leases; none is acquired afterwards.
 type Drain struct{}
 
-func (Tick) event()   {}
-func (Listed) event() {}
-func (Wrote) event()  {}
-func (Peers) event()  {}
-func (Drain) event()  {}
+func (Tick) event()       {}
+func (Listed) event()     {}
+func (Wrote) event()      {}
+func (Peers) event()      {}
+func (EpochKnown) event() {}
+func (Drain) event()      {}
 
 // Action is an action that a Core requests: List, Write, Acquired or Lost.
 type Action interface{ action() }
--- a/coordination/quarantine/persist.go
+++ b/coordination/quarantine/persist.go
@@ -136,11 +136,13 @@
 		var item table.Item
 		item, err = m.options.Store.Get(ctx, key)
 		var missing *table.NotFoundError
-		if err != nil && !errors.As(err, &missing) {
-			return err
-		}
-		if err == nil {
+		switch {
+		case err == nil:
 			m.mergeItem(item)
+		case errors.As(err, &missing):
+			item.Version = m.options.Store.Epoch().At(0)
+		default:
+			return err
 		}
 		m.mu.Lock()
 		delete(m.unsaved, fingerprint)
--- a/coordination/table/memtable/memtable.go
+++ b/coordination/table/memtable/memtable.go
@@ -4,6 +4,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"sort"
 	"sync"
 
@@ -47,8 +49,10 @@
 
 // Store is a table.Store in memory. It is safe for concurrent use.
 type Store struct {
-	mu    sync.Mutex
+	mu sync.Mutex
+	// rows holds the items with the number of their writes as their version.
 	rows  map[string]map[string]table.Item
+	epoch table.Epoch
 	fault func(Operation) Fault
 	stats Stats
 }
@@ -69,6 +73,48 @@
 	s.fault = fault
 }
 
+// Copy is a copy of the content of a Store.
+type Copy struct {
+	rows map[string]map[string]table.Item
+}
+
+// Copy returns a copy of the current content.
+func (s *Store) Copy() Copy {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return Copy{rows: cloneRows(s.rows)}
+}
+
+// Restore replaces the content by a copy, as when the service returns from a backup. This
+// begins a new epoch.
+func (s *Store) Restore(c Copy) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.rows = cloneRows(c.rows)
+	s.epoch++
+}
+
+func cloneRows(rows map[string]map[string]table.Item) map[string]map[string]table.Item {
+	cloned := make(map[string]map[string]table.Item, len(rows))
+	for partition, items := range rows {
+		cloned[partition] = maps.Clone(items)
+	}
+	return cloned
+}
+
+// Epoch implements table.Store.
+func (s *Store) Epoch() table.Epoch {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.epoch
+}
+
+// read returns an item as it is read in the current epoch.
+func (s *Store) read(item table.Item) table.Item {
+	item.Version = s.epoch.At(item.Version.Number())
+	return clone(item)
+}
+
 // Stats returns the operation counts so far.
 func (s *Store) Stats() Stats {
 	s.mu.Lock()
@@ -88,7 +134,7 @@
 	if !ok {
 		return table.Item{}, &table.NotFoundError{Key: key}
 	}
-	return clone(item), nil
+	return s.read(item), nil
 }
 
 // Query implements table.Store.
@@ -102,7 +148,7 @@
 	items := make([]table.Item, 0, len(s.rows[partition]))
 	for sortKey, item := range s.rows[partition] {
 		if sortKey > after {
-			items = append(items, clone(item))
+			items = append(items, s.read(item))
 		}
 	}
 	sort.Slice(items, func(i, j int) bool { return items[i].Key.Sort < items[j].Key.Sort })
@@ -137,7 +183,7 @@
 		return &table.ConditionFailedError{Indexes: failed}
 	}
 	s.apply(writes)
-	if fault == FaultAnswerLost {
+	if fault == FaultAnswerLost || s.isLate(writes) {
 		return &table.AmbiguousError{Reason: "injected loss"}
 	}
 	return nil
@@ -168,13 +214,27 @@
 	var failed []int
 	for i, w := range writes {
 		// A missing row has version 0, which is also the condition "absent".
-		if s.rows[w.Key.Partition][w.Key.Sort].Version != w.Version {
+		item := s.rows[w.Key.Partition][w.Key.Sort]
+		if item.Version.Number() != w.Version.Number() || item.Written > w.Version.Epoch() {
 			failed = append(failed, i)
 		}
 	}
 	return failed
 }
 
+// isFromEarlierEpoch reports whether a write was sent before the store returned from a copy. It
+// applies only to a row that has not been written in a later epoch than its own: the version is
+// then that of the same content.
+func (s *Store) isFromEarlierEpoch(w table.Write) bool {
+	return w.Version.Epoch() < s.epoch
+}
+
+// isLate reports whether a transaction that was sent in an earlier epoch was applied. Its caller
+// can't tell in which epoch.
+func (s *Store) isLate(writes []table.Write) bool {
+	return slices.ContainsFunc(writes, s.isFromEarlierEpoch)
+}
+
 func (s *Store) apply(writes []table.Write) {
 	for _, w := range writes {
 		s.stats.RowsWritten++
@@ -187,7 +247,7 @@
 			partition = make(map[string]table.Item)
 			s.rows[w.Key.Partition] = partition
 		}
-		partition[w.Key.Sort] = clone(table.Item{Key: w.Key, Version: w.Version + 1, Value: w.Value})
+		partition[w.Key.Sort] = clone(table.Item{Key: w.Key, Version: table.Version(w.Version.Number() + 1), Written: w.Version.Epoch(), Value: w.Value})
 	}
 }
 
--- a/coordination/table/table.go
+++ b/coordination/table/table.go
@@ -2,8 +2,20 @@
 // coordination packages use, and the errors it returns.
 //
 // The service offers conditional writes grouped in one atomic transaction.
-// Each row has a version that rises by one with every write, so that a writer
-// can make its change conditional on the exact row that it has read.
+// Each row has a version whose number rises by one with every write, so that a
+// writer can make its change conditional on the exact row that it has read.
+//
+// A store may return from an older copy of its content. What was written since the
+// copy is lost then, and numbers are given out again. Such a return begins a new
+// epoch. All implementations ensure that
+//   - everything that is read carries the epoch in which it was read;
+//   - a write applies only in the epoch of its version, or right after the return if
+//     the row has not been written since, which is reported as ambiguous;
+//   - an answer of an earlier epoch than the newest one known is an error.
+//
+// Users ensure that they write again what the store must hold, and conclude nothing
+// from rows that are missing, or that Item.Copied reports, about what was written in
+// earlier epochs.
 package table
 
 import (
@@ -25,19 +37,26 @@
 
 // Item is a row as read from the table.
 type Item struct {
-	Key     Key
-	Version uint64
+	Key Key
+	// Version consists of the epoch in which the row was read and the number of its writes.
+	Version Version
+	// Written is the epoch in which the row was written.
+	Written Epoch
 	Value   []byte
 }
 
+// Copied reports whether the row comes from the copy with which the store has returned, so
+// that later writes of it may be lost.
+func (i *Item) Copied() bool { return i.Written < i.Version.Epoch() }
+
 // Write is one conditional change of a row.
 //
-// Version is the version that the row must have for the write to apply; 0
-// means that the row must not exist. A write that puts a value leaves the row
-// at Version+1.
+// Version is the version that the row must have for the write to apply; the
+// number 0 means that the row must not exist. A write that puts a value leaves the
+// row at Version+1.
 type Write struct {
 	Key     Key
-	Version uint64
+	Version Version
 	Value   []byte
 	Delete  bool
 }
@@ -47,6 +66,8 @@
 // Implementations must not retry a write on their own: after a lost answer they
 // return AmbiguousError, and the caller decides whether to retry.
 type Store interface {
+	// Epoch returns the newest epoch that is known from the answers of the service.
+	Epoch() Epoch
 	// Get returns the row with the key, or NotFoundError.
 	Get(ctx context.Context, key Key) (Item, error)
 	// Query returns up to limit rows of a partition whose sort key is
--- a/pkg/deferred/owner.go
+++ b/pkg/deferred/owner.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"k8s.io/klog/v2"
+
+	"github.com/monsooncrank/monsooncrank/coordination/table"
 )
 
 // pollLoop periodically starts the open requests in the ranges that this daemon
@@ -86,7 +88,7 @@
 // startRun starts a run of a request unless the request is already running, is in
 // backoff or was claimed by a holder with a higher fencing number, or no further
 // run may be started.
-func (d *Driver) startRun(rangeIndex int, rec record, version uint64) {
+func (d *Driver) startRun(rangeIndex int, rec record, version table.Version) {
 	name := rowName(rec.ClientAccount, rec.RequestID)
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/pkg/deferred/run.go
+++ b/pkg/deferred/run.go
@@ -24,7 +24,7 @@
 	rangeIndex    int
 	fencingNumber uint64
 	rec           record
-	version       uint64
+	version       table.Version
 	ctx           context.Context
 	cancel        context.CancelFunc
 	done          chan struct{}
--- a/pkg/edge/duties.go
+++ b/pkg/edge/duties.go
@@ -90,7 +90,7 @@
 // storedSize is the row of a service in the table and its version.
 type storedSize struct {
 	row     sizeRow
-	version uint64
+	version table.Version
 	// writtenAt is when this daemon wrote the row.
 	writtenAt time.Time
 }
@@ -211,7 +211,7 @@
 	if err != nil {
 		return nil, errors.Trace(err)
 	}
-	err = u.daemon.platform.Transact(ctx, []table.Write{{Key: key, Value: value}})
+	err = u.daemon.platform.Transact(ctx, []table.Write{{Key: key, Version: u.daemon.platform.Epoch().At(0), Value: value}})
 	if err == nil {
 		return total, nil
 	}
--- a/pkg/edge/exchange.go
+++ b/pkg/edge/exchange.go
@@ -116,6 +116,9 @@
 	}
 	m.Fleet = s.fleet.ViewFor(node, neighbor.Fleet.Acknowledged, neighbor.FleetDigest, forward)
 	m.Fleet.AgeMillis, m.Fleet.Received = s.fleetAge().Milliseconds(), neighbor.Fleet.Received
+	if format, known := s.peers.FormatOf(node); known && format < mesh.FormatEpochs {
+		m.Fleet = m.Fleet.InEpoch(0)
+	}
 	return m
 }
 
@@ -185,6 +188,10 @@
 	if format, known := s.peers.FormatOf(m.Record.Node); !known || format != m.Format {
 		klog.InfoS("message format of a peer", "peer", m.Record.Node, "format", m.Format, "before", format, "own", mesh.CurrentFormat)
 	}
+	if m.Format < mesh.FormatEpochs {
+		// What such a daemon knows is of the epoch that this one knows, as far as it can tell.
+		m.Fleet = m.Fleet.InEpoch(s.fleet.Version().Epoch())
+	}
 	s.peers.UpdateNeighbor(bootNow(), m, requestedAt.IsZero())
 	s.recordPeerCatalogVersion(bootNow(), m.CatalogVersion)
 	s.updateRole(bootNow())
--- a/pkg/edge/platform.go
+++ b/pkg/edge/platform.go
@@ -18,18 +18,18 @@
 	table.Store
 	// ReadCatalog returns the newest configuration, or nil if there is none, and
 	// the version of the store.
-	ReadCatalog(ctx context.Context) (*catalog.Catalog, uint64, error)
+	ReadCatalog(ctx context.Context) (*catalog.Catalog, table.Version, error)
 	// WatchCatalog waits up to wait for a configuration written after version
 	// after. It returns a nil configuration if there was none, and
 	// HistoryLostError if the store no longer keeps the changes since that
 	// version.
-	WatchCatalog(ctx context.Context, after uint64, wait time.Duration) (*catalog.Catalog, uint64, error)
+	WatchCatalog(ctx context.Context, after table.Version, wait time.Duration) (*catalog.Catalog, table.Version, error)
 	// ReadServers returns the entries of all servers and the version of the
 	// store.
-	ReadServers(ctx context.Context) ([]fleet.Entry, uint64, error)
+	ReadServers(ctx context.Context) ([]fleet.Entry, table.Version, error)
 	// WatchServers waits up to wait for entries that changed after version
 	// after. It returns HistoryLostError as WatchCatalog does.
-	WatchServers(ctx context.Context, after uint64, wait time.Duration) ([]fleet.Entry, uint64, error)
+	WatchServers(ctx context.Context, after table.Version, wait time.Duration) ([]fleet.Entry, table.Version, error)
 	// DecodeCatalog decodes the source of a configuration received from a peer.
 	DecodeCatalog(source []byte) (*catalog.Catalog, error)
 	// ReportUsage reports the final counts of a usage window under a fencing
@@ -38,14 +38,14 @@
 	// RolloutOrders returns the operator's orders to move services to a software version, as
 	// of the last call of ReadCatalog or WatchCatalog, and the version of the store then. An
 	// order without a version to move to stands for a row that cannot be read.
-	RolloutOrders() ([]rollout.Order, uint64)
+	RolloutOrders() ([]rollout.Order, table.Version)
 	// ReadRolloutStatus returns what was stated of the roll-out of a service and the version
 	// of that statement, which is 0 if there is none.
-	ReadRolloutStatus(ctx context.Context, service string) (RolloutStatus, uint64, error)
+	ReadRolloutStatus(ctx context.Context, service string) (RolloutStatus, table.Version, error)
 	// WriteRolloutStatus replaces a statement of the given version and returns that of the
 	// new one. It returns table.ConditionFailedError if the statement, or the row of the own
 	// table that it follows from, has another version.
-	WriteRolloutStatus(ctx context.Context, service string, status RolloutStatus, version uint64, row table.Key, rowVersion uint64) (uint64, error)
+	WriteRolloutStatus(ctx context.Context, service string, status RolloutStatus, version table.Version, row table.Key, rowVersion table.Version) (table.Version, error)
 	// OrderServers orders servers under a fencing number. It returns
 	// NoCapacityError if the zone has none to offer.
 	OrderServers(ctx context.Context, fencingNumber uint64, order scaling.Order) error
--- a/pkg/edge/rollout.go
+++ b/pkg/edge/rollout.go
@@ -8,6 +8,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"k8s.io/klog/v2"
 
+	"github.com/monsooncrank/monsooncrank/coordination/table"
 	"github.com/monsooncrank/monsooncrank/pkg/fleet"
 	"github.com/monsooncrank/monsooncrank/pkg/mesh"
 	"github.com/monsooncrank/monsooncrank/pkg/placement"
@@ -34,7 +35,7 @@
 
 // orderSeen is when an order was first seen.
 type orderSeen struct {
-	revision uint64
+	revision table.Version
 	at       time.Time
 }
 
@@ -142,7 +143,7 @@
 }
 
 // applyOrders applies the operator's orders as of a version of the store.
-func (s *state) applyOrders(orders []rollout.Order, asOf uint64) {
+func (s *state) applyOrders(orders []rollout.Order, asOf table.Version) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if asOf == 0 {
--- a/pkg/edge/rolloutduty.go
+++ b/pkg/edge/rolloutduty.go
@@ -40,8 +40,8 @@
 // storedRollout is a row of the table: who decides on an order and what was decided. It is
 // changed under a condition only, so that there is one outcome of an order.
 type storedRollout struct {
-	Order uint64 `json:"order"`
-	To    string `json:"to"`
+	Order table.Version `json:"order"`
+	To    string        `json:"to"`
 	// Term increases whenever another daemon begins to decide.
 	Term             uint64        `json:"term"`
 	State            rollout.State `json:"state"`
@@ -56,14 +56,13 @@
 	return table.Key{Partition: rolloutPartition, Sort: service}
 }
 
-// readRollout reads the state of a service's roll-out and the version of the row, which is 0
-// if there is none.
-func readRollout(ctx context.Context, store table.Store, service string) (storedRollout, uint64, error) {
+// readRollout reads the state of a service's roll-out and the version of the row.
+func readRollout(ctx context.Context, store table.Store, service string) (storedRollout, table.Version, error) {
 	var stored storedRollout
 	item, err := store.Get(ctx, rolloutKey(service))
 	var missing *table.NotFoundError
 	if errors.As(err, &missing) {
-		return stored, 0, nil
+		return stored, store.Epoch().At(0), nil
 	}
 	if err != nil {
 		return stored, 0, err
@@ -92,7 +91,7 @@
 type rolloutDecider struct {
 	*rollout.Decider
 	stored  storedRollout
-	version uint64
+	version table.Version
 	// stated is set once the status says what is stored. Until then statement, if it is not
 	// nil, returns the result of writing it, and stateAgainAt is when to try again.
 	stated       bool
@@ -333,7 +332,7 @@
 type statement struct {
 	status RolloutStatus
 	// row is the version of the row that the status follows.
-	row    uint64
+	row    table.Version
 	before RolloutStatus
 	err    error
 }
@@ -355,7 +354,7 @@
 	done := make(chan statement, 1)
 	d.statement = done
 	go func() {
-		var version uint64
+		var version table.Version
 		next.before, version, next.err = platform.ReadRolloutStatus(ctx, service)
 		if next.err == nil && (version == 0 || next.before != next.status) {
 			_, next.err = platform.WriteRolloutStatus(ctx, service, next.status, version, rolloutKey(service), next.row)
--- a/pkg/edge/scaling.go
+++ b/pkg/edge/scaling.go
@@ -125,6 +125,7 @@
 	item, err := u.daemon.platform.Get(ctx, sizeKey(service))
 	var missing *table.NotFoundError
 	if errors.As(err, &missing) {
+		u.storedSizes[service] = storedSize{version: u.daemon.platform.Epoch().At(0)}
 		return nil
 	}
 	if err != nil {
--- a/pkg/edge/servers.go
+++ b/pkg/edge/servers.go
@@ -6,6 +6,8 @@
 
 	"github.com/juju/errors"
 	"k8s.io/klog/v2"
+
+	"github.com/monsooncrank/monsooncrank/coordination/table"
 )
 
 const (
@@ -32,10 +34,10 @@
 // serverFeed is this daemon's position in the store's changes of servers.
 type serverFeed struct {
 	// position is the store's version up to which this daemon has read.
-	position uint64
+	position table.Version
 	// required is the version from which on the store confirms the view. A list
 	// that was read from a store that is behind has a lower one.
-	required uint64
+	required table.Version
 }
 
 // isBehind reports whether the store has not returned all that was known before.
--- a/pkg/edge/store.go
+++ b/pkg/edge/store.go
@@ -71,7 +71,7 @@
 
 // followCatalog keeps the configuration up to date until the context ends.
 func (d *Daemon) followCatalog(ctx context.Context) {
-	var version uint64
+	var version table.Version
 	synced := false
 	for ctx.Err() == nil {
 		var err error
@@ -101,7 +101,7 @@
 }
 
 // readCatalog reads the newest configuration and puts it in force.
-func (d *Daemon) readCatalog(ctx context.Context) (uint64, error) {
+func (d *Daemon) readCatalog(ctx context.Context) (table.Version, error) {
 	c, version, err := d.platform.ReadCatalog(ctx)
 	if err == nil {
 		d.state.applyOrders(d.platform.RolloutOrders())
@@ -112,7 +112,7 @@
 
 // watchCatalog waits for a configuration newer than version after and puts it in
 // force. It returns the version from which to watch next.
-func (d *Daemon) watchCatalog(ctx context.Context, after uint64, wait time.Duration) (uint64, error) {
+func (d *Daemon) watchCatalog(ctx context.Context, after table.Version, wait time.Duration) (table.Version, error) {
 	c, version, err := d.platform.WatchCatalog(ctx, after, wait)
 	if err != nil {
 		return after, err
@@ -164,7 +164,7 @@
 // other daemons, unless a hub tells it of them.
 func (d *Daemon) register(ctx context.Context) {
 	startedAt := time.Now()
-	var row ownRow
+	row := ownRow{version: d.platform.Epoch().At(0)}
 	for ctx.Err() == nil {
 		var err error
 		told := d.toldOfDaemons()
@@ -192,7 +192,7 @@
 
 // ownRow is what a daemon knows of its row.
 type ownRow struct {
-	version     uint64
+	version     table.Version
 	refreshed   uint64
 	refreshedAt time.Time
 }
@@ -244,13 +244,13 @@
 	case readErr == nil:
 		own.version = item.Version
 	case errors.As(readErr, &missing):
-		own.version = 0
+		own.version = d.platform.Epoch().At(0)
 	}
 	return err
 }
 
 // updatePeerEntry applies a daemon's row to the directory and the quotas.
-func (d *Daemon) updatePeerEntry(node string, row daemonRow, version uint64) {
+func (d *Daemon) updatePeerEntry(node string, row daemonRow, version table.Version) {
 	s := d.state
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/pkg/edge/storedstreams.go
+++ b/pkg/edge/storedstreams.go
@@ -41,11 +41,11 @@
 // streamRow is what a daemon knows of its row of records.
 type streamRow struct {
 	key     table.Key
-	version uint64
+	version table.Version
 }
 
 func (s *state) newStreamRow() *streamRow {
-	return &streamRow{key: table.Key{Partition: streamsPartition, Sort: fmt.Sprintf("%s/%016x", s.settings.Node, s.incarnation)}}
+	return &streamRow{key: table.Key{Partition: streamsPartition, Sort: fmt.Sprintf("%s/%016x", s.settings.Node, s.incarnation)}, version: s.versionStore.Epoch().At(0)}
 }
 
 // storeStreams keeps the records of this daemon's streams in the store until the context ends.
@@ -144,7 +144,7 @@
 	case err == nil:
 		r.version = item.Version
 	case errors.As(err, &missing):
-		r.version = 0
+		r.version = store.Epoch().At(0)
 	default:
 		return err
 	}
@@ -210,7 +210,7 @@
 type storedStreams struct {
 	cleanedAt time.Time
 	// versions holds the versions of the rows when they were last looked at.
-	versions map[string]uint64
+	versions map[string]table.Version
 }
 
 // deleteOldStreams deletes the rows that have not changed since they were last looked at: those of
@@ -229,7 +229,7 @@
 		klog.InfoS("failed to read the stored records of streams", "err", err)
 		return
 	}
-	versions := make(map[string]uint64, len(items))
+	versions := make(map[string]table.Version, len(items))
 	for _, item := range items {
 		if before, known := old.versions[item.Key.Sort]; !known || before != item.Version {
 			versions[item.Key.Sort] = item.Version
--- a/pkg/edge/versions.go
+++ b/pkg/edge/versions.go
@@ -41,7 +41,7 @@
 type storedVersions struct {
 	loaded bool
 	// version is that of the row, or 0 if there is none.
-	version uint64
+	version table.Version
 	row     streamversion.Row
 }
 
@@ -93,13 +93,13 @@
 	return u.daemon.platform.Transact(ctx, []table.Write{{Key: earlierVersionsKey, Version: item.Version, Delete: true}})
 }
 
-// readVersions reads the row of the versions in use and its version, which is 0 if there is none.
-func readVersions(ctx context.Context, store table.Store) (uint64, streamversion.Row, error) {
+// readVersions reads the row of the versions in use and its version.
+func readVersions(ctx context.Context, store table.Store) (table.Version, streamversion.Row, error) {
 	item, err := store.Get(ctx, versionsKey)
 	var missing *table.NotFoundError
 	switch {
 	case errors.As(err, &missing):
-		return 0, streamversion.Row{}, nil
+		return store.Epoch().At(0), streamversion.Row{}, nil
 	case err != nil:
 		return 0, streamversion.Row{}, err
 	}
@@ -111,7 +111,7 @@
 }
 
 // writeVersions writes the row of the versions in use if it still has the given version.
-func writeVersions(ctx context.Context, store table.Store, version uint64, row streamversion.Row) error {
+func writeVersions(ctx context.Context, store table.Store, version table.Version, row streamversion.Row) error {
 	value, err := json.Marshal(row)
 	if err != nil {
 		return errors.Annotate(err, "encode the software versions")
--- a/pkg/fleet/core.go
+++ b/pkg/fleet/core.go
@@ -5,22 +5,23 @@
 	"time"
 
 	"github.com/monsooncrank/monsooncrank/coordination/changelog"
+	"github.com/monsooncrank/monsooncrank/coordination/table"
 )
 
 // member is a server in the view.
 type member struct {
 	server Server
 	// version is the store's version of the newest state that is known.
-	version uint64
+	version table.Version
 	// missing is set while the entry is missing and the server is kept until
 	// removeAt. The entry was first missing at missingVersion.
 	missing        bool
-	missingVersion uint64
+	missingVersion table.Version
 	removeAt       time.Time
 }
 
 // newest returns the version of the newest state of the entry, present or missing.
-func (m *member) newest() uint64 {
+func (m *member) newest() table.Version {
 	if m.missing {
 		return max(m.version, m.missingVersion)
 	}
@@ -29,7 +30,7 @@
 
 // removal records that an ID was removed.
 type removal struct {
-	version uint64
+	version table.Version
 	// inferred is set unless the store has returned the removal itself: a list, which
 	// may have been behind, lacked the server, or a peer has told of the removal.
 	inferred bool
@@ -45,14 +46,19 @@
 // the removal at the same version. Views that reach the daemon in any order, from
 // the store or from peers, therefore lead to the same result, and an older view
 // neither restores a removed server nor hides that one is leaving.
+//
+// When the store returns from an older copy, the entries of the copy keep the versions
+// of the epoch in which they were written, so that they replace nothing that was learned
+// after the copy. Entries that the copy lacks may have been lost: their servers are kept
+// for the grace period, as after an outage.
 type Core struct {
 	options Options
 	members map[string]*member
 	// version is the store's version as of which the view is complete.
-	version     uint64
+	version     table.Version
 	initialized bool
 	// newestVersion is the highest version of any state that is known.
-	newestVersion uint64
+	newestVersion table.Version
 	// removed holds the removed IDs, so that an older view does not restore them.
 	removed     map[string]removal
 	saidLeaving leavingStatements
@@ -77,11 +83,11 @@
 func (c *Core) Initialized() bool { return c.initialized }
 
 // Version returns the store's version as of which the view is complete.
-func (c *Core) Version() uint64 { return c.version }
+func (c *Core) Version() table.Version { return c.version }
 
 // NewestVersion returns the highest version of the store of which anything is
 // known. A list of a lower version lacks changes that this daemon has.
-func (c *Core) NewestVersion() uint64 { return max(c.newestVersion, c.version) }
+func (c *Core) NewestVersion() table.Version { return max(c.newestVersion, c.version) }
 
 // MarkStoreUnavailable records that the store does not answer this daemon.
 func (c *Core) MarkStoreUnavailable() { c.storeUnavailable = true }
@@ -95,7 +101,7 @@
 
 // ApplySnapshot applies a full list of the store as of version. Servers that it
 // lacks were removed, unless what is known of them is newer.
-func (c *Core) ApplySnapshot(now time.Time, version uint64, entries []Entry) []Event {
+func (c *Core) ApplySnapshot(now time.Time, version table.Version, entries []Entry) []Event {
 	src := source{listVersion: version, current: version >= c.version}
 	present := make(map[string]bool, len(entries))
 	var events []Event
@@ -115,7 +121,7 @@
 
 // ApplyChanges applies the entries that changed in the store up to version, as
 // continued from a list or from earlier changes.
-func (c *Core) ApplyChanges(now time.Time, version uint64, entries []Entry) []Event {
+func (c *Core) ApplyChanges(now time.Time, version table.Version, entries []Entry) []Event {
 	var events []Event
 	src := source{current: version >= c.version}
 	for _, e := range entries {
@@ -130,7 +136,7 @@
 	// peer is the daemon that has sent the view, or empty for the store.
 	peer string
 	// listVersion is the store's version of a full list, and otherwise 0.
-	listVersion uint64
+	listVersion table.Version
 	// current is set if the store's answer is at least as new as this daemon's view:
 	// servers that the daemon doesn't know were then missed by it. In an older answer,
 	// or in a peer's view, they have been removed since.
@@ -138,11 +144,14 @@
 }
 
 // disproves reports whether an entry shows that the inference of a removal as of a
-// version was wrong: a later list has it. Changes may be from before the removal.
-func (s *source) disproves(removedVersion uint64) bool { return s.listVersion > removedVersion }
+// version was wrong: a later list has it. Changes may be from before the removal, and
+// so may the entries of a copy with which the store has returned.
+func (s *source) disproves(removed table.Version) bool {
+	return s.listVersion > removed
+}
 
 // setComplete records that the view is complete as of version.
-func (c *Core) setComplete(version uint64) {
+func (c *Core) setComplete(version table.Version) {
 	c.initialized, c.version = true, max(c.version, version)
 }
 
@@ -240,7 +249,7 @@
 
 // applyRemoval applies the removal of an entry. A peer reports a removal once its
 // own grace period is over.
-func (c *Core) applyRemoval(now time.Time, m *member, version uint64, src source, events []Event) []Event {
+func (c *Core) applyRemoval(now time.Time, m *member, version table.Version, src source, events []Event) []Event {
 	switch {
 	case version < m.version:
 		c.correctPeer(m, &Entry{ID: m.server.ID, Version: version}, src)
@@ -281,7 +290,7 @@
 // these removals are sent all entries; that they still have the server shows by the
 // digest.
 func (c *Core) dropOldTombstones() {
-	versions := make([]uint64, 0, len(c.removed))
+	versions := make([]table.Version, 0, len(c.removed))
 	for _, r := range c.removed {
 		versions = append(versions, r.version)
 	}
--- a/pkg/fleet/fleet.go
+++ b/pkg/fleet/fleet.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"github.com/monsooncrank/monsooncrank/coordination/table"
 )
 
 // Server describes one run of a BackendServer, from its start to its end.
@@ -53,7 +55,7 @@
 	Server *Server `cbor:"2,keyasint,omitempty"`
 	// Version is the store's version at which the entry had this state: when it was
 	// written or removed, or, for an entry that a list lacks, the list's version.
-	Version uint64 `cbor:"3,keyasint,omitempty"`
+	Version table.Version `cbor:"3,keyasint,omitempty"`
 }
 
 // Options configures a Core.
--- a/pkg/fleet/peers.go
+++ b/pkg/fleet/peers.go
@@ -2,16 +2,18 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"github.com/monsooncrank/monsooncrank/coordination/changelog"
+	"github.com/monsooncrank/monsooncrank/coordination/table"
 )
 
 // View is a daemon's view of the servers as it is sent to a peer, or the part of it
 // that the peer lacks.
 type View struct {
 	// Version is the store's version as of which the sender's view is complete.
-	Version uint64 `cbor:"1,keyasint,omitempty"`
+	Version table.Version `cbor:"1,keyasint,omitempty"`
 	// Digest is a hash of the servers in the sender's view.
 	Digest uint64 `cbor:"2,keyasint,omitempty"`
 	// Entries holds what the receiver lacks, and Span the sender's changes that
@@ -25,6 +27,17 @@
 	Received changelog.Position `cbor:"6,keyasint"`
 }
 
+// InEpoch returns the view with all its versions in an epoch, for a daemon that does not know epochs
+// or from one.
+func (v View) InEpoch(epoch table.Epoch) View {
+	v.Version = epoch.At(v.Version.Number())
+	v.Entries = slices.Clone(v.Entries)
+	for i := range v.Entries {
+		v.Entries[i].Version = epoch.At(v.Entries[i].Version.Number())
+	}
+	return v
+}
+
 // Head returns the position of this daemon's newest change.
 func (c *Core) Head() changelog.Position { return c.log.Head() }
 
--- a/pkg/mesh/directory.go
+++ b/pkg/mesh/directory.go
@@ -8,6 +8,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/monsooncrank/monsooncrank/coordination/changelog"
+	"github.com/monsooncrank/monsooncrank/coordination/table"
 	"github.com/monsooncrank/monsooncrank/pkg/serverlimit"
 )
 
@@ -88,9 +89,11 @@
 	// daemons, of placements and of the speeds of servers.
 	Quarantine, Limits, Fleet, Members, Placed, Speeds Progress
 
+	// FinalWindows holds the usage windows of which the daemon knows the final counts.
+	FinalWindows []int64
 	// listedVersion is the version of the daemon's entry in the store, and
 	// listedAt the time of its last change.
-	listedVersion  uint64
+	listedVersion  table.Version
 	listedAt       time.Time
 	lastMessageAt  time.Time
 	wallOffset     time.Duration
@@ -126,7 +129,7 @@
 	peers   map[string]*Peer
 	// removedVersions holds the last known version of the store entry of each
 	// removed daemon, by node, because the entry remains in the store.
-	removedVersions map[string]uint64
+	removedVersions map[string]table.Version
 	revision        uint64
 	lastRequestAt   time.Time
 	// hubs caches the ranked hubs until hubsValid is cleared.
@@ -145,14 +148,14 @@
 
 // NewDirectory returns a Directory without peers for one run of the daemon named self.
 func NewDirectory(self string, run uint64, weight float64, options Options) *Directory {
-	return &Directory{options: options, self: self, weight: weight, peers: make(map[string]*Peer), removedVersions: make(map[string]uint64),
+	return &Directory{options: options, self: self, weight: weight, peers: make(map[string]*Peer), removedVersions: make(map[string]table.Version),
 		members: newMemberList(run)}
 }
 
 // UpdateEntry applies a daemon's entry in the store. The version changes with
 // each refresh of the entry. UpdateEntry returns false if the daemon is this one,
 // or if it was removed and the entry has not changed since.
-func (d *Directory) UpdateEntry(now time.Time, node, address string, weight float64, version uint64) bool {
+func (d *Directory) UpdateEntry(now time.Time, node, address string, weight float64, version table.Version) bool {
 	if removedVersion, ok := d.removedVersions[node]; node == d.self || ok && removedVersion == version {
 		return false
 	}
@@ -227,6 +230,7 @@
 	if p.format < FormatDigests {
 		d.oldestAt = time.Time{}
 	}
+	p.FinalWindows = m.FinalWindows
 	p.CatalogVersion, p.FleetDigest, p.Fleet.Acknowledged = m.CatalogVersion, m.Fleet.Digest, m.Fleet.Received
 	p.wallOffset = time.UnixMilli(m.WallUnixMilli).Sub(now)
 	p.nextExchangeAt = now.Add(d.interval(p.Node))
--- a/pkg/mesh/format.go
+++ b/pkg/mesh/format.go
@@ -28,10 +28,13 @@
 	// FormatDemands is that of daemons which also state the speeds of servers, the demand for
 	// services and the answers of versions that are rolled out.
 	FormatDemands
+	// FormatEpochs is that of daemons which order versions of the store by its epoch and state the
+	// final counts of usage windows.
+	FormatEpochs
 )
 
 // CurrentFormat is the format of this version.
-const CurrentFormat = FormatDemands
+const CurrentFormat = FormatEpochs
 
 // formatMemory is how long a daemon that was heard counts when the oldest format is determined.
 // It covers the restart of a daemon, after which it states another one.
--- a/pkg/mesh/message.go
+++ b/pkg/mesh/message.go
@@ -16,6 +16,7 @@
 
 	"github.com/monsooncrank/monsooncrank/coordination/changelog"
 	"github.com/monsooncrank/monsooncrank/coordination/quarantine"
+	"github.com/monsooncrank/monsooncrank/coordination/table"
 	"github.com/monsooncrank/monsooncrank/pkg/contention"
 	"github.com/monsooncrank/monsooncrank/pkg/fleet"
 	"github.com/monsooncrank/monsooncrank/pkg/placement"
@@ -140,13 +141,17 @@
 	// Rollouts holds all roll-outs that the sender knows of, and RolloutsAsOf the store's
 	// version up to which it knows all orders.
 	Rollouts     []rollout.Entry `cbor:"34,keyasint,omitempty"`
-	RolloutsAsOf uint64          `cbor:"35,keyasint,omitempty"`
+	RolloutsAsOf table.Version   `cbor:"35,keyasint,omitempty"`
 	// Speeds holds the estimated speeds of servers that the receiver lacks, and SpeedsReceived is
 	// how far the sender has received those of the receiver.
 	Speeds         *serverspeed.Told   `cbor:"38,keyasint,omitempty"`
 	SpeedsReceived *changelog.Position `cbor:"39,keyasint,omitempty"`
+	// FinalWindows holds the usage windows of which the sender knows the final counts, and
+	// FinalCounts those counts that the receiver lacks.
+	FinalWindows []int64       `cbor:"42,keyasint,omitempty"`
+	FinalCounts  usage.Windows `cbor:"43,keyasint,omitempty"`
 	// RolloutsWithdrawn holds, by service, the store's version at which there was no order.
-	RolloutsWithdrawn map[string]uint64 `cbor:"36,keyasint,omitempty"`
+	RolloutsWithdrawn map[string]table.Version `cbor:"36,keyasint,omitempty"`
 }
 
 // Encode returns the CBOR encoding of the message.
--- a/pkg/placement/types.go
+++ b/pkg/placement/types.go
@@ -7,6 +7,7 @@
 import (
 	"time"
 
+	"github.com/monsooncrank/monsooncrank/coordination/table"
 	"github.com/monsooncrank/monsooncrank/pkg/fleet"
 )
 
@@ -98,7 +99,7 @@
 	// part.
 	Limited bool
 	// FleetVersion and FleetAge identify the view of the fleet that was used.
-	FleetVersion uint64
+	FleetVersion table.Version
 	FleetAge     time.Duration
 }
 
--- a/pkg/providers/tableservice/client.go
+++ b/pkg/providers/tableservice/client.go
@@ -84,6 +84,9 @@
 // Close closes idle connections.
 func (c *Client) Close() { c.http.CloseIdleConnections() }
 
+// Epoch implements table.Store. The service never returns from an older copy.
+func (c *Client) Epoch() table.Epoch { return 0 }
+
 // Get implements table.Store.
 func (c *Client) Get(ctx context.Context, key table.Key) (table.Item, error) {
 	ctx, cancel := context.WithTimeout(ctx, c.timeout)
@@ -159,7 +162,7 @@
 		}}
 	}
 	item := keyAttributes(w.Key)
-	item[attributeVersion] = numberAttribute(w.Version + 1)
+	item[attributeVersion] = numberAttribute(uint64(w.Version) + 1)
 	item[attributeValue] = &types.AttributeValueMemberB{Value: w.Value}
 	return types.TransactWriteItem{Put: &types.Put{
 		TableName:                 aws.String(c.table),
@@ -171,11 +174,11 @@
 
 // versionCondition returns the condition that the row has the given version,
 // and its expression values. Version 0 requires that the row does not exist.
-func versionCondition(version uint64) (*string, map[string]types.AttributeValue) {
+func versionCondition(version table.Version) (*string, map[string]types.AttributeValue) {
 	if version == 0 {
 		return aws.String("attribute_not_exists(pk)"), nil
 	}
-	return aws.String("version = :version"), map[string]types.AttributeValue{":version": numberAttribute(version)}
+	return aws.String("version = :version"), map[string]types.AttributeValue{":version": numberAttribute(uint64(version))}
 }
 
 // transactError maps the error of a transaction. Only an error that proves that
@@ -241,7 +244,7 @@
 	}
 	return table.Item{
 		Key:     table.Key{Partition: partition.Value, Sort: sortKey.Value},
-		Version: parsed,
+		Version: table.Version(parsed),
 		Value:   value.Value,
 	}, nil
 }
--- a/pkg/publish/head_update.go
+++ b/pkg/publish/head_update.go
@@ -14,7 +14,7 @@
 	*Publisher
 	record Record
 	// headVersion is the version of the head row that the update requires.
-	headVersion uint64
+	headVersion table.Version
 	// ambiguous is set when an answer was lost, either here or by a caller that
 	// sends its publish ID again. The update may have been applied then, which
 	// only a read can determine.
--- a/pkg/publish/publisher.go
+++ b/pkg/publish/publisher.go
@@ -181,7 +181,7 @@
 
 // readHead reads the head row and its version. Both are zero before the first
 // publish.
-func readHead(ctx context.Context, store table.Store) (Record, uint64, error) {
+func readHead(ctx context.Context, store table.Store) (Record, table.Version, error) {
 	item, err := store.Get(ctx, headKey)
 	var missing *table.NotFoundError
 	if errors.As(err, &missing) {
--- a/pkg/rollout/follower.go
+++ b/pkg/rollout/follower.go
@@ -7,6 +7,7 @@
 	"slices"
 	"time"
 
+	"github.com/monsooncrank/monsooncrank/coordination/table"
 	"github.com/monsooncrank/monsooncrank/pkg/fleet"
 )
 
@@ -25,13 +26,13 @@
 	random   *rand.Rand
 	services map[string]*service
 	// ordersAsOf is the store's version up to which all orders are known.
-	ordersAsOf uint64
+	ordersAsOf table.Version
 	// readAsOf is the store's version up to which this daemon has read all orders itself, and
 	// unreadable holds the services whose rows stated no order then.
-	readAsOf   uint64
+	readAsOf   table.Version
 	unreadable map[string]bool
 	// withdrawn holds, by service, a version of the store at which there was no order.
-	withdrawn map[string]uint64
+	withdrawn map[string]table.Version
 	// told holds the excess of bad answers of all daemons, by service.
 	told     map[string]Excess
 	attempts map[string]*attempt
@@ -42,7 +43,7 @@
 // versionInUse is a software version of a service.
 type versionInUse struct {
 	// since is the store's version at which this daemon first saw the version.
-	since uint64
+	since table.Version
 	// seenAt is when that was.
 	seenAt  time.Time
 	servers map[string]bool
@@ -73,7 +74,7 @@
 // attempt is an attempt at a server that has not ended.
 type attempt struct {
 	service   string
-	order     uint64
+	order     table.Version
 	route     string
 	version   string
 	server    string
@@ -87,7 +88,7 @@
 
 // NewFollower returns a Follower that knows no orders.
 func NewFollower(bounds Bounds, seed uint64) *Follower {
-	return &Follower{bounds: bounds, random: rand.New(rand.NewPCG(seed, 0)), services: make(map[string]*service), withdrawn: make(map[string]uint64), told: make(map[string]Excess),
+	return &Follower{bounds: bounds, random: rand.New(rand.NewPCG(seed, 0)), services: make(map[string]*service), withdrawn: make(map[string]table.Version), told: make(map[string]Excess),
 		attempts: make(map[string]*attempt), versions: make(map[string]map[string]*versionInUse)}
 }
 
@@ -98,7 +99,7 @@
 func (f *Follower) Active() bool { return len(f.services) > 0 }
 
 // HandleServer applies a change of the fleet that was learned at a version of the store.
-func (f *Follower) HandleServer(now time.Time, e *fleet.Event, storeVersion uint64) {
+func (f *Follower) HandleServer(now time.Time, e *fleet.Event, storeVersion table.Version) {
 	if !f.Enabled() {
 		return
 	}
@@ -143,7 +144,7 @@
 // SetOrders applies all orders that were read from the store as of a version. An order that is
 // no longer there is forgotten. An order without a version to move to stands for a row that
 // cannot be read: an earlier order for its service stays.
-func (f *Follower) SetOrders(now time.Time, orders []Order, asOf uint64) {
+func (f *Follower) SetOrders(now time.Time, orders []Order, asOf table.Version) {
 	if !f.Enabled() || asOf < f.readAsOf {
 		return
 	}
@@ -167,7 +168,7 @@
 // LearnOrders applies the orders that another daemon knows, which says that it knows all up to
 // a version of the store. It may have none where it can't read one: an order that it does not
 // know is kept.
-func (f *Follower) LearnOrders(now time.Time, orders []Order, asOf uint64) {
+func (f *Follower) LearnOrders(now time.Time, orders []Order, asOf table.Version) {
 	if !f.Enabled() {
 		return
 	}
@@ -181,7 +182,7 @@
 
 // Withdraw applies what another daemon knows of withdrawn orders: by service, a version of the
 // store at which there was none.
-func (f *Follower) Withdraw(withdrawn map[string]uint64) {
+func (f *Follower) Withdraw(withdrawn map[string]table.Version) {
 	if !f.Enabled() {
 		return
 	}
@@ -191,14 +192,14 @@
 }
 
 // Withdrawn returns what other daemons are told of withdrawn orders.
-func (f *Follower) Withdrawn() map[string]uint64 {
+func (f *Follower) Withdrawn() map[string]table.Version {
 	if len(f.withdrawn) == 0 {
 		return nil
 	}
 	return maps.Clone(f.withdrawn)
 }
 
-func (f *Follower) withdraw(name string, asOf uint64) {
+func (f *Follower) withdraw(name string, asOf table.Version) {
 	f.withdrawn[name] = max(f.withdrawn[name], asOf)
 	if s, ok := f.services[name]; ok && s.entry.Order.Revision <= asOf {
 		delete(f.services, name)
@@ -265,7 +266,7 @@
 }
 
 // OrdersAsOf returns the store's version up to which all orders are known.
-func (f *Follower) OrdersAsOf() uint64 { return f.ordersAsOf }
+func (f *Follower) OrdersAsOf() table.Version { return f.ordersAsOf }
 
 // Unsettled reports whether a version is in use of which it is not known whether an order is
 // about to move traffic to it.
--- a/pkg/rollout/rollout.go
+++ b/pkg/rollout/rollout.go
@@ -7,6 +7,8 @@
 import (
 	"fmt"
 	"time"
+
+	"github.com/monsooncrank/monsooncrank/coordination/table"
 )
 
 // Bounds limits what a bad version may get. Roll-outs are handled only if MaxShare is set.
@@ -27,7 +29,7 @@
 	Service string `cbor:"1,keyasint"`
 	To      string `cbor:"2,keyasint"`
 	// Revision is the store's version of the order. A later order has a higher one.
-	Revision uint64 `cbor:"3,keyasint"`
+	Revision table.Version `cbor:"3,keyasint"`
 	// Duration is the time from the order to its deadline.
 	Duration time.Duration `cbor:"4,keyasint"`
 }
@@ -156,7 +158,7 @@
 // Counts is what one daemon has counted since it learned of an order.
 type Counts struct {
 	// Order is the revision of the order.
-	Order uint64 `cbor:"1,keyasint"`
+	Order table.Version `cbor:"1,keyasint"`
 	// Sent counts the attempts at servers of the service and SentNew those at servers of
 	// the new version.
 	Sent    uint64 `cbor:"2,keyasint"`
@@ -169,12 +171,12 @@
 
 // Sum holds the counts of all daemons for an order.
 type Sum struct {
-	Order         uint64
+	Order         table.Version
 	Sent, SentNew uint64
 	cells         map[cellKey]*Cell
 }
 
-func newSum(order uint64) *Sum { return &Sum{Order: order, cells: make(map[cellKey]*Cell)} }
+func newSum(order table.Version) *Sum { return &Sum{Order: order, cells: make(map[cellKey]*Cell)} }
 
 func (s *Sum) cell(route, server string) *Cell {
 	key := cellKey{route, server}
@@ -284,7 +286,7 @@
 }
 
 // Sum returns the sum of all counts for an order; it is nil if there are none.
-func (t *Totals) Sum(service string, order uint64) *Sum {
+func (t *Totals) Sum(service string, order table.Version) *Sum {
 	if s, ok := t.sums[service]; ok && s.Order == order {
 		return s
 	}
@@ -305,6 +307,6 @@
 
 // Excess is the number of bad answers of a new version beyond those of the others.
 type Excess struct {
-	Order uint64 `cbor:"1,keyasint"`
-	Bad   int    `cbor:"2,keyasint,omitempty"`
+	Order table.Version `cbor:"1,keyasint"`
+	Bad   int           `cbor:"2,keyasint,omitempty"`
 }
