Keep what is known of servers when the store returns from an older copy

Cause: the first full list of the new epoch dropped the servers that the copy lacks unless the daemon had also seen the store away, and a list of the copy passed for later evidence that an inferred removal was wrong.

Change: the first list of an epoch begins the grace period in which servers write their entries again, and disproves no removal of an earlier epoch.

--- a/pkg/fleet/core.go
+++ b/pkg/fleet/core.go
@@ -103,6 +103,9 @@
 // lacks were removed, unless what is known of them is newer.
 func (c *Core) ApplySnapshot(now time.Time, version table.Version, entries []Entry) []Event {
 	src := source{listVersion: version, current: version >= c.version}
+	if c.initialized && version.Epoch() > c.version.Epoch() {
+		c.storeReturnedAt, c.awaitingFullList = now, true
+	}
 	present := make(map[string]bool, len(entries))
 	var events []Event
 	for _, e := range entries {
@@ -147,7 +150,7 @@
 // version was wrong: a later list has it. Changes may be from before the removal, and
 // so may the entries of a copy with which the store has returned.
 func (s *source) disproves(removed table.Version) bool {
-	return s.listVersion > removed
+	return s.listVersion > removed && s.listVersion.Epoch() == removed.Epoch()
 }
 
 // setComplete records that the view is complete as of version.
--- a/pkg/fleet/fleet_test.go
+++ b/pkg/fleet/fleet_test.go
@@ -312,3 +312,30 @@
 		g.Expect(s.Leaving).To(gomega.Equal(s.ID == newest.ID), s.ID)
 	}
 }
+
+// Guards against a server that is revived, or taken for gone, because the store has returned from
+// an older copy: the copy has the entry of a server that has left since, and lacks that of one that
+// has come since.
+func TestAnOlderCopyRevivesAndDropsNoServer(t *testing.T) {
+	g := gomega.NewWithT(t)
+	c := fleet.New(fleet.Options{StoreReturnGrace: 2 * time.Second})
+	server := func(id string) *fleet.Server { return &fleet.Server{ID: id, Service: "s", Address: "10.0.0.1:80"} }
+	c.ApplySnapshot(at(0), 10, []fleet.Entry{{ID: "left", Server: server("left"), Version: 4}, {ID: "leaves", Server: server("leaves"), Version: 5}})
+	leaving := server("leaves")
+	leaving.Leaving = true
+	c.ApplyChanges(at(0), 13, []fleet.Entry{{ID: "left", Version: 11}, {ID: "leaves", Server: leaving, Version: 12}, {ID: "new", Server: server("new"), Version: 13}})
+	// The copy is as of version 10. Its entries keep their versions.
+	returned := table.Epoch(1)
+	events := c.ApplySnapshot(at(1000), returned.At(10), []fleet.Entry{{ID: "left", Server: server("left"), Version: 4}, {ID: "leaves", Server: server("leaves"), Version: 5}})
+	g.Expect(events).To(gomega.BeEmpty())
+	states := make(map[string]bool)
+	for _, s := range c.Servers() {
+		states[s.ID] = s.Leaving
+	}
+	g.Expect(states).To(gomega.Equal(map[string]bool{"leaves": true, "new": false}))
+	// A server that writes its entry again is there, and one that does not is gone after a while.
+	events = c.ApplyChanges(at(2000), returned.At(11), []fleet.Entry{{ID: "left", Server: server("left"), Version: returned.At(11)}})
+	g.Expect(events).To(gomega.HaveLen(1))
+	g.Expect(c.RemoveExpired(at(2999))).To(gomega.BeEmpty())
+	g.Expect(c.RemoveExpired(at(3000))).To(gomega.HaveLen(1))
+}
