Report a usage window once although the store loses its final counts

Cause: only a row of the store held the counts that the first report had made final. The copy lacked it, and the restarted daemon, the next holder, made what it knew final.

Change: the final counts of the last windows are told to all daemons, which keep them over the hand-over of the duties, and a window is reported only once they have had the time to learn of it. A later holder reports these and writes them to the store again. For the first seconds of an epoch, a daemon that hears less than half of the others makes no counts final.

--- a/pkg/edge/duties.go
+++ b/pkg/edge/duties.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"maps"
 	"slices"
 	"time"
 
@@ -41,6 +42,9 @@
 	// usageSettleTime is the time after the end of a window by which the counts of
 	// all daemons have been received.
 	usageSettleTime = 1200 * time.Millisecond
+	// finalsSpreadTime is the time in which the other daemons learn the final counts of a window. A
+	// message reaches all that may hold the duties within 0.25 s.
+	finalsSpreadTime = 400 * time.Millisecond
 	// usagePartition is the table partition with the final counts of each window.
 	usagePartition = "usage"
 	// sizePartition is the table partition with the size of each service.
@@ -57,7 +61,11 @@
 	manager *lease.Manager
 	// reported is the set of windows that have been reported.
 	reported map[int64]bool
-	scaling  map[string]*scaling.Core
+	// finalAt is when this daemon has made the counts of a window final.
+	finalAt map[int64]time.Time
+	// epochAt is when this daemon has noticed the epoch of the store.
+	epochAt time.Time
+	scaling map[string]*scaling.Core
 	// storedSizes caches, by service, the sizes stored in the table.
 	storedSizes   map[string]storedSize
 	fencingNumber uint64
@@ -83,7 +91,7 @@
 		OnLost: func(l lease.Lost) { klog.InfoS("duties lost", "number", l.FencingNumber, "lapsed", l.Lapsed) },
 	})
 	// An earlier process on this host may have performed duties until now.
-	return &duties{daemon: d, manager: manager, actedAt: bootNow(), reported: make(map[int64]bool), scaling: make(map[string]*scaling.Core),
+	return &duties{daemon: d, manager: manager, actedAt: bootNow(), reported: make(map[int64]bool), finalAt: make(map[int64]time.Time), epochAt: bootNow(), scaling: make(map[string]*scaling.Core),
 		storedSizes: make(map[string]storedSize)}
 }
 
@@ -101,12 +109,16 @@
 	tick := time.NewTicker(dutyInterval)
 	defer tick.Stop()
 	rankedAt := bootNow()
+	watch := epochWatch{store: u.daemon.platform}
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-tick.C:
 		}
+		if watch.changed() {
+			u.epochAt = bootNow()
+		}
 		if u.daemon.ranksAsHub() {
 			rankedAt = bootNow()
 		} else if bootNow().Sub(rankedAt) > unrankedGrace {
@@ -167,11 +179,9 @@
 			return
 		}
 	}
-	for window := range u.reported {
-		if window < current-2*usageWindows {
-			delete(u.reported, window)
-		}
-	}
+	isOld := func(window int64) bool { return window < current-2*usageWindows }
+	maps.DeleteFunc(u.reported, func(window int64, _ bool) bool { return isOld(window) })
+	maps.DeleteFunc(u.finalAt, func(window int64, _ time.Time) bool { return isOld(window) })
 }
 
 // usageWindows is the number of past windows that may still be reported.
@@ -179,15 +189,8 @@
 
 // reportWindow reports one window and then deletes old rows.
 func (u *duties) reportWindow(ctx context.Context, window int64) error {
-	s := u.daemon.state
-	s.mu.Lock()
-	total := s.usage.Total(window)
-	s.mu.Unlock()
-	if len(total) == 0 {
-		return nil
-	}
-	counts, err := u.storeFinalCounts(ctx, window, total)
-	if err != nil {
+	counts, err := u.finalCounts(ctx, window)
+	if err != nil || len(counts) == 0 {
 		return err
 	}
 	fencingNumber, ok := u.held()
@@ -203,6 +206,63 @@
 	return nil
 }
 
+// finalCounts returns the counts under which a window may be reported, or none if it may not be
+// reported yet. They are stored and known to the other daemons before, so that each later holder of
+// the duties reports the same, also if the store returns from a copy that lacks them.
+func (u *duties) finalCounts(ctx context.Context, window int64) (usage.Counts, error) {
+	s := u.daemon.state
+	s.mu.Lock()
+	counts, isFinal := s.usage.Final(window)
+	if !isFinal {
+		counts = s.usage.Total(window)
+	}
+	s.mu.Unlock()
+	if len(counts) == 0 || !isFinal && u.mayBeReported() {
+		return nil, nil
+	}
+	stored, err := u.storeFinalCounts(ctx, window, counts)
+	if err != nil {
+		return nil, err
+	}
+	if !isFinal {
+		s.mu.Lock()
+		counts = s.usage.SetFinal(window, stored)
+		s.wakeExchange()
+		s.mu.Unlock()
+		u.finalAt[window] = bootNow()
+	}
+	if !maps.Equal(counts, stored) {
+		klog.ErrorS(&FinalCountsError{Window: window}, "stored counts are not those that other daemons know", "stored", stored, "known", counts)
+	}
+	if bootNow().Sub(u.finalAt[window]) < finalsSpreadTime {
+		return nil, nil
+	}
+	return counts, nil
+}
+
+// mayBeReported reports whether another daemon may have reported windows of which this one has not
+// heard: before the store returned from an older copy, in which their counts are missing, and while
+// this daemon hears too few others.
+func (u *duties) mayBeReported() bool {
+	s := u.daemon.state
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	recent := bootNow().Sub(u.epochAt) <= u.daemon.settings.MaxUsageReportDelay+dutyLeaseDuration+orderDeadline
+	return u.daemon.platform.Epoch() > 0 && recent && s.hearsFew()
+}
+
+// hearsFew reports whether this daemon hears less than half of the others.
+func (s *state) hearsFew() bool {
+	return 2*len(s.peers.Alive(bootNow(), deciderHearing)) < s.peers.Size()-1
+}
+
+// FinalCountsError reports that two daemons have made different counts of a window final.
+type FinalCountsError struct{ Window int64 }
+
+func (e *FinalCountsError) Error() string {
+	return fmt.Sprintf("final counts of usage window %d differ", e.Window)
+}
+
 // storeFinalCounts stores the counts of a window and returns the final ones: the
 // first counts that a lease holder writes are final for all later holders.
 func (u *duties) storeFinalCounts(ctx context.Context, window int64, total usage.Counts) (usage.Counts, error) {
--- a/pkg/edge/rolloutduty.go
+++ b/pkg/edge/rolloutduty.go
@@ -196,7 +196,7 @@
 	return rollout.Input{Sum: s.rollouts.totals.Sum(o.Service, o.Revision), NewServers: of, OldServers: others,
 		OldRunning:  s.placement.RunningElsewhere(o.Service, o.To),
 		AllTakePart: s.peers.OldestFormat(bootNow()) >= mesh.FormatDemands,
-		Alone:       2*len(s.peers.Alive(bootNow(), deciderHearing)) < s.peers.Size()-1}
+		Alone:       s.hearsFew()}
 }
 
 // begin makes this daemon the decider on an order, by a conditional write.
--- a/pkg/usage/usage.go
+++ b/pkg/usage/usage.go
@@ -3,7 +3,11 @@
 // The core does no I/O.
 package usage
 
-import "time"
+import (
+	"maps"
+	"slices"
+	"time"
+)
 
 // Counts maps account names to numbers of requests.
 type Counts map[string]int
@@ -33,11 +37,14 @@
 	windowLength time.Duration
 	own          Windows
 	peers        map[daemonStart]Windows
+	// finals holds the counts of windows that were reported, or are about to be. All daemons
+	// know them, as the store may return from a copy that lacks them.
+	finals Windows
 }
 
 // New returns a Core for windows of the given length.
 func New(windowLength time.Duration) *Core {
-	return &Core{windowLength: windowLength, own: make(Windows), peers: make(map[daemonStart]Windows)}
+	return &Core{windowLength: windowLength, own: make(Windows), peers: make(map[daemonStart]Windows), finals: make(Windows)}
 }
 
 // WindowAt returns the number of the window that contains a time.
@@ -103,6 +110,44 @@
 	known.expire(newest)
 }
 
+// finalsRetained is the number of most recent windows whose final counts are retained. It covers
+// the time within which a window may be reported.
+const finalsRetained = 6
+
+// SetFinal makes counts of a window final, unless others are, and returns the final ones.
+func (c *Core) SetFinal(window int64, counts Counts) Counts {
+	if known, ok := c.finals[window]; ok {
+		return known
+	}
+	newest := window
+	for known := range c.finals {
+		newest = max(newest, known)
+	}
+	if window <= newest-finalsRetained {
+		return counts
+	}
+	c.finals[window] = counts
+	maps.DeleteFunc(c.finals, func(known int64, _ Counts) bool { return known <= newest-finalsRetained })
+	return counts
+}
+
+// Final returns the final counts of a window, if there are any.
+func (c *Core) Final(window int64) (Counts, bool) {
+	counts, ok := c.finals[window]
+	return counts, ok
+}
+
+// FinalWindows returns the windows with final counts, in order.
+func (c *Core) FinalWindows() []int64 { return slices.Sorted(maps.Keys(c.finals)) }
+
+// FinalsExcept returns the final counts of all windows but the given ones. The caller must not
+// change them.
+func (c *Core) FinalsExcept(known []int64) Windows {
+	finals := maps.Clone(c.finals)
+	maps.DeleteFunc(finals, func(window int64, _ Counts) bool { return slices.Contains(known, window) })
+	return finals
+}
+
 // Total returns the counts of a window over all daemons.
 func (c *Core) Total(window int64) Counts {
 	total := make(Counts)
--- a/pkg/usage/usage_test.go
+++ b/pkg/usage/usage_test.go
@@ -53,3 +53,18 @@
 	g.Expect(c.WindowAt(time.Unix(10, 0))).To(gomega.Equal(int64(2)))
 	g.Expect(c.End(2)).To(gomega.Equal(time.Unix(15, 0)))
 }
+
+// Guards against final counts that change, and against memory that grows with them.
+func TestFinalCountsStay(t *testing.T) {
+	g := gomega.NewWithT(t)
+	c := usage.New(windowLength)
+	g.Expect(c.SetFinal(7, usage.Counts{"account": 3})).To(gomega.Equal(usage.Counts{"account": 3}))
+	g.Expect(c.SetFinal(7, usage.Counts{"account": 4})).To(gomega.Equal(usage.Counts{"account": 3}))
+	for window := range int64(100) {
+		c.SetFinal(window+8, usage.Counts{"account": 1})
+	}
+	g.Expect(c.FinalWindows()).To(gomega.Equal([]int64{102, 103, 104, 105, 106, 107}))
+	c.SetFinal(7, usage.Counts{"account": 4})
+	g.Expect(c.FinalWindows()).To(gomega.HaveLen(6))
+	g.Expect(c.FinalsExcept([]int64{102, 103, 104, 105, 106})).To(gomega.Equal(usage.Windows{107: {"account": 1}}))
+}
