Write again what the store has lost when it returns from an older copy

After a drill and a loss of all daemons, streams could be joined, since the row of versions in the copy says that it is complete but lacks a version that has begun streams, and a request that crashes servers could crash them again.

Cause: rows were written once and only when a daemon's own knowledge changed: versions in use, records of streams, decisive entries of the quarantine, the rows of daemons.

Change: each of these users has an epochWatch, or asks the table's epoch at its turn, and writes again what the copy may lack. A row of versions is complete only if it was written in the current epoch; versions that the copy lacks begin no streams until they are stored again.

--- a/coordination/quarantine/manager_test.go
+++ b/coordination/quarantine/manager_test.go
@@ -337,6 +337,28 @@
 	}
 }
 
+// TestEntriesAreSavedAgainInANewEpoch guards against a request that crashes servers again after all
+// daemons are killed, because the table has returned from a copy without its entry.
+func TestEntriesAreSavedAgainInANewEpoch(t *testing.T) {
+	g := NewWithT(t)
+	s := &servers{}
+	s.set("s1", quarantine.ServerDown)
+	s.set("s2", quarantine.ServerDown)
+	store := memtable.New()
+	copied := store.Copy()
+	one := newManager(t, store, s, nil)
+	time.Sleep(50 * time.Millisecond)
+	for id, server := range map[string]string{"a": "s1", "b": "s2"} {
+		start(one, id, "f", server)
+		one.Broken(context.Background(), id, 0)
+	}
+	rows := func() ([]table.Item, error) { return store.Query(context.Background(), "quarantine", "", 10) }
+	g.Eventually(rows, 5*time.Second).Should(HaveLen(1))
+	store.Restore(copied)
+	g.Expect(rows()).To(BeEmpty())
+	g.Eventually(rows, 5*time.Second).Should(HaveLen(1))
+}
+
 // TestAnIsolatedDaemonReadsTheTable guards against a daemon that reaches the table
 // but no other daemon, and lets a request crash servers that all others refuse.
 func TestAnIsolatedDaemonReadsTheTable(t *testing.T) {
--- a/coordination/quarantine/persist.go
+++ b/coordination/quarantine/persist.go
@@ -39,13 +39,15 @@
 func (m *Manager) run() {
 	ticker := m.options.Clock.NewTicker(retryInterval)
 	defer ticker.Stop()
-	loadedAt := time.Time{}
+	loadedAt, epoch := time.Time{}, m.options.Store.Epoch()
 	for {
-		if m.loadDue(loadedAt) {
-			if err := m.load(); err != nil {
+		// A store that has returned from an older copy may lack entries, or parts of them.
+		newest := m.options.Store.Epoch()
+		if newest != epoch || m.loadDue(loadedAt) {
+			if err := m.load(newest != epoch); err != nil {
 				m.options.OnError(err)
 			} else {
-				loadedAt = m.options.Clock.Now()
+				loadedAt, epoch = m.options.Clock.Now(), newest
 			}
 			m.mu.Lock()
 			m.core.Expire(m.options.Clock.Now())
@@ -70,8 +72,9 @@
 
 // load reads all entries from the table and merges them. Entries that a daemon
 // needs after a restart and that the table lacks are marked as unsaved: the daemon
-// that was to write them may have ended.
-func (m *Manager) load() error {
+// that was to write them may have ended. If all is set, those that the table has are
+// marked, too.
+func (m *Manager) load(all bool) error {
 	loaded := make(map[Fingerprint]struct{})
 	for after := ""; ; {
 		ctx, cancel := context.WithTimeout(m.ctx, storeTimeout)
@@ -93,7 +96,7 @@
 	defer m.mu.Unlock()
 	m.saved = loaded
 	for fingerprint, e := range m.core.entries {
-		if _, ok := loaded[fingerprint]; !ok && m.core.isDecisive(e) {
+		if _, ok := loaded[fingerprint]; (!ok || all) && m.core.isDecisive(e) {
 			m.unsaved[fingerprint] = struct{}{}
 		}
 	}
--- a/pkg/edge/store.go
+++ b/pkg/edge/store.go
@@ -165,10 +165,15 @@
 func (d *Daemon) register(ctx context.Context) {
 	startedAt := time.Now()
 	row := ownRow{version: d.platform.Epoch().At(0)}
+	watch := epochWatch{store: d.platform}
 	for ctx.Err() == nil {
 		var err error
+		returned := watch.changed()
+		if returned {
+			row.refreshedAt = time.Time{}
+		}
 		told := d.toldOfDaemons()
-		if !told {
+		if !told || returned {
 			err = d.readDaemons(ctx, &row)
 		}
 		d.expirePeers()
@@ -186,7 +191,7 @@
 		if time.Since(startedAt) < initialRegisterPeriod {
 			wait = initialRegisterInterval
 		}
-		pause(ctx, wait)
+		pauseInEpoch(ctx, d.platform, wait)
 	}
 }
 
--- a/pkg/edge/storedstreams.go
+++ b/pkg/edge/storedstreams.go
@@ -51,6 +51,7 @@
 // storeStreams keeps the records of this daemon's streams in the store until the context ends.
 func (s *state) storeStreams(ctx context.Context) {
 	row := s.newStreamRow()
+	watch := epochWatch{store: s.versionStore}
 	tick := time.NewTicker(streamsStoreTick)
 	defer tick.Stop()
 	for {
@@ -66,6 +67,11 @@
 		if daemons > maxStreamStorers {
 			continue
 		}
+		if watch.changed() {
+			s.mu.Lock()
+			s.streams.StoreReturned()
+			s.mu.Unlock()
+		}
 		if err := s.storeStreamsOnce(ctx, row); err != nil {
 			klog.V(1).InfoS("records of streams not stored", "err", err)
 		}
--- a/pkg/edge/streams_test.go
+++ b/pkg/edge/streams_test.go
@@ -280,7 +280,7 @@
 	row.Versions = row.Versions.With(inService)
 	g.Expect(writeVersions(t.Context(), store, 0, row)).To(gomega.Succeed())
 	s := start(to(1, "s"))
-	g.Expect(s.storeNewVersionsOnce(t.Context())).To(gomega.Succeed())
+	g.Expect(s.storeNewVersionsOnce(t.Context(), false)).To(gomega.Succeed())
 	origin, known := s.StreamOrigin(t.Context(), "request", "s", "stream")
 	g.Expect(known).To(gomega.BeTrue())
 	g.Expect(origin.Service).To(gomega.Equal("s"))
@@ -293,7 +293,7 @@
 	s.activateCatalog(to(3, "other"), "store")
 	_, known = s.StreamOrigin(t.Context(), "request", "other", "stream")
 	g.Expect(known).To(gomega.BeFalse())
-	g.Expect(s.storeNewVersionsOnce(t.Context())).To(gomega.Succeed())
+	g.Expect(s.storeNewVersionsOnce(t.Context(), false)).To(gomega.Succeed())
 	_, known = start(to(3, "other")).StreamOrigin(t.Context(), "request", "other", "stream")
 	g.Expect(known).To(gomega.BeFalse(), "all daemons were lost since the change")
 }
--- a/pkg/edge/versions.go
+++ b/pkg/edge/versions.go
@@ -93,7 +93,8 @@
 	return u.daemon.platform.Transact(ctx, []table.Write{{Key: earlierVersionsKey, Version: item.Version, Delete: true}})
 }
 
-// readVersions reads the row of the versions in use and its version.
+// readVersions reads the row of the versions in use and its version. Whether a row of the copy
+// with which the store has returned is complete is not known: a later one may be lost.
 func readVersions(ctx context.Context, store table.Store) (table.Version, streamversion.Row, error) {
 	item, err := store.Get(ctx, versionsKey)
 	var missing *table.NotFoundError
@@ -107,6 +108,7 @@
 	if err := json.Unmarshal(item.Value, &row); err != nil {
 		return 0, streamversion.Row{}, errors.Annotate(err, "decode the stored software versions")
 	}
+	row.Complete = row.Complete && !item.Copied()
 	return item.Version, row, nil
 }
 
@@ -142,6 +144,8 @@
 // storeNewVersions stores versions that come into service, or reads whether another daemon has,
 // until the context ends.
 func (s *state) storeNewVersions(ctx context.Context) {
+	watch := epochWatch{store: s.versionStore}
+	returned := false
 	tick := time.NewTicker(versionsStoreInterval)
 	defer tick.Stop()
 	var loggedAt time.Time
@@ -152,7 +156,11 @@
 		case <-s.versionsWake:
 		case <-tick.C:
 		}
-		if err := s.storeNewVersionsOnce(ctx); err != nil && bootNow().Sub(loggedAt) >= versionsLogInterval {
+		returned = watch.changed() || returned
+		err := s.storeNewVersionsOnce(ctx, returned)
+		if err == nil {
+			returned = false
+		} else if bootNow().Sub(loggedAt) >= versionsLogInterval {
 			loggedAt = bootNow()
 			klog.InfoS("versions not stored before their use", "err", err)
 		}
@@ -161,14 +169,15 @@
 
 // storeNewVersionsOnce reads the row if versions are in service that it may lack. The daemons that
 // rank as hubs add them; the first of them succeeds, and the others find them in the row. All
-// other daemons are told by hubs, and read the row themselves only if they follow the store.
-func (s *state) storeNewVersionsOnce(ctx context.Context) error {
+// other daemons are told by hubs, and read the row themselves only if they follow the store. If the
+// store has returned from an older copy, each daemon looks which versions the copy lacks.
+func (s *state) storeNewVersionsOnce(ctx context.Context, returned bool) error {
 	followsStore := s.followsStore()
 	s.mu.Lock()
 	_, missing := s.streams.InService()
 	adds := s.peers.RanksAsHub()
 	s.mu.Unlock()
-	if len(missing) == 0 || !adds && !followsStore {
+	if !returned && (len(missing) == 0 || !adds && !followsStore) {
 		return nil
 	}
 	ctx, cancel := context.WithTimeout(ctx, versionsStoreTimeout)
@@ -179,6 +188,9 @@
 		return err
 	}
 	s.mu.Lock()
+	if returned {
+		s.streams.MarkUnstored(row.Versions)
+	}
 	s.streams.MergeStored(readAt, row)
 	s.streams.MarkStored(readAt, row.Versions)
 	_, missing = s.streams.InService()
--- a/pkg/edge/versions_test.go
+++ b/pkg/edge/versions_test.go
@@ -68,20 +68,20 @@
 			}
 			return memtable.FaultNone
 		})
-		g.Expect(s.storeNewVersionsOnce(t.Context())).NotTo(gomega.Succeed(), name)
+		g.Expect(s.storeNewVersionsOnce(t.Context(), false)).NotTo(gomega.Succeed(), name)
 		g.Expect(placedAt(s, true)).To(gomega.Equal(map[string]int{"v1": 40}), name)
 	}
 	store.SetFault(nil)
-	g.Expect(s.storeNewVersionsOnce(t.Context())).To(gomega.Succeed())
+	g.Expect(s.storeNewVersionsOnce(t.Context(), false)).To(gomega.Succeed())
 	g.Expect(placedAt(s, true)).To(gomega.HaveKey("v2"))
 	writes := store.Stats().Transactions
-	g.Expect(startWithServers(t, store, "v1", "v2").storeNewVersionsOnce(t.Context())).To(gomega.Succeed())
+	g.Expect(startWithServers(t, store, "v1", "v2").storeNewVersionsOnce(t.Context(), false)).To(gomega.Succeed())
 	g.Expect(store.Stats().Transactions).To(gomega.Equal(writes), "another daemon finds it stored")
 
 	restarted := startWithServers(t, store, "v1")
 	_, known := restarted.StreamOrigin(t.Context(), "request", "s", "stream")
 	g.Expect(known).To(gomega.BeFalse(), "v2 may have begun it")
-	g.Expect(restarted.storeNewVersionsOnce(t.Context())).To(gomega.Succeed())
+	g.Expect(restarted.storeNewVersionsOnce(t.Context(), false)).To(gomega.Succeed())
 	g.Expect(placedAt(restarted, true)).To(gomega.Equal(map[string]int{"v1": 40}))
 }
 
@@ -102,7 +102,7 @@
 	join(hub.state)
 	join(leaf.state)
 	g.Expect(placedAt(leaf.state, true)).NotTo(gomega.HaveKey("v1"))
-	g.Expect(hub.state.storeNewVersionsOnce(t.Context())).To(gomega.Succeed())
+	g.Expect(hub.state.storeNewVersionsOnce(t.Context(), false)).To(gomega.Succeed())
 	m.request(leaf, hub)
 	g.Expect(placedAt(leaf.state, true)).To(gomega.HaveKey("v1"))
 
--- a/pkg/streamversion/before.go
+++ b/pkg/streamversion/before.go
@@ -18,6 +18,18 @@
 	}
 }
 
+// MarkUnstored records that the store holds no other versions than the given ones, since it has
+// returned from an older copy.
+func (c *Core) MarkUnstored(stored InUse) {
+	for service, versions := range c.versions.services {
+		for version, use := range versions {
+			if !stored.Contains(service, version) {
+				use.storedAt = time.Time{}
+			}
+		}
+	}
+}
+
 // InService returns the versions that have servers: those that the store is known to hold, and the
 // others.
 func (c *Core) InService() (stored, others InUse) {
--- a/pkg/streamversion/storedstreams.go
+++ b/pkg/streamversion/storedstreams.go
@@ -43,6 +43,10 @@
 // StreamsStored records that the store has a batch.
 func (c *Core) StreamsStored(b *Batch) { c.storedRevision = max(c.storedRevision, b.Revision) }
 
+// StoreReturned records that the store has returned from an older copy, which may lack records that
+// it had.
+func (c *Core) StoreReturned() { c.storedRevision = 0 }
+
 // MergeStreams adds the records that a daemon has stored.
 func (c *Core) MergeStreams(now time.Time, b *Batch) { c.store(now, b) }
 
