Keep what was decided on a roll-out when the store returns from an older copy

An order that the operator writes again after a drill passed for a new one: a version that was rolled back got requests again, and a completed order was tried again.

Cause: an order was known by its version of the store, and the decision by a row that the copy may lack; a decider that had stated a status did so once.

Change: an order with the same content under a version of a later epoch is the earlier one. A decider begins anew in each epoch, takes what was decided from the directive that daemons know if the row is of the copy, and states the status again. To try the same version again, an operator removes the order first.

Test: TestARolloutOutlivesTheStoresCopy (failed while the row's state was taken: running in place of rolled back).

--- a/pkg/edge/rolloutduty.go
+++ b/pkg/edge/rolloutduty.go
@@ -50,6 +50,8 @@
 	Denied []string `json:"denied,omitempty"`
 	// InForce holds the versions that were in force before the order.
 	InForce []string `json:"inForce,omitempty"`
+	// copied is set if the row comes from an older copy, so that later states may be lost.
+	copied bool
 }
 
 func rolloutKey(service string) table.Key {
@@ -67,7 +69,9 @@
 	if err != nil {
 		return stored, 0, err
 	}
-	return stored, item.Version, errors.Annotatef(json.Unmarshal(item.Value, &stored), "decode the state of the roll-out of %s", service)
+	err = errors.Annotatef(json.Unmarshal(item.Value, &stored), "decode the state of the roll-out of %s", service)
+	stored.copied = item.Copied()
+	return stored, item.Version, err
 }
 
 // rolloutDuty decides on roll-outs while this daemon holds the duties lease, or takes the place
@@ -110,8 +114,14 @@
 	if !s.rollouts.follower.Enabled() {
 		return
 	}
+	watch := epochWatch{store: u.daemon.platform}
 	for ctx.Err() == nil {
 		pause(ctx, decisionInterval)
+		if watch.changed() {
+			// States and statuses may be lost: they are read and written again.
+			clear(u.deciders)
+			clear(u.begun)
+		}
 		s.mu.Lock()
 		orders := s.rollouts.follower.Orders()
 		s.mu.Unlock()
@@ -209,6 +219,10 @@
 	if stored.Order > o.Revision {
 		return nil
 	}
+	if stored.To == o.To && stored.Order.Epoch() < o.Revision.Epoch() {
+		// The operator has written the order again after the store returned from an older copy.
+		stored.Order = o.Revision
+	}
 	s := u.daemon.state
 	now := bootNow()
 	s.mu.Lock()
@@ -220,6 +234,11 @@
 		return nil
 	}
 	next := stored
+	next.copied = false
+	if stored.copied && stored.Order == o.Revision && heard.Term >= stored.Term {
+		// The row lacks what was decided since the copy.
+		next.Term, next.State = heard.Term, heard.State
+	}
 	next.Term++
 	if stored.Order != o.Revision {
 		next = supersede(&stored, o, inForce, seen.Sub(s.startedAt) >= minUpTime)
--- a/pkg/rollout/follower.go
+++ b/pkg/rollout/follower.go
@@ -222,7 +222,7 @@
 // order applies an order unless it is outdated.
 func (f *Follower) order(now time.Time, o Order) *service {
 	s, ok := f.services[o.Service]
-	if ok && s.entry.Order.Revision >= o.Revision {
+	if ok && !o.replaces(s.entry.Order) {
 		return s
 	}
 	next := &service{entry: Entry{Order: o}, counts: Counts{Order: o.Revision}, cells: make(map[cellKey]*Cell), carry: make(map[string]float64), groupStale: true}
--- a/pkg/rollout/rollout.go
+++ b/pkg/rollout/rollout.go
@@ -34,6 +34,16 @@
 	Duration time.Duration `cbor:"4,keyasint"`
 }
 
+// replaces reports whether an order replaces another one for its service. The same order under a
+// version of a later epoch is the earlier one, which the operator has written again after the store
+// returned from an older copy: it keeps its revision.
+func (o Order) replaces(known Order) bool {
+	if o.Revision.Epoch() != known.Revision.Epoch() && o.To == known.To && o.Duration == known.Duration {
+		return o.Revision < known.Revision
+	}
+	return o.Revision > known.Revision
+}
+
 // State is the state of a roll-out.
 type State int
 
