--- a/pkg/edge/clock.go
+++ b/pkg/edge/clock.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"context"
 	"time"
 
 	"golang.org/x/sys/unix"
@@ -20,6 +21,29 @@
 // Since returns the time elapsed since at.
 func (bootClock) Since(at time.Time) time.Duration { return bootNow().Sub(at) }
 
+// bootCheckInterval is how often a deadline on the boot-time clock is checked.
+const bootCheckInterval = 50 * time.Millisecond
+
+// withBootTimeout returns a context that ends after a time in which the host may be suspended. The
+// deadline of a context does not advance meanwhile.
+func withBootTimeout(parent context.Context, timeout time.Duration) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancel(parent)
+	deadline := bootNow().Add(timeout)
+	go func() {
+		tick := time.NewTicker(bootCheckInterval)
+		defer tick.Stop()
+		for bootNow().Before(deadline) {
+			select {
+			case <-ctx.Done():
+				return
+			case <-tick.C:
+			}
+		}
+		cancel()
+	}()
+	return ctx, cancel
+}
+
 func bootNow() time.Time {
 	var ts unix.Timespec
 	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &ts); err != nil {
--- a/pkg/edge/duties.go
+++ b/pkg/edge/duties.go
@@ -28,9 +28,12 @@
 	// dutyLeaseMargin is how long before the end of the lease the holder stops
 	// acting.
 	dutyLeaseMargin = time.Second
+	// dutyCallTimeout is the time after which a call of a duty holder is given up, also if the host
+	// was suspended meanwhile. The platform's client resets the connection of such a call.
+	dutyCallTimeout = time.Second
 	// orderDeadline is the maximum time that a call of a former holder may be in
-	// flight: the call timeout plus the network latency.
-	orderDeadline = 1200 * time.Millisecond
+	// flight: the call timeout, the time until its end is noticed, and the network latency.
+	orderDeadline = dutyCallTimeout + bootCheckInterval + 150*time.Millisecond
 	// dutiesStartDelay is how long after its start a daemon has discovered enough
 	// other daemons to determine whether it ranks among the hubs.
 	dutiesStartDelay = 2500 * time.Millisecond
@@ -197,7 +200,10 @@
 	if !ok {
 		return nil
 	}
-	if err := u.daemon.platform.ReportUsage(ctx, fencingNumber, window, counts); err != nil {
+	callCtx, cancel := withBootTimeout(ctx, dutyCallTimeout)
+	err = u.daemon.platform.ReportUsage(callCtx, fencingNumber, window, counts)
+	cancel()
+	if err != nil {
 		return err
 	}
 	u.reported[window] = true
--- a/pkg/edge/duties_test.go
+++ b/pkg/edge/duties_test.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"context"
 	"testing"
 	"time"
 
@@ -86,3 +87,29 @@
 	_, isFinal := s.usage.Final(s.usage.WindowAt(at))
 	g.Expect(isFinal).To(gomega.BeFalse())
 }
+
+// slowPlatform does not answer the calls of duty holders.
+type slowPlatform struct{ fakePlatform }
+
+func (p *slowPlatform) ReportUsage(ctx context.Context, _ uint64, _ int64, _ usage.Counts) error {
+	<-ctx.Done()
+	return ctx.Err()
+}
+
+// Guards against a call of a duty holder that goes on for longer than the next holder waits before it
+// acts: the timeout counts the time in which the host is suspended.
+func TestCallsOfDutyHoldersEndBeforeTheNextHolderActs(t *testing.T) {
+	g := gomega.NewWithT(t)
+	d := &Daemon{settings: settings, platform: &slowPlatform{fakePlatform{Store: memtable.New()}}, state: newTestState(t)}
+	u := newDuties(d)
+	defer u.manager.Close()
+	at := time.Unix(1002, 0)
+	window := d.state.usage.WindowAt(at)
+	d.state.usage.SetFinal(window, usage.Counts{"account": 3})
+	g.Eventually(func() bool { _, held := u.held(); return held }, 2*time.Second).Should(gomega.BeTrue())
+	startedAt := bootNow()
+	g.Expect(u.reportWindow(t.Context(), window)).NotTo(gomega.Succeed())
+	took := bootNow().Sub(startedAt)
+	g.Expect(took).To(gomega.BeNumerically(">=", dutyCallTimeout))
+	g.Expect(took).To(gomega.BeNumerically("<", orderDeadline))
+}
--- a/pkg/edge/scaling.go
+++ b/pkg/edge/scaling.go
@@ -60,7 +60,9 @@
 		if !ok {
 			return
 		}
-		err := u.daemon.platform.OrderServers(ctx, fencingNumber, order)
+		callCtx, cancel := withBootTimeout(ctx, dutyCallTimeout)
+		err := u.daemon.platform.OrderServers(callCtx, fencingNumber, order)
+		cancel()
 		klog.InfoS("servers ordered", "service", order.Service, "zone", order.Zone, "reclaimable", order.Reclaimable,
 			"desired", order.Desired, "number", fencingNumber, "need", core.Need(), "present", core.Present(),
 			"running", summary.Running, "generating", summary.Generating, "prefill", summary.PrefillTokens, "prefillPerMs", summary.PrefillRate,
