Let the soak and the stand-in play drills of the store and cuts from the platform

Change: drills in series, with copies up to 10 s old, beside restarts, cuts, leaving servers and what other options add; the operator and the servers write again after drawn delays, and entries of servers that have left expire. Each daemon has a proxy to the cloud API; a proxy delivers the bytes that a cut has held up unless their sender has reset the connection.

--- a/soak/checks.go
+++ b/soak/checks.go
@@ -171,6 +171,7 @@
 	h.checkLimits()
 	h.checkStatements()
 	h.checkUsage()
+	h.checkDutiesResumed()
 	h.checkCuts()
 	h.checkBrittle()
 	h.checkRollout()
--- a/soak/daemon.go
+++ b/soak/daemon.go
@@ -21,6 +21,9 @@
 	"github.com/monsooncrank/monsooncrank/platform/standin"
 )
 
+// reportedWindow is the window whose usage is reported.
+const reportedWindow = 2 * time.Second
+
 // gracePeriod is the time from SIGTERM to SIGKILL.
 const gracePeriod = 8 * time.Second
 
@@ -154,7 +157,7 @@
 	lower, upper := min(ports[2], ports[3]), max(ports[2], ports[3])
 	return &daemon{binary: binary, folder: folder, sourceAddress: fmt.Sprintf("127.0.%d.%d", 1+number/maxHostNumber, 1+number%maxHostNumber), settings: standin.DaemonSettings{Node: nodeName(number), Zone: zone, Front: address(0),
 		Ready: address(1), PeerPort: lower, MetricsPort: upper, StoreAddress: store, CloudAPI: cloud, Grace: gracePeriod,
-		UsageWindow: 2 * time.Second}}, nil
+		UsageWindow: reportedWindow}}, nil
 }
 
 // maxHostNumber is the number of daemons whose source addresses share the first three bytes.
--- a/soak/proxy.go
+++ b/soak/proxy.go
@@ -6,6 +6,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 // Mode determines how a Proxy treats the data of its connections.
@@ -199,9 +201,15 @@
 	buffer := make([]byte, 16<<10)
 	for {
 		n, err := from.Read(buffer)
+		held := false
 		for p.blocked(toTarget) || p.isHanging(caller) {
+			held = true
 			time.Sleep(pollInterval)
 		}
+		if held && isReset(from) {
+			// The sender's kernel sends nothing again.
+			return
+		}
 		if Mode(p.mode.Load()) == Slow {
 			time.Sleep(slowDelay)
 		}
@@ -216,6 +224,27 @@
 	}
 }
 
+// tcpClosed is the state of a socket whose connection was reset.
+const tcpClosed = 7
+
+// isReset reports whether the other side has reset a connection.
+func isReset(conn net.Conn) bool {
+	tcp, ok := conn.(*net.TCPConn)
+	if !ok {
+		return false
+	}
+	raw, err := tcp.SyscallConn()
+	if err != nil {
+		return true
+	}
+	reset := false
+	err = raw.Control(func(fd uintptr) {
+		info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
+		reset = err == nil && info.State == tcpClosed
+	})
+	return reset || err != nil
+}
+
 // blocked reports whether the mode withholds data of a direction.
 func (p *Proxy) blocked(toTarget bool) bool {
 	m := Mode(p.mode.Load())
--- a/soak/rollout.go
+++ b/soak/rollout.go
@@ -66,7 +66,7 @@
 	// Marshalling a map of strings and numbers cannot fail.
 	order, _ := json.Marshal(map[string]any{"service": rolloutService, "to": rolloutVersion, "durationS": r.Duration.Seconds()})
 	record.orderedAt = time.Now()
-	h.store.Put("op", "rollout/"+rolloutService, order)
+	h.store.Put(tableOperator, keyRollout, order)
 	for range old {
 		s, err := h.startVersion(rolloutService, rolloutVersion, nil)
 		if err != nil {
@@ -103,7 +103,7 @@
 // readStatus reads what the system states, and checks that it never goes back.
 func (h *harness) readStatus(record *rolloutRecord) {
 	var status struct{ To, State string }
-	value := h.store.Value("status", "rollout/"+rolloutService)
+	value := h.store.Value("status", keyRollout)
 	if value == nil {
 		return
 	}
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -101,6 +101,9 @@
 	// every LossEvery.
 	Releases  []Release
 	LossEvery time.Duration
+	// DrillEvery is the mean time between two drills, in which the store returns from an older
+	// copy, and CutEvery that between two cuts of a daemon from the platform; 0 means never.
+	DrillEvery, CutEvery time.Duration
 	// WorkTime is the time that a server takes for a request or an event; the default is 15 ms.
 	WorkTime time.Duration
 	// StreamTries is how often the caller of a stream sends it; the default is 4.
@@ -192,6 +195,7 @@
 	// upgraded is the number of daemons that were replaced by another build.
 	upgraded  int
 	rollout   rolloutRecord
+	drills    drills
 	findings  []string
 	sent      int
 	succeeded int
@@ -226,8 +230,11 @@
 	// cut off from all servers while others were not.
 	CutServed, CutSent int
 	// Rollout says what became of an order to roll a version out.
-	Rollout  string
-	Findings []string
+	Rollout string
+	// Drills is the number of times that the store has returned from an older copy, and Windows
+	// that of usage windows that were reported.
+	Drills, Windows int
+	Findings        []string
 	// FewTakenUp states that streams taken up were refused much more often than new ones, or is
 	// empty.
 	FewTakenUp string
@@ -320,6 +327,12 @@
 	if h.options.Rollout != nil {
 		running.Go(func() { h.rollOut(ctx, h.options.Rollout) })
 	}
+	if h.options.DrillEvery > 0 && !h.planned {
+		running.Go(func() { h.drillRepeatedly(ctx, h.options.DrillEvery) })
+	}
+	if h.options.CutEvery > 0 && !h.planned {
+		running.Go(func() { h.cutFromPlatform(ctx, h.options.CutEvery) })
+	}
 	if !h.options.NoFaults {
 		h.injectFaults(ctx)
 	}
@@ -332,7 +345,7 @@
 func (h *harness) report() Report {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return Report{Seed: h.options.Seed, Planned: h.planned, Sent: h.sent, Succeeded: h.succeeded, Resumed: h.resumed, ResumedTries: h.resumedTries, TakeUps: h.takeUps, TakeUpsUnknown: h.takeUpsUnknown, LeavingChecked: h.leavingChecked, Told: h.toldCount, Paused: h.pauseCount, Upgraded: h.upgraded, OverLimit: h.overLimit, FullestWindow: h.fullestWindow, WindowLimit: h.options.windowLimit(), CutServed: h.cutServed, CutSent: h.cutSent, Rollout: h.rollout.String(), Findings: h.findings, FewTakenUp: h.fewTakenUp}
+	return Report{Seed: h.options.Seed, Planned: h.planned, Sent: h.sent, Succeeded: h.succeeded, Resumed: h.resumed, ResumedTries: h.resumedTries, TakeUps: h.takeUps, TakeUpsUnknown: h.takeUpsUnknown, LeavingChecked: h.leavingChecked, Told: h.toldCount, Paused: h.pauseCount, Upgraded: h.upgraded, OverLimit: h.overLimit, FullestWindow: h.fullestWindow, WindowLimit: h.options.windowLimit(), CutServed: h.cutServed, CutSent: h.cutSent, Rollout: h.rollout.String(), Drills: h.drills.count, Windows: len(h.cloud.Reports()), Findings: h.findings, FewTakenUp: h.fewTakenUp}
 }
 
 // addFinding records a violated guarantee.
@@ -367,8 +380,12 @@
 		if err != nil {
 			return err
 		}
-		h.proxies[nodeName(i)] = proxy
-		d, err := newDaemon(h.options.firstBinary(), h.options.Folder, i, fmt.Sprintf("zone-%d", i%3), proxy.Address(), strings.TrimPrefix(cloud.URL, "http://"))
+		cloudProxy, err := NewProxy(strings.TrimPrefix(cloud.URL, "http://"))
+		if err != nil {
+			return err
+		}
+		h.proxies[nodeName(i)], h.proxies[cloudLink(nodeName(i))] = proxy, cloudProxy
+		d, err := newDaemon(h.options.firstBinary(), h.options.Folder, i, fmt.Sprintf("zone-%d", i%3), proxy.Address(), cloudProxy.Address())
 		if err != nil {
 			return err
 		}
@@ -507,6 +524,14 @@
 	h.mu.Lock()
 	h.version++
 	h.publishedAt = append(h.publishedAt, time.Now())
+	h.mu.Unlock()
+	h.store.PutConfiguration(h.configuration())
+}
+
+// configuration returns the last published configuration.
+func (h *harness) configuration() []byte {
+	h.mu.Lock()
+	defer h.mu.Unlock()
 	routes := []standin.Route{
 		{Prefix: "/once/", Kind: standin.KindOnce, Service: "plain", Attempts: 2},
 		{Prefix: "/look/", Kind: standin.KindIdempotent, Service: "plain", Attempts: 2},
@@ -516,9 +541,7 @@
 	for v := 1; v <= h.version; v++ {
 		routes = append(routes, standin.Route{Prefix: markerPrefix(v), Kind: standin.KindIdempotent, Service: "plain", Attempts: 2})
 	}
-	body := standin.Configuration(h.version, hostName, routes, map[string][]string{"account": {apiKey}}, h.options.UsageRate)
-	h.mu.Unlock()
-	h.store.PutConfiguration(body)
+	return standin.Configuration(h.version, hostName, routes, map[string][]string{"account": {apiKey}}, h.options.UsageRate)
 }
 
 // markerPrefix returns the path prefix of the route that a version adds.
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -61,7 +61,7 @@
 	for _, seed := range seeds {
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
 			runSeed(t, soak.Options{Seed: seed, Binary: binary, Daemons: daemons, Servers: max(minServers, daemons/daemonsPerServer) + serversPerCrashPart*int(seed%2), Callers: callersPerDaemon * daemons, CrashRequests: 2,
-				CrashParts: int(seed % 2), UnframedAnswers: 0.2, BrittleMost: brittleMost(seed), BrittleRoom: 10, ChangeQueries: seed%2 == 0, ReplaceServers: seed%4 >= 2, Versions: 1 + int(seed%3), StatementEvery: statementEvery(), UsageRate: usageRateOfAll(daemons), Duration: duration})
+				CrashParts: int(seed % 2), UnframedAnswers: 0.2, BrittleMost: brittleMost(seed), BrittleRoom: 10, ChangeQueries: seed%2 == 0, ReplaceServers: seed%4 >= 2, Versions: 1 + int(seed%3), StatementEvery: statementEvery(), DrillEvery: drillEvery(), CutEvery: drillEvery(), UsageRate: usageRateOfAll(daemons), Duration: duration})
 		})
 	}
 }
@@ -75,6 +75,15 @@
 	return 2 * time.Second
 }
 
+// drillEvery returns how often the store returns from an older copy and a daemon is cut off from the
+// platform. SOAK_DRILLS=false leaves that out, as for the seeds that failed before there was any.
+func drillEvery() time.Duration {
+	if os.Getenv("SOAK_DRILLS") == "false" {
+		return 0
+	}
+	return 7 * time.Second
+}
+
 // usageRateOfAll returns the usage limit that SOAK_USAGE_RATE sets in requests per second and
 // daemon, or 0.
 func usageRateOfAll(daemons int) float64 {
@@ -94,6 +103,22 @@
 	return 3 + int(seed%4)
 }
 
+// TestDutiesOutliveDrills guards against two holders of the duties with one fencing number, usage
+// windows that are reported twice, duties that nobody performs any more, and requests to servers
+// that have left, when the store returns from older copies beside restarts and cuts of daemons.
+func TestDutiesOutliveDrills(t *testing.T) {
+	t.Parallel()
+	runSeed(t, soak.Options{Seed: 1, Binary: buildDaemon(t), Daemons: 7, Callers: 14, NoFaults: true, DrillEvery: 6 * time.Second, CutEvery: 5 * time.Second,
+		KillEvery: 4 * time.Second, LeaveEvery: 3 * time.Second, Duration: 30 * time.Second})
+}
+
+// TestADrillAloneStopsNoDuty guards against duties that nobody performs any more after the store has
+// returned from an older copy, and nothing else has happened.
+func TestADrillAloneStopsNoDuty(t *testing.T) {
+	t.Parallel()
+	runSeed(t, soak.Options{Seed: 2, Binary: buildDaemon(t), Daemons: 4, Callers: 8, NoFaults: true, DrillEvery: 8 * time.Second, Duration: 30 * time.Second})
+}
+
 // TestRequestsThatCrashServersAreContained guards against a request that crashes
 // one server after another because its caller sends it again to any daemon: once
 // it has crashed three servers, the daemons must keep it from further ones.
@@ -350,6 +375,9 @@
 	}
 	t.Logf("seed %d: planned %t, %d requests sent, %d succeeded, %d of %d streams taken up went on, %d requests at leaving servers, %s, %d of %d first tries served at daemons cut off from servers, %d daemons replaced", seed, report.Planned,
 		report.Sent, report.Succeeded, report.Resumed, report.ResumedTries, report.LeavingChecked, report.Statements(), report.CutServed, report.CutSent, report.Upgraded)
+	if options.DrillEvery > 0 {
+		t.Logf("seed %d: %d returns of the store from an older copy, %d usage windows reported", seed, report.Drills, report.Windows)
+	}
 	if len(report.Findings) > 0 || report.FewTakenUp != "" || fewSucceeded(report) {
 		t.Logf("logs are in %s", folder)
 		return report
