Know soon after any start that no older stream exists

Cause: the stored row of versions in use becomes complete only when a daemon has seen the servers for as long as streams last (12 s and more), and records of streams are not stored beside one version. That the deployment starts for the first time was not used. Besides, a stream that is taken up in the first tens of milliseconds of a daemon was refused before it had seen the servers.

Change: the first row is written as complete in a first start (bootstrap), unless the store has returned from a copy or holds the row of an earlier build: versions are stored before they begin streams, so that the row lacks none. Daemons that have started lately read a complete row once they have seen the servers, hubs complete one as soon as they may, also after a return, and take-ups wait for the servers to be seen. While a row was read that does not tell, records of streams are stored beside one version, too; no stream waits for that.

--- a/pkg/edge/settings.go
+++ b/pkg/edge/settings.go
@@ -24,6 +24,9 @@
 	// Cores is the number of CPU cores available to the daemon; it may be a
 	// fraction.
 	Cores float64
+	// Bootstrap is set if the whole deployment starts for the first time, so that no daemon has
+	// served a request before.
+	Bootstrap bool
 	// GracePeriod is the time from SIGTERM to SIGKILL.
 	GracePeriod time.Duration
 	// RetryRatio and RetrySlack limit the retries to servers within any period of
--- a/pkg/edge/state.go
+++ b/pkg/edge/state.go
@@ -68,6 +68,8 @@
 	versionStore    table.Store
 	versionsReadAt  time.Time
 	versionsReading semaphore
+	// versionsUncoveredAt is when a hub last read them because it did not know all versions in use.
+	versionsUncoveredAt time.Time
 	// streamsReadAt is when this daemon last read the stored records of streams, or zero, and
 	// streamsReadFailedAt when a read of them last failed. Both are guarded by versionsReading.
 	streamsReadAt, streamsReadFailedAt time.Time
--- a/pkg/edge/versions.go
+++ b/pkg/edge/versions.go
@@ -26,6 +26,10 @@
 	// yet, besides when a server joins, and versionsStoreTimeout the timeout of each of its calls.
 	versionsStoreInterval = 250 * time.Millisecond
 	versionsStoreTimeout  = 500 * time.Millisecond
+	// serversSeenWait is how long a stream that is taken up right after the start of a daemon waits
+	// for the servers to be seen, which is checked every serversSeenCheck.
+	serversSeenWait  = 500 * time.Millisecond
+	serversSeenCheck = 20 * time.Millisecond
 	// versionsLogInterval is the least time between two log lines while the store is away.
 	versionsLogInterval = 2 * time.Second
 )
@@ -174,10 +178,17 @@
 func (s *state) storeNewVersionsOnce(ctx context.Context, returned bool) error {
 	followsStore := s.followsStore()
 	s.mu.Lock()
+	now := bootNow()
 	_, missing := s.streams.InService()
 	adds := s.peers.RanksAsHub()
+	// A daemon that has started lately learns from a complete row that no other version is in use.
+	reads := adds || s.peers.Size() <= maxStreamStorers
+	uncovered := reads && s.streams.SeesSince(now) && !s.streams.Covered(now) && now.Sub(s.versionsUncoveredAt) >= versionsReadInterval
+	if uncovered {
+		s.versionsUncoveredAt = now
+	}
 	s.mu.Unlock()
-	if !returned && (len(missing) == 0 || !adds && !followsStore) {
+	if !returned && !uncovered && (len(missing) == 0 || !adds && !followsStore) {
 		return nil
 	}
 	ctx, cancel := context.WithTimeout(ctx, versionsStoreTimeout)
@@ -194,25 +205,64 @@
 	s.streams.MergeStored(readAt, row)
 	s.streams.MarkStored(readAt, row.Versions)
 	_, missing = s.streams.InService()
+	wroteAt := bootNow()
+	allStoreFirst := s.peers.OldestFormat(wroteAt) >= mesh.FormatDemands
+	completes := !row.Complete && allStoreFirst && s.streams.Covered(wroteAt)
 	s.mu.Unlock()
-	if len(missing) == 0 || !adds {
+	if len(missing) == 0 && !completes || !adds {
 		return nil
 	}
-	wroteAt := bootNow()
+	if !completes && !row.Complete && allStoreFirst {
+		if completes, err = s.isFirstRow(ctx, version); err != nil {
+			return err
+		}
+	}
 	s.mu.Lock()
 	row.Versions = row.Versions.With(s.streams.Stored(wroteAt, row.Versions))
+	row.Complete = row.Complete || completes
 	s.mu.Unlock()
 	if err := writeVersions(ctx, s.versionStore, version, row); err != nil {
 		return err
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.streams.MergeStored(wroteAt, row)
 	s.streams.MarkStored(wroteAt, row.Versions)
 	klog.InfoS("software versions stored before their use", "versions", missing, "complete", row.Complete, "tookMs", bootNow().Sub(readAt).Milliseconds())
 	s.wakeExchange()
 	return nil
 }
 
+// isFirstRow reports whether a row of the versions in use that is written in place of a version is
+// complete because the deployment starts for the first time: no stream has begun before, and none
+// begins at a version that the row does not hold. The row of a store that has returned from an older
+// copy may be missing because it was lost.
+func (s *state) isFirstRow(ctx context.Context, version table.Version) (bool, error) {
+	if !s.settings.Bootstrap || version.Exists() || version.Epoch() > 0 {
+		return false, nil
+	}
+	_, err := s.versionStore.Get(ctx, earlierVersionsKey)
+	var missing *table.NotFoundError
+	if errors.As(err, &missing) {
+		return true, nil
+	}
+	return false, err
+}
+
+// awaitServersSeen waits until the servers have been seen, which takes some tens of milliseconds
+// from the start, or for serversSeenWait.
+func (s *state) awaitServersSeen(ctx context.Context) {
+	for waited := time.Duration(0); waited < serversSeenWait && ctx.Err() == nil; waited += serversSeenCheck {
+		s.mu.Lock()
+		seen := s.streams.SeesSince(bootNow())
+		s.mu.Unlock()
+		if seen {
+			return
+		}
+		pause(ctx, serversSeenCheck)
+	}
+}
+
 // learnStoredVersions reads which versions may have begun streams, unless that was done
 // lately, or the servers have not been seen yet. It is needed when all daemons that knew have been lost. Many callers take up
 // their streams at the same time then: all wait for the one read.
@@ -221,6 +271,7 @@
 		return
 	}
 	defer s.versionsReading.release()
+	s.awaitServersSeen(ctx)
 	s.mu.Lock()
 	now := bootNow()
 	due := s.versionStore != nil && (now.Sub(s.versionsReadAt) >= versionsReadInterval || !s.streams.SeesSince(s.versionsReadAt))
--- a/pkg/edge/versions_test.go
+++ b/pkg/edge/versions_test.go
@@ -133,3 +133,46 @@
 	var missing *table.NotFoundError
 	g.Expect(errors.As(err, &missing)).To(gomega.BeTrue(), "an earlier build would take it for complete")
 }
+
+// Guards against streams that nobody can take up after all daemons were killed soon after the first
+// start of a deployment, since the row of versions passes for incomplete.
+func TestTheRowOfTheFirstStartIsComplete(t *testing.T) {
+	first, later := settings, settings
+	first.Bootstrap = true
+	for name, c := range map[string]struct {
+		settings Settings
+		prepare  func(*memtable.Store)
+		complete bool
+	}{
+		"first start":           {first, func(*memtable.Store) {}, true},
+		"later start":           {later, func(*memtable.Store) {}, false},
+		"after an older copy":   {first, func(s *memtable.Store) { s.Restore(s.Copy()) }, false},
+		"beside an earlier row": {first, func(s *memtable.Store) { writeRow(t, s, earlierVersionsKey) }, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			store := memtable.New()
+			c.prepare(store)
+			s := newStateWithStore(t, c.settings, store)
+			s.versionStore = store
+			s.streams.Confirmed(bootNow())
+			s.applyServerEvents([]fleet.Event{{Server: fleet.Server{ID: "a", Service: "s", Version: "v1"}, Change: fleet.ServerJoined}}, "store")
+			g.Expect(s.storeNewVersionsOnce(t.Context(), false)).To(gomega.Succeed())
+			_, row, err := readVersions(t.Context(), store)
+			g.Expect(err).NotTo(gomega.HaveOccurred())
+			g.Expect(row.Versions.Contains("s", "v1")).To(gomega.BeTrue())
+			g.Expect(row.Complete).To(gomega.Equal(c.complete))
+			// While the row does not tell, the records of streams do.
+			s.streams.Began(bootNow(), time.Now(), "stream", &fleet.Server{ID: "a", Service: "s", Version: "v1"})
+			_, stores := s.streams.StreamsToStore(bootNow())
+			g.Expect(stores).To(gomega.Equal(!c.complete))
+		})
+	}
+}
+
+func writeRow(t *testing.T, store *memtable.Store, key table.Key) {
+	t.Helper()
+	if err := store.Transact(t.Context(), []table.Write{{Key: key, Value: []byte("{}")}}); err != nil {
+		t.Fatal(err)
+	}
+}
--- a/pkg/streamversion/history.go
+++ b/pkg/streamversion/history.go
@@ -17,6 +17,8 @@
 	// routes holds what leads to each service, and routesKnown is set once that is known.
 	routes      map[string]string
 	routesKnown bool
+	// rowIncomplete is set if the row of the versions in use was not complete when it was last read.
+	rowIncomplete bool
 }
 
 // versionUse is the use of one version of a service.
--- a/pkg/streamversion/stored.go
+++ b/pkg/streamversion/stored.go
@@ -121,6 +121,7 @@
 // has not seen them since then, a version may have come and gone in between.
 func (c *Core) MergeStored(readAt time.Time, row Row) {
 	c.Loaded(readAt, row.Versions)
+	c.versions.rowIncomplete = !row.Complete
 	if row.Complete {
 		c.versions.mergeStoredRoutes(readAt, row.Versions)
 	}
--- a/pkg/streamversion/storedstreams.go
+++ b/pkg/streamversion/storedstreams.go
@@ -18,12 +18,19 @@
 	return count > 1
 }
 
+// needsRecords reports whether streams of a service can go on after a loss of all daemons only if the
+// store has their records: the service has several versions, or the row of the versions in use was
+// read and tells too little, and this daemon has not seen the servers for long enough either.
+func (c *Core) needsRecords(now time.Time, service string) bool {
+	return c.versions.rowIncomplete && !c.Covered(now) || c.SeveralVersions(now, service)
+}
+
 // StreamsToStore returns the records to keep in the store in place of those there, so that streams
-// go on after all daemons were lost, and false if the store has them. It has records while a
-// service is known to have several versions.
+// go on after all daemons were lost, and false if the store has them. It has records while any
+// service needs them.
 func (c *Core) StreamsToStore(now time.Time) (Batch, bool) {
 	c.numberRecords(now)
-	if c.storedRevision >= c.revision || !c.anySeveralVersions(now) {
+	if c.storedRevision >= c.revision || !c.anyNeedsRecords(now) {
 		return Batch{}, false
 	}
 	keys := c.own.order
@@ -31,9 +38,9 @@
 	return b, len(b.Groups) > 0
 }
 
-func (c *Core) anySeveralVersions(now time.Time) bool {
+func (c *Core) anyNeedsRecords(now time.Time) bool {
 	for service := range c.versions.services {
-		if !isRoutesTo(service) && c.SeveralVersions(now, service) {
+		if !isRoutesTo(service) && c.needsRecords(now, service) {
 			return true
 		}
 	}
--- a/soak/daemon.go
+++ b/soak/daemon.go
@@ -201,6 +201,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.starts++
+	d.settings.Bootstrap = d.starts == 1
 	settings := filepath.Join(d.folder, d.settings.Node+".toml")
 	file, err := os.Create(settings)
 	if err != nil {
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -193,12 +193,14 @@
 	// fullestWindow the most that ran in usageWindow.
 	overLimit, fullestWindow int
 	// upgraded is the number of daemons that were replaced by another build.
-	upgraded  int
-	rollout   rolloutRecord
-	drills    drills
-	findings  []string
-	sent      int
-	succeeded int
+	upgraded int
+	rollout  rolloutRecord
+	drills   drills
+	// callersEndedAt is when the callers have ended.
+	callersEndedAt time.Time
+	findings       []string
+	sent           int
+	succeeded      int
 }
 
 // Report holds the results of a run: the requests that callers sent, those that
@@ -337,6 +339,7 @@
 		h.injectFaults(ctx)
 	}
 	running.Wait()
+	h.callersEndedAt = time.Now()
 	h.recover()
 	h.checkFinalState()
 	return h.report(), nil
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -234,6 +234,26 @@
 	}
 }
 
+// TestStreamsAreTakenUpSoonAfterAnyStart guards against streams that are refused although there was
+// only one software version, when all daemons are killed soon after the first start of the
+// deployment, and soon after each start that follows.
+func TestStreamsAreTakenUpSoonAfterAnyStart(t *testing.T) {
+	t.Parallel()
+	for _, first := range []time.Duration{1500 * time.Millisecond, 4 * time.Second} {
+		t.Run(first.String(), func(t *testing.T) {
+			t.Parallel()
+			report := playSeed(t, soak.Options{Seed: 1, Binary: buildDaemon(t), Daemons: 7, Servers: 4, Callers: 42, NoFaults: true, WorkTime: 120 * time.Millisecond, StreamTries: 40,
+				RestartAllAt: []time.Duration{first, first + 3*time.Second, first + 8*time.Second, first + 10*time.Second}, Duration: first + 16*time.Second})
+			checkFindings(t, report)
+			checkShares(t, report)
+			t.Logf("%d of %d tries to take up a stream that could go on refused for want of its version", report.TakeUpsUnknown, report.TakeUps)
+			if report.TakeUps == 0 || float64(report.TakeUpsUnknown) > maxTakeUpsUnknown*float64(report.TakeUps) {
+				t.Errorf("%d of %d tries to take up a stream that could go on were refused for want of its version", report.TakeUpsUnknown, report.TakeUps)
+			}
+		})
+	}
+}
+
 // TestLeavingServersGetNoRequests guards against requests that still reach servers after
 // they have left, from daemons that nothing disturbs, while servers leave and are stuck in
 // quick succession and other daemons are paused, killed and cut off from the store.
