Ask the store at each take-up whether a version is the only one

Cause: a daemon takes the only version that it knows for that of a stream while its view of the servers is at most 3 s old (maxConfirmationGap), but a version may begin streams, be cut and taken up within a fraction of a second.

Change: a stream of which the daemon has no record goes on at the only version if the stored row, read after the stream was taken up, has no other one. All that wait share one read, 1,000 reads a second at most over all daemons. If the row can't be read, all daemons that were heard lately must have answered that they have no record.

Why it works: a version is stored before it begins a stream, so that a row which is read after the take-up holds it, whatever this daemon has missed.

--- a/pkg/edge/state.go
+++ b/pkg/edge/state.go
@@ -68,6 +68,9 @@
 	versionStore    table.Store
 	versionsReadAt  time.Time
 	versionsReading semaphore
+	// versionsReadFailedAt is when a read of them because of a stream that was taken up last
+	// failed. It is guarded by versionsReading.
+	versionsReadFailedAt time.Time
 	// versionsUncoveredAt is when a hub last read them because it did not know all versions in use.
 	versionsUncoveredAt time.Time
 	// streamsReadAt is when this daemon last read the stored records of streams, or zero, and
--- a/pkg/edge/streams.go
+++ b/pkg/edge/streams.go
@@ -146,15 +146,26 @@
 // AvailabilityZone, to which callers usually return, then all others. If none knows it, as
 // when all have been lost, the store has the record, or tells which versions were in use.
 func (s *state) StreamOrigin(ctx context.Context, request, service, stream string) (streamversion.Origin, bool) {
-	startedAt := time.Now()
+	startedAt, arrivedAt := time.Now(), bootNow()
 	origin, source := s.knownOrigin(service, stream)
-	asked, from := 0, ""
+	only, unconfirmed := origin, false
+	if source == originOnly && s.versionStore != nil {
+		// This daemon may be behind: a version that it does not know may have begun the stream.
+		unconfirmed = !s.confirmVersionsAt(ctx, arrivedAt)
+		if origin, source = s.knownOrigin(service, stream); source == originOnly && unconfirmed {
+			origin, source = streamversion.Origin{}, originUnknown
+		}
+	}
+	asked, answered, from := 0, 0, ""
 	if source == originUnknown && stream != "" {
 		near, far := s.lookupPeers()
 		for _, peers := range [][]mesh.Peer{near, far} {
 			asked += len(peers)
 			var found bool
-			if origin, from, found = s.askForOrigin(ctx, peers, stream); found {
+			var replies int
+			origin, from, replies, found = s.askForOrigin(ctx, peers, stream)
+			answered += replies
+			if found {
 				source = originPeer
 				s.mu.Lock()
 				s.streams.Learned(bootNow(), stream, origin)
@@ -167,17 +178,22 @@
 		s.learnStoredStreams(ctx)
 		if origin, source = s.knownOrigin(service, stream); source == originRecorded {
 			source = originStoredRecord
+		} else {
+			origin, source = streamversion.Origin{}, originUnknown
 		}
 	}
-	if source == originUnknown {
-		s.learnStoredVersions(ctx)
+	if source == originUnknown && s.versionStore != nil && s.confirmVersionsAt(ctx, arrivedAt) {
 		if origin, source = s.knownOrigin(service, stream); source == originOnly {
 			source = originStored
 		}
 	}
+	if source == originUnknown && unconfirmed && answered > 0 && answered == asked {
+		// The store does not answer. All other daemons do, and none has begun the stream.
+		origin, source = only, originOnly
+	}
 	s.streamMetrics.origins.WithLabelValues(source).Inc()
 	klog.InfoS("stream taken up", "request", request, "stream", stream, "source", source, "from", from, "service", origin.Service,
-		"version", origin.Version, "asked", asked, "tookMs", time.Since(startedAt).Milliseconds())
+		"version", origin.Version, "asked", asked, "answered", answered, "unconfirmed", unconfirmed, "tookMs", time.Since(startedAt).Milliseconds())
 	return origin, source != originUnknown
 }
 
@@ -211,12 +227,12 @@
 }
 
 // askForOrigin asks daemons for the origin of a stream and returns the first answer that
-// holds it, with the daemon that gave it.
-func (s *state) askForOrigin(ctx context.Context, peers []mesh.Peer, stream string) (streamversion.Origin, string, bool) {
+// holds it, with the daemon that gave it, and the number of answers until then.
+func (s *state) askForOrigin(ctx context.Context, peers []mesh.Peer, stream string) (origin streamversion.Origin, from string, answered int, found bool) {
 	type answer struct {
-		origin streamversion.Origin
-		from   string
-		found  bool
+		origin      streamversion.Origin
+		from        string
+		found, lost bool
 	}
 	ctx, cancel := context.WithTimeout(ctx, lookupTimeout)
 	defer cancel()
@@ -226,7 +242,7 @@
 		go func() {
 			reply, err := s.exchangeStreams(ctx, &p, &lookup)
 			if err != nil {
-				answers <- answer{}
+				answers <- answer{lost: true}
 				return
 			}
 			origin, found := reply.OriginOf(stream)
@@ -234,11 +250,15 @@
 		}()
 	}
 	for range peers {
-		if a := <-answers; a.found {
-			return a.origin, a.from, true
+		a := <-answers
+		if !a.lost {
+			answered++
+		}
+		if a.found {
+			return a.origin, a.from, answered, true
 		}
 	}
-	return streamversion.Origin{}, "", false
+	return streamversion.Origin{}, "", answered, false
 }
 
 // exchangeStreams sends a message about streams to a daemon and returns its reply.
--- a/pkg/edge/versions.go
+++ b/pkg/edge/versions.go
@@ -19,9 +19,11 @@
 	// versionsPartition is the table partition with the software versions in use, in one
 	// row.
 	versionsPartition = "versions"
-	// versionsReadInterval is the least time between two reads of that row because of
-	// streams of which no daemon has a record.
+	// versionsReadInterval is the least time between two reads of that row of a daemon that does not
+	// know all versions in use, and versionsMinReadPause that between two because of streams that are
+	// taken up.
 	versionsReadInterval = time.Second
+	versionsMinReadPause = 20 * time.Millisecond
 	// versionsStoreInterval is how often a daemon looks for versions that the store does not hold
 	// yet, besides when a server joins, and versionsStoreTimeout the timeout of each of its calls.
 	versionsStoreInterval = 250 * time.Millisecond
@@ -263,34 +265,46 @@
 	}
 }
 
-// learnStoredVersions reads which versions may have begun streams, unless that was done
-// lately, or the servers have not been seen yet. It is needed when all daemons that knew have been lost. Many callers take up
-// their streams at the same time then: all wait for the one read.
-func (s *state) learnStoredVersions(ctx context.Context) {
+// confirmVersionsAt reads which versions may have begun streams, as of a moment after at, and reports
+// whether it has. Before a version begins a stream it is stored, so that a row read after a stream was
+// taken up tells all versions that may have begun it, also to a daemon that was cut off or stood still
+// meanwhile. Many callers take up their streams at the same time when daemons are lost: all that wait
+// share one read, and reads are some time apart.
+func (s *state) confirmVersionsAt(ctx context.Context, at time.Time) bool {
 	if !s.versionsReading.acquire(ctx) {
-		return
+		return false
 	}
 	defer s.versionsReading.release()
 	s.awaitServersSeen(ctx)
 	s.mu.Lock()
-	now := bootNow()
-	due := s.versionStore != nil && (now.Sub(s.versionsReadAt) >= versionsReadInterval || !s.streams.SeesSince(s.versionsReadAt))
-	if due = due && s.streams.SeesSince(now); due {
-		s.versionsReadAt = now
-	}
+	readAt, daemons, seen := s.versionsReadAt, s.peers.Size(), s.streams.SeesSince(bootNow())
 	s.mu.Unlock()
-	if !due {
-		return
+	if !readAt.Before(at) {
+		return true
+	}
+	if !seen || !s.versionsReadFailedAt.IsZero() && bootNow().Sub(s.versionsReadFailedAt) < streamsRetryInterval {
+		return false
 	}
+	pause(ctx, versionsReadPause(daemons)-bootNow().Sub(readAt))
 	ctx, cancel := context.WithTimeout(ctx, lookupTimeout)
 	defer cancel()
+	now := bootNow()
 	_, row, err := readVersions(ctx, s.versionStore)
 	if err != nil {
+		s.versionsReadFailedAt = bootNow()
 		klog.InfoS("failed to read the stored software versions", "err", err)
-		return
+		return false
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.versionsReadAt = now
 	s.streams.MergeStored(now, row)
-	klog.InfoS("stored software versions read", "versions", row.Versions, "complete", row.Complete, "covered", s.streams.Covered(bootNow()))
+	klog.V(1).InfoS("stored software versions read", "versions", row.Versions, "complete", row.Complete, "covered", s.streams.Covered(bootNow()))
+	return true
+}
+
+// versionsReadPause returns the least time between two such reads of a daemon: all daemons together
+// make 1,000 a second at most.
+func versionsReadPause(daemons int) time.Duration {
+	return max(versionsMinReadPause, time.Duration(daemons)*time.Millisecond)
 }
--- a/pkg/edge/versions_test.go
+++ b/pkg/edge/versions_test.go
@@ -176,3 +176,39 @@
 		t.Fatal(err)
 	}
 }
+
+// Guards against a stream that goes on at another version: a daemon was cut off or stood still while
+// servers of a new version joined, and takes the one that it knows for the only one, since its view is
+// not old enough to count as outdated.
+func TestADaemonOutOfStepDoesNotConcludeTheOnlyVersion(t *testing.T) {
+	for name, c := range map[string]struct {
+		row   string
+		reads bool
+		known bool
+	}{
+		"a new version is stored":         {`{"versions":{"s":["v1","v2"]},"complete":true}`, true, false},
+		"no other version is stored":      {`{"versions":{"s":["v1"]},"complete":true}`, true, true},
+		"the store is not reached either": {`{"versions":{"s":["v1"]},"complete":true}`, false, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			store := memtable.New()
+			s := startWithServers(t, store, "v1")
+			g.Expect(store.Transact(t.Context(), []table.Write{{Key: versionsKey, Value: []byte(c.row)}})).To(gomega.Succeed())
+			// The daemon has seen the servers for longer than streams last, and a second ago.
+			s.streams.SetStreamAge(50 * time.Millisecond)
+			time.Sleep(60 * time.Millisecond)
+			s.confirmVersions()
+			_, only := s.streams.OnlyVersion(bootNow(), "s")
+			g.Expect(only).To(gomega.BeTrue())
+			if !c.reads {
+				store.SetFault(func(memtable.Operation) memtable.Fault { return memtable.FaultUnavailable })
+			}
+			origin, known := s.StreamOrigin(t.Context(), "request", "s", "stream")
+			g.Expect(known).To(gomega.Equal(c.known))
+			if known {
+				g.Expect(origin.Version).To(gomega.Equal("v1"))
+			}
+		})
+	}
+}
