Expect a finite wait at servers of which the slots are not known

Callers saw: nothing; platform/ rejects entries without slots. Two tests of pkg/edge failed on arm64 only.

Cause: the expected wait was divided by 0 slots, and Go leaves the conversion of an infinite number to the machine: the largest duration on arm64, the smallest on x86-64.

Change: at least one slot is assumed. Not run on x86-64.

--- a/pkg/placement/score.go
+++ b/pkg/placement/score.go
@@ -111,8 +111,9 @@
 }
 
 func (s *server) plainWait(now time.Time, load Load, q *Query) time.Duration {
+	// The number of slots may be unknown.
 	queued := max(load.Running+1-s.Slots, 0)
-	wait := time.Duration(float64(s.service.plainRunTime) * (1 + float64(queued)/float64(s.Slots)) * s.decayedSlowness(now))
+	wait := time.Duration(float64(s.service.plainRunTime) * (1 + float64(queued)/float64(max(s.Slots, 1))) * s.decayedSlowness(now))
 	// Prefer the least loaded among servers with free slots.
 	wait += time.Duration(load.Running) * time.Millisecond
 	if s.AvailabilityZone != q.Zone {
