Skip failures that may answer an earlier request on a kept connection

Clients were told 'not run, try again' for requests that a server had run or was running (REFUSED), or such a request ran at a second server (TWICE).

Cause: it can happen here in two ways. A failure without a request ID was taken for the answer to the request that waits, also on a connection that had carried others; and a request that is sent to a server again used the connection of its first try, whose refusal has the same ID.

Change: a failure without an ID is the answer only if nothing else was asked on its connection; else it is skipped, like an answer with another ID. A connection that has carried a request is not used for it again.

--- a/pkg/backendconn/pool.go
+++ b/pkg/backendconn/pool.go
@@ -12,6 +12,7 @@
 	"math"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -63,14 +64,37 @@
 	Reader *bufio.Reader
 	// limited counts the bytes that Reader may still take from the connection.
 	limited *limitedReader
-	// Reused is set if the connection carried an earlier request.
-	Reused bool
+	// Reused is set if the connection carried an earlier request, and Asked if the server was asked
+	// for its run on it.
+	Reused, Asked bool
+	// carried holds the last requests that the connection has carried, in no order, and next the
+	// place for the next one.
+	carried []string
+	next    int
 
 	server string
 	// idleUntil is the time after which the idle connection is not reused.
 	idleUntil time.Time
 }
 
+// maxCarried is the number of requests that a connection remembers. A request that is sent again
+// follows within its deadline.
+const maxCarried = 64
+
+// Carries records that the connection carries a request.
+func (c *Conn) Carries(request string) {
+	if len(c.carried) < maxCarried {
+		c.carried = append(c.carried, request)
+		return
+	}
+	c.carried[c.next] = request
+	c.next = (c.next + 1) % maxCarried
+}
+
+// HasCarried reports whether the connection has carried a request lately: a server may answer that
+// again.
+func (c *Conn) HasCarried(request string) bool { return slices.Contains(c.carried, request) }
+
 // maxHeadBytes limits the head of a response.
 const maxHeadBytes = 64 << 10
 
--- a/pkg/relay/attempt.go
+++ b/pkg/relay/attempt.go
@@ -115,6 +115,7 @@
 	}
 	out.WriteString("\r\n")
 	out.Write(s.Body)
+	s.conn.Carries(s.ID)
 	s.mayHaveRunBefore, s.exchange.mayHaveRun = s.exchange.mayHaveRun, true
 	if out.Len() <= maxSyncWriteBytes {
 		_, err := s.conn.Write(out.Bytes())
@@ -210,7 +211,9 @@
 }
 
 // receive reads the header of the response to this request. Responses to earlier
-// requests on the connection are skipped.
+// requests on the connection are skipped. A failure that names no request is the
+// response only if nothing else was asked on the connection: a faulty server may write
+// an earlier one again while it runs this request.
 func (s *serverAttempt) receive() (*http.Response, ResponseInfo, bool) {
 	request := &http.Request{Method: s.Method}
 	// said holds what skipped responses say of the server, unless its address turns out to
@@ -234,7 +237,7 @@
 			continue
 		}
 		info := s.handler.codec.ResponseInfo(response)
-		if info.RequestID == s.ID || info.RequestID == "" && response.StatusCode/100 != 2 {
+		if info.RequestID == s.ID || info.RequestID == "" && response.StatusCode/100 != 2 && !s.conn.Reused && !s.conn.Asked {
 			s.said = info.Statements
 			s.readKeepAliveTimeout(response)
 			s.answers(true)
--- a/pkg/relay/end_test.go
+++ b/pkg/relay/end_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"testing"
 
@@ -106,3 +107,81 @@
 		})
 	}
 }
+
+// unnamedRefusal writes a response which states that a request did not run, without its ID.
+func unnamedRefusal(c net.Conn) {
+	fmt.Fprint(c, "HTTP/1.1 503 Busy\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n")
+}
+
+// Guards against a request that passes for one that has not run, and is refused or sent to a second
+// server while it runs, because a faulty server writes an earlier refusal once more on a kept
+// connection.
+func TestARefusalThatIsWrittenAgainIsNoAnswer(t *testing.T) {
+	for name, again := range map[string]func(net.Conn){
+		"without a request":     unnamedRefusal,
+		"of the request before": func(c net.Conn) { notRun(c, "1") },
+		"another failure":       func(c net.Conn) { fmt.Fprint(c, "HTTP/1.1 500 Broken\r\nSeal: s\r\nContent-Length: 4\r\n\r\nfail") },
+	} {
+		for _, path := range []string{"/once/x", "/look/x", "/stream/x"} {
+			t.Run(name+path, func(t *testing.T) {
+				g := gomega.NewWithT(t)
+				serve := func(n int, r *http.Request, c net.Conn) bool {
+					id := r.Header.Get("Id")
+					if n == 1 {
+						notRun(c, id)
+						return true
+					}
+					again(c)
+					if path == "/stream/x" {
+						events(c, id, 1, 3, true)
+					} else {
+						answer(c, id, "", "done")
+					}
+					return true
+				}
+				b := newBackend(t, serve)
+				f := newFixture(t, b)
+				status, _, _, err := f.post(path, "1")
+				g.Expect(err).NotTo(gomega.HaveOccurred())
+				g.Expect(status).To(gomega.Equal(http.StatusServiceUnavailable))
+				status, _, _, err = f.post(path, "2")
+				g.Expect(err).NotTo(gomega.HaveOccurred())
+				g.Expect(status).To(gomega.Equal(http.StatusOK))
+				g.Expect(b.count()).To(gomega.Equal(2))
+			})
+		}
+	}
+}
+
+// Guards against the refusal of a request's first try at a server that is taken for the answer to a
+// later try, as both have the ID of the request: the later try uses another connection.
+func TestARequestIsNotSentAgainOnItsConnection(t *testing.T) {
+	g := gomega.NewWithT(t)
+	var mu sync.Mutex
+	conns := make(map[net.Conn]int)
+	b := newBackend(t, func(n int, r *http.Request, c net.Conn) bool {
+		mu.Lock()
+		conns[c]++
+		earlier := conns[c] > 1
+		mu.Unlock()
+		id := r.Header.Get("Id")
+		if earlier {
+			notRun(c, id)
+		}
+		if n == 1 {
+			notRun(c, id)
+		} else {
+			answer(c, id, "", "done")
+		}
+		return true
+	})
+	f := newFixture(t, b)
+	status, _, _, err := f.post("/once/x", "1")
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(status).To(gomega.Equal(http.StatusServiceUnavailable))
+	// Another daemon forwards the request to this one again.
+	status, body, _, err := f.post("/once/x", "1")
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(status).To(gomega.Equal(http.StatusOK))
+	g.Expect(body).To(gomega.Equal("done"))
+}
--- a/pkg/relay/runcheck.go
+++ b/pkg/relay/runcheck.go
@@ -42,7 +42,7 @@
 // which shows in its entry only later.
 func (x *exchange) connectToRun(server *fleet.Server) (*backendconn.Conn, error) {
 	limit := x.handler.controller.ConnectionLimit(server.ID, x.service)
-	conn, err := x.handler.pool.Get(x.caller, server.ID, server.Address, limit)
+	conn, err := x.unusedConnection(server, limit)
 	if err != nil || !x.begun || server.StartedUnixMilli == 0 {
 		return conn, err
 	}
@@ -54,7 +54,18 @@
 	if err != nil {
 		return nil, err
 	}
-	return x.handler.pool.Get(x.caller, server.ID, server.Address, limit)
+	return x.unusedConnection(server, limit)
+}
+
+// unusedConnection returns a connection to a server that has not carried this request before. A faulty server
+// may write its answer to that once more, which could not be told from the one to this attempt.
+func (x *exchange) unusedConnection(server *fleet.Server, limit int) (*backendconn.Conn, error) {
+	conn, err := x.handler.pool.Get(x.caller, server.ID, server.Address, limit)
+	if err != nil || !conn.HasCarried(x.ID) {
+		return conn, err
+	}
+	x.handler.pool.Discard(conn)
+	return x.handler.pool.Dial(x.caller, server.ID, server.Address, limit)
 }
 
 // endsWithConnection reports whether nothing but the end of its connection marks the end
@@ -107,6 +118,7 @@
 	if err := conn.SetDeadline(time.Now().Add(runCheckTimeout)); err != nil {
 		return false, err
 	}
+	conn.Asked = true
 	request := &http.Request{Method: http.MethodGet}
 	if _, err := fmt.Fprintf(conn, "GET %s HTTP/1.1\r\nHost: %s\r\n\r\n", x.handler.codec.RunPath(), server.Address); err != nil {
 		return false, err
