Spread the writes that follow a return of the store from an older copy

Callers saw: nothing; at 590 daemons each would read all rows of daemons and write its own within 0.25 s after a return, and write each decisive entry of the quarantine that another one has written (read from the code).

Change: a daemon reads its own row only, at a random moment within 10 ms for each daemon, and an entry of the quarantine that the table already has as it is is not written.

Result: pkg/edge and coordination/quarantine pass; not measured at 63 or more daemons.

--- a/coordination/quarantine/persist.go
+++ b/coordination/quarantine/persist.go
@@ -1,6 +1,7 @@
 package quarantine
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
@@ -158,6 +159,13 @@
 		if value, err = json.Marshal(entry); err != nil {
 			return err
 		}
+		if bytes.Equal(value, item.Value) {
+			// Another daemon has written it.
+			m.mu.Lock()
+			m.saved[fingerprint] = struct{}{}
+			m.mu.Unlock()
+			return nil
+		}
 		err = m.options.Store.Transact(ctx, []table.Write{{Key: key, Version: item.Version, Value: value}})
 		if err == nil {
 			m.mu.Lock()
--- a/pkg/edge/store.go
+++ b/pkg/edge/store.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"math/rand/v2"
 	"net"
 	"strconv"
 	"time"
@@ -185,12 +186,14 @@
 	watch := epochWatch{store: d.platform}
 	for ctx.Err() == nil {
 		var err error
-		returned := watch.changed()
-		if returned {
+		if watch.changed() {
+			// All daemons notice it at the same time.
+			pause(ctx, time.Duration(rand.Int64N(int64(d.returnSpread()))))
 			row.refreshedAt = time.Time{}
+			err = d.reloadRow(ctx, &row)
 		}
 		told := d.toldOfDaemons()
-		if !told || returned {
+		if err == nil && !told {
 			err = d.readDaemons(ctx, &row)
 		}
 		d.expirePeers()
@@ -264,15 +267,36 @@
 		return nil
 	}
 	// The row may have been written by an earlier call whose response was lost.
-	item, readErr := d.platform.Get(ctx, key)
+	if readErr := d.reloadRow(ctx, own); readErr != nil {
+		klog.V(1).InfoS("failed to read the own row", "err", readErr)
+	}
+	return err
+}
+
+// reloadRow reads the version of this daemon's row.
+func (d *Daemon) reloadRow(ctx context.Context, own *ownRow) error {
+	item, err := d.platform.Get(ctx, table.Key{Partition: daemonPartition, Sort: d.settings.Node})
 	var missing *table.NotFoundError
 	switch {
-	case readErr == nil:
+	case err == nil:
 		own.version = item.Version
-	case errors.As(readErr, &missing):
+	case errors.As(err, &missing):
 		own.version = d.platform.Epoch().At(0)
+	default:
+		return err
 	}
-	return err
+	return nil
+}
+
+// returnSpreadPerDaemon is the time, for each daemon, over which the daemons write their rows again
+// when the store has returned from an older copy: 100 rows a second.
+const returnSpreadPerDaemon = 10 * time.Millisecond
+
+// returnSpread returns the time over which all daemons write their rows again.
+func (d *Daemon) returnSpread() time.Duration {
+	d.state.mu.Lock()
+	defer d.state.mu.Unlock()
+	return time.Duration(d.state.peers.Size()+1) * returnSpreadPerDaemon
 }
 
 // updatePeerEntry applies a daemon's row to the directory and the quotas.
