Compare the begin of a stream with a server's start by the cluster's clock

Cause: the begin of a stream was noted by the daemon's own time of day.

Change: it is noted by the median of the daemons' clocks, as usage and what servers say of their leaving are.

--- a/pkg/edge/streams.go
+++ b/pkg/edge/streams.go
@@ -115,7 +115,7 @@
 func (s *state) StreamBegan(stream string, server *fleet.Server) {
 	s.mu.Lock()
 	now := bootNow()
-	s.streams.Began(now, time.Now(), stream, server)
+	s.streams.Began(now, s.clusterTime(), stream, server)
 	daemons := s.peers.Size()
 	stores := s.streams.SeveralVersions(now, server.Service) && s.versionStore != nil && s.storeUp && daemons <= maxStreamStorers
 	s.mu.Unlock()
--- a/pkg/edge/streams_test.go
+++ b/pkg/edge/streams_test.go
@@ -297,3 +297,24 @@
 	_, known = start(to(3, "other")).StreamOrigin(t.Context(), "request", "other", "stream")
 	g.Expect(known).To(gomega.BeFalse(), "all daemons were lost since the change")
 }
+
+// Guards against a stream that goes on at another version because the clock of the daemon that began
+// it is ahead: the begin of the stream is compared with the start that a server states.
+func TestAStreamBeginsByTheClockOnWhichDaemonsAgree(t *testing.T) {
+	g := gomega.NewWithT(t)
+	s := newTestState(t)
+	// This daemon's clock is 2.4 s ahead of those of the others.
+	const ahead = 2400 * time.Millisecond
+	for _, node := range []string{"a", "b", "c"} {
+		s.peers.UpdateEntry(bootNow(), node, "127.0.0.1:1", 1, 1)
+		s.peers.UpdateNeighbor(bootNow(), &mesh.Message{Format: mesh.CurrentFormat, WallUnixMilli: time.Now().Add(-ahead).UnixMilli(), Record: mesh.Record{Node: node, Incarnation: 1}}, false)
+	}
+	entry := fleet.Server{ID: "i-1", Service: "s", Version: "v1", Address: "10.0.0.1:80", StartedUnixMilli: time.Now().Add(-time.Minute).UnixMilli()}
+	s.applyServerEvents([]fleet.Event{{Server: entry, Change: fleet.ServerJoined}}, "store")
+	s.StreamBegan("stream", &entry)
+	// The server starts again a second later with another version.
+	next := entry
+	next.Version, next.StartedUnixMilli = "v2", time.Now().Add(time.Second-ahead).UnixMilli()
+	s.applyServerEvents([]fleet.Event{{Server: entry, Change: fleet.ServerGone}, {Server: next, Change: fleet.ServerJoined}}, "store")
+	g.Expect(s.StreamVersion("stream", "")).To(gomega.Equal("v1"))
+}
