Let take-ups share the wait for the servers to be seen

While a daemon sees no servers, as when the store is away at its start, each stream that was taken up waited half a second in turn.

Cause: the wait is held under the semaphore by which take-ups share a read, and its failure was not noted.

Test: TestTakeUpsShareTheWaitForServers failed before (20 took 10.4 s).

--- a/pkg/edge/versions.go
+++ b/pkg/edge/versions.go
@@ -277,6 +277,9 @@
 		return false
 	}
 	defer s.versionsReading.release()
+	if !s.versionsReadFailedAt.IsZero() && bootNow().Sub(s.versionsReadFailedAt) < streamsRetryInterval {
+		return false
+	}
 	s.awaitServersSeen(ctx)
 	s.mu.Lock()
 	readAt, daemons, seen := s.versionsReadAt, s.peers.Size(), s.streams.SeesSince(bootNow())
@@ -284,7 +287,8 @@
 	if !readAt.Before(at) {
 		return true
 	}
-	if !seen || !s.versionsReadFailedAt.IsZero() && bootNow().Sub(s.versionsReadFailedAt) < streamsRetryInterval {
+	if !seen {
+		s.versionsReadFailedAt = bootNow()
 		return false
 	}
 	pause(ctx, versionsReadPause(daemons)-bootNow().Sub(readAt))
--- a/pkg/edge/versions_test.go
+++ b/pkg/edge/versions_test.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"sync"
 	"testing"
 	"time"
 
@@ -212,3 +213,19 @@
 		})
 	}
 }
+
+// Guards against take-ups that wait one after the other for servers that a daemon does not see, as
+// when the store is away at its start.
+func TestTakeUpsShareTheWaitForServers(t *testing.T) {
+	g := gomega.NewWithT(t)
+	store := memtable.New()
+	s := newStateWithStore(t, settings, store)
+	s.versionStore = store
+	at := time.Now()
+	var all sync.WaitGroup
+	for range 20 {
+		all.Go(func() { s.StreamOrigin(t.Context(), "request", "s", "stream") })
+	}
+	all.Wait()
+	g.Expect(time.Since(at)).To(gomega.BeNumerically("<", 2*serversSeenWait))
+}
