Write the first row of versions once the routes are known

Cause: the row could be written as complete before the daemon knew the configuration, and a daemon that read it then took the routes, which it lacks, for changed since ('none' beside the routes in the log line 'software versions stored'), so that no version counted as the only one for as long as streams last.

Change: in a first start the row waits for the routes; no stream begins before them.

Test: TestTheRowOfTheFirstStartIsComplete failed before (complete without routes).

--- a/pkg/edge/versions.go
+++ b/pkg/edge/versions.go
@@ -220,6 +220,10 @@
 		if completes, err = s.isFirstRow(ctx, version); err != nil {
 			return err
 		}
+		if completes && s.Catalog() == nil {
+			// The row must hold the routes, too. No stream begins before they are known.
+			return nil
+		}
 	}
 	s.mu.Lock()
 	row.Versions = row.Versions.With(s.streams.Stored(wroteAt, row.Versions))
--- a/pkg/edge/versions_test.go
+++ b/pkg/edge/versions_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/monsooncrank/monsooncrank/coordination/table"
 	"github.com/monsooncrank/monsooncrank/coordination/table/memtable"
+	"github.com/monsooncrank/monsooncrank/pkg/catalog"
 	"github.com/monsooncrank/monsooncrank/pkg/fleet"
 	"github.com/monsooncrank/monsooncrank/pkg/placement"
 	"github.com/monsooncrank/monsooncrank/pkg/streamversion"
@@ -161,6 +162,12 @@
 			g.Expect(s.storeNewVersionsOnce(t.Context(), false)).To(gomega.Succeed())
 			_, row, err := readVersions(t.Context(), store)
 			g.Expect(err).NotTo(gomega.HaveOccurred())
+			g.Expect(row.Complete).To(gomega.BeFalse(), "the routes are not known")
+			s.activateCatalog(routedTo("s"), "store")
+			g.Expect(s.storeNewVersionsOnce(t.Context(), false)).To(gomega.Succeed())
+			_, row, err = readVersions(t.Context(), store)
+			g.Expect(err).NotTo(gomega.HaveOccurred())
+			g.Expect(row.Versions).To(gomega.HaveKey("routes to s"))
 			g.Expect(row.Versions.Contains("s", "v1")).To(gomega.BeTrue())
 			g.Expect(row.Complete).To(gomega.Equal(c.complete))
 			// While the row does not tell, the records of streams do.
@@ -171,6 +178,13 @@
 	}
 }
 
+// routedTo returns a configuration with a route for streams that leads to a service.
+func routedTo(service string) *catalog.Catalog {
+	c := configuration(1)
+	c.Routes = []*catalog.Route{{Name: "r", PathPrefix: "/r/", Kind: catalog.KindStream, Resumable: true, Split: []catalog.Share{{Service: service, Weight: 1}}}}
+	return c
+}
+
 func writeRow(t *testing.T, store *memtable.Store, key table.Key) {
 	t.Helper()
 	if err := store.Transact(t.Context(), []table.Write{{Key: key, Value: []byte("{}")}}); err != nil {
