Let only a complete row confirm that a version is the only one

Callers saw: nothing yet; found while the change was read again. A row that is not complete, such as one of the copy with which the store has returned, may lack a version that has begun streams, and still confirmed that the one which a daemon knows is the only one.

Cause: a read of the row counted as a confirmation whatever it said.

Change: it counts if the row is complete.

Test: the part 'the row may lack a version' of TestADaemonOutOfStepDoesNot ConcludeTheOnlyVersion; before, the row was not asked for more than its presence. pkg/edge passes.

--- a/pkg/edge/state.go
+++ b/pkg/edge/state.go
@@ -65,9 +65,11 @@
 	// versionStore holds the software versions in use, and versionsReadAt is when this
 	// daemon last read them. versionsReading is held while it reads them, and acquired
 	// before mu.
-	versionStore    table.Store
-	versionsReadAt  time.Time
-	versionsReading semaphore
+	versionStore   table.Store
+	versionsReadAt time.Time
+	// versionsReadComplete is set if they were complete then.
+	versionsReadComplete bool
+	versionsReading      semaphore
 	// versionsReadFailedAt is when a read of them because of a stream that was taken up last
 	// failed. It is guarded by versionsReading.
 	versionsReadFailedAt time.Time
--- a/pkg/edge/versions.go
+++ b/pkg/edge/versions.go
@@ -272,7 +272,7 @@
 }
 
 // confirmVersionsAt reads which versions may have begun streams, as of a moment after at, and reports
-// whether it has. Before a version begins a stream it is stored, so that a row read after a stream was
+// whether the row that it has read is complete. Before a version begins a stream it is stored, so that a row read after a stream was
 // taken up tells all versions that may have begun it, also to a daemon that was cut off or stood still
 // meanwhile. Many callers take up their streams at the same time when daemons are lost: all that wait
 // share one read, and reads are some time apart.
@@ -286,10 +286,10 @@
 	}
 	s.awaitServersSeen(ctx)
 	s.mu.Lock()
-	readAt, daemons, seen := s.versionsReadAt, s.peers.Size(), s.streams.SeesSince(bootNow())
+	readAt, complete, daemons, seen := s.versionsReadAt, s.versionsReadComplete, s.peers.Size(), s.streams.SeesSince(bootNow())
 	s.mu.Unlock()
 	if !readAt.Before(at) {
-		return true
+		return complete
 	}
 	if !seen {
 		s.versionsReadFailedAt = bootNow()
@@ -307,10 +307,10 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.versionsReadAt = now
+	s.versionsReadAt, s.versionsReadComplete = now, row.Complete
 	s.streams.MergeStored(now, row)
 	klog.V(1).InfoS("stored software versions read", "versions", row.Versions, "complete", row.Complete, "covered", s.streams.Covered(bootNow()))
-	return true
+	return row.Complete
 }
 
 // versionsReadPause returns the least time between two such reads of a daemon: all daemons together
--- a/pkg/edge/versions_test.go
+++ b/pkg/edge/versions_test.go
@@ -202,6 +202,7 @@
 		known bool
 	}{
 		"a new version is stored":         {`{"versions":{"s":["v1","v2"]},"complete":true}`, true, false},
+		"the row may lack a version":      {`{"versions":{"s":["v1"]}}`, true, false},
 		"no other version is stored":      {`{"versions":{"s":["v1"]},"complete":true}`, true, true},
 		"the store is not reached either": {`{"versions":{"s":["v1"]},"complete":true}`, false, false},
 	} {
