Send streams that may be taken up only to the run in the server's entry

Callers got streams joined from two software versions: a server had started again under its ID and address with another version, its entry still described the earlier run, and the daemon took the version of the stream from the entry.

Cause: which run answers was asked only where a stream goes on, not where it begins, and any answer but status 200 with another start passed for a confirmation, also a failure or a description without a start.

Change: a stream that may be taken up is sent only on a connection on which the run in the entry has said when it started; the answer holds for the life of the connection. A server that closes the connection after that answer is asked once more after the first event: a run that answers before the request and after the event has run all the while. An entry without a start proves no version, so that its streams go on nowhere. A question that nobody answers counts as a broken connection for the links to the server. The line "attempt" names the run that answered, and monsooncrank_relay_run_checks_total counts the questions.

Evidence: with the question left out where streams begin, TestAStreamBeginsAtTheListedRunOnly (1 stream sent to the other run), TestAKeptConnectionToAnEarlierRunIsNotUsed (status 200 in place of 503), TestARunThatClosesItsConnectionsIsHeardBeforeAndAfter and TestARunIsAskedOncePerConnection fail. In TestAStreamDoesNotGoOnAtAnotherRun the case "no start stated" went on before and must not; a failure with a start is new there. TestAStreamFollowsTheCorrectionOfItsVersion is replaced by TestAStreamBeginsAtTheListedRunOnly: a record can no more be of another run, so that nothing is to be corrected.

--- a/pkg/backendconn/pool.go
+++ b/pkg/backendconn/pool.go
@@ -64,9 +64,12 @@
 	Reader *bufio.Reader
 	// limited counts the bytes that Reader may still take from the connection.
 	limited *limitedReader
-	// Reused is set if the connection carried an earlier request, and Asked if the server was asked
-	// for its run on it.
-	Reused, Asked bool
+	// Reused is set if the connection carried an earlier request.
+	Reused bool
+	// RunStartedMilli identifies the run of the server that answers on the connection, by its
+	// start in Unix milliseconds; 0 if it is not known. RunBeforeMilli is the run that has
+	// answered on another connection right before this one was opened, or 0.
+	RunStartedMilli, RunBeforeMilli int64
 	// carried holds the last requests that the connection has carried, in no order, and next the
 	// place for the next one.
 	carried []string
--- a/pkg/relay/attempt.go
+++ b/pkg/relay/attempt.go
@@ -71,6 +71,8 @@
 	// writeResult receives the result of a write that runs concurrently with
 	// reading the response; it is nil if the request was written synchronously.
 	writeResult chan error
+	// runConfirmed is set once it is known that the run in the entry of the server answers.
+	runConfirmed bool
 	// answered is set once it is known whether the server answers on this connection.
 	answered bool
 	// eventsReceived is the number of new events that this server has sent.
@@ -212,8 +214,8 @@
 
 // receive reads the header of the response to this request. Responses to earlier
 // requests on the connection are skipped. A failure that names no request is the
-// response only if nothing else was asked on the connection: a faulty server may write
-// an earlier one again while it runs this request.
+// response only if the connection carried no other request: a faulty server may write the
+// response to that again while it runs this one. The description of a run is no failure.
 func (s *serverAttempt) receive() (*http.Response, ResponseInfo, bool) {
 	request := &http.Request{Method: s.Method}
 	// said holds what skipped responses say of the server, unless its address turns out to
@@ -237,7 +239,7 @@
 			continue
 		}
 		info := s.handler.codec.ResponseInfo(response)
-		if info.RequestID == s.ID || info.RequestID == "" && response.StatusCode/100 != 2 && !s.conn.Reused && !s.conn.Asked {
+		if info.RequestID == s.ID || info.RequestID == "" && response.StatusCode/100 != 2 && !s.conn.Reused {
 			s.said = info.Statements
 			s.readKeepAliveTimeout(response)
 			s.answers(true)
--- a/pkg/relay/end_test.go
+++ b/pkg/relay/end_test.go
@@ -54,7 +54,7 @@
 		t.Run(test.name, func(t *testing.T) {
 			g := gomega.NewWithT(t)
 			var b *backend
-			b = newBackend(t, unframed(test.body, test.breaks, func() {
+			b = newStatingBackend(t, unframed(test.body, test.breaks, func() {
 				if test.crashes {
 					_ = b.listener.Close()
 				}
@@ -88,7 +88,7 @@
 			g := gomega.NewWithT(t)
 			var asked atomic.Int32
 			serve := unframed("id: 1\ndata: e1\n\n", false, func() {})
-			b := newBackend(t, func(n int, r *http.Request, c net.Conn) bool {
+			b := newStatingBackend(t, func(n int, r *http.Request, c net.Conn) bool {
 				if r.URL.Path == "/run" && int(asked.Add(1)) <= test.unanswered {
 					_, _ = c.Read(make([]byte, 1))
 					return false
--- a/pkg/relay/forward_test.go
+++ b/pkg/relay/forward_test.go
@@ -287,7 +287,11 @@
 func TestWhatAForwardedAnswerSaysOfItsServerIsNoted(t *testing.T) {
 	g := gomega.NewWithT(t)
 	for _, path := range []string{"/once/x", "/stream/1"} {
-		b := newBackend(t, func(_ int, r *http.Request, c net.Conn) bool {
+		b := newStatingBackend(t, func(_ int, r *http.Request, c net.Conn) bool {
+			if r.URL.Path == "/run" {
+				stateRun(c, 5, "")
+				return true
+			}
 			if strings.HasPrefix(r.URL.Path, "/stream/") {
 				fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nId: %s\r\nSeal: s\r\nLeaves: 1\r\nPause: 3s\r\nContent-Length: 16\r\n\r\nid: 1\ndata: e1\n\n", r.Header.Get("Id"))
 				return true
--- a/pkg/relay/handler.go
+++ b/pkg/relay/handler.go
@@ -137,10 +137,13 @@
 	// time from then until the request was written, or negative if it was not.
 	selectedAt     time.Time
 	connectedAfter time.Duration
+	// answeringRun is the start of the run that answers the last attempt, in Unix milliseconds,
+	// or 0 if it was not asked.
+	answeringRun int64
 	// said is what the server of the last attempt says of itself.
 	said Statements
 	// begun is set once the caller has events of the stream, and version is the software
-	// version that began it.
+	// version that began it, or empty if that is not known.
 	begun   bool
 	version string
 	// lastSentEventID is the ID of the last event sent to the caller.
--- a/pkg/relay/metrics.go
+++ b/pkg/relay/metrics.go
@@ -13,8 +13,18 @@
 	brokenAttempts *prometheus.CounterVec
 	// forwarded counts the requests sent to other daemons.
 	forwarded *prometheus.CounterVec
+	// runChecks counts the questions to servers which of their runs answers.
+	runChecks *prometheus.CounterVec
 }
 
+// Results of the question which run of a server answers.
+const (
+	runListed     = "listed"
+	runOther      = "other"
+	runNotStated  = "not stated"
+	runUnanswered = "unanswered"
+)
+
 // NewMetrics creates the metrics and registers them.
 func NewMetrics(registry prometheus.Registerer) *Metrics {
 	buckets := prometheus.ExponentialBuckets(0.01, 2, 11)
@@ -31,6 +41,8 @@
 		[]string{"reused", "silent", "crash"})
 	m.forwarded = prometheus.NewCounterVec(prometheus.CounterOpts{Name: "monsooncrank_relay_forwarded_total",
 		Help: "Requests sent to daemons that reach the servers of their services, by outcome."}, []string{"outcome"})
-	registry.MustRegister(m.requests, m.duration, m.firstPart, m.brokenAttempts, m.forwarded)
+	m.runChecks = prometheus.NewCounterVec(prometheus.CounterOpts{Name: "monsooncrank_relay_run_checks_total",
+		Help: "Questions to BackendServers which of their runs answers on a connection, by result."}, []string{"result"})
+	registry.MustRegister(m.requests, m.duration, m.firstPart, m.brokenAttempts, m.forwarded, m.runChecks)
 	return m
 }
--- a/pkg/relay/relay_test.go
+++ b/pkg/relay/relay_test.go
@@ -189,14 +189,6 @@
 	defer f.mu.Unlock()
 	f.origins[stream] = streamversion.Origin{Service: "s", Version: s.Version}
 }
-func (f *fake) StreamVersion(stream, stated string) string {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if origin, ok := f.origins[stream]; ok {
-		return origin.Version
-	}
-	return stated
-}
 func (f *fake) StreamOrigin(_ context.Context, _, service, stream string) (streamversion.Origin, bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -253,21 +245,44 @@
 // open if it returns true.
 type script func(n int, r *http.Request, c net.Conn) bool
 
-// backend is a server that handles its requests by a script.
+// backend is a server that handles its requests by a script. It answers itself which run it is,
+// and counts these questions apart, unless statesRun is set.
 type backend struct {
-	listener net.Listener
-	mu       sync.Mutex
-	requests []*http.Request
-	closed   chan struct{}
+	listener  net.Listener
+	statesRun bool
+	mu        sync.Mutex
+	requests  []*http.Request
+	asked     int
+	closed    chan struct{}
 }
 
+// startedUnixMilli is the start of the run of each backend.
+const startedUnixMilli = 1
+
 func newBackend(t *testing.T, s script) *backend {
+	t.Helper()
+	return startBackend(t, s, false)
+}
+
+// newStatingBackend returns a server whose script answers also which run it is.
+func newStatingBackend(t *testing.T, s script) *backend {
+	t.Helper()
+	return startBackend(t, s, true)
+}
+
+// stateRun answers the question which run a server is.
+func stateRun(c net.Conn, startedUnixMilli int64, header string) {
+	body := fmt.Sprint(startedUnixMilli)
+	fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%sContent-Length: %d\r\n\r\n%s", header, len(body), body)
+}
+
+func startBackend(t *testing.T, s script, statesRun bool) *backend {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	b := &backend{listener: listener, closed: make(chan struct{}, 100)}
+	b := &backend{listener: listener, statesRun: statesRun, closed: make(chan struct{}, 100)}
 	t.Cleanup(func() { _ = listener.Close() })
 	go func() {
 		for {
@@ -291,6 +306,12 @@
 		}
 		_, _ = io.Copy(io.Discard, r.Body)
 		b.mu.Lock()
+		if r.URL.Path == (codec{}).RunPath() && !b.statesRun {
+			b.asked++
+			b.mu.Unlock()
+			stateRun(conn, startedUnixMilli, "")
+			continue
+		}
 		b.requests = append(b.requests, r)
 		n := len(b.requests)
 		b.mu.Unlock()
@@ -363,7 +384,7 @@
 	c.Index()
 	f := &fixture{fake: &fake{catalog: c, silentFor: time.Hour, origins: make(map[string]streamversion.Origin)}}
 	for i, b := range backends {
-		f.servers = append(f.servers, fleet.Server{ID: fmt.Sprint("server-", i), Address: b.listener.Addr().String(), Version: "v1"})
+		f.servers = append(f.servers, fleet.Server{ID: fmt.Sprint("server-", i), Address: b.listener.Addr().String(), Version: "v1", StartedUnixMilli: startedUnixMilli})
 	}
 	options := quarantine.DefaultOptions()
 	options.SettleDelay = 20 * time.Millisecond
--- a/pkg/relay/run.go
+++ b/pkg/relay/run.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"net/http"
+	"os"
 	"syscall"
 	"time"
 
@@ -88,8 +89,9 @@
 		}
 		x.attempts++
 		x.firstPartAfter, x.selectedAt, x.connectedAfter, x.said = -time.Millisecond, time.Now(), -time.Millisecond, Statements{}
+		x.answeringRun = 0
 		result, failure := x.attempt(&decision)
-		klog.InfoS("attempt", "request", x.ID, "attempt", x.attempts, "server", decision.Server.ID, "started", decision.Server.StartedUnixMilli, "version", decision.Server.Version,
+		klog.InfoS("attempt", "request", x.ID, "attempt", x.attempts, "server", decision.Server.ID, "started", decision.Server.StartedUnixMilli, "run", x.answeringRun, "version", decision.Server.Version,
 			"zone", decision.Server.AvailabilityZone, "service", x.service, "outcome", result.String(),
 			"expectedMs", decision.ExpectedWait.Milliseconds(), "firstMs", x.firstPartAfter.Milliseconds(), "cached", decision.CachedTokens, "order", decision.Order.String(), "candidates", decision.Candidates, "running", decision.Running, "speed", decision.Speed, "limited", decision.Limited,
 			"loadAgeMs", decision.LoadAge.Milliseconds(), "fleetVersion", decision.FleetVersion,
@@ -135,9 +137,6 @@
 
 // place selects a server that is not in exclude.
 func (x *exchange) place(exclude []string) (placement.Decision, error) {
-	if x.begun {
-		x.version = x.handler.controller.StreamVersion(x.streamID(), x.version)
-	}
 	decision, err := x.handler.controller.Place(x.query(exclude))
 	if err != nil && len(exclude) > 0 {
 		klog.V(1).InfoS("no other server", "request", x.ID, "tried", len(exclude), "err", err)
@@ -229,7 +228,7 @@
 	if err != nil {
 		return outcomeNotSent, nil
 	}
-	x.connectedAfter = time.Since(x.selectedAt)
+	x.connectedAfter, x.answeringRun = time.Since(x.selectedAt), conn.RunStartedMilli
 	s := &serverAttempt{exchange: x, conn: conn, decision: d, id: x.attemptID(), startedAt: time.Now()}
 	defer s.finish()
 	if !s.send() {
@@ -272,8 +271,13 @@
 	conn, err := x.connectToRun(&d.Server)
 	if err != nil {
 		var dial *backendconn.DialError
-		if errors.As(err, &dial) && x.caller.Err() == nil {
+		var check *RunCheckError
+		switch {
+		case x.caller.Err() != nil:
+		case errors.As(err, &dial):
 			controller.Connected(&d.Server, DialResult(err))
+		case errors.As(err, &check) && !errors.Is(err, os.ErrDeadlineExceeded):
+			controller.Connected(&d.Server, reach.Broken)
 		}
 		q := x.query(nil)
 		id := x.attemptID()
--- a/pkg/relay/runcheck.go
+++ b/pkg/relay/runcheck.go
@@ -37,24 +37,88 @@
 	return fmt.Sprintf("server %s started at %d, not at %d as listed", e.Server, e.ActualMilli, e.ListedMilli)
 }
 
-// connectToRun returns a connection to a server on which the run in its entry answers. A
-// server may start again under its ID and at its address with another software version,
-// which shows in its entry only later.
+// RunNotStatedError reports that a server did not say which of its runs answers.
+type RunNotStatedError struct {
+	Server string
+	Status int
+}
+
+func (e *RunNotStatedError) Error() string {
+	return fmt.Sprintf("server %s did not state its start, status %d", e.Server, e.Status)
+}
+
+// RunCheckError reports that a server did not answer on a new connection which run it is.
+type RunCheckError struct {
+	Server string
+	Cause  error
+}
+
+func (e *RunCheckError) Error() string {
+	return fmt.Sprintf("server %s did not answer which run it is: %v", e.Server, e.Cause)
+}
+
+// Unwrap returns the cause.
+func (e *RunCheckError) Unwrap() error { return e.Cause }
+
+// connectToRun returns a connection to a server. The version of a stream that may be taken up
+// is that of the run which sends its events, and the entry of a server describes one run: the
+// server may have started again under its ID and at its address with another version, which
+// shows in its entry only later. Such a stream is sent only to the run in the entry. All that
+// arrives on one connection comes from one run.
 func (x *exchange) connectToRun(server *fleet.Server) (*backendconn.Conn, error) {
 	limit := x.handler.controller.ConnectionLimit(server.ID, x.service)
 	conn, err := x.unusedConnection(server, limit)
-	if err != nil || !x.begun || server.StartedUnixMilli == 0 {
+	switch listed := server.StartedUnixMilli; {
+	case err != nil || !x.isResumable() || listed != 0 && conn.RunStartedMilli == listed:
 		return conn, err
+	case listed == 0 && x.begun:
+		x.handler.pool.Discard(conn)
+		return nil, &RunNotStatedError{Server: server.ID}
+	case listed == 0:
+		return conn, nil
 	}
 	closes, err := x.checkRun(conn, server)
-	if err == nil && !closes {
+	if err != nil && conn.Reused {
+		// The connection may lead to an earlier run, or be closed by now.
+		x.handler.pool.Discard(conn)
+		if conn, err = x.handler.pool.Dial(x.caller, server.ID, server.Address, limit); err != nil {
+			return nil, err
+		}
+		closes, err = x.checkRun(conn, server)
+	}
+	if err != nil {
+		x.handler.pool.Discard(conn)
+		return nil, err
+	}
+	if !closes {
 		return conn, nil
 	}
 	x.handler.pool.Discard(conn)
-	if err != nil {
+	if conn, err = x.handler.pool.Dial(x.caller, server.ID, server.Address, limit); err != nil {
 		return nil, err
 	}
-	return x.unusedConnection(server, limit)
+	conn.RunBeforeMilli = server.StartedUnixMilli
+	return conn, nil
+}
+
+// confirmRun reports whether the run in the entry of the server has sent what arrived on the
+// connection, as far as that matters. A run that has answered before the request was sent and
+// answers now has run all the while.
+func (s *serverAttempt) confirmRun() bool {
+	server := &s.decision.Server
+	listed := server.StartedUnixMilli
+	if s.runConfirmed || !s.isResumable() || listed == 0 {
+		return true
+	}
+	s.runConfirmed = s.conn.RunStartedMilli == listed
+	if !s.runConfirmed && s.conn.RunBeforeMilli == listed {
+		err := s.checkEnd(server, s.handler.controller.ConnectionLimit(server.ID, s.service)+1)
+		s.runConfirmed = err == nil
+		if err != nil {
+			s.cause = "run not confirmed: " + err.Error()
+		}
+	}
+	return s.runConfirmed
 }
 
 // unusedConnection returns a connection to a server that has not carried this request before. A faulty server
@@ -112,28 +176,36 @@
 	return err
 }
 
-// checkRun asks a server when it started. It returns an error if another run answers or
-// none does, and whether the server closes the connection after its answer.
+// checkRun asks a server on a connection when it started. It returns an error unless the run in
+// its entry answers, and otherwise whether the server closes the connection after its answer.
 func (x *exchange) checkRun(conn *backendconn.Conn, server *fleet.Server) (closes bool, err error) {
+	result := runUnanswered
+	defer func() { x.handler.metrics.runChecks.WithLabelValues(result).Inc() }()
 	if err := conn.SetDeadline(time.Now().Add(runCheckTimeout)); err != nil {
-		return false, err
+		return false, &RunCheckError{Server: server.ID, Cause: err}
 	}
-	conn.Asked = true
 	request := &http.Request{Method: http.MethodGet}
 	if _, err := fmt.Fprintf(conn, "GET %s HTTP/1.1\r\nHost: %s\r\n\r\n", x.handler.codec.RunPath(), server.Address); err != nil {
-		return false, err
+		return false, &RunCheckError{Server: server.ID, Cause: err}
 	}
 	askedAt := time.Now()
 	response, body, err := x.readRunReport(conn, request)
 	if err != nil {
-		return false, err
+		return false, &RunCheckError{Server: server.ID, Cause: err}
 	}
 	startedUnixMilli, stated := x.handler.codec.RunStart(body)
-	if response.StatusCode == http.StatusOK && stated && startedUnixMilli != server.StartedUnixMilli {
-		klog.InfoS("server has started again since its entry was written", "request", x.ID, "server", server.ID,
+	if response.StatusCode != http.StatusOK || !stated {
+		result = runNotStated
+		return false, &RunNotStatedError{Server: server.ID, Status: response.StatusCode}
+	}
+	conn.RunStartedMilli = startedUnixMilli
+	if startedUnixMilli != server.StartedUnixMilli {
+		result = runOther
+		klog.InfoS("server has started again since its entry was written", "request", x.ID, "server", server.ID, "version", server.Version,
 			"listed", server.StartedUnixMilli, "actual", startedUnixMilli)
 		return false, &OtherRunError{Server: server.ID, ListedMilli: server.StartedUnixMilli, ActualMilli: startedUnixMilli}
 	}
+	result = runListed
 	if said := x.handler.codec.ResponseInfo(response).Statements; said.Leaving || said.RetryAfter > 0 {
 		// Only answers to requests state limits.
 		said.RequestLimit = serverlimit.Statement{Unreadable: true}
--- a/pkg/relay/stream.go
+++ b/pkg/relay/stream.go
@@ -34,6 +34,9 @@
 		if !s.isNewEvent(event.id) {
 			continue
 		}
+		if !s.confirmRun() {
+			return s.handleIncomplete()
+		}
 		s.beginStream()
 		s.writeStreamHeader(response)
 		if _, err := s.w.Write(event.raw); err != nil {
@@ -68,7 +71,10 @@
 	if s.begun {
 		return
 	}
-	s.exchange.begun, s.exchange.version = true, s.decision.Server.Version
+	s.exchange.begun = true
+	if s.decision.Server.StartedUnixMilli != 0 {
+		s.exchange.version = s.decision.Server.Version
+	}
 	if s.route.Resumable {
 		s.handler.controller.StreamBegan(s.streamID(), &s.decision.Server)
 	}
@@ -125,7 +131,7 @@
 
 // endStream completes a stream that the server has ended.
 func (s *serverAttempt) endStream(response *http.Response) outcome {
-	if !s.confirmEnd(response) {
+	if !s.confirmRun() || !s.confirmEnd(response) {
 		return s.handleIncomplete()
 	}
 	s.writeStreamHeader(response)
--- a/pkg/relay/types.go
+++ b/pkg/relay/types.go
@@ -129,12 +129,10 @@
 	// Finished records the result of an attempt.
 	Finished(attempt string, result placement.Result)
 	// StreamBegan records the server that began a stream, which is named by the request
-	// that brought its first event. It returns when the event may be passed on. StreamOrigin returns the service and version that
-	// began a stream which a request takes up, and false if they are not known.
-	// StreamVersion returns the version that began a stream as far as it is known now: the
-	// one stated may be that of an earlier run of the server.
+	// that brought its first event: the run in the entry has sent it. It returns when the event
+	// may be passed on. StreamOrigin returns the service and version that began a stream which
+	// a request takes up, and false if they are not known.
 	StreamBegan(stream string, server *fleet.Server)
-	StreamVersion(stream, stated string) string
 	StreamOrigin(ctx context.Context, request, service, stream string) (streamversion.Origin, bool)
 	// Answered records that a server has answered a request that was sent at a time, and
 	// what the answer says of the server.
--- a/pkg/relay/version_test.go
+++ b/pkg/relay/version_test.go
@@ -7,12 +7,14 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/onsi/gomega"
 
 	"github.com/monsooncrank/monsooncrank/pkg/catalog"
+	"github.com/monsooncrank/monsooncrank/pkg/reach"
 	"github.com/monsooncrank/monsooncrank/pkg/streamversion"
 )
 
@@ -94,29 +96,117 @@
 	g.Expect(f.origins).To(gomega.HaveKey("first"))
 }
 
-// TestAStreamFollowsTheCorrectionOfItsVersion guards against a stream that goes on at the
-// version in an entry which was of an earlier run of its server, although the daemon has
-// learned of the later one since.
-func TestAStreamFollowsTheCorrectionOfItsVersion(t *testing.T) {
+// TestAStreamBeginsAtTheListedRunOnly guards against a stream whose version is taken from the entry
+// of its server while another run, which may have another version, sends its events.
+func TestAStreamBeginsAtTheListedRunOnly(t *testing.T) {
 	g := gomega.NewWithT(t)
-	var f *fixture
-	first := newBackend(t, func(_ int, r *http.Request, c net.Conn) bool {
+	var runs, sent atomic.Int64
+	upgraded := newStatingBackend(t, func(_ int, r *http.Request, c net.Conn) bool {
+		if r.URL.Path == "/run" {
+			runs.Add(1)
+			stateRun(c, startedUnixMilli+1, "")
+			return true
+		}
+		sent.Add(1)
 		events(c, r.Header.Get("Id"), 1, 2, false)
-		g.Eventually(func() bool {
-			f.mu.Lock()
-			defer f.mu.Unlock()
-			_, begun := f.origins["first"]
-			f.origins["first"] = streamversion.Origin{Service: "s", Version: "v2"}
-			return begun
-		}).Should(gomega.BeTrue())
 		return false
 	})
-	stale, right := streamingServer(t), streamingServer(t)
-	f = newFixture(t, first, stale, right)
-	f.servers[2].Version = "v2"
-	_, _, _, _ = f.post("/stream/1", "first")
-	g.Expect(stale.count()).To(gomega.BeZero())
-	g.Expect(right.count()).To(gomega.Equal(1))
+	f := newFixture(t, upgraded, streamingServer(t))
+	f.catalog.Routes[2].MaxAttempts = 9
+	_, body, _, _ := f.post("/stream/1", "first")
+	g.Expect(body).To(gomega.ContainSubstring("data: e2\n"))
+	g.Expect(sent.Load()).To(gomega.BeZero(), "streams sent to the run that is not listed")
+	g.Expect(runs.Load()).To(gomega.BeNumerically("==", 1))
+	g.Expect(f.connected).NotTo(gomega.ContainElement(reach.Broken), "it answers")
+}
+
+// TestARunIsAskedOncePerConnection guards against a question for each stream: a connection leads to
+// one run for as long as it lasts.
+func TestARunIsAskedOncePerConnection(t *testing.T) {
+	g := gomega.NewWithT(t)
+	b := newBackend(t, func(_ int, r *http.Request, c net.Conn) bool {
+		events(c, r.Header.Get("Id"), 1, 2, true)
+		return true
+	})
+	f := newFixture(t, b)
+	for i := range 5 {
+		_, body, _, err := f.post([]string{"/whole/1", "/stream/1"}[min(i, 1)], fmt.Sprint("id-", i))
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		g.Expect(body).To(gomega.ContainSubstring("data: e2\n"))
+	}
+	g.Expect(b.count()).To(gomega.Equal(5))
+	g.Expect(b.asked).To(gomega.Equal(1), "streams that may not be taken up need no proof")
+}
+
+// TestAKeptConnectionToAnEarlierRunIsNotUsed guards against a stream that is sent on a kept connection
+// which leads to another run than the one that the entry describes now.
+func TestAKeptConnectionToAnEarlierRunIsNotUsed(t *testing.T) {
+	g := gomega.NewWithT(t)
+	var started, sent atomic.Int64
+	started.Store(startedUnixMilli)
+	b := newStatingBackend(t, func(_ int, r *http.Request, c net.Conn) bool {
+		if r.URL.Path == "/run" {
+			stateRun(c, started.Load(), "")
+			return true
+		}
+		sent.Add(1)
+		events(c, r.Header.Get("Id"), 1, 2, true)
+		return true
+	})
+	f := newFixture(t, b)
+	_, _, _, err := f.post("/stream/1", "first")
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	f.servers[0].StartedUnixMilli = 2
+	status, _, _, _ := f.post("/stream/1", "second")
+	g.Expect(status).To(gomega.Equal(http.StatusServiceUnavailable))
+	g.Expect(sent.Load()).To(gomega.BeNumerically("==", 1))
+	started.Store(2)
+	status, _, _, _ = f.post("/stream/1", "third")
+	g.Expect(status).To(gomega.Equal(http.StatusOK))
+}
+
+// TestARunThatClosesItsConnectionsIsHeardBeforeAndAfter guards against a stream of an unknown run at a
+// server that closes the connection on which it said which run it is: the run must answer before the
+// request is sent and after the first event has come.
+func TestARunThatClosesItsConnectionsIsHeardBeforeAndAfter(t *testing.T) {
+	for _, later := range []int64{startedUnixMilli, startedUnixMilli + 1} {
+		g := gomega.NewWithT(t)
+		var asked atomic.Int64
+		b := newStatingBackend(t, func(_ int, r *http.Request, c net.Conn) bool {
+			if r.URL.Path != "/run" {
+				events(c, r.Header.Get("Id"), 1, 2, true)
+				return true
+			}
+			started := int64(startedUnixMilli)
+			if asked.Add(1) > 1 {
+				started = later
+			}
+			stateRun(c, started, "Connection: close\r\n")
+			return false
+		})
+		f := newFixture(t, b)
+		_, body, _, _ := f.post("/stream/1", "first")
+		g.Expect(asked.Load()).To(gomega.BeNumerically("==", 2))
+		g.Expect(body == "id: 1\ndata: e1\n\nid: 2\ndata: e2\n\n").To(gomega.Equal(later == startedUnixMilli), "run %d: %q", later, body)
+		g.Expect(f.origins).To(gomega.HaveLen(map[bool]int{true: 1, false: 0}[later == startedUnixMilli]))
+	}
+}
+
+// TestAStreamOfAServerWithoutAStartHasNoKnownVersion guards against a version that is taken from an
+// entry which doesn't state the run that it describes.
+func TestAStreamOfAServerWithoutAStartHasNoKnownVersion(t *testing.T) {
+	g := gomega.NewWithT(t)
+	f, backends := versions(t, "v1", "v1")
+	f.servers[0].StartedUnixMilli = 0
+	_, body, _, err := f.post("/stream/1", "first")
+	g.Expect(err).To(gomega.HaveOccurred())
+	g.Expect(body).To(gomega.ContainSubstring("data: e2\n"))
+	g.Expect(backends[1].count()).To(gomega.BeZero())
+	f.servers = f.servers[:1]
+	f.origins["other"] = streamversion.Origin{Service: "s", Version: "v1"}
+	status, _, err := f.take("other", "again", "2")
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(status).To(gomega.Equal(http.StatusServiceUnavailable))
 }
 
 // TestAStreamWithoutAServerOfItsVersionIsCut guards against a stream that goes on at
@@ -185,15 +275,20 @@
 	}{
 		{"the listed run", "1", "", true},
 		{"the listed run, which closes the connection", "1", "Connection: close\r\n", true},
-		{"no start stated", "none", "", true},
+		{"no start stated", "none", "", false},
+		{"a failure with a start", "1", "failure", false},
 		{"another run", "2", "", false},
 		{"the listed run, which leaves", "1", "Leaves: 1\r\n", false},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			g := gomega.NewWithT(t)
-			b := newBackend(t, func(_ int, r *http.Request, c net.Conn) bool {
+			b := newStatingBackend(t, func(_ int, r *http.Request, c net.Conn) bool {
 				if r.URL.Path == "/run" {
-					fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%sContent-Length: %d\r\n\r\n%s", test.header, len(test.description), test.description)
+					status, header := "200 OK", test.header
+					if header == "failure" {
+						status, header = "503 Busy", ""
+					}
+					fmt.Fprintf(c, "HTTP/1.1 %s\r\n%sContent-Length: %d\r\n\r\n%s", status, header, len(test.description), test.description)
 					return test.header == ""
 				}
 				events(c, r.Header.Get("Id"), 3, 4, true)
