Leave servers whose listed run has ended out of the choice for streams

A server that has started again runs nothing, so that streams which may be taken up are sent to it first; each asks which run answers and goes elsewhere. With four such servers a stream is refused although others would take it.

Change: a listed run in place of which another has answered gets no such streams for a second, or until the entry changes. A server that answers as another run is no longer recorded as a failed attempt, which would keep other requests away.

--- a/pkg/edge/state.go
+++ b/pkg/edge/state.go
@@ -60,6 +60,9 @@
 	peers     *mesh.Directory
 	limits    *serverlimit.Core
 	streams   *streamversion.Core
+	// endedRuns holds, by the listed runs in place of which others have answered, until when they
+	// get no streams that may be taken up.
+	endedRuns map[string]time.Time
 	// callPeer sends a message about streams to a peer and returns its reply.
 	callPeer func(ctx context.Context, address string, payload []byte) ([]byte, error)
 	// versionStore holds the software versions in use, and versionsReadAt is when this
@@ -144,6 +147,7 @@
 		contention:     newContentionState(),
 		digests:        digestState{log: mesh.NewDigestLog(incarnation)},
 		limits:         serverlimit.New(time.Now(), settings.Node, incarnation),
+		endedRuns:      make(map[string]time.Time),
 		streams:        streamversion.New(settings.Node, settings.AvailabilityZone, incarnation),
 		fleetMetrics:   newFleetMetrics(),
 		scalingMetrics: newScalingMetrics(),
@@ -289,6 +293,9 @@
 	if s.limits.Active() > 0 {
 		q.MayUse = s.mayUseFrom(q.Forwarded)
 	}
+	if q.Resumable {
+		s.sendToAnsweringRuns(q)
+	}
 	if q.Resumable && !q.OnlyVersion {
 		s.beginAtStoredVersions(q)
 	}
--- a/pkg/edge/streams.go
+++ b/pkg/edge/streams.go
@@ -14,6 +14,7 @@
 	"github.com/monsooncrank/monsooncrank/pkg/catalog"
 	"github.com/monsooncrank/monsooncrank/pkg/fleet"
 	"github.com/monsooncrank/monsooncrank/pkg/mesh"
+	"github.com/monsooncrank/monsooncrank/pkg/placement"
 	"github.com/monsooncrank/monsooncrank/pkg/streamversion"
 )
 
@@ -32,6 +33,9 @@
 	// timeoutsPerStream is how many timeouts of its route a stream may last over all tries
 	// of its caller.
 	timeoutsPerStream = 2
+	// otherRunPause is how long a server whose listed run does not answer gets no streams that may
+	// be taken up, unless its entry changes. Another one asks again then.
+	otherRunPause = time.Second
 	// minStreamAge is the least time for which the origin of a stream is kept.
 	minStreamAge = 10 * time.Second
 )
@@ -109,6 +113,29 @@
 	}
 }
 
+// OtherRunAnswers records that the run in the entry of a server does not answer but another one.
+func (s *state) OtherRunAnswers(server *fleet.Server) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := bootNow()
+	for run, until := range s.endedRuns {
+		if !now.Before(until) {
+			delete(s.endedRuns, run)
+		}
+	}
+	s.endedRuns[server.RunID()] = now.Add(otherRunPause)
+}
+
+// sendToAnsweringRuns limits a query to servers whose listed runs may still answer. All streams
+// would be sent to a server first that has just started again, as it runs nothing.
+func (s *state) sendToAnsweringRuns(q *placement.Query) {
+	if len(s.endedRuns) == 0 {
+		return
+	}
+	now := bootNow()
+	q.MayUse = mayUseBoth(q.MayUse, func(server *fleet.Server) bool { return !now.Before(s.endedRuns[server.RunID()]) })
+}
+
 // StreamBegan records the server that began a stream. While the service has several versions it
 // waits until the store has the record, if that takes no longer than streamsStoreWait and daemons
 // write often enough.
--- a/pkg/edge/streams_test.go
+++ b/pkg/edge/streams_test.go
@@ -317,3 +317,23 @@
 		g.Expect(origin.Version).To(gomega.Equal("v1"), "daemon ahead by %v", ahead)
 	}
 }
+
+// TestAServerWhoseListedRunHasEndedGetsNoStreams guards against streams that are all sent first to a
+// server which has started again and runs nothing: after a few such servers a stream is refused.
+func TestAServerWhoseListedRunHasEndedGetsNoStreams(t *testing.T) {
+	g := gomega.NewWithT(t)
+	s := startWithServers(t, memtable.New(), "v1", "v2")
+	s.streams.MarkStored(bootNow(), streamversion.InUse{"s": {"v1", "v2"}})
+	g.Expect(placedAt(s, true)).To(gomega.HaveLen(2))
+	ended := versionEntry("v2").Server
+	s.OtherRunAnswers(ended)
+	g.Expect(placedAt(s, true)).To(gomega.Equal(map[string]int{"v1": 40}))
+	g.Expect(placedAt(s, false)).To(gomega.HaveLen(2), "other requests may go to any run")
+	s.endedRuns[ended.RunID()] = bootNow()
+	g.Expect(placedAt(s, true)).To(gomega.HaveLen(2), "it is asked again after a while")
+	s.OtherRunAnswers(ended)
+	next := *ended
+	next.StartedUnixMilli++
+	s.applyServerEvents([]fleet.Event{{Server: *ended, Change: fleet.ServerGone}, {Server: next, Change: fleet.ServerJoined}}, "store")
+	g.Expect(placedAt(s, true)).To(gomega.HaveLen(2), "the entry is that of the run which answers")
+}
--- a/pkg/relay/relay_test.go
+++ b/pkg/relay/relay_test.go
@@ -116,7 +116,9 @@
 	// pause that the last one asked for that has turned a request away.
 	saidLeaving []string
 	// saidBy is the run of the server of which anything was said last.
-	saidBy     string
+	saidBy string
+	// otherRuns holds the listed runs in place of which others have answered.
+	otherRuns  []string
 	retryAfter time.Duration
 	// senders holds the daemon that sends the requests of all to a server.
 	senders map[string]string
@@ -230,11 +232,16 @@
 	}
 	return relay.ForwardTarget{}, false
 }
-func (f *fake) AdmitForwarded() (func(), bool)     { return func() {}, !f.full }
-func (f *fake) TurnedAway(*placement.Decision)     { f.mu.Lock(); defer f.mu.Unlock(); f.turnedAway++ }
-func (f *fake) Alive(string)                       {}
-func (f *fake) SilentFor(string) time.Duration     { return f.silentFor }
-func (f *fake) Misdirected(string)                 {}
+func (f *fake) AdmitForwarded() (func(), bool) { return func() {}, !f.full }
+func (f *fake) TurnedAway(*placement.Decision) { f.mu.Lock(); defer f.mu.Unlock(); f.turnedAway++ }
+func (f *fake) Alive(string)                   {}
+func (f *fake) SilentFor(string) time.Duration { return f.silentFor }
+func (f *fake) Misdirected(string)             {}
+func (f *fake) OtherRunAnswers(s *fleet.Server) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.otherRuns = append(f.otherRuns, s.RunID())
+}
 func (f *fake) Began(string)                       { f.mu.Lock(); defer f.mu.Unlock(); f.began++ }
 func (f *fake) Arrived(string)                     {}
 func (f *fake) SpendRetry(string) bool             { f.mu.Lock(); defer f.mu.Unlock(); f.retries++; return true }
--- a/pkg/relay/run.go
+++ b/pkg/relay/run.go
@@ -269,6 +269,12 @@
 func (x *exchange) connect(d *placement.Decision) (*backendconn.Conn, error) {
 	controller := x.handler.controller
 	conn, err := x.connectToRun(&d.Server)
+	var otherRun *OtherRunError
+	if errors.As(err, &otherRun) {
+		// The server answers: that says nothing against it.
+		controller.OtherRunAnswers(&d.Server)
+		return nil, err
+	}
 	if err != nil {
 		var dial *backendconn.DialError
 		var check *RunCheckError
--- a/pkg/relay/types.go
+++ b/pkg/relay/types.go
@@ -147,6 +147,8 @@
 	// the time since it last did.
 	Alive(server string)
 	SilentFor(server string) time.Duration
+	// OtherRunAnswers records that a run of a server answers which is not the one in its entry.
+	OtherRunAnswers(server *fleet.Server)
 	// Misdirected records that the address of a server belongs to another one.
 	Misdirected(server string)
 	// Connected records the result of a new connection to a server.
--- a/pkg/relay/version_test.go
+++ b/pkg/relay/version_test.go
@@ -117,7 +117,9 @@
 	g.Expect(body).To(gomega.ContainSubstring("data: e2\n"))
 	g.Expect(sent.Load()).To(gomega.BeZero(), "streams sent to the run that is not listed")
 	g.Expect(runs.Load()).To(gomega.BeNumerically("==", 1))
+	g.Expect(f.otherRuns).To(gomega.Equal([]string{"server-0#1"}))
 	g.Expect(f.connected).NotTo(gomega.ContainElement(reach.Broken), "it answers")
+	g.Expect(f.results).To(gomega.HaveLen(1), "only the attempt at the other server")
 }
 
 // TestARunIsAskedOncePerConnection guards against a question for each stream: a connection leads to
