Tell the ways in which a soaked stream is out of order apart

A stream out of order was a finding of one kind, with the body of the answer, and a joined one showed its list of versions only.

Each stream is now checked for events of two versions, missing events, repeated ones, an end before the last event and foreign bytes. A finding holds each try (daemon, status, events with versions, framing, error) and the runs of servers that the ledger has for it. Nothing that was a finding stops being one. New findings are foreign bytes and gaps in answers that break off, also of streams that are not taken up, and answers that break off within anything but the next event. A run prints its tries that broke off, were taken up and went on, and the answers in which a stream moved to another run. The logs of runs with joined streams are kept.

--- a/soak/checks.go
+++ b/soak/checks.go
@@ -46,7 +46,7 @@
 			at := time.Now()
 			reply := h.send(client, d, path, standin.Request{ID: id})
 			h.recordFirstTry(firstTry{at: at, daemon: d, served: reply.Err == nil && reply.Status == http.StatusOK})
-			h.checkAnswer(id, path, reply)
+			h.checkAnswer(d, id, path, at, reply)
 			if h.options.BrittleMost > 0 && callerIndex%impatientCallers != 0 {
 				time.Sleep(retryAfter(reply))
 			}
@@ -96,18 +96,18 @@
 }
 
 // checkAnswer checks that a successful answer is complete and belongs to the
-// request.
-func (h *harness) checkAnswer(id, path string, reply standin.Response) {
-	if reply.Err != nil || reply.Status != http.StatusOK {
+// request, and that one which breaks off holds nothing but events of its stream.
+func (h *harness) checkAnswer(d *daemon, id, path string, at time.Time, reply standin.Response) {
+	if reply.Status != http.StatusOK {
 		return
 	}
-	if !strings.HasPrefix(path, "/stream/") {
-		if reply.Body != standin.ResponseBody(id) {
-			h.addFinding("request %s got an unexpected body: %.60q", id, reply.Body)
-		}
+	if strings.HasPrefix(path, "/stream/") {
+		h.checkStream(d, id, at, reply)
 		return
 	}
-	h.checkEvents(id, 0, reply)
+	if reply.Err == nil && reply.Body != standin.ResponseBody(id) {
+		h.addFinding("request %s got an unexpected body: %.60q", id, reply.Body)
+	}
 }
 
 // checkRefusal checks that a once-only request did not run if its answer says
--- a/soak/parts.go
+++ b/soak/parts.go
@@ -80,8 +80,8 @@
 	reply := standin.Send(attemptCtx, client, standin.Request{ID: id, Address: d.settings.Front, Host: hostName, Path: c.path + "x",
 		Key: apiKey, Deadline: requestDeadline, Parts: parts})
 	h.checkRefusal(id, reply)
-	if reply.Err == nil && reply.Status == http.StatusOK {
-		h.checkEvents(id, 0, reply)
+	if reply.Status == http.StatusOK {
+		h.checkStream(d, id, sentAt, reply)
 	}
 	if crashing || ctx.Err() != nil {
 		return
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -165,10 +165,11 @@
 	// holds the publication time of each version.
 	version     int
 	publishedAt []time.Time
-	// streamTries holds the tries of streams that may be taken up, and mixedStreams those
-	// that hold events of several software versions.
-	streamTries  []streamTry
-	mixedStreams []string
+	// streamTries holds the tries of streams that may be taken up, streams counts them, and
+	// joinedStreams describes those that hold events of several software versions.
+	streamTries   []streamTry
+	streams       StreamCounts
+	joinedStreams []string
 	// released is the version of the servers of the last release, if there was one.
 	released string
 	// takeUps counts the answers to tries to take a stream up while servers of its version serve,
@@ -240,6 +241,10 @@
 	// that of usage windows that were reported.
 	Drills, Windows int
 	Findings        []string
+	// Streams counts the streams that may be taken up, and Joined describes each that holds events
+	// of two software versions.
+	Streams StreamCounts
+	Joined  []string
 	// FewTakenUp states that streams taken up were refused much more often than new ones, or is
 	// empty.
 	FewTakenUp string
@@ -355,7 +360,7 @@
 func (h *harness) report() Report {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return Report{Seed: h.options.Seed, Planned: h.planned, Sent: h.sent, Succeeded: h.succeeded, Resumed: h.resumed, ResumedTries: h.resumedTries, TakeUps: h.takeUps, TakeUpsUnknown: h.takeUpsUnknown, LeavingChecked: h.leavingChecked, Told: h.toldCount, Paused: h.pauseCount, Upgraded: h.upgraded, OverLimit: h.overLimit, FullestWindow: h.fullestWindow, WindowLimit: h.options.windowLimit(), CutServed: h.cutServed, CutSent: h.cutSent, Rollout: h.rollout.String(), Drills: h.drills.count, Windows: len(h.cloud.Reports()), Findings: h.findings, FewTakenUp: h.fewTakenUp}
+	return Report{Seed: h.options.Seed, Planned: h.planned, Sent: h.sent, Succeeded: h.succeeded, Resumed: h.resumed, ResumedTries: h.resumedTries, TakeUps: h.takeUps, TakeUpsUnknown: h.takeUpsUnknown, LeavingChecked: h.leavingChecked, Told: h.toldCount, Paused: h.pauseCount, Upgraded: h.upgraded, OverLimit: h.overLimit, FullestWindow: h.fullestWindow, WindowLimit: h.options.windowLimit(), CutServed: h.cutServed, CutSent: h.cutSent, Rollout: h.rollout.String(), Drills: h.drills.count, Windows: len(h.cloud.Reports()), Findings: h.findings, Streams: h.streams, Joined: h.joinedStreams, FewTakenUp: h.fewTakenUp}
 }
 
 // addFinding records a violated guarantee.
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -389,7 +389,7 @@
 	return report
 }
 
-// playSeed runs a soak. Its logs are kept if one of its checks fails.
+// playSeed runs a soak. Its logs are kept if one of its checks fails, or a stream was joined.
 func playSeed(t *testing.T, options soak.Options) soak.Report {
 	seed := options.Seed
 	folder, err := os.MkdirTemp("", fmt.Sprintf("soak-%d-", seed))
@@ -403,10 +403,14 @@
 	}
 	t.Logf("seed %d: planned %t, %d requests sent, %d succeeded, %d of %d streams taken up went on, %d requests at leaving servers, %s, %d of %d first tries served at daemons cut off from servers, %d daemons replaced", seed, report.Planned,
 		report.Sent, report.Succeeded, report.Resumed, report.ResumedTries, report.LeavingChecked, report.Statements(), report.CutServed, report.CutSent, report.Upgraded)
+	t.Logf("seed %d: %v", seed, &report.Streams)
+	for _, joined := range report.Joined {
+		t.Logf("seed %d: %s", seed, joined)
+	}
 	if options.DrillEvery > 0 {
 		t.Logf("seed %d: %d returns of the store from an older copy, %d usage windows reported", seed, report.Drills, report.Windows)
 	}
-	if len(report.Findings) > 0 || report.FewTakenUp != "" || fewSucceeded(report) {
+	if len(report.Findings) > 0 || len(report.Joined) > 0 || report.FewTakenUp != "" || fewSucceeded(report) {
 		t.Logf("logs are in %s", folder)
 		return report
 	}
--- a/soak/streams.go
+++ b/soak/streams.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
-	"slices"
 	"strconv"
 	"time"
 
@@ -27,58 +26,42 @@
 	minSameVersion = 2
 )
 
-// streamTry is one try of a caller to begin a stream or to take it up.
-type streamTry struct {
-	daemon  *daemon
-	at      time.Time
-	resumes bool
-	// progressed is set if the try brought an event.
-	progressed bool
-	// servers is the number of servers of the stream's version that served at the begin
-	// and at the end of the try, whichever is less.
-	servers int
-}
-
 // runStream sends a stream, takes it up at any daemon when it breaks off, and records
 // what came of each try.
 func (h *harness) runStream(client *http.Client, random *rand.Rand, d *daemon, id string) {
-	var versions []string
+	var tries []streamTry
+	version, last := "", 0
 	request := standin.Request{ID: id}
 	for try := range cmp.Or(h.options.StreamTries, maxTries) {
 		if try > 0 {
 			request.ID = fmt.Sprintf("%s-%d", id, try)
 			d = h.retryDaemon(random)
 		}
-		request.LastEventID = strconv.Itoa(len(versions))
-		t := streamTry{daemon: d, at: time.Now(), resumes: len(versions) > 0}
+		request.LastEventID = strconv.Itoa(last)
+		t := streamTry{id: request.ID, daemon: d, at: time.Now(), after: last, resumes: last > 0}
 		if t.resumes {
-			t.servers = h.servingAt(versions[0])
+			t.servers = h.servingAt(version)
 		}
 		reply := h.send(client, d, resumablePath, request)
-		got := h.checkEvents(request.ID, len(versions), reply)
-		t.progressed = len(got) > 0
+		t.received(reply)
 		if t.resumes {
-			t.servers = min(t.servers, h.servingAt(versions[0]))
+			t.servers = min(t.servers, h.servingAt(version))
 			if t.servers > 0 && reply.Status != 0 {
 				h.countTakeUp(reply)
 			}
-		} else if t.progressed {
-			request.Resumes = request.ID
+		} else if t.progressed() {
+			request.Resumes, version = request.ID, t.events[0].Version
+		}
+		for _, e := range t.events {
+			last = max(last, e.Number)
 		}
-		versions = append(versions, got...)
-		h.mu.Lock()
-		h.streamTries = append(h.streamTries, t)
-		h.mu.Unlock()
-		if reply.Err == nil && reply.Status == http.StatusOK {
+		tries = append(tries, t)
+		if t.complete() {
 			break
 		}
 		time.Sleep(time.Duration(20+random.IntN(100)) * time.Millisecond)
 	}
-	if distinct := slices.Compact(slices.Sorted(slices.Values(versions))); len(distinct) > 1 {
-		h.mu.Lock()
-		defer h.mu.Unlock()
-		h.mixedStreams = append(h.mixedStreams, fmt.Sprintf("%s %v", id, versions))
-	}
+	h.endStream(id, tries)
 }
 
 // retryDaemon returns the daemon for a further try of a stream. In runs with planned stops only,
@@ -92,23 +75,6 @@
 	return d
 }
 
-// checkEvents checks the events of an answer to a stream that goes on after the given
-// number of events, and returns the versions of their servers.
-func (h *harness) checkEvents(id string, after int, reply standin.Response) []string {
-	if reply.Status != http.StatusOK {
-		return nil
-	}
-	versions, expected := standin.EventVersions(reply.Body), ""
-	for i, version := range versions {
-		expected += standin.StreamEvent(id, after+i+1, version)
-	}
-	complete := reply.Err == nil
-	if reply.Body[:min(len(expected), len(reply.Body))] != expected || complete && (reply.Body != expected || after+len(versions) != streamEvents) {
-		h.addFinding("stream %s after event %d got unexpected events (complete: %t): %.300q", id, after, complete, reply.Body)
-	}
-	return versions
-}
-
 // servingAt returns the number of servers of a version that accept streams.
 func (h *harness) servingAt(version string) int {
 	h.mu.Lock()
@@ -130,8 +96,8 @@
 	if len(h.options.Releases) > 0 {
 		allowed = 0
 	}
-	if len(h.mixedStreams) > allowed {
-		h.addFinding("%d streams hold events of two software versions, such as %s", len(h.mixedStreams), h.mixedStreams[0])
+	if len(h.joinedStreams) > allowed {
+		h.addFinding("%d streams hold events of two software versions, such as %s", len(h.joinedStreams), h.joinedStreams[0])
 	}
 	var begun, begunTries, resumed, resumedTries float64
 	cut := 0
@@ -144,7 +110,7 @@
 			cut++
 		}
 		progressed := 0.0
-		if t.progressed {
+		if t.progressed() {
 			progressed = 1
 		}
 		switch {
