Take no answer of another daemon without a length for whole

A daemon always sends a forwarded response with a length or in chunks. The forwarding daemon took one that had neither for whole at the end of the connection, so that a process which stops after a head without a length made a 200 with an empty or short body of it.

Such a response is now an incomplete one.

TestAnAnswerThatStopsAnywhereIsNoSuccess cuts answers of servers, and of daemons that forward, after every byte of head and body, by close, reset and silence, on new and reused connections, with each framing and kind of route.

--- a/pkg/relay/forward.go
+++ b/pkg/relay/forward.go
@@ -333,6 +333,11 @@
 	response.Header.Del(headerForwardedOutcome)
 	switch f.stated {
 	case forwardAnswered:
+		if endsWithConnection(response) && f.Method != http.MethodHead {
+			// Daemons always state a length or send chunks.
+			f.failure = "response without a length"
+			return outcomeIncomplete
+		}
 		f.hear(response)
 		if f.route.Kind == catalog.KindStream && response.StatusCode/100 == 2 {
 			return f.passStream(response)
--- a/pkg/relay/relay_test.go
+++ b/pkg/relay/relay_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"context"
 	"fmt"
 	"io"
@@ -126,6 +127,8 @@
 	firstEvents int
 	// originService is the service for which an origin was last asked.
 	originService string
+	// connectionLimit limits the connections to a server; 0 selects 10.
+	connectionLimit int
 }
 
 func (f *fake) Catalog() *catalog.Catalog { return f.catalog }
@@ -247,7 +250,7 @@
 func (f *fake) Arrived(string)                     {}
 func (f *fake) SpendRetry(string) bool             { f.mu.Lock(); defer f.mu.Unlock(); f.retries++; return true }
 func (f *fake) CanRetry(string) bool               { return !f.retriesSpent }
-func (f *fake) ConnectionLimit(string, string) int { return 10 }
+func (f *fake) ConnectionLimit(string, string) int { return cmp.Or(f.connectionLimit, 10) }
 
 // script handles the n-th request that a server receives; the connection stays
 // open if it returns true.
