State the server's length in answers to HEAD requests

A daemon answered a HEAD request with a Content-Length of 0, the size of the body that it had read, where the server states the size of the body that a GET would have. Callers took the resource for empty.

The Content-Length of the server is now passed on to HEAD requests.

--- a/pkg/relay/buffered.go
+++ b/pkg/relay/buffered.go
@@ -60,9 +60,9 @@
 		x.abort("server failed")
 	}
 	x.status = buffered.status
-	CopyHeader(x.w.Header(), buffered.header)
+	x.copyResponseHeader(buffered.header)
 	x.markAnswered(buffered.server)
-	if buffered.status != http.StatusNoContent && buffered.status != http.StatusNotModified {
+	if x.Method != http.MethodHead && buffered.status != http.StatusNoContent && buffered.status != http.StatusNotModified {
 		x.w.Header().Set("Content-Length", strconv.Itoa(len(buffered.body)))
 	}
 	x.w.WriteHeader(buffered.status)
@@ -81,6 +81,15 @@
 	"Transfer-Encoding": true, "Upgrade": true, "Content-Length": true,
 }
 
+// copyResponseHeader copies the header of a server's response to the caller's.
+func (x *exchange) copyResponseHeader(from http.Header) {
+	CopyHeader(x.w.Header(), from)
+	if length := from.Get("Content-Length"); length != "" && x.Method == http.MethodHead {
+		// It is the length that the body would have.
+		x.w.Header().Set("Content-Length", length)
+	}
+}
+
 // CopyHeader copies all headers but the hop-by-hop ones.
 func CopyHeader(to, from http.Header) {
 	named := connectionTokens(from)
--- a/pkg/relay/forward.go
+++ b/pkg/relay/forward.go
@@ -487,6 +487,6 @@
 	}
 	f.sentHeader = true
 	f.exchange.status = response.StatusCode
-	CopyHeader(f.w.Header(), response.Header)
+	f.copyResponseHeader(response.Header)
 	f.w.WriteHeader(response.StatusCode)
 }
--- a/pkg/relay/heads_test.go
+++ b/pkg/relay/heads_test.go
@@ -231,7 +231,7 @@
 		bad := got.status/100 == 2 && !strings.HasPrefix(c.body, got.body)
 		switch {
 		case got.success():
-			bad = bad || !mayBeWhole || !unframed && c.method != http.MethodHead && got.body != c.body
+			bad = bad || !mayBeWhole || !unframed && c.method != http.MethodHead && got.body != c.body || c.method == http.MethodHead && got.header.Get("Content-Length") != "1234"
 		case mayBeWhole && c.at == c.length:
 			bad = true
 		}
--- a/pkg/relay/stream.go
+++ b/pkg/relay/stream.go
@@ -98,7 +98,7 @@
 	}
 	s.exchange.sentHeader = true
 	s.status = response.StatusCode
-	CopyHeader(s.w.Header(), response.Header)
+	s.copyResponseHeader(response.Header)
 	s.markAnswered(s.decision.Server.RunID())
 	s.w.WriteHeader(response.StatusCode)
 	s.recordStart()
