Cut the response when a caller that seems gone may still read

A caller that closes its side of the connection after the request cancels the context of the request, as one that is gone does. The handler then returned without an error, and the HTTP server completed the response: a 200 with Content-Length 0 if nothing had been sent, among others when the server had stopped in the head of its answer, and the final chunk if part of a stream had been sent.

A response is now complete only where the code has sent all of it; any other end of the handler aborts the connection.

--- a/pkg/relay/buffered.go
+++ b/pkg/relay/buffered.go
@@ -66,6 +66,7 @@
 		x.w.Header().Set("Content-Length", strconv.Itoa(len(buffered.body)))
 	}
 	x.w.WriteHeader(buffered.status)
+	x.sentAll = true
 	if len(buffered.body) == 0 || x.Method == http.MethodHead {
 		return
 	}
--- a/pkg/relay/forward.go
+++ b/pkg/relay/forward.go
@@ -131,6 +131,7 @@
 		return
 	}
 	x.run()
+	x.end()
 }
 
 // elsewhereProblem returns the problem of a forwarded request that another daemon may run.
@@ -454,6 +455,7 @@
 		event, err := events.next()
 		if err == io.EOF {
 			f.writeHeader(response)
+			f.sentAll = true
 			f.reusable = !response.Close
 			return outcomeDone
 		}
--- a/pkg/relay/handler.go
+++ b/pkg/relay/handler.go
@@ -128,8 +128,9 @@
 	attempts     int
 	// hop is set if another daemon has forwarded the request.
 	hop *hop
-	// sentHeader is set once the header of the response has been sent.
-	sentHeader bool
+	// sentHeader is set once the header of the response has been sent, and sentAll once all of it
+	// has.
+	sentHeader, sentAll bool
 	// firstPartAfter is the time from the start of the last attempt to the first
 	// part of its response, or negative if none has arrived.
 	firstPartAfter time.Duration
@@ -171,6 +172,15 @@
 	}
 	h.controller.Arrived(x.service)
 	x.run()
+	x.end()
+}
+
+// end ends the response. Without an error of the handler, the HTTP server would complete one of which a
+// part is missing.
+func (x *exchange) end() {
+	if !x.sentAll {
+		panic(http.ErrAbortHandler)
+	}
 }
 
 // accept finds the route and account of a request, reads its body, and checks
@@ -399,6 +409,7 @@
 	body, _ := json.Marshal(problemBody{Type: p.URN(), Title: p.Detail, Status: p.Status, Outcome: string(p.Outcome)})
 	header.Set("Content-Length", strconv.Itoa(len(body)))
 	x.w.WriteHeader(p.Status)
+	x.sentAll = true
 	if _, err := x.w.Write(body); err != nil {
 		klog.V(1).InfoS("caller disconnected before the error response was sent", "request", x.ID, "err", err)
 	}
--- a/pkg/relay/heads_test.go
+++ b/pkg/relay/heads_test.go
@@ -22,8 +22,9 @@
 	method, proto, path, id string
 	// header holds further fields, each with its line end.
 	header string
-	// halfCloses is set if the caller closes its side of the connection after the request.
-	halfCloses bool
+	// closesAfter is the time after the request at which the caller closes its side of the
+	// connection, or 0 if it does not.
+	closesAfter time.Duration
 }
 
 // rawAnswer is what such a caller gets. err is set unless the answer is whole by its framing.
@@ -49,8 +50,8 @@
 		method, c.path, cmp.Or(c.proto, "1.1"), c.id, c.header); err != nil {
 		return rawAnswer{err: err}
 	}
-	if c.halfCloses {
-		_ = conn.(*net.TCPConn).CloseWrite()
+	if c.closesAfter > 0 {
+		time.AfterFunc(c.closesAfter, func() { _ = conn.(*net.TCPConn).CloseWrite() })
 	}
 	_ = conn.SetDeadline(time.Now().Add(4 * time.Second))
 	response, err := http.ReadResponse(bufio.NewReader(conn), &http.Request{Method: method})
--- a/pkg/relay/stream.go
+++ b/pkg/relay/stream.go
@@ -129,6 +129,7 @@
 		return s.handleIncomplete()
 	}
 	s.writeStreamHeader(response)
+	s.sentAll = true
 	s.result = placement.ResultAnswered
 	s.reusable = !response.Close
 	s.completed()
