Reset the connection of an HTTP/1.0 caller whose stream is cut

A response to HTTP/1.0 without a length ends with its connection. When a stream broke off, the daemon closed the connection, so that the stream looked whole to such a caller.

The connection is now reset: its end is set to discard and it is closed.

--- a/pkg/relay/handler.go
+++ b/pkg/relay/handler.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -103,7 +104,9 @@
 	handler *Handler
 	w       http.ResponseWriter
 	*Request
-	caller        context.Context
+	caller context.Context
+	// oldCaller is set if the caller speaks HTTP/1.0, without chunks.
+	oldCaller     bool
 	route         *catalog.Route
 	service       string
 	account       *catalog.ClientAccount
@@ -160,7 +163,7 @@
 	if h.closing.Load() {
 		w.Header().Set("Connection", "close")
 	}
-	x := &exchange{handler: h, w: w, caller: r.Context(), receivedAt: time.Now(), Request: h.codec.Decode(r)}
+	x := &exchange{handler: h, w: w, caller: r.Context(), oldCaller: !r.ProtoAtLeast(1, 1), receivedAt: time.Now(), Request: h.codec.Decode(r)}
 	defer x.record()
 	if problem := x.accept(r); problem != nil {
 		x.writeProblem(problem)
@@ -179,7 +182,31 @@
 // part is missing.
 func (x *exchange) end() {
 	if !x.sentAll {
-		panic(http.ErrAbortHandler)
+		x.closeConnection()
+	}
+}
+
+// closeConnection ends a response that is not complete. A response to HTTP/1.0 without a length ends with
+// its connection, so that only a reset tells that it isn't complete.
+func (x *exchange) closeConnection() {
+	if x.sentHeader && x.oldCaller {
+		resetConnection(x.w)
+	}
+	panic(http.ErrAbortHandler)
+}
+
+// resetConnection closes the connection of a response with a reset.
+func resetConnection(w http.ResponseWriter) {
+	conn, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		klog.InfoS("failed to reset a connection", "err", err)
+		return
+	}
+	if tcp, ok := conn.(*net.TCPConn); ok {
+		err = tcp.SetLinger(0)
+	}
+	if err = errors.Join(err, conn.Close()); err != nil {
+		klog.V(1).InfoS("failed to reset a connection", "err", err)
 	}
 }
 
--- a/pkg/relay/run.go
+++ b/pkg/relay/run.go
@@ -206,7 +206,7 @@
 func (x *exchange) abort(detail string) {
 	if x.sentHeader {
 		x.status, x.cause = http.StatusBadGateway, "stream cut: "+detail
-		panic(http.ErrAbortHandler)
+		x.closeConnection()
 	}
 	x.writeUnknownOutcome(http.StatusBadGateway, detail)
 }
