--- a/pkg/relay/handler.go
+++ b/pkg/relay/handler.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -103,7 +104,9 @@
 	handler *Handler
 	w       http.ResponseWriter
 	*Request
-	caller        context.Context
+	caller context.Context
+	// oldCaller is set if the caller speaks HTTP/1.0, without chunks.
+	oldCaller     bool
 	route         *catalog.Route
 	service       string
 	account       *catalog.ClientAccount
@@ -128,8 +131,9 @@
 	attempts     int
 	// hop is set if another daemon has forwarded the request.
 	hop *hop
-	// sentHeader is set once the header of the response has been sent.
-	sentHeader bool
+	// sentHeader is set once the header of the response has been sent, and sentAll once all of it
+	// has.
+	sentHeader, sentAll bool
 	// firstPartAfter is the time from the start of the last attempt to the first
 	// part of its response, or negative if none has arrived.
 	firstPartAfter time.Duration
@@ -162,7 +166,7 @@
 	if h.closing.Load() {
 		w.Header().Set("Connection", "close")
 	}
-	x := &exchange{handler: h, w: w, caller: r.Context(), receivedAt: time.Now(), Request: h.codec.Decode(r)}
+	x := &exchange{handler: h, w: w, caller: r.Context(), oldCaller: !r.ProtoAtLeast(1, 1), receivedAt: time.Now(), Request: h.codec.Decode(r)}
 	defer x.record()
 	if problem := x.accept(r); problem != nil {
 		x.writeProblem(problem)
@@ -174,6 +178,39 @@
 	}
 	h.controller.Arrived(x.service)
 	x.run()
+	x.end()
+}
+
+// end ends the response. Without an error of the handler, the HTTP server would complete one of which a
+// part is missing.
+func (x *exchange) end() {
+	if !x.sentAll {
+		x.closeConnection()
+	}
+}
+
+// closeConnection ends a response that is not complete. A response to HTTP/1.0 without a length ends with
+// its connection, so that only a reset tells that it isn't complete.
+func (x *exchange) closeConnection() {
+	if x.sentHeader && x.oldCaller {
+		resetConnection(x.w)
+	}
+	panic(http.ErrAbortHandler)
+}
+
+// resetConnection closes the connection of a response with a reset.
+func resetConnection(w http.ResponseWriter) {
+	conn, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		klog.InfoS("failed to reset a connection", "err", err)
+		return
+	}
+	if tcp, ok := conn.(*net.TCPConn); ok {
+		err = tcp.SetLinger(0)
+	}
+	if err = errors.Join(err, conn.Close()); err != nil {
+		klog.V(1).InfoS("failed to reset a connection", "err", err)
+	}
 }
 
 // accept finds the route and account of a request, reads its body, and checks
@@ -402,6 +439,7 @@
 	body, _ := json.Marshal(problemBody{Type: p.URN(), Title: p.Detail, Status: p.Status, Outcome: string(p.Outcome)})
 	header.Set("Content-Length", strconv.Itoa(len(body)))
 	x.w.WriteHeader(p.Status)
+	x.sentAll = true
 	if _, err := x.w.Write(body); err != nil {
 		klog.V(1).InfoS("caller disconnected before the error response was sent", "request", x.ID, "err", err)
 	}
--- a/pkg/relay/stream.go
+++ b/pkg/relay/stream.go
@@ -104,7 +104,7 @@
 	}
 	s.exchange.sentHeader = true
 	s.status = response.StatusCode
-	CopyHeader(s.w.Header(), response.Header)
+	s.copyResponseHeader(response.Header)
 	s.markAnswered(s.decision.Server.RunID())
 	s.w.WriteHeader(response.StatusCode)
 	s.recordStart()
@@ -135,6 +135,7 @@
 		return s.handleIncomplete()
 	}
 	s.writeStreamHeader(response)
+	s.sentAll = true
 	s.result = placement.ResultAnswered
 	s.reusable = !response.Close
 	s.completed()
