Bound the question for the run, and keep a stream's version when it is forwarded

Found by a review of the proof of the run that answers. Callers would have seen streams refused, late or joined: - a server that takes over 0.3 s to say which run it is got no streams at all. It has 1 s on a new connection now, but no longer than the deadline of the request and the stay of its caller, and is asked up to three times after the first event. A kept connection that delivers nothing is replaced after 0.3 s. - a second copy of a description, which states no limits, lifted the request limit of its server. - a daemon that forwards a stream which goes on sent its name only, and the other daemon concluded the version by itself. Service and version are sent along now (Forwarded-Origin, named in Connection, so that earlier builds drop it); in the other direction a daemon looks the version up where another one has begun the stream. - foreign answers to the question no longer count as a broken link, and a pause that a server asks for beside a failure is heard. The line "attempt" names the run that answered also where it is another one.

Evidence: with these parts taken out TestABusyServerMayAnswerLateWhichRunItIs, TestTheQuestionForTheRunEndsWithTheDeadline, TestALateDescriptionChangesNoRequestLimit, TestAForwardedStreamKeepsTheVersionThatItsDaemonKnows and TestAStreamThatAnotherDaemonBeganGoesOnFromHere fail.

--- a/pkg/relay/attempt.go
+++ b/pkg/relay/attempt.go
@@ -19,6 +19,7 @@
 	"github.com/monsooncrank/monsooncrank/pkg/catalog"
 	"github.com/monsooncrank/monsooncrank/pkg/placement"
 	"github.com/monsooncrank/monsooncrank/pkg/reach"
+	"github.com/monsooncrank/monsooncrank/pkg/serverlimit"
 )
 
 const (
@@ -251,6 +252,10 @@
 		}
 		klog.InfoS("skipped response to another request", "request", s.ID, "other", info.RequestID, "server", s.decision.Server.ID,
 			"status", response.StatusCode, "leaving", info.Leaving, "pauseMs", info.RetryAfter.Milliseconds())
+		if info.RequestID == "" {
+			// It may be a description, which states no limits.
+			info.RequestLimit = serverlimit.Statement{Unreadable: true}
+		}
 		said = append(said, info.Statements)
 		if _, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxBufferedResponseBytes)); err != nil {
 			s.cause = "read response to another request: " + err.Error()
--- a/pkg/relay/forward.go
+++ b/pkg/relay/forward.go
@@ -9,6 +9,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"net/url"
 	"strconv"
 	"sync/atomic"
 	"time"
@@ -19,6 +20,7 @@
 	"github.com/monsooncrank/monsooncrank/pkg/backendconn"
 	"github.com/monsooncrank/monsooncrank/pkg/catalog"
 	"github.com/monsooncrank/monsooncrank/pkg/fleet"
+	"github.com/monsooncrank/monsooncrank/pkg/streamversion"
 )
 
 // A daemon that has lost its links to the servers of a service forwards the requests for
@@ -37,6 +39,9 @@
 	// headerForwardedStream is the ID of the attempt that brought the first event of a stream
 	// which goes on.
 	headerForwardedStream = "Forwarded-Stream"
+	// headerForwardedOrigin is the service and the version that began the stream, as a query
+	// string, where that daemon knows them. It is named in Connection, as headerForwardedServer is.
+	headerForwardedOrigin = "Forwarded-Origin"
 	// headerForwardedOutcome is the outcome that the receiving daemon states.
 	headerForwardedOutcome = "Forwarded-Outcome"
 	// headerForwardedServer is the run of the server whose response it is. It is named in
@@ -92,6 +97,36 @@
 	attempts      int
 	// stream is the ID of the attempt that brought the first event of a stream that goes on.
 	stream string
+	// origin is the service and the version that began it, if that daemon knows them.
+	origin *streamversion.Origin
+}
+
+// hopOrigin returns the origin of the stream that goes on as the daemon that has forwarded the
+// request knows it.
+func (x *exchange) hopOrigin() (streamversion.Origin, bool) {
+	if x.hop == nil || x.hop.origin == nil {
+		return streamversion.Origin{}, false
+	}
+	return *x.hop.origin, true
+}
+
+// Fields of headerForwardedOrigin.
+const (
+	originService = "service"
+	originVersion = "version"
+)
+
+// decodeOrigin decodes headerForwardedOrigin, which is empty if the origin is not known.
+func decodeOrigin(from, encoded string) *streamversion.Origin {
+	if encoded == "" {
+		return nil
+	}
+	fields, err := url.ParseQuery(encoded)
+	if err != nil || !fields.Has(originService) || fields.Get(originVersion) == "" {
+		klog.InfoS("unreadable origin of a forwarded stream", "from", from, "origin", encoded, "err", err)
+		return nil
+	}
+	return &streamversion.Origin{Service: fields.Get(originService), Version: fields.Get(originVersion)}
 }
 
 // hopOf returns the hop of a forwarded request and removes its headers.
@@ -102,7 +137,8 @@
 	if err != nil || errAttempts != nil {
 		klog.InfoS("unreadable header of a forwarded request", "from", h.from, "err", errors.Join(err, errAttempts))
 	}
-	for _, name := range []string{headerForwardedBy, headerForwardedConfiguration, headerForwardedAttempts, headerForwardedStream} {
+	h.origin = decodeOrigin(h.from, r.Header.Get(headerForwardedOrigin))
+	for _, name := range []string{headerForwardedBy, headerForwardedConfiguration, headerForwardedAttempts, headerForwardedStream, headerForwardedOrigin} {
 		r.Header.Del(name)
 	}
 	return h
@@ -387,6 +423,10 @@
 	if last != "" {
 		header.Set(headerForwardedStream, f.streamID())
 	}
+	if f.begun && f.version != "" {
+		header.Set(headerForwardedOrigin, url.Values{originService: {f.service}, originVersion: {f.version}}.Encode())
+		header.Add("Connection", headerForwardedOrigin)
+	}
 	header.Set(headerForwardedBy, f.handler.node)
 	header.Set(headerForwardedConfiguration, strconv.FormatInt(f.configVersion, 10))
 	header.Set(headerForwardedAttempts, strconv.Itoa(f.attempts))
@@ -475,6 +515,7 @@
 			f.failure = "write event: " + err.Error()
 			return outcomeIncomplete
 		}
+		f.beganElsewhere = f.beganElsewhere || !f.begun
 		f.begun = true
 		f.lastSentEventID = event.id
 		f.eventsSent++
--- a/pkg/relay/handler.go
+++ b/pkg/relay/handler.go
@@ -150,6 +150,8 @@
 	// version that began it, or empty if that is not known.
 	begun   bool
 	version string
+	// beganElsewhere is set if another daemon passed the first event on.
+	beganElsewhere bool
 	// lastSentEventID is the ID of the last event sent to the caller.
 	lastSentEventID string
 	// eventsSent is the number of events sent to the caller.
@@ -267,7 +269,10 @@
 	if x.LastEventID == "" || !x.isResumable() {
 		return nil
 	}
-	origin, known := x.handler.controller.StreamOrigin(x.caller, x.ID, x.service, x.ResumedID)
+	origin, known := x.hopOrigin()
+	if !known {
+		origin, known = x.handler.controller.StreamOrigin(x.caller, x.ID, x.service, x.ResumedID)
+	}
 	if !known || !x.route.Allows(origin.Service) {
 		return api.NewNotRunProblem(api.ProblemNoBackendServer, http.StatusServiceUnavailable, "version of the stream not known").WithRetryAfter(unknownVersionRetryAfter)
 	}
--- a/pkg/relay/relay_test.go
+++ b/pkg/relay/relay_test.go
@@ -28,6 +28,7 @@
 	"github.com/monsooncrank/monsooncrank/pkg/placement"
 	"github.com/monsooncrank/monsooncrank/pkg/reach"
 	"github.com/monsooncrank/monsooncrank/pkg/relay"
+	"github.com/monsooncrank/monsooncrank/pkg/serverlimit"
 	"github.com/monsooncrank/monsooncrank/pkg/streamversion"
 )
 
@@ -118,6 +119,8 @@
 	saidLeaving []string
 	// saidBy is the run of the server of which anything was said last.
 	saidBy string
+	// saidLimits holds what responses said of request limits.
+	saidLimits []serverlimit.Statement
 	// otherRuns holds the listed runs in place of which others have answered.
 	otherRuns  []string
 	retryAfter time.Duration
@@ -210,6 +213,7 @@
 	if said.Leaving {
 		f.saidLeaving = append(f.saidLeaving, s.ID)
 	}
+	f.saidLimits = append(f.saidLimits, said.RequestLimit)
 	f.saidBy, f.retryAfter = s.RunID(), max(f.retryAfter, said.RetryAfter)
 }
 func (f *fake) Connected(_ *fleet.Server, r reach.Result) {
@@ -217,7 +221,11 @@
 	defer f.mu.Unlock()
 	f.connected = append(f.connected, r)
 }
-func (f *fake) Reaches(string) bool  { return !f.cut }
+func (f *fake) Reaches(string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return !f.cut
+}
 func (f *fake) MayReach(string) bool { return !f.cut || f.doubtful }
 func (f *fake) ForwardTo(_ string, exclude []string) (relay.ForwardTarget, bool) {
 	for _, target := range f.targets {
--- a/pkg/relay/run.go
+++ b/pkg/relay/run.go
@@ -137,6 +137,11 @@
 
 // place selects a server that is not in exclude.
 func (x *exchange) place(exclude []string) (placement.Decision, error) {
+	if x.beganElsewhere && x.version == "" {
+		if origin, known := x.handler.controller.StreamOrigin(x.caller, x.ID, x.service, x.streamID()); known && origin.Service == x.service {
+			x.version = origin.Version
+		}
+	}
 	decision, err := x.handler.controller.Place(x.query(exclude))
 	if err != nil && len(exclude) > 0 {
 		klog.V(1).InfoS("no other server", "request", x.ID, "tried", len(exclude), "err", err)
@@ -272,17 +277,19 @@
 	var otherRun *OtherRunError
 	if errors.As(err, &otherRun) {
 		// The server answers: that says nothing against it.
+		x.answeringRun = otherRun.ActualMilli
 		controller.OtherRunAnswers(&d.Server)
 		return nil, err
 	}
 	if err != nil {
 		var dial *backendconn.DialError
 		var check *RunCheckError
+		var foreign *ForeignResponsesError
 		switch {
 		case x.caller.Err() != nil:
 		case errors.As(err, &dial):
 			controller.Connected(&d.Server, DialResult(err))
-		case errors.As(err, &check) && !errors.Is(err, os.ErrDeadlineExceeded):
+		case errors.As(err, &check) && !errors.Is(err, os.ErrDeadlineExceeded) && !errors.As(err, &foreign):
 			controller.Connected(&d.Server, reach.Broken)
 		}
 		q := x.query(nil)
--- a/pkg/relay/runcheck.go
+++ b/pkg/relay/runcheck.go
@@ -17,9 +17,12 @@
 )
 
 const (
-	// runCheckTimeout is the timeout of the question which run of a server answers. It is
-	// a few hundred round trips.
-	runCheckTimeout = 300 * time.Millisecond
+	// runCheckTimeout is the timeout of the question which run of a server answers, on a kept
+	// connection or at the end of a response. It is a few hundred round trips. beginCheckTimeout is
+	// that on a new connection before a request is sent, to which a busy server may answer later;
+	// it ends with the deadline of the request.
+	runCheckTimeout   = 300 * time.Millisecond
+	beginCheckTimeout = time.Second
 	// maxEndChecks is how often a server is asked that does not answer in time.
 	maxEndChecks = 3
 	// maxRunReportBytes limits the answer.
@@ -77,14 +80,17 @@
 	case listed == 0:
 		return conn, nil
 	}
-	closes, err := x.checkRun(conn, server)
-	if err != nil && conn.Reused {
-		// The connection may lead to an earlier run, or be closed by now.
+	closes, err := x.checkRunBefore(conn, server)
+	if err != nil && conn.Reused && x.caller.Err() == nil {
+		// The connection may lead to an earlier run, be closed, or deliver nothing any more.
 		x.handler.pool.Discard(conn)
 		if conn, err = x.handler.pool.Dial(x.caller, server.ID, server.Address, limit); err != nil {
 			return nil, err
 		}
-		closes, err = x.checkRun(conn, server)
+		closes, err = x.checkRunBefore(conn, server)
+	}
+	if err == nil && x.caller.Err() != nil {
+		err = &RunCheckError{Server: server.ID, Cause: context.Cause(x.caller)}
 	}
 	if err != nil {
 		x.handler.pool.Discard(conn)
@@ -101,6 +107,22 @@
 	return conn, nil
 }
 
+// checkRunBefore asks before the request is sent. It waits neither beyond the deadline nor for a
+// caller that has gone.
+func (x *exchange) checkRunBefore(conn *backendconn.Conn, server *fleet.Server) (closes bool, err error) {
+	timeout := beginCheckTimeout
+	if conn.Reused {
+		timeout = runCheckTimeout
+	}
+	timeout = min(timeout, time.Until(x.deadline)-minTimeLeft)
+	if timeout <= 0 {
+		return false, &RunCheckError{Server: server.ID, Cause: os.ErrDeadlineExceeded}
+	}
+	stop := context.AfterFunc(x.caller, func() { _ = conn.SetDeadline(time.Unix(1, 0)) })
+	defer stop()
+	return x.checkRun(conn, server, timeout)
+}
+
 // confirmRun reports whether the run in the entry of the server has sent what arrived on the
 // connection, as far as that matters. A run that has answered before the request was sent and
 // answers now has run all the while.
@@ -112,15 +134,31 @@
 	}
 	s.runConfirmed = s.conn.RunStartedMilli == listed
 	if !s.runConfirmed && s.conn.RunBeforeMilli == listed {
-		err := s.checkEnd(server, s.handler.controller.ConnectionLimit(server.ID, s.service)+1)
-		s.runConfirmed = err == nil
-		if err != nil {
-			s.cause = "run not confirmed: " + err.Error()
-		}
+		// Each stream in progress may need a second connection for this.
+		s.runConfirmed = s.confirm("run", 2*s.handler.controller.ConnectionLimit(server.ID, s.service))
+	}
+	if s.runConfirmed {
+		s.answeringRun = listed
 	}
 	return s.runConfirmed
 }
 
+// confirm asks on new connections whether the listed run of the server answers. A server that
+// accepts connections and does not answer in time may be busy, and is asked again.
+func (s *serverAttempt) confirm(what string, limit int) bool {
+	for range maxEndChecks {
+		err := s.checkEnd(&s.decision.Server, limit)
+		if err == nil {
+			return true
+		}
+		s.cause = what + " not confirmed: " + err.Error()
+		if !errors.Is(err, os.ErrDeadlineExceeded) {
+			break
+		}
+	}
+	return false
+}
+
 // unusedConnection returns a connection to a server that has not carried this request before. A faulty server
 // may write its answer to that once more, which could not be told from the one to this attempt.
 func (x *exchange) unusedConnection(server *fleet.Server, limit int) (*backendconn.Conn, error) {
@@ -148,18 +186,7 @@
 	server := &s.decision.Server
 	// The connection that has ended still counts.
 	limit := s.handler.controller.ConnectionLimit(server.ID, s.service) + 1
-	for range maxEndChecks {
-		err := s.checkEnd(server, limit)
-		if err == nil {
-			return true
-		}
-		s.cause = "end of response not confirmed: " + err.Error()
-		// A server that accepts connections and does not answer in time may be busy.
-		if !errors.Is(err, os.ErrDeadlineExceeded) {
-			break
-		}
-	}
-	return false
+	return s.confirm("end of response", limit)
 }
 
 // checkEnd asks on a new connection whether the run of a server answers.
@@ -172,16 +199,16 @@
 	if server.StartedUnixMilli == 0 {
 		return nil
 	}
-	_, err = s.checkRun(conn, server)
+	_, err = s.checkRun(conn, server, runCheckTimeout)
 	return err
 }
 
 // checkRun asks a server on a connection when it started. It returns an error unless the run in
 // its entry answers, and otherwise whether the server closes the connection after its answer.
-func (x *exchange) checkRun(conn *backendconn.Conn, server *fleet.Server) (closes bool, err error) {
+func (x *exchange) checkRun(conn *backendconn.Conn, server *fleet.Server, timeout time.Duration) (closes bool, err error) {
 	result := runUnanswered
 	defer func() { x.handler.metrics.runChecks.WithLabelValues(result).Inc() }()
-	if err := conn.SetDeadline(time.Now().Add(runCheckTimeout)); err != nil {
+	if err := conn.SetDeadline(time.Now().Add(timeout)); err != nil {
 		return false, &RunCheckError{Server: server.ID, Cause: err}
 	}
 	request := &http.Request{Method: http.MethodGet}
@@ -196,6 +223,7 @@
 	startedUnixMilli, stated := x.handler.codec.RunStart(body)
 	if response.StatusCode != http.StatusOK || !stated {
 		result = runNotStated
+		x.hearReport(server, askedAt, response)
 		return false, &RunNotStatedError{Server: server.ID, Status: response.StatusCode}
 	}
 	conn.RunStartedMilli = startedUnixMilli
@@ -206,14 +234,21 @@
 		return false, &OtherRunError{Server: server.ID, ListedMilli: server.StartedUnixMilli, ActualMilli: startedUnixMilli}
 	}
 	result = runListed
-	if said := x.handler.codec.ResponseInfo(response).Statements; said.Leaving || said.RetryAfter > 0 {
-		// Only answers to requests state limits.
-		said.RequestLimit = serverlimit.Statement{Unreadable: true}
-		x.handler.controller.Said(server, askedAt, said)
-	}
+	x.hearReport(server, askedAt, response)
 	return response.Close, conn.SetDeadline(time.Time{})
 }
 
+// hearReport applies what a server says of itself in the answer to the question for its run.
+func (x *exchange) hearReport(server *fleet.Server, askedAt time.Time, response *http.Response) {
+	said := x.handler.codec.ResponseInfo(response).Statements
+	if !said.Leaving && said.RetryAfter == 0 {
+		return
+	}
+	// Only answers to requests state limits.
+	said.RequestLimit = serverlimit.Statement{Unreadable: true}
+	x.handler.controller.Said(server, askedAt, said)
+}
+
 // readRunReport reads the answer to the question for the run. Late answers to requests on
 // the connection are skipped.
 func (x *exchange) readRunReport(conn *backendconn.Conn, request *http.Request) (*http.Response, []byte, error) {
--- a/pkg/relay/version_test.go
+++ b/pkg/relay/version_test.go
@@ -14,7 +14,9 @@
 	"github.com/onsi/gomega"
 
 	"github.com/monsooncrank/monsooncrank/pkg/catalog"
+	"github.com/monsooncrank/monsooncrank/pkg/fleet"
 	"github.com/monsooncrank/monsooncrank/pkg/reach"
+	"github.com/monsooncrank/monsooncrank/pkg/serverlimit"
 	"github.com/monsooncrank/monsooncrank/pkg/streamversion"
 )
 
@@ -194,6 +196,125 @@
 	}
 }
 
+// TestABusyServerMayAnswerLateWhichRunItIs guards against streams that are refused because their server
+// takes longer than a few round trips to say which run it is, once before and once after the first event.
+func TestABusyServerMayAnswerLateWhichRunItIs(t *testing.T) {
+	for _, header := range []string{"", "Connection: close\r\n"} {
+		g := gomega.NewWithT(t)
+		var asked atomic.Int64
+		b := newStatingBackend(t, func(_ int, r *http.Request, c net.Conn) bool {
+			if r.URL.Path == "/run" {
+				if asked.Add(1) <= 2 {
+					time.Sleep(400 * time.Millisecond)
+				}
+				stateRun(c, startedUnixMilli, header)
+				return header == ""
+			}
+			events(c, r.Header.Get("Id"), 1, 2, true)
+			return true
+		})
+		f := newFixture(t, b)
+		status, body, _, err := f.post("/stream/1", "first")
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		g.Expect(status).To(gomega.Equal(http.StatusOK))
+		g.Expect(body).To(gomega.ContainSubstring("data: e2\n"))
+	}
+}
+
+// TestTheQuestionForTheRunEndsWithTheDeadline guards against a request that waits beyond its deadline
+// until its server says which run it is, or is sent after it.
+func TestTheQuestionForTheRunEndsWithTheDeadline(t *testing.T) {
+	g := gomega.NewWithT(t)
+	var sent atomic.Int64
+	b := newStatingBackend(t, func(_ int, r *http.Request, c net.Conn) bool {
+		if r.URL.Path == "/run" {
+			time.Sleep(250 * time.Millisecond)
+			stateRun(c, startedUnixMilli, "")
+			return true
+		}
+		sent.Add(1)
+		events(c, r.Header.Get("Id"), 1, 2, true)
+		return true
+	})
+	f := newFixture(t, b)
+	f.catalog.Routes[2].Timeout = 100 * time.Millisecond
+	startedAt := time.Now()
+	status, _, _, err := f.post("/stream/1", "first")
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(status).To(gomega.Equal(http.StatusServiceUnavailable), "it has not run")
+	g.Expect(time.Since(startedAt)).To(gomega.BeNumerically("<", 220*time.Millisecond))
+	time.Sleep(300 * time.Millisecond)
+	g.Expect(sent.Load()).To(gomega.BeZero())
+}
+
+// TestALateDescriptionChangesNoRequestLimit guards against a limit of a server that is lifted by a second
+// copy of its description, which states no limits.
+func TestALateDescriptionChangesNoRequestLimit(t *testing.T) {
+	g := gomega.NewWithT(t)
+	b := newStatingBackend(t, func(_ int, r *http.Request, c net.Conn) bool {
+		if r.URL.Path == "/run" {
+			stateRun(c, startedUnixMilli, "")
+			return true
+		}
+		stateRun(c, startedUnixMilli, "")
+		events(c, r.Header.Get("Id"), 1, 2, true)
+		return true
+	})
+	f := newFixture(t, b)
+	_, body, _, err := f.post("/stream/1", "first")
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(body).To(gomega.ContainSubstring("data: e2\n"))
+	g.Expect(f.saidLimits).To(gomega.ConsistOf(serverlimit.Statement{}, serverlimit.Statement{Unreadable: true}))
+}
+
+// TestAForwardedStreamKeepsTheVersionThatItsDaemonKnows guards against a stream that goes on, within one
+// answer, at another version because the daemon to which it is forwarded concludes another one.
+func TestAForwardedStreamKeepsTheVersionThatItsDaemonKnows(t *testing.T) {
+	g := gomega.NewWithT(t)
+	later := streamingServer(t)
+	f := newForwardFixture(t, later)
+	first := newBackend(t, func(_ int, r *http.Request, c net.Conn) bool {
+		events(c, r.Header.Get("Id"), 1, 2, false)
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		f.cut = true
+		return false
+	})
+	f.cut = false
+	f.catalog.Routes[2].MaxAttempts = 4
+	f.servers = []fleet.Server{{ID: "first", Service: "s", Address: first.listener.Addr().String(), Version: "v1", StartedUnixMilli: startedUnixMilli}}
+	f.others[0].servers[0].Version = "v2"
+	f.others[0].origins["1"] = streamversion.Origin{Service: "s", Version: "v2"}
+	_, body, _, err := f.post("/stream/1", "1")
+	g.Expect(err).To(gomega.HaveOccurred())
+	g.Expect(body).To(gomega.ContainSubstring("data: e2\n"))
+	g.Expect(later.count()).To(gomega.BeZero())
+}
+
+// TestAStreamThatAnotherDaemonBeganGoesOnFromHere guards against a stream that is cut although its
+// version is known, because the daemon that passed its first event on has broken off.
+func TestAStreamThatAnotherDaemonBeganGoesOnFromHere(t *testing.T) {
+	g := gomega.NewWithT(t)
+	broken := newBackend(t, func(_ int, r *http.Request, c net.Conn) bool {
+		events(c, r.Header.Get("Id"), 1, 2, false)
+		return false
+	})
+	f := newForwardFixture(t, broken)
+	here, other := streamingServer(t), streamingServer(t)
+	f.cut = false
+	// The other daemon sends all requests for the first server.
+	f.senders = map[string]string{"here-0": "other-0"}
+	for i, b := range []*backend{broken, other, here} {
+		f.servers = append(f.servers, fleet.Server{ID: fmt.Sprint("here-", i), Service: "s", Address: b.listener.Addr().String(),
+			Version: []string{"v1", "v2", "v1"}[i], StartedUnixMilli: startedUnixMilli})
+	}
+	f.origins["1"] = streamversion.Origin{Service: "s", Version: "v1"}
+	f.catalog.Routes[2].MaxAttempts = 4
+	_, body, _, _ := f.post("/stream/1", "1")
+	g.Expect(body).To(gomega.ContainSubstring("data: e4\n"))
+	g.Expect(other.count()).To(gomega.BeZero())
+}
+
 // TestAStreamOfAServerWithoutAStartHasNoKnownVersion guards against a version that is taken from an
 // entry which doesn't state the run that it describes.
 func TestAStreamOfAServerWithoutAStartHasNoKnownVersion(t *testing.T) {
