Continue a stream only with a 200 of the media type of streams

When the server of a resumable stream broke off and the next one answered with a sealed 2xx that is no stream, such as a report of a failure as JSON or text or a 204, its text followed the events if it ended with an empty line, and the stream ended as if it were complete if it had no body. An error status never did: the stream is cut then.

A response now continues a stream of which the caller has events only with status 200 and the media type text/event-stream, or the content type that the first server stated. Any other is treated as one that broke off. The same holds for what another daemon passes on.

TestNoErrorFollowsTheEventsOfAStream: 712 second answers (statuses 400 to 504, 2xx, not run, unsealed, unnamed, of another request, after a 100; bodies of text, a block, an event, none or long; framed by length, chunks, the end of the connection, or cut) in 4 places (directly, one or both by another daemon, both inside one).

--- /dev/null
+++ b/pkg/relay/continuation.go
@@ -0,0 +1,43 @@
+package relay
+
+import (
+	"fmt"
+	"mime"
+	"net/http"
+)
+
+// mediaTypeEvents is the media type of streams.
+const mediaTypeEvents = "text/event-stream"
+
+// NotAContinuationError reports a response that can't continue a stream of which the caller has events.
+type NotAContinuationError struct {
+	Status      int
+	ContentType string
+}
+
+func (e *NotAContinuationError) Error() string {
+	return fmt.Sprintf("status %d with content type %q does not continue a stream", e.Status, e.ContentType)
+}
+
+// checkContinuation returns an error if the caller has part of a stream and a successful response is not
+// another part: it may be a report of a failure with status 200, or have no body at all.
+func (x *exchange) checkContinuation(response *http.Response) error {
+	if !x.sentHeader {
+		return nil
+	}
+	contentType := response.Header.Get("Content-Type")
+	if response.StatusCode == http.StatusOK && (mediaType(contentType) == mediaTypeEvents || contentType == x.w.Header().Get("Content-Type")) {
+		return nil
+	}
+	return &NotAContinuationError{Status: response.StatusCode, ContentType: contentType}
+}
+
+// mediaType returns the media type of a content type without its parameters, or an empty one if it can't
+// be parsed.
+func mediaType(contentType string) string {
+	name, _, err := mime.ParseMediaType(contentType)
+	if err != nil {
+		return ""
+	}
+	return name
+}
--- a/pkg/relay/forward.go
+++ b/pkg/relay/forward.go
@@ -449,6 +449,10 @@
 
 // passStream passes the events of a stream on as they arrive.
 func (f *forwardAttempt) passStream(response *http.Response) outcome {
+	if err := f.checkContinuation(response); err != nil {
+		f.failure = err.Error()
+		return outcomeIncomplete
+	}
 	events := newEventReader(response.Body)
 	control := http.NewResponseController(f.w)
 	for {
--- a/pkg/relay/seconderror_test.go
+++ b/pkg/relay/seconderror_test.go
@@ -5,9 +5,13 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
+
+	"github.com/monsooncrank/monsooncrank/pkg/streamversion"
 )
 
 // Guards against a success, or a stream that looks whole, for a caller that has closed its side of the
@@ -61,3 +65,124 @@
 	}
 	report(t, wrong, 24)
 }
+
+// secondAnswer is the answer of a server that is to continue a stream.
+type secondAnswer struct {
+	name string
+	// write writes the answer to a request with an ID and reports whether the connection stays open.
+	write func(c net.Conn, id string) bool
+	// notRun is set if it states that the request did not run.
+	notRun bool
+}
+
+// errorBodies are bodies of errors: plain text, one that ends as an event does, and an event.
+var errorBodies = map[string]string{"text": "out of memory", "block": "out of memory\n\n", "event": "id: 3\ndata: out of memory\n\n", "none": "",
+	"long": strings.Repeat("out of memory\n", 1<<14)}
+
+// secondAnswers returns the errors and other answers of a server that is to continue a stream and does not.
+func secondAnswers() []secondAnswer {
+	var all []secondAnswer
+	add := func(name, head, body string, notRun bool) {
+		for framing, frame := range map[string]string{"length": fmt.Sprintf("Content-Length: %d\r\n\r\n%s", len(body), body), "chunks": fmt.Sprintf("Transfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", len(body), body),
+			"none": "\r\n" + body, "short": fmt.Sprintf("Content-Length: %d\r\n\r\n%s", len(body)+1, body)} {
+			if framing == "chunks" && body == "" {
+				frame = "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n"
+			}
+			all = append(all, secondAnswer{name: name + ", framing " + framing, notRun: notRun, write: func(c net.Conn, id string) bool {
+				_, _ = io.WriteString(c, strings.ReplaceAll(head, "ID", id)+frame)
+				return framing == "length" || framing == "chunks"
+			}})
+		}
+	}
+	for _, status := range []int{400, 404, 408, 421, 429, 500, 502, 503, 504} {
+		for fields, label := range map[string]string{"Id: ID\r\nSeal: s\r\n": "sealed", "Id: ID\r\n": "unsealed", "": "unnamed", "Id: ID\r\nNot-Run: 1\r\n": "not run",
+			"Id: ID\r\nSeal: s\r\nContent-Type: text/event-stream\r\n": "as events"} {
+			for body, text := range errorBodies {
+				for _, before := range []string{"", "HTTP/1.1 100 Continue\r\n\r\n"} {
+					if status != http.StatusInternalServerError && (before != "" || body != "text" && body != "event") {
+						continue
+					}
+					add(fmt.Sprintf("%q%d %s, body %s", before, status, label, body), fmt.Sprintf("%sHTTP/1.1 %d X\r\n%s", before, status, fields), text, label == "not run" || status == http.StatusMisdirectedRequest)
+				}
+			}
+		}
+	}
+	for status, text := range map[int]string{200: "OK", 201: "Created", 202: "Accepted", 204: "No Content", 206: "Part"} {
+		for fields, label := range map[string]string{"Id: ID\r\nSeal: s\r\nContent-Type: text/plain\r\n": "text", "Id: ID\r\nSeal: s\r\nContent-Type: application/json\r\n": "JSON", "Id: ID\r\nContent-Type: text/event-stream\r\n": "unsealed",
+			"Id: other\r\nSeal: s\r\nContent-Type: text/event-stream\r\n": "of another"} {
+			for body, content := range errorBodies {
+				if status == http.StatusNoContent && body != "none" || status != http.StatusOK && body != "event" && body != "none" {
+					continue
+				}
+				add(fmt.Sprintf("%d %s, body %s", status, label, body), fmt.Sprintf("HTTP/1.1 %d %s\r\n%s", status, text, fields), content, false)
+			}
+		}
+	}
+	return all
+}
+
+// Guards against bytes of an error in a stream that has begun, and against a stream that looks whole, when
+// its server breaks off and the next one answers with an error or with something other than the rest.
+func TestNoErrorFollowsTheEventsOfAStream(t *testing.T) {
+	answers := secondAnswers()
+	serve := func(_ int, r *http.Request, c net.Conn) bool {
+		id := r.Header.Get("Id")
+		if r.Header.Get("Last") != "" {
+			var i int
+			if _, err := fmt.Sscan(id, &i); err != nil {
+				return false
+			}
+			return answers[i%len(answers)].write(c, id)
+		}
+		events(c, id, 1, 2, false)
+		if strings.HasSuffix(id, "0") {
+			_, _ = io.WriteString(c, "15\r\nid: 3\ndata: e")
+		}
+		return false
+	}
+	// The servers are chosen in turn, so that either may begin the stream.
+	first, second := newBackend(t, serve), newBackend(t, serve)
+	direct, inside := newFixture(t, first, second), newForwardFixture(t, first)
+	inside.others[0].servers = direct.servers
+	places := []struct {
+		name    string
+		fixture *fixture
+	}{{"direct", direct}, {"inside another daemon", inside.fixture}}
+	others := []*fixture{inside.others[0]}
+	for name, senders := range map[string]map[string]string{"one forwarded": {"server-0": "other-0"}, "both forwarded": {"server-0": "other-0", "server-1": "other-1"}} {
+		f := newForwardFixture(t, first, second)
+		f.cut, f.servers, f.senders = false, direct.servers, senders
+		others = append(others, f.others...)
+		places = append(places, struct {
+			name    string
+			fixture *fixture
+		}{name, f.fixture})
+	}
+	found := make([]string, len(answers)*len(places))
+	for _, f := range others {
+		f.connectionLimit = 1000
+		for i := range found {
+			f.origins[fmt.Sprint(i)] = streamversion.Origin{Service: "s", Version: "v1"}
+		}
+	}
+	for _, p := range places {
+		p.fixture.connectionLimit = 1000
+	}
+	var reached atomic.Int64
+	together(len(found), func(i int) {
+		place, a := places[i/len(answers)], answers[i%len(answers)]
+		got := rawCall{path: fmt.Sprint("/stream/", i), id: fmt.Sprint(i), header: "Left: 1500ms\r\n"}.call(place.fixture.address())
+		if got.body == streamBody {
+			reached.Add(1)
+		}
+		cut := got.status == http.StatusOK && got.err != nil && strings.HasPrefix(streamBody, got.body)
+		if !cut && got.status != http.StatusBadGateway && got.status != http.StatusGatewayTimeout {
+			found[i] = fmt.Sprintf("%s: %s: status %d, body %.60q, err %v", place.name, a.name, got.status, got.body, got.err)
+		}
+	})
+	wrong := slices.DeleteFunc(found, func(text string) bool { return text == "" })
+	report(t, wrong, len(answers)*len(places))
+	if most := len(answers) * len(places) * 9 / 10; reached.Load() < int64(most) {
+		t.Errorf("%d streams reached their second server, want %d at least", reached.Load(), most)
+	}
+}
--- a/pkg/relay/stream.go
+++ b/pkg/relay/stream.go
@@ -20,6 +20,10 @@
 
 // forwardStream forwards the events of a stream as they arrive.
 func (s *serverAttempt) forwardStream(response *http.Response) outcome {
+	if err := s.checkContinuation(response); err != nil {
+		s.cause = err.Error()
+		return s.handleIncomplete()
+	}
 	events := newEventReader(response.Body)
 	control := http.NewResponseController(s.w)
 	for {
