Pass no bytes without an event ID on in a stream whose events have IDs

A stream without a length or chunks ends with its connection. If its server wrote the answer to another request after the events, the head of that answer ended with an empty line and was passed on as an event without an ID. Callers found it in the middle of their stream, which then ended as whole or broke off. Its empty ID, like that of a comment, also replaced the caller's place in the stream, so that the next server began at the first event again and events came twice.

After events with IDs, one without an ID is now treated as a server that breaks off; a resumable stream goes on after its last event elsewhere. Comments are still passed on and no longer change the place in the stream.

--- a/pkg/relay/continuation.go
+++ b/pkg/relay/continuation.go
@@ -32,6 +32,28 @@
 	return &NotAContinuationError{Status: response.StatusCode, ContentType: contentType}
 }
 
+// UnnumberedEventError reports bytes without an event ID in a stream whose events have IDs.
+type UnnumberedEventError struct{ After string }
+
+func (e *UnnumberedEventError) Error() string { return "event without ID after event " + e.After }
+
+// checkNumbered returns an error if an event has no ID although those before it have: it may be the
+// answer to another request, which follows a response that ends with its connection.
+func (x *exchange) checkNumbered(e event) error {
+	if last := x.resumeEventID(); last != "" && e.id == "" && e.hasFields {
+		return &UnnumberedEventError{After: last}
+	}
+	return nil
+}
+
+// sentEvent records that the caller has an event. A comment does not change its place in the stream.
+func (x *exchange) sentEvent(e event) {
+	if e.id != "" {
+		x.lastSentEventID = e.id
+	}
+	x.eventsSent++
+}
+
 // mediaType returns the media type of a content type without its parameters, or an empty one if it can't
 // be parsed.
 func mediaType(contentType string) string {
--- a/pkg/relay/forward.go
+++ b/pkg/relay/forward.go
@@ -467,6 +467,10 @@
 			f.failure = "read event: " + err.Error()
 			return outcomeIncomplete
 		}
+		if err := f.checkNumbered(event); err != nil {
+			f.failure = err.Error()
+			return outcomeIncomplete
+		}
 		if !f.isNewEvent(event.id) {
 			continue
 		}
@@ -480,8 +484,7 @@
 			return outcomeIncomplete
 		}
 		f.begun = true
-		f.lastSentEventID = event.id
-		f.eventsSent++
+		f.sentEvent(event)
 	}
 }
 
--- a/pkg/relay/seconderror_test.go
+++ b/pkg/relay/seconderror_test.go
@@ -183,3 +183,47 @@
 		t.Errorf("%d streams reached their second server, want %d at least", reached.Load(), most)
 	}
 }
+
+// Guards against the head and text of an answer to another request in the middle of a stream that ends with
+// its connection, and against events that come again because the place in the stream was lost with them.
+func TestAnAnswerAfterTheEventsOfAStreamIsNotPassedOn(t *testing.T) {
+	others := []string{"HTTP/1.1 500 X\r\nId: 7\r\nContent-Length: 4\r\n\r\nfail", "HTTP/1.1 200 OK\r\nId: 7\r\nSeal: s\r\nContent-Length: 16\r\n\r\nid: 9\ndata: e9\n\n", "HTTP/1.1 503 X\r\n\r\n", "fail\n\n"}
+	serve := func(_ int, r *http.Request, c net.Conn) bool {
+		id, after := r.Header.Get("Id"), 0
+		if last := r.Header.Get("Last"); last != "" {
+			_, _ = fmt.Sscan(last, &after)
+		}
+		if after >= 2 {
+			events(c, id, after+1, 4, true)
+			return true
+		}
+		var i int
+		_, _ = fmt.Sscan(id, &i)
+		_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nId: %s\r\nSeal: s\r\nContent-Type: text/event-stream\r\n\r\n: queued\n\n%s: busy\n\n%s", id, streamBody, others[i%len(others)])
+		return false
+	}
+	first, second := newBackend(t, serve), newBackend(t, serve)
+	direct, forwarding := newFixture(t, first, second), newForwardFixture(t, first, second)
+	forwarding.cut, forwarding.servers, forwarding.senders = false, direct.servers, map[string]string{"server-0": "other-0", "server-1": "other-1"}
+	var wrong []string
+	for place, f := range []*fixture{direct, forwarding.fixture} {
+		for i := range others {
+			for _, other := range append(forwarding.others, f) {
+				other.origins[fmt.Sprint(i)] = streamversion.Origin{Service: "s", Version: "v1"}
+			}
+			for _, path := range []string{"/stream/x", "/whole/x"} {
+				got := rawCall{path: path, id: fmt.Sprint(i)}.call(f.address())
+				// Comments are passed on.
+				body := strings.ReplaceAll(strings.ReplaceAll(got.body, ": queued\n\n", ""), ": busy\n\n", "")
+				want := streamBody
+				if path == "/stream/x" {
+					want += "id: 3\ndata: e3\n\nid: 4\ndata: e4\n\n"
+				}
+				if body != want || got.success() != (path == "/stream/x") {
+					wrong = append(wrong, fmt.Sprintf("place %d %s after %q: status %d, body %q, err %v", place, path, others[i], got.status, got.body, got.err))
+				}
+			}
+		}
+	}
+	report(t, wrong, 4*len(others))
+}
--- a/pkg/relay/stream.go
+++ b/pkg/relay/stream.go
@@ -35,6 +35,10 @@
 			s.cause = "read event: " + err.Error()
 			return s.handleIncomplete()
 		}
+		if err := s.checkNumbered(event); err != nil {
+			s.cause = err.Error()
+			return s.handleIncomplete()
+		}
 		if !s.isNewEvent(event.id) {
 			continue
 		}
@@ -46,8 +50,7 @@
 		if err := control.Flush(); err != nil {
 			return s.callerDisconnected()
 		}
-		s.exchange.lastSentEventID = event.id
-		s.exchange.eventsSent++
+		s.exchange.sentEvent(event)
 		s.countEvent()
 		s.handler.controller.Alive(s.decision.Server.ID)
 		s.resetEventGapTimer()
@@ -148,10 +151,12 @@
 	return outcomeDone
 }
 
-// event is one event of a stream; raw includes the blank line that ends it.
+// event is one event of a stream; raw includes the blank line that ends it. hasFields is not set if it
+// consists of comments.
 type event struct {
-	id  string
-	raw []byte
+	id        string
+	hasFields bool
+	raw       []byte
 }
 
 // eventReader splits a stream of server-sent events. It never returns an
@@ -197,6 +202,9 @@
 			e.raw = r.raw
 			return e, nil
 		}
+		if text != "" && !strings.HasPrefix(text, ":") {
+			e.hasFields = true
+		}
 		if id, ok := strings.CutPrefix(text, "id:"); ok {
 			e.id = strings.TrimSpace(id)
 		}
