Close connections to other daemons when an answer aborts the handler

When a stream had begun and another daemon answered its continuation with an error or a refusal, the handler was aborted before the connection was given back: it stayed open, with its timers, and counted as in use for ever. After 1000 such streams no request could be forwarded to that daemon.

The connection is now given back or closed in a deferred call.

--- a/pkg/relay/forward.go
+++ b/pkg/relay/forward.go
@@ -271,13 +271,16 @@
 	}
 	f.conn = conn
 	stop := f.startTimers()
+	// An answer that can't follow the events of a stream aborts the handler.
+	defer func() {
+		stop()
+		if f.reusable {
+			pool.Put(conn, forwardIdleTimeout)
+		} else {
+			pool.Discard(conn)
+		}
+	}()
 	result := f.exchangeMessages()
-	stop()
-	if f.reusable {
-		pool.Put(conn, forwardIdleTimeout)
-	} else {
-		pool.Discard(conn)
-	}
 	if result == outcomeIncomplete && f.caller.Err() != nil {
 		f.exchange.status, f.exchange.cause = statusCallerDisconnected, "caller disconnected"
 		return outcomeDone
--- a/pkg/relay/seconderror_test.go
+++ b/pkg/relay/seconderror_test.go
@@ -227,3 +227,48 @@
 	}
 	report(t, wrong, 4*len(others))
 }
+
+// Guards against connections to another daemon that are never closed when its answer ends a stream that
+// has begun.
+func TestConnectionsToAnotherDaemonAreClosed(t *testing.T) {
+	var wrong []string
+	n := 0
+	for _, stated := range []string{"not-run", "elsewhere", "unknown", "answered", ""} {
+		for _, status := range []int{404, 429, 500, 503} {
+			for _, first := range []string{"/look/broken", "/look/failed", "/stream/broken", "/stream/failed", "/stream/events"} {
+				n++
+				breaks := newBackend(t, func(_ int, r *http.Request, c net.Conn) bool {
+					id := r.Header.Get("Id")
+					switch {
+					case strings.HasSuffix(first, "failed"):
+						fmt.Fprintf(c, "HTTP/1.1 500 X\r\nId: %s\r\nSeal: s\r\nContent-Length: 5\r\n\r\nfirst", id)
+						return true
+					case strings.HasSuffix(first, "events"):
+						events(c, id, 1, 2, false)
+					}
+					return false
+				})
+				other := newBackend(t, func(_ int, r *http.Request, c net.Conn) bool {
+					body := `{"title":"refused"}`
+					fmt.Fprintf(c, "HTTP/1.1 %d X\r\nForwarded-Outcome: %s\r\nId: %s\r\nRetry-After: 1\r\nContent-Length: %d\r\n\r\n%s", status, stated, r.Header.Get("Id"), len(body), body)
+					return true
+				})
+				f := newForwardFixture(t, other)
+				f.cut, f.servers, f.senders = false, newFixture(t, breaks, other).servers, map[string]string{"server-1": "other-0"}
+				f.targets[0].Address = other.listener.Addr().String()
+				got := rawCall{path: first, id: "1"}.call(f.address())
+				f.handler.CloseExpired(time.Now().Add(time.Hour))
+				open := false
+				select {
+				case <-other.closed:
+				case <-time.After(100 * time.Millisecond):
+					open = true
+				}
+				if open {
+					wrong = append(wrong, fmt.Sprintf("%s, then %d %q: status %d, body %q, err %v, refunded %v, connection open %t, forwarded %d", first, status, stated, got.status, got.body, got.err, f.refunded, open, other.count()))
+				}
+			}
+		}
+	}
+	report(t, wrong, n)
+}
