Report no earlier run as not run when another daemon refuses the request

A server breaks off or fails, the request goes to another daemon (which sends the requests of all to a server), and that daemon refuses it as not run, for example because it is in quarantine there. The first daemon then answered 503 as not run and gave the usage back although the first server may have run the request; that server's error was lost, and the usage of a stream that had begun was given back, too.

A refusal of another daemon is now answered like that of a server: with the first server's error, else with 502 or a cut stream if the request may have run, and as not run only if nothing had it before.

--- a/pkg/relay/forward.go
+++ b/pkg/relay/forward.go
@@ -226,9 +226,25 @@
 			return true, 0
 		}
 	}
+	if f.refusal != nil {
+		x.answerRefused(f.refusal, lastFailure)
+		return true, 0
+	}
 	return result == outcomeDone, f.retryAfter
 }
 
+// answerRefused answers a request that another daemon has refused. A server may have run it before.
+func (x *exchange) answerRefused(refusal *api.Problem, lastFailure *bufferedResponse) {
+	switch {
+	case lastFailure != nil:
+		x.writeResponse(lastFailure)
+	case x.mayHaveRun:
+		x.abort(refusal.Detail)
+	default:
+		x.refundAndReject(refusal)
+	}
+}
+
 // answerUnreachable answers a request whose service no daemon reaches, as far as this one
 // knows.
 func (x *exchange) answerUnreachable(lastFailure *bufferedResponse, after time.Duration) {
@@ -253,7 +269,9 @@
 	stated     string
 	retryAfter time.Duration
 	failure    string
-	reusable   bool
+	// refusal is set if the request did not run and should not be sent to another daemon.
+	refusal  *api.Problem
+	reusable bool
 	// silent is set when the connection was closed because the daemon sent nothing, and
 	// stopSilence stops the timer for that; it may be nil.
 	silent      atomic.Bool
@@ -419,8 +437,8 @@
 		f.failure = detail
 		return outcomeNotRun
 	}
-	f.refundAndReject(api.NewNotRunProblem(api.ProblemNoBackendServer, response.StatusCode, detail).WithRetryAfter(f.retryAfter))
-	return outcomeDone
+	f.refusal = api.NewNotRunProblem(api.ProblemNoBackendServer, response.StatusCode, detail).WithRetryAfter(f.retryAfter)
+	return outcomeNotRun
 }
 
 // readProblem reads a problem of another daemon and returns its title.
--- a/pkg/relay/seconderror_test.go
+++ b/pkg/relay/seconderror_test.go
@@ -228,13 +228,18 @@
 	report(t, wrong, 4*len(others))
 }
 
-// Guards against connections to another daemon that are never closed when its answer ends a stream that
-// has begun.
-func TestConnectionsToAnotherDaemonAreClosed(t *testing.T) {
+// Guards against a request that a server may have run and that is refused as one that has not, with its
+// usage given back, because another daemon has not run it. Guards as well against connections to that daemon
+// that are never closed when its answer ends a stream that has begun.
+func TestWhatAnotherDaemonStatesDoesNotHideAnEarlierRun(t *testing.T) {
 	var wrong []string
 	n := 0
 	for _, stated := range []string{"not-run", "elsewhere", "unknown", "answered", ""} {
-		for _, status := range []int{404, 429, 500, 503} {
+		statuses := []int{404, 429, 500, 503}
+		if stated == "unknown" {
+			statuses = []int{502, 504}
+		}
+		for _, status := range statuses {
 			for _, first := range []string{"/look/broken", "/look/failed", "/stream/broken", "/stream/failed", "/stream/events"} {
 				n++
 				breaks := newBackend(t, func(_ int, r *http.Request, c net.Conn) bool {
@@ -257,6 +262,16 @@
 				f.cut, f.servers, f.senders = false, newFixture(t, breaks, other).servers, map[string]string{"server-1": "other-0"}
 				f.targets[0].Address = other.listener.Addr().String()
 				got := rawCall{path: first, id: "1"}.call(f.address())
+				bad := got.success() || got.status == http.StatusServiceUnavailable && stated != "answered" || got.status == http.StatusTooManyRequests && stated != "answered" || f.refunded != 0
+				switch {
+				case strings.HasSuffix(first, "events"):
+					bad = bad || got.body != streamBody || got.err == nil
+				case strings.HasSuffix(first, "failed") && (stated == "not-run" || stated == "elsewhere"):
+					bad = bad || got.status != http.StatusInternalServerError || got.body != "first"
+				}
+				if other.count() == 0 {
+					bad = true
+				}
 				f.handler.CloseExpired(time.Now().Add(time.Hour))
 				open := false
 				select {
@@ -264,7 +279,7 @@
 				case <-time.After(100 * time.Millisecond):
 					open = true
 				}
-				if open {
+				if bad || open {
 					wrong = append(wrong, fmt.Sprintf("%s, then %d %q: status %d, body %q, err %v, refunded %v, connection open %t, forwarded %d", first, status, stated, got.status, got.body, got.err, f.refunded, open, other.count()))
 				}
 			}
