Hold the answer to a caller that takes a stream up to the same check

A caller that takes a stream up with the ID of its last event already has part of it. A sealed 2xx that is no stream, such as a 204 or a report of a failure with status 200, was passed on as the rest.

The check of continuations now covers these requests, too.

--- a/pkg/relay/continuation.go
+++ b/pkg/relay/continuation.go
@@ -22,7 +22,7 @@
 // checkContinuation returns an error if the caller has part of a stream and a successful response is not
 // another part: it may be a report of a failure with status 200, or have no body at all.
 func (x *exchange) checkContinuation(response *http.Response) error {
-	if !x.sentHeader {
+	if !x.begun {
 		return nil
 	}
 	contentType := response.Header.Get("Content-Type")
--- a/pkg/relay/seconderror_test.go
+++ b/pkg/relay/seconderror_test.go
@@ -287,3 +287,54 @@
 	}
 	report(t, wrong, n)
 }
+
+// Guards against an error that passes for the rest of a stream when a caller takes the stream up and the first
+// server, or the one after it, answers with an error, and against a refusal as not run that isn't one.
+func TestAStreamThatIsTakenUpGetsNoErrorAsItsRest(t *testing.T) {
+	answers := secondAnswers()
+	serve := func(_ int, r *http.Request, c net.Conn) bool {
+		id := r.Header.Get("Id")
+		var i int
+		if _, err := fmt.Sscan(id, &i); err != nil {
+			return false
+		}
+		if r.Header.Get("Last") == "4" {
+			return answers[i%len(answers)].write(c, id)
+		}
+		// The first server of every other request has two more events.
+		if i%2 == 0 {
+			events(c, id, 3, 4, false)
+			return false
+		}
+		return answers[i%len(answers)].write(c, id)
+	}
+	first, second := newBackend(t, serve), newBackend(t, serve)
+	direct, inside := newFixture(t, first, second), newForwardFixture(t, first)
+	inside.others[0].servers = direct.servers
+	inside.others[0].connectionLimit, direct.connectionLimit = 1000, 1000
+	for _, f := range []*fixture{direct, inside.fixture, inside.others[0]} {
+		f.origins["began"] = streamversion.Origin{Service: "s", Version: "v1"}
+	}
+	const rest = "id: 3\ndata: e3\n\nid: 4\ndata: e4\n\n"
+	found := make([]string, 2*len(answers))
+	together(len(found), func(i int) {
+		f := []*fixture{direct, inside.fixture}[i/len(answers)]
+		a := answers[i%len(answers)]
+		got := rawCall{path: fmt.Sprint("/stream/", i), id: fmt.Sprint(i), header: "Left: 1500ms\r\nResumes: began\r\nAfter: 2\r\n"}.call(f.address())
+		bad := false
+		switch {
+		case got.status/100 == 2 && i%2 == 0:
+			bad = got.success() || !strings.HasPrefix(rest, got.body)
+		case got.status/100 == 2:
+			bad = true
+		case got.status == http.StatusServiceUnavailable || got.status == http.StatusTooManyRequests:
+			// A server's own status is passed on, whatever it means.
+			bad = i%2 == 0 || !a.notRun && got.header.Get("Content-Type") == "application/problem+json"
+		}
+		if bad {
+			found[i] = fmt.Sprintf("place %d: %s: status %d, header %v, body %.60q, err %v", i/len(answers), a.name, got.status, got.header, got.body, got.err)
+		}
+	})
+	wrong := slices.DeleteFunc(found, func(text string) bool { return text == "" })
+	report(t, wrong, 2*len(answers))
+}
