--- /dev/null
+++ b/pkg/service/heads_test.go
@@ -0,0 +1,96 @@
+package service_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/monsooncrank/monsooncrank/pkg/service"
+)
+
+// Guards against a call that succeeds with an empty or short body because its service stopped in the head or
+// body of its answer, at any byte, with a close or a reset, on a new or a reused connection.
+func TestAnAnswerThatStopsAnywhereIsNoAnswer(t *testing.T) {
+	const body = "the whole answer"
+	framings := []string{fmt.Sprintf("Content-Length: %d\r\n\r\n%s", len(body), body), fmt.Sprintf("Transfer-Encoding: chunked\r\n\r\n8\r\n%s\r\n8\r\n%s\r\n0\r\n\r\n", body[:8], body[8:]), "\r\n" + body}
+	answer := func(framing int) string {
+		return "HTTP/1.1 200 OK\r\n" + service.HeaderAttempt + ": 1\r\nContent-Type: application/json\r\n" + framings[framing]
+	}
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var conns sync.WaitGroup
+	conns.Go(func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			conns.Go(func() {
+				defer func() { _ = conn.Close() }()
+				reader := bufio.NewReader(conn)
+				for {
+					r, err := http.ReadRequest(reader)
+					if err != nil {
+						return
+					}
+					_, _ = io.Copy(io.Discard, r.Body)
+					var framing, at int
+					var ending string
+					if _, err := fmt.Sscanf(r.URL.Path, "/%d/%d/%s", &framing, &at, &ending); err != nil {
+						fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\n%s: 1\r\nContent-Length: 0\r\n\r\n", service.HeaderAttempt)
+						continue
+					}
+					_, _ = io.WriteString(conn, answer(framing)[:at])
+					if ending == "reset" {
+						_ = conn.(*net.TCPConn).SetLinger(0)
+					}
+					return
+				}
+			})
+		}
+	})
+	client := service.NewClient(service.Options{})
+	defer func() { client.Close(); _ = listener.Close(); conns.Wait() }()
+	var wrong []string
+	n := 0
+	for framing := range framings {
+		whole := answer(framing)
+		head := strings.Index(whole, "\r\n\r\n") + len("\r\n\r\n")
+		for at := range whole {
+			for _, ending := range []string{"close", "reset"} {
+				for _, reused := range []bool{false, true} {
+					if framing == 2 && at >= head && ending == "close" {
+						// The end of the connection is the end of such an answer.
+						continue
+					}
+					n++
+					ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+					paths := []string{fmt.Sprintf("/%d/%d/%s", framing, at, ending)}
+					if reused {
+						paths = append([]string{"/warm"}, paths...)
+					}
+					for _, path := range paths {
+						got, err := client.Call(ctx, listener.Addr().String(), &service.Request{AttemptID: "1", Path: path, Body: []byte("{}"), FreshConnection: !reused})
+						if err == nil && path != "/warm" {
+							wrong = append(wrong, fmt.Sprintf("%s of %d (head %d), reused %t: status %d, body %q", path, len(whole), head, reused, got.Status, got.Body))
+						}
+					}
+					cancel()
+				}
+			}
+		}
+	}
+	const shown = 12
+	if len(wrong) > 0 {
+		t.Errorf("%d of %d cases:\n%s", len(wrong), n, strings.Join(wrong[:min(len(wrong), shown)], "\n"))
+	}
+}
