--- a/pkg/relay/forward.go
+++ b/pkg/relay/forward.go
@@ -262,9 +262,25 @@
 			return true, 0
 		}
 	}
+	if f.refusal != nil {
+		x.answerRefused(f.refusal, lastFailure)
+		return true, 0
+	}
 	return result == outcomeDone, f.retryAfter
 }
 
+// answerRefused answers a request that another daemon has refused. A server may have run it before.
+func (x *exchange) answerRefused(refusal *api.Problem, lastFailure *bufferedResponse) {
+	switch {
+	case lastFailure != nil:
+		x.writeResponse(lastFailure)
+	case x.mayHaveRun:
+		x.abort(refusal.Detail)
+	default:
+		x.refundAndReject(refusal)
+	}
+}
+
 // answerUnreachable answers a request whose service no daemon reaches, as far as this one
 // knows.
 func (x *exchange) answerUnreachable(lastFailure *bufferedResponse, after time.Duration) {
@@ -289,7 +305,9 @@
 	stated     string
 	retryAfter time.Duration
 	failure    string
-	reusable   bool
+	// refusal is set if the request did not run and should not be sent to another daemon.
+	refusal  *api.Problem
+	reusable bool
 	// silent is set when the connection was closed because the daemon sent nothing, and
 	// stopSilence stops the timer for that; it may be nil.
 	silent      atomic.Bool
@@ -307,13 +325,16 @@
 	}
 	f.conn = conn
 	stop := f.startTimers()
+	// An answer that can't follow the events of a stream aborts the handler.
+	defer func() {
+		stop()
+		if f.reusable {
+			pool.Put(conn, forwardIdleTimeout)
+		} else {
+			pool.Discard(conn)
+		}
+	}()
 	result := f.exchangeMessages()
-	stop()
-	if f.reusable {
-		pool.Put(conn, forwardIdleTimeout)
-	} else {
-		pool.Discard(conn)
-	}
 	if result == outcomeIncomplete && f.caller.Err() != nil {
 		f.exchange.status, f.exchange.cause = statusCallerDisconnected, "caller disconnected"
 		return outcomeDone
@@ -456,8 +477,8 @@
 		f.failure = detail
 		return outcomeNotRun
 	}
-	f.refundAndReject(api.NewNotRunProblem(api.ProblemNoBackendServer, response.StatusCode, detail).WithRetryAfter(f.retryAfter))
-	return outcomeDone
+	f.refusal = api.NewNotRunProblem(api.ProblemNoBackendServer, response.StatusCode, detail).WithRetryAfter(f.retryAfter)
+	return outcomeNotRun
 }
 
 // readProblem reads a problem of another daemon and returns its title.
@@ -489,6 +510,10 @@
 
 // passStream passes the events of a stream on as they arrive.
 func (f *forwardAttempt) passStream(response *http.Response) outcome {
+	if err := f.checkContinuation(response); err != nil {
+		f.failure = err.Error()
+		return outcomeIncomplete
+	}
 	events := newEventReader(response.Body)
 	control := http.NewResponseController(f.w)
 	for {
@@ -503,6 +528,10 @@
 			f.failure = "read event: " + err.Error()
 			return outcomeIncomplete
 		}
+		if err := f.checkNumbered(event); err != nil {
+			f.failure = err.Error()
+			return outcomeIncomplete
+		}
 		if !f.isNewEvent(event.id) {
 			continue
 		}
@@ -517,8 +546,7 @@
 		}
 		f.beganElsewhere = f.beganElsewhere || !f.begun
 		f.begun = true
-		f.lastSentEventID = event.id
-		f.eventsSent++
+		f.sentEvent(event)
 	}
 }
 
--- a/pkg/relay/stream.go
+++ b/pkg/relay/stream.go
@@ -20,6 +20,10 @@
 
 // forwardStream forwards the events of a stream as they arrive.
 func (s *serverAttempt) forwardStream(response *http.Response) outcome {
+	if err := s.checkContinuation(response); err != nil {
+		s.cause = err.Error()
+		return s.handleIncomplete()
+	}
 	events := newEventReader(response.Body)
 	control := http.NewResponseController(s.w)
 	for {
@@ -31,6 +35,10 @@
 			s.cause = "read event: " + err.Error()
 			return s.handleIncomplete()
 		}
+		if err := s.checkNumbered(event); err != nil {
+			s.cause = err.Error()
+			return s.handleIncomplete()
+		}
 		if !s.isNewEvent(event.id) {
 			continue
 		}
@@ -45,8 +53,7 @@
 		if err := control.Flush(); err != nil {
 			return s.callerDisconnected()
 		}
-		s.exchange.lastSentEventID = event.id
-		s.exchange.eventsSent++
+		s.exchange.sentEvent(event)
 		s.countEvent()
 		s.handler.controller.Alive(s.decision.Server.ID)
 		s.resetEventGapTimer()
@@ -150,10 +157,12 @@
 	return outcomeDone
 }
 
-// event is one event of a stream; raw includes the blank line that ends it.
+// event is one event of a stream; raw includes the blank line that ends it. hasFields is not set if it
+// consists of comments.
 type event struct {
-	id  string
-	raw []byte
+	id        string
+	hasFields bool
+	raw       []byte
 }
 
 // eventReader splits a stream of server-sent events. It never returns an
@@ -199,6 +208,9 @@
 			e.raw = r.raw
 			return e, nil
 		}
+		if text != "" && !strings.HasPrefix(text, ":") {
+			e.hasFields = true
+		}
 		if id, ok := strings.CutPrefix(text, "id:"); ok {
 			e.id = strings.TrimSpace(id)
 		}
