Begin no streams that may be taken up at an isolated daemon with an old view

Change: such a daemon begins no streams that may be taken up once its view is 3 s old. During an outage of the store daemons hear one another and go on.

Left: a daemon that begins a stream within these 3 s, or right after it was suspended for longer than streams last.

--- a/pkg/edge/versions.go
+++ b/pkg/edge/versions.go
@@ -129,6 +129,17 @@
 	return store.Transact(ctx, []table.Write{{Key: versionsKey, Version: version, Value: value}})
 }
 
+// isolatedViewMaxAge is the age of the view of the servers from which on a daemon that hears no other
+// one begins no streams that may be taken up. An entry lapses sooner where the server writes nothing,
+// and the others may conclude after that that its version is out of use.
+const isolatedViewMaxAge = 3 * time.Second
+
+// viewMayBeBehind reports whether other daemons may know of changes of the servers that this one can't
+// know of.
+func (s *state) viewMayBeBehind(now time.Time) bool {
+	return s.peers.Isolated(now) && s.fleetAge() > isolatedViewMaxAge
+}
+
 // beginAtStoredVersions limits a query to servers of versions that may begin streams. Beside
 // daemons of an earlier build, which neither store versions nor tell of it, all may: the row is
 // not complete then.
@@ -137,8 +148,9 @@
 	if s.versionStore == nil || s.peers.OldestFormat(now) < mesh.FormatDemands {
 		return
 	}
+	behind := s.viewMayBeBehind(now)
 	q.MayUse = func(server *fleet.Server, running int) bool {
-		return s.streams.MayBegin(now, server) && (mayUse == nil || mayUse(server, running))
+		return !behind && s.streams.MayBegin(now, server) && (mayUse == nil || mayUse(server, running))
 	}
 }
 
--- a/pkg/edge/versions_test.go
+++ b/pkg/edge/versions_test.go
@@ -12,6 +12,7 @@
 	"github.com/monsooncrank/monsooncrank/coordination/table/memtable"
 	"github.com/monsooncrank/monsooncrank/pkg/catalog"
 	"github.com/monsooncrank/monsooncrank/pkg/fleet"
+	"github.com/monsooncrank/monsooncrank/pkg/mesh"
 	"github.com/monsooncrank/monsooncrank/pkg/placement"
 	"github.com/monsooncrank/monsooncrank/pkg/streamversion"
 )
@@ -244,3 +245,19 @@
 	all.Wait()
 	g.Expect(time.Since(at)).To(gomega.BeNumerically("<", 2*serversSeenWait))
 }
+
+// TestAnIsolatedDaemonBeginsNoStreams guards against a stream that is joined from two versions: a daemon
+// that hears neither the store nor another daemon begins it at a server whose version the others take
+// for out of use meanwhile, as its entry has lapsed.
+func TestAnIsolatedDaemonBeginsNoStreams(t *testing.T) {
+	g := gomega.NewWithT(t)
+	s := startWithServers(t, memtable.New(), "v1")
+	s.streams.MarkStored(bootNow(), streamversion.InUse{"s": {"v1"}})
+	s.peers.UpdateEntry(bootNow(), "other", "127.0.0.1:1", 1, 1)
+	g.Expect(placedAt(s, true)).To(gomega.HaveLen(1), "the view is new")
+	s.serversReadAt = bootNow().Add(-2 * isolatedViewMaxAge)
+	g.Expect(placedAt(s, true)).To(gomega.BeEmpty())
+	g.Expect(placedAt(s, false)).To(gomega.HaveLen(1), "what can't be taken up is served")
+	s.peers.UpdateNeighbor(bootNow(), &mesh.Message{Format: mesh.CurrentFormat, Record: mesh.Record{Node: "other", Incarnation: 1}}, false)
+	g.Expect(placedAt(s, true)).To(gomega.HaveLen(1), "the store is away, the other daemon is heard")
+}
