Test that a stream that can't go on is cut, whatever came before

TestAStreamThatCannotGoOnIsCut: 13 orders of events, errors, refusals and silence of servers, with the attempts, the retries or the time used up or the request put in quarantine in between, directly and by another daemon.

--- a/pkg/relay/relay_test.go
+++ b/pkg/relay/relay_test.go
@@ -103,6 +103,8 @@
 	// lateness is by how much answers of the service are later than expected; 0 means 1.
 	lateness     int
 	retriesSpent bool
+	// noRetries is set if no retry may be taken from the budget.
+	noRetries bool
 	// leaveAtConnect holds servers that begin to leave while they are connected to.
 	leaveAtConnect map[string]bool
 	// origins holds the origins of streams by ID.
@@ -241,14 +243,19 @@
 	}
 	return relay.ForwardTarget{}, false
 }
-func (f *fake) AdmitForwarded() (func(), bool)     { return func() {}, !f.full }
-func (f *fake) TurnedAway(*placement.Decision)     { f.mu.Lock(); defer f.mu.Unlock(); f.turnedAway++ }
-func (f *fake) Alive(string)                       {}
-func (f *fake) SilentFor(string) time.Duration     { return f.silentFor }
-func (f *fake) Misdirected(string)                 {}
-func (f *fake) Began(string)                       { f.mu.Lock(); defer f.mu.Unlock(); f.began++ }
-func (f *fake) Arrived(string)                     {}
-func (f *fake) SpendRetry(string) bool             { f.mu.Lock(); defer f.mu.Unlock(); f.retries++; return true }
+func (f *fake) AdmitForwarded() (func(), bool) { return func() {}, !f.full }
+func (f *fake) TurnedAway(*placement.Decision) { f.mu.Lock(); defer f.mu.Unlock(); f.turnedAway++ }
+func (f *fake) Alive(string)                   {}
+func (f *fake) SilentFor(string) time.Duration { return f.silentFor }
+func (f *fake) Misdirected(string)             {}
+func (f *fake) Began(string)                   { f.mu.Lock(); defer f.mu.Unlock(); f.began++ }
+func (f *fake) Arrived(string)                 {}
+func (f *fake) SpendRetry(string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.retries++
+	return !f.noRetries
+}
 func (f *fake) CanRetry(string) bool               { return !f.retriesSpent }
 func (f *fake) ConnectionLimit(string, string) int { return cmp.Or(f.connectionLimit, 10) }
 
--- a/pkg/relay/reports_test.go
+++ b/pkg/relay/reports_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -20,6 +21,8 @@
 	*quarantine.Manager
 	mu      sync.Mutex
 	reports []string
+	// refuses is set if all requests are in quarantine.
+	refuses atomic.Bool
 }
 
 func (r *reportRecorder) record(format string, args ...any) {
@@ -36,6 +39,9 @@
 
 func (r *reportRecorder) Check(ctx context.Context, f quarantine.Fingerprint) quarantine.Verdict {
 	r.record("check")
+	if r.refuses.Load() {
+		return quarantine.VerdictRefuse
+	}
 	return r.Manager.Check(ctx, f)
 }
 
--- a/pkg/relay/seconderror_test.go
+++ b/pkg/relay/seconderror_test.go
@@ -5,12 +5,14 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"slices"
 	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
 
+	"github.com/monsooncrank/monsooncrank/pkg/relay"
 	"github.com/monsooncrank/monsooncrank/pkg/streamversion"
 )
 
@@ -338,3 +340,74 @@
 	wrong := slices.DeleteFunc(found, func(text string) bool { return text == "" })
 	report(t, wrong, 2*len(answers))
 }
+
+// Guards against an error, or an end that looks whole, after the events of a stream that can't go on: its
+// attempts, retries or time are used up, its request is put in quarantine, or servers failed before and after.
+func TestAStreamThatCannotGoOnIsCut(t *testing.T) {
+	for _, test := range []struct {
+		name string
+		// steps are what the servers do in turn: break off after events, fail, refuse, or stay silent.
+		steps              []string
+		attempts           int
+		noRetries, refuses bool
+		header             string
+	}{
+		{name: "attempts used up", steps: []string{"events"}, attempts: 1},
+		{name: "no retries", steps: []string{"events"}, attempts: 4, noRetries: true},
+		{name: "no other server", steps: []string{"events", "refuse", "refuse", "refuse"}, attempts: 9},
+		{name: "deadline", steps: []string{"events", "silent"}, attempts: 2, header: "Left: 300ms\r\n"},
+		{name: "quarantine", steps: []string{"events", "events"}, attempts: 4, refuses: true},
+		{name: "error before", steps: []string{"fail", "events"}, attempts: 2},
+		{name: "error before and quarantine", steps: []string{"fail", "events"}, attempts: 4, refuses: true},
+		{name: "error before and after", steps: []string{"fail", "events", "fail"}, attempts: 3},
+		{name: "error before, refusals after", steps: []string{"fail", "events", "refuse", "refuse"}, attempts: 9},
+		{name: "error before, deadline after", steps: []string{"fail", "events", "silent"}, attempts: 3, header: "Left: 300ms\r\n"},
+		{name: "error after error", steps: []string{"events", "fail", "fail"}, attempts: 3},
+		{name: "error after error and none left", steps: []string{"events", "fail", "fail", "fail"}, attempts: 9},
+		{name: "refusal, then error", steps: []string{"events", "refuse", "fail"}, attempts: 3},
+	} {
+		for _, forwarded := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%s, forwarded %t", test.name, forwarded), func(t *testing.T) {
+				t.Parallel()
+				var step atomic.Int64
+				var f *fixture
+				serve := func(_ int, r *http.Request, c net.Conn) bool {
+					id := r.Header.Get("Id")
+					n := min(int(step.Add(1))-1, len(test.steps)-1)
+					switch test.steps[n] {
+					case "events":
+						f.reports.refuses.Store(test.refuses)
+						events(c, id, 1, 2, false)
+						return false
+					case "fail":
+						fmt.Fprintf(c, "HTTP/1.1 50%d X\r\nId: %s\r\nSeal: s\r\nContent-Length: 5\r\n\r\nerror", n, id)
+					case "refuse":
+						notRun(c, id)
+					case "silent":
+						_, _ = c.Read(make([]byte, 1))
+						return false
+					}
+					return true
+				}
+				servers := []*backend{newBackend(t, serve), newBackend(t, serve), newBackend(t, serve), newBackend(t, serve)}
+				f = newFixture(t, servers...)
+				f.catalog.Routes[2].MaxAttempts, f.noRetries = test.attempts, test.noRetries
+				front := f
+				if forwarded {
+					outer := newForwardFixture(t)
+					internal := httptest.NewServer(http.HandlerFunc(f.handler.ServeForwarded))
+					t.Cleanup(internal.Close)
+					outer.targets = []relay.ForwardTarget{{Node: "other", Address: strings.TrimPrefix(internal.URL, "http://")}}
+					front = outer.fixture
+				}
+				got := rawCall{path: "/stream/x", id: "1", header: test.header}.call(front.address())
+				if got.success() || got.status != http.StatusOK || got.body != streamBody || front.refunded != 0 {
+					t.Errorf("status %d, body %q, err %v, refunded %v", got.status, got.body, got.err, front.refunded)
+				}
+				if n := int(step.Load()); !test.refuses && n != len(test.steps) {
+					t.Errorf("%d requests at servers, want %d", n, len(test.steps))
+				}
+			})
+		}
+	}
+}
