Close connections with all answers of a stopping daemon

Cause: whether an answer closes its connection was decided when the request arrived. Answers to requests that began before SIGTERM, and all answers to requests that another daemon has forwarded, kept their connections open. Their callers sent the next request to a daemon that was about to exit. Change: it is decided when the header is written, on both addresses.

--- a/pkg/relay/forward.go
+++ b/pkg/relay/forward.go
@@ -117,7 +117,7 @@
 	h.active.Add(1)
 	defer h.active.Add(-1)
 	from := hopOf(r)
-	x := &exchange{handler: h, w: w, caller: r.Context(), receivedAt: time.Now(), Request: h.codec.Decode(r), hop: from, attempts: from.attempts}
+	x := &exchange{handler: h, w: &responseWriter{w, h}, caller: r.Context(), receivedAt: time.Now(), Request: h.codec.Decode(r), hop: from, attempts: from.attempts}
 	x.ResumedID = cmp.Or(from.stream, x.ResumedID)
 	defer x.record()
 	release, ok := h.controller.AdmitForwarded()
--- a/pkg/relay/handler.go
+++ b/pkg/relay/handler.go
@@ -101,7 +101,7 @@
 // response.
 type exchange struct {
 	handler *Handler
-	w       http.ResponseWriter
+	w       *responseWriter
 	*Request
 	caller        context.Context
 	route         *catalog.Route
@@ -156,10 +156,7 @@
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	h.active.Add(1)
 	defer h.active.Add(-1)
-	if h.closing.Load() {
-		w.Header().Set("Connection", "close")
-	}
-	x := &exchange{handler: h, w: w, caller: r.Context(), receivedAt: time.Now(), Request: h.codec.Decode(r)}
+	x := &exchange{handler: h, w: &responseWriter{w, h}, caller: r.Context(), receivedAt: time.Now(), Request: h.codec.Decode(r)}
 	defer x.record()
 	if problem := x.accept(r); problem != nil {
 		x.writeProblem(problem)
@@ -333,7 +330,7 @@
 		// The connection is closed, so that the read below fails too.
 		klog.InfoS("failed to set the read deadline of a request body", "request", x.ID, "err", err)
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(x.w, r.Body, limit))
+	body, err := io.ReadAll(http.MaxBytesReader(x.w.ResponseWriter, r.Body, limit))
 	if resetErr := control.SetReadDeadline(time.Time{}); resetErr != nil && err == nil {
 		err = resetErr
 	}
