--- a/pkg/relay/metrics.go
+++ b/pkg/relay/metrics.go
@@ -15,6 +15,8 @@
 	forwarded *prometheus.CounterVec
 	// runChecks counts the questions to servers which of their runs answers.
 	runChecks *prometheus.CounterVec
+	// refusedAtStop counts the requests that were not begun because the daemon is stopping.
+	refusedAtStop *prometheus.CounterVec
 }
 
 // Results of the question which run of a server answers.
@@ -43,6 +45,8 @@
 		Help: "Requests sent to daemons that reach the servers of their services, by outcome."}, []string{"outcome"})
 	m.runChecks = prometheus.NewCounterVec(prometheus.CounterOpts{Name: "monsooncrank_relay_run_checks_total",
 		Help: "Questions to BackendServers which of their runs answers on a connection, by result."}, []string{"result"})
-	registry.MustRegister(m.requests, m.duration, m.firstPart, m.brokenAttempts, m.forwarded, m.runChecks)
+	m.refusedAtStop = prometheus.NewCounterVec(prometheus.CounterOpts{Name: "monsooncrank_relay_refused_at_stop_total",
+		Help: "Requests that were not begun because they were not expected to end in the grace period of a planned stop."}, []string{"kind"})
+	registry.MustRegister(m.requests, m.duration, m.firstPart, m.brokenAttempts, m.forwarded, m.runChecks, m.refusedAtStop)
 	return m
 }
--- a/pkg/relay/runcheck.go
+++ b/pkg/relay/runcheck.go
@@ -107,8 +107,8 @@
 	return conn, nil
 }
 
-// checkRunBefore asks before the request is sent. It waits neither beyond the deadline nor for a
-// caller that has gone.
+// checkRunBefore asks before the request is sent. It waits neither beyond the deadline or the grace
+// period of a planned stop nor for a caller that has gone.
 func (x *exchange) checkRunBefore(conn *backendconn.Conn, server *fleet.Server) (closes bool, err error) {
 	timeout := beginCheckTimeout
 	if conn.Reused {
@@ -118,8 +118,9 @@
 	if timeout <= 0 {
 		return false, &RunCheckError{Server: server.ID, Cause: os.ErrDeadlineExceeded}
 	}
-	stop := context.AfterFunc(x.caller, func() { _ = conn.SetDeadline(time.Unix(1, 0)) })
-	defer stop()
+	closeNow := func() { _ = conn.SetDeadline(time.Unix(1, 0)) }
+	defer context.AfterFunc(x.caller, closeNow)()
+	defer x.handler.onEnd(closeNow)()
 	return x.checkRun(conn, server, timeout)
 }
 
