Tie a notice that a server leaves to the run that gave it

The callers had the ends of these answers after the next run had started, from other servers, and the check took the time of the end for that of the notice, so that it held the next run to it.

The check now compares the run that gave the notice, which the ledger has, with the run that got the later request, in place of the start of the latter with the time of the notice. A run that began after the notice was left out before as well; all others count as before.

--- a/soak/checks.go
+++ b/soak/checks.go
@@ -87,7 +87,7 @@
 	}
 	h.mu.Unlock()
 	h.recordLimit(d, reply)
-	h.recordLeaving(d, reply)
+	h.recordLeaving(d, id, reply)
 	h.checkRefusal(id, reply)
 	if h.planned {
 		h.checkNotInterrupted(d, id, path, starts, stoppingAt, reply)
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -160,7 +160,7 @@
 	// sentAt holds when callers sent each request, and toldLeaving when the caller of each
 	// daemon received an answer which states that its server leaves, by server.
 	sentAt      map[string]time.Time
-	toldLeaving map[string]map[*daemon][]time.Time
+	toldLeaving map[string]map[*daemon][]leavingNotice
 	// version is the version of the last published configuration; publishedAt
 	// holds the publication time of each version.
 	version     int
@@ -255,7 +255,7 @@
 func Run(options Options) (Report, error) {
 	h := &harness{options: options, random: rand.New(rand.NewPCG(options.Seed, 1)), store: standin.NewStore(), ledger: standin.NewLedger(),
 		cloud: standin.NewCloud(), proxies: make(map[string]*Proxy), servers: make(map[string]*standin.Server), receivers: make(map[string]*daemon), faults: make(map[string][]span), told: make(map[string]map[*daemon][]time.Time),
-		sentAt: make(map[string]time.Time), toldLeaving: make(map[string]map[*daemon][]time.Time), daemonsByAddress: make(map[string]*daemon), cutDaemons: make(map[*daemon]bool), planned: options.Seed%3 == 0}
+		sentAt: make(map[string]time.Time), toldLeaving: make(map[string]map[*daemon][]leavingNotice), daemonsByAddress: make(map[string]*daemon), cutDaemons: make(map[*daemon]bool), planned: options.Seed%3 == 0}
 	if err := h.setUp(); err != nil {
 		h.stop()
 		return Report{}, err
--- a/soak/statements.go
+++ b/soak/statements.go
@@ -26,18 +26,33 @@
 	slowTime = 400 * time.Millisecond
 )
 
-// recordLeaving records that a daemon has passed on an answer which states that its server
-// leaves.
-func (h *harness) recordLeaving(d *daemon, reply standin.Response) {
+// leavingNotice is when a caller had an answer which states that a run of its server leaves. That run
+// may have ended, and the next one begun, while the answer went on.
+type leavingNotice struct {
+	at  time.Time
+	run int64
+}
+
+// recordLeaving records that a daemon has passed on an answer to a request which states that its
+// server leaves.
+func (h *harness) recordLeaving(d *daemon, id string, reply standin.Response) {
 	if !reply.Leaving || reply.Server == "" {
 		return
 	}
+	notice := leavingNotice{at: time.Now()}
+	runs := h.ledger.Runs(id)
+	for _, run := range runs {
+		// The head of a stream is that of the run which began it.
+		if run.ServerID == reply.Server && run.After == runs[0].After {
+			notice.run = run.Start
+		}
+	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if h.toldLeaving[reply.Server] == nil {
-		h.toldLeaving[reply.Server] = make(map[*daemon][]time.Time)
+		h.toldLeaving[reply.Server] = make(map[*daemon][]leavingNotice)
 	}
-	h.toldLeaving[reply.Server][d] = append(h.toldLeaving[reply.Server][d], time.Now())
+	h.toldLeaving[reply.Server][d] = append(h.toldLeaving[reply.Server][d], notice)
 }
 
 // makeStatements lets one server after the other say that it leaves or ask for pauses.
@@ -126,10 +141,10 @@
 	for _, a := range arrivals {
 		d, sentAt := h.daemonsByAddress[a.From], h.sentAt[a.Request]
 		for _, told := range h.toldLeaving[s.ID][d] {
-			if sentAt.IsZero() || sentAt.Sub(told) <= drainLimit || time.UnixMilli(a.Run).After(told) || d.disturbedBetween(told, a.At) {
+			if sentAt.IsZero() || sentAt.Sub(told.at) <= drainLimit || a.Run != told.run || d.disturbedBetween(told.at, a.At) {
 				continue
 			}
-			late[d] = append(late[d], fmt.Sprintf("%s (sent %v after)", a.Request, sentAt.Sub(told)))
+			late[d] = append(late[d], fmt.Sprintf("%s (sent %v after)", a.Request, sentAt.Sub(told.at)))
 			break
 		}
 	}
