Let soaked servers start again in place with other versions

The random runs had few streams that broke off and were taken up, and a server started again under its ID only when a request had crashed it.

In runs with unplanned faults one server of streams after the other now starts again in place with another version and soon ends that run too, in two of five cases while the store is away; callers that send only streams of about a second take them up for longer; servers break off 5 % of their answers, also those that start later; and in two of five seeds their clocks are behind or differ. The draws come from random sources of their own, so that the other faults of a seed stay. SOAK_IN_PLACE=false leaves all of it out. A server that has started again in place counts as one where a stream could be taken up once daemons can know its run.

--- a/soak/checks.go
+++ b/soak/checks.go
@@ -41,7 +41,7 @@
 		path := []string{"/once/", "/once/", "/look/", resumablePath, "/stream/once/"}[random.IntN(5)]
 		id := fmt.Sprintf("%d-%d-%d", h.options.Seed, callerIndex, n)
 		if path == resumablePath {
-			h.runStream(client, random, d, id)
+			h.runStream(client, random, d, id, h.usualPlan())
 		} else {
 			at := time.Now()
 			reply := h.send(client, d, path, standin.Request{ID: id})
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -210,7 +210,7 @@
 func (h *harness) serverFault(ctx context.Context, s *standin.Server, f standin.ServerFaults, duration time.Duration) {
 	s.SetFaults(f)
 	sleep(ctx, duration)
-	s.SetFaults(standin.ServerFaults{})
+	s.SetFaults(h.usualFaults())
 }
 
 // pickServer draws a server that is in service.
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -111,6 +111,14 @@
 	WorkTime time.Duration
 	// StreamTries is how often the caller of a stream sends it; the default is 4.
 	StreamTries int
+	// InPlace lets servers of streams start again in place with other software versions, in runs
+	// with unplanned faults; nil means never. StreamCallers is the number of callers that send only
+	// long streams in such runs.
+	InPlace       *InPlace
+	StreamCallers int
+	// ClockBehind returns by how much the clock of the n-th server is behind; nil means that all
+	// clocks agree.
+	ClockBehind func(n int) time.Duration
 }
 
 const (
@@ -170,6 +178,12 @@
 	streamTries   []streamTry
 	streams       StreamCounts
 	joinedStreams []string
+	// streamGate is held while a stream is sent.
+	streamGate sync.RWMutex
+	// unsettled counts what changes the run of a server while daemons may not know of it, and
+	// startedInPlace the servers that started again in place.
+	unsettled      map[*standin.Server]int
+	startedInPlace int
 	// released is the version of the servers of the last release, if there was one.
 	released string
 	// takeUps counts the answers to tries to take a stream up while servers of its version serve,
@@ -245,6 +259,8 @@
 	// of two software versions.
 	Streams StreamCounts
 	Joined  []string
+	// InPlace is the number of servers that started again in place with another version.
+	InPlace int
 	// FewTakenUp states that streams taken up were refused much more often than new ones, or is
 	// empty.
 	FewTakenUp string
@@ -254,7 +270,7 @@
 // changes only.
 func Run(options Options) (Report, error) {
 	h := &harness{options: options, random: rand.New(rand.NewPCG(options.Seed, 1)), store: standin.NewStore(), ledger: standin.NewLedger(),
-		cloud: standin.NewCloud(), proxies: make(map[string]*Proxy), servers: make(map[string]*standin.Server), receivers: make(map[string]*daemon), faults: make(map[string][]span), told: make(map[string]map[*daemon][]time.Time),
+		cloud: standin.NewCloud(), proxies: make(map[string]*Proxy), servers: make(map[string]*standin.Server), receivers: make(map[string]*daemon), faults: make(map[string][]span), told: make(map[string]map[*daemon][]time.Time), unsettled: make(map[*standin.Server]int),
 		sentAt: make(map[string]time.Time), toldLeaving: make(map[string]map[*daemon][]leavingNotice), daemonsByAddress: make(map[string]*daemon), cutDaemons: make(map[*daemon]bool), planned: options.Seed%3 == 0}
 	if err := h.setUp(); err != nil {
 		h.stop()
@@ -271,6 +287,11 @@
 	for i := range options.Callers {
 		running.Go(func() { h.runCaller(ctx, i) })
 	}
+	if !h.planned {
+		for i := range options.StreamCallers {
+			running.Go(func() { h.runStreamCaller(ctx, i) })
+		}
+	}
 	for i := range h.options.CrashRequests {
 		if !h.planned {
 			c := newCrashRequest(h.options.Seed, i)
@@ -304,9 +325,6 @@
 			h.storeFault(ctx, standin.Faults{Status: http.StatusServiceUnavailable}, h.options.StoreAwayUntil)
 		})
 	}
-	for _, s := range h.allServers {
-		s.SetFaults(standin.ServerFaults{Cut: h.options.CutAnswers})
-	}
 	if h.options.LeaveEvery > 0 {
 		running.Go(func() { h.replaceInTurn(ctx, h.options.LeaveEvery) })
 	}
@@ -343,6 +361,9 @@
 	if h.options.DrillEvery > 0 && !h.planned {
 		running.Go(func() { h.drillRepeatedly(ctx, h.options.DrillEvery) })
 	}
+	if h.options.InPlace != nil && !h.planned {
+		running.Go(func() { h.startInPlace(ctx, h.options.InPlace) })
+	}
 	if h.options.CutEvery > 0 && !h.planned {
 		running.Go(func() { h.cutFromPlatform(ctx, h.options.CutEvery) })
 	}
@@ -360,7 +381,7 @@
 func (h *harness) report() Report {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return Report{Seed: h.options.Seed, Planned: h.planned, Sent: h.sent, Succeeded: h.succeeded, Resumed: h.resumed, ResumedTries: h.resumedTries, TakeUps: h.takeUps, TakeUpsUnknown: h.takeUpsUnknown, LeavingChecked: h.leavingChecked, Told: h.toldCount, Paused: h.pauseCount, Upgraded: h.upgraded, OverLimit: h.overLimit, FullestWindow: h.fullestWindow, WindowLimit: h.options.windowLimit(), CutServed: h.cutServed, CutSent: h.cutSent, Rollout: h.rollout.String(), Drills: h.drills.count, Windows: len(h.cloud.Reports()), Findings: h.findings, Streams: h.streams, Joined: h.joinedStreams, FewTakenUp: h.fewTakenUp}
+	return Report{Seed: h.options.Seed, Planned: h.planned, Sent: h.sent, Succeeded: h.succeeded, Resumed: h.resumed, ResumedTries: h.resumedTries, TakeUps: h.takeUps, TakeUpsUnknown: h.takeUpsUnknown, LeavingChecked: h.leavingChecked, Told: h.toldCount, Paused: h.pauseCount, Upgraded: h.upgraded, OverLimit: h.overLimit, FullestWindow: h.fullestWindow, WindowLimit: h.options.windowLimit(), CutServed: h.cutServed, CutSent: h.cutSent, Rollout: h.rollout.String(), Drills: h.drills.count, Windows: len(h.cloud.Reports()), Findings: h.findings, Streams: h.streams, Joined: h.joinedStreams, InPlace: h.startedInPlace, FewTakenUp: h.fewTakenUp}
 }
 
 // addFinding records a violated guarantee.
@@ -464,6 +485,9 @@
 	s := &standin.Server{ID: id, Service: service, Zone: zone, WorkTime: cmp.Or(h.options.WorkTime, defaultWorkTime), EventCount: streamEvents, Unframed: h.options.UnframedAnswers,
 		DownTime: minDownTime + time.Duration(number)*downTimeStep%(maxDownTime-minDownTime)}
 	s.Version = cmp.Or(version, h.versionOf(number))
+	if h.options.ClockBehind != nil {
+		s.ClockBehind = h.options.ClockBehind(number)
+	}
 	s.NextVersion = func() string {
 		if version != "" {
 			return version
@@ -501,12 +525,18 @@
 	if err != nil {
 		return nil, err
 	}
+	s.SetFaults(h.usualFaults())
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.allServers = append(h.allServers, s)
 	return s, nil
 }
 
+// usualFaults are the faults that servers always have.
+func (h *harness) usualFaults() standin.ServerFaults {
+	return standin.ServerFaults{Cut: h.options.CutAnswers}
+}
+
 // proxyFor returns the proxy of a server that has ended, which accepts connections
 // again, or a new one.
 func (h *harness) proxyFor(ended *standin.Server, address string) (*Proxy, error) {
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -3,6 +3,7 @@
 import (
 	"flag"
 	"fmt"
+	"math/rand/v2"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -61,11 +62,59 @@
 	for _, seed := range seeds {
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
 			runSeed(t, soak.Options{Seed: seed, Binary: binary, Daemons: daemons, Servers: max(minServers, daemons/daemonsPerServer) + serversPerCrashPart*int(seed%2), Callers: callersPerDaemon * daemons, CrashRequests: 2,
-				CrashParts: int(seed % 2), UnframedAnswers: 0.2, BrittleMost: brittleMost(seed), BrittleRoom: 10, ChangeQueries: seed%2 == 0, ReplaceServers: seed%4 >= 2, Versions: 1 + int(seed%3), StatementEvery: statementEvery(), DrillEvery: drillEvery(), CutEvery: drillEvery(), UsageRate: usageRateOfAll(daemons), Duration: duration})
+				CrashParts: int(seed % 2), UnframedAnswers: 0.2, BrittleMost: brittleMost(seed), BrittleRoom: 10, ChangeQueries: seed%2 == 0, ReplaceServers: seed%4 >= 2, Versions: 1 + int(seed%3), StatementEvery: statementEvery(), DrillEvery: drillEvery(), CutEvery: drillEvery(), UsageRate: usageRateOfAll(daemons),
+				CutAnswers: cutAnswers(seed), InPlace: inPlace(), StreamCallers: streamCallers(daemons), ClockBehind: clockBehind(seed), Duration: duration})
 		})
 	}
 }
 
+// playsInPlace reports whether servers start again in place with other versions, break off answers
+// and have clocks of their own. SOAK_IN_PLACE=false leaves that out, as for the seeds that failed
+// before there was any.
+func playsInPlace() bool { return os.Getenv("SOAK_IN_PLACE") != "false" }
+
+func inPlace() *soak.InPlace {
+	if !playsInPlace() {
+		return nil
+	}
+	return &soak.InPlace{Pause: time.Second, StoreAway: 0.4}
+}
+
+// streamCallers returns the number of callers that send only long streams: two for each daemon.
+func streamCallers(daemons int) int {
+	if !playsInPlace() {
+		return 0
+	}
+	return 2 * daemons
+}
+
+// cutAnswers returns the share of the answers that servers break off in the runs of a seed.
+func cutAnswers(seed uint64) float64 {
+	if !playsInPlace() || seed%3 == 0 {
+		return 0
+	}
+	return 0.05
+}
+
+// clockBehind returns the clocks of the servers of a seed: in two of five seeds they are all behind,
+// or differ from each other in both directions.
+func clockBehind(seed uint64) func(int) time.Duration {
+	switch {
+	case playsInPlace() && seed%5 == 1:
+		return allBehind
+	case playsInPlace() && seed%5 == 3:
+		return func(n int) time.Duration {
+			return time.Duration(rand.New(rand.NewPCG(seed, uint64(n)+1500)).Int64N(int64(2*serverClockStep))) - serverClockStep
+		}
+	}
+	return nil
+}
+
+// serverClockStep is by how much the clock of a server may differ from that of the daemons.
+const serverClockStep = 2400 * time.Millisecond
+
+func allBehind(int) time.Duration { return serverClockStep }
+
 // statementEvery returns how often a server says of itself that it leaves or wants a pause.
 // SOAK_STATEMENTS=false leaves that out, as for the seeds that failed before there was any.
 func statementEvery() time.Duration {
@@ -403,7 +452,7 @@
 	}
 	t.Logf("seed %d: planned %t, %d requests sent, %d succeeded, %d of %d streams taken up went on, %d requests at leaving servers, %s, %d of %d first tries served at daemons cut off from servers, %d daemons replaced", seed, report.Planned,
 		report.Sent, report.Succeeded, report.Resumed, report.ResumedTries, report.LeavingChecked, report.Statements(), report.CutServed, report.CutSent, report.Upgraded)
-	t.Logf("seed %d: %v", seed, &report.Streams)
+	t.Logf("seed %d: %v; %d servers started again in place", seed, &report.Streams, report.InPlace)
 	for _, joined := range report.Joined {
 		t.Logf("seed %d: %s", seed, joined)
 	}
--- a/soak/statements.go
+++ b/soak/statements.go
@@ -116,7 +116,7 @@
 		go s.Lapse(pauseReaction)
 	}
 	sleep(ctx, statementTime)
-	s.SetFaults(standin.ServerFaults{Cut: h.options.CutAnswers})
+	s.SetFaults(h.usualFaults())
 }
 
 // checkStatements checks that servers which have told a daemon that they leave, or that they
--- a/soak/streams.go
+++ b/soak/streams.go
@@ -26,13 +26,26 @@
 	minSameVersion = 2
 )
 
+// streamPlan is how a caller sends a stream: its path, how often, and the longest pause between two
+// tries.
+type streamPlan struct {
+	path  string
+	tries int
+	pause time.Duration
+}
+
+// usualPlan is how most callers send streams.
+func (h *harness) usualPlan() streamPlan {
+	return streamPlan{path: resumablePath, tries: cmp.Or(h.options.StreamTries, maxTries), pause: 100 * time.Millisecond}
+}
+
 // runStream sends a stream, takes it up at any daemon when it breaks off, and records
 // what came of each try.
-func (h *harness) runStream(client *http.Client, random *rand.Rand, d *daemon, id string) {
+func (h *harness) runStream(client *http.Client, random *rand.Rand, d *daemon, id string, plan streamPlan) {
 	var tries []streamTry
 	version, last := "", 0
 	request := standin.Request{ID: id}
-	for try := range cmp.Or(h.options.StreamTries, maxTries) {
+	for try := range plan.tries {
 		if try > 0 {
 			request.ID = fmt.Sprintf("%s-%d", id, try)
 			d = h.retryDaemon(random)
@@ -42,7 +55,9 @@
 		if t.resumes {
 			t.servers = h.servingAt(version)
 		}
-		reply := h.send(client, d, resumablePath, request)
+		h.streamGate.RLock()
+		reply := h.send(client, d, plan.path, request)
+		h.streamGate.RUnlock()
 		t.received(reply)
 		if t.resumes {
 			t.servers = min(t.servers, h.servingAt(version))
@@ -59,7 +74,7 @@
 		if t.complete() {
 			break
 		}
-		time.Sleep(time.Duration(20+random.IntN(100)) * time.Millisecond)
+		time.Sleep(time.Duration(20+random.IntN(int(plan.pause.Milliseconds()))) * time.Millisecond)
 	}
 	h.endStream(id, tries)
 }
@@ -75,13 +90,14 @@
 	return d
 }
 
-// servingAt returns the number of servers of a version that accept streams.
+// servingAt returns the number of servers of a version that accept streams and of whose runs daemons
+// may know.
 func (h *harness) servingAt(version string) int {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	n := 0
 	for _, s := range h.servers {
-		if s.Service == "models" && s.Serves(version) {
+		if s.Service == "models" && h.unsettled[s] == 0 && s.Serves(version) {
 			n++
 		}
 	}
