Test that streams of a run that is not listed are not joined

Servers start again in place with another version: while the store is away, so that their entries describe the run before, and they end while streams go on; or with clocks that are 2.4 s behind those of the daemons, where the record of a stream that the earlier run began is changed to the version of the next one.

--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -237,6 +237,34 @@
 		CutAnswers: 0.3, KillEvery: 1500 * time.Millisecond, Duration: 12 * time.Second})
 }
 
+// minInPlace and minBegun are the numbers of servers that must start again in place, and of streams
+// that must begin, for a test to say something of them.
+const (
+	minInPlace = 3
+	minBegun   = 100
+)
+
+// TestStreamsOfARunThatIsNotListedAreNotJoined guards against streams of two software versions that
+// arise when a server starts again in place with another version while the store is away, so that
+// its entry still describes the earlier run, and then ends. With clocks of the servers that are
+// behind, streams that the earlier run began pass for those of the next one.
+func TestStreamsOfARunThatIsNotListedAreNotJoined(t *testing.T) {
+	t.Parallel()
+	for name, options := range map[string]soak.Options{
+		"store away":    {Servers: 5, Versions: 1, InPlace: &soak.InPlace{Pause: 500 * time.Millisecond, StoreAway: 1, Quiet: true}},
+		"clocks behind": {Servers: 3, Versions: 3, InPlace: &soak.InPlace{Pause: time.Second}, ClockBehind: allBehind},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			options.Seed, options.Binary, options.Daemons, options.NoFaults, options.Duration = 1, buildDaemon(t), 7, true, 14*time.Second
+			options.StreamCallers = 42
+			if report := runSeed(t, options); report.InPlace < minInPlace || report.Streams.Begun < minBegun {
+				t.Errorf("seed 1: too little happened: %d servers started again in place, %v", report.InPlace, &report.Streams)
+			}
+		})
+	}
+}
+
 // maxTakeUpsUnknown is the largest share of the streams that could go on which are refused since
 // their version is not known, when all daemons are killed.
 const maxTakeUpsUnknown = 0.05
