--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -252,7 +252,7 @@
 	t.Parallel()
 	for name, options := range map[string]soak.Options{
 		"store away":    {Servers: 5, Versions: 1, InPlace: &soak.InPlace{Pause: 500 * time.Millisecond, StoreAway: 1, Quiet: true}},
-		"clocks behind": {Servers: 3, Versions: 3, InPlace: &soak.InPlace{Pause: time.Second}, ClockBehind: allBehind},
+		"clocks behind": {Servers: 3, Versions: 3, Callers: 14, InPlace: &soak.InPlace{Pause: time.Second}, ClockBehind: allBehind},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
