Reserve the ports of soaks across processes

Each port is now also held by the name of an abstract socket until the process ends.

Without the reservation TestFreePortsAreReserved fails at once.

--- a/soak/daemon.go
+++ b/soak/daemon.go
@@ -84,6 +84,9 @@
 			lastErr = err
 			continue
 		}
+		if !reservePort(port) {
+			continue
+		}
 		allocatedPorts.taken[port] = true
 		ports = append(ports, port)
 	}
@@ -107,6 +110,21 @@
 	return err
 }
 
+// reservePort keeps a port from the soaks of other processes until this one ends, and reports whether
+// none of them has it. A daemon listens on its ports only after its start.
+func reservePort(port int) bool {
+	socket, err := unix.Socket(unix.AF_UNIX, unix.SOCK_STREAM|unix.SOCK_CLOEXEC, 0)
+	if err != nil {
+		return false
+	}
+	// The name is an abstract one, which ends with its socket.
+	if err := unix.Bind(socket, &unix.SockaddrUnix{Name: fmt.Sprintf("@monsooncrank-soak-%d", port)}); err != nil {
+		_ = unix.Close(socket)
+		return false
+	}
+	return true
+}
+
 // freeAddress returns a loopback address with a port that is not in use.
 func freeAddress() (string, error) {
 	ports, err := freePorts(1)
--- a/soak/daemon_test.go
+++ b/soak/daemon_test.go
@@ -27,6 +27,20 @@
 	}
 }
 
+// TestFreePortsAreReserved guards against two soaks of different processes that are assigned the same
+// port: the daemon that started second could not listen.
+func TestFreePortsAreReserved(t *testing.T) {
+	ports, err := freePorts(50)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, port := range ports {
+		if reservePort(port) {
+			t.Fatalf("port %d is free for another process", port)
+		}
+	}
+}
+
 // TestFreePortsAreFreeWhileProcessesStart guards against ports that are in use for a moment
 // after they were returned, because a process that was started meanwhile holds them.
 func TestFreePortsAreFreeWhileProcessesStart(t *testing.T) {
