Let soaked servers fail to say which run they are

A share of the reports now fails or states no start: 5 % in random seeds with unplanned faults, 40 % in a third case of TestStreamsOfARunThatIsNotListedAreNotJoined.

--- a/soak/soak.go
+++ b/soak/soak.go
@@ -54,6 +54,9 @@
 	Versions int
 	// CutAnswers is the share of the answers that each server breaks off.
 	CutAnswers float64
+	// ReportFails is the share of the questions for their runs that servers do not answer as they
+	// should.
+	ReportFails float64
 	// KillEvery is the time after which the next daemon is killed and started again; 0
 	// means never.
 	KillEvery time.Duration
@@ -534,7 +537,7 @@
 
 // usualFaults are the faults that servers always have.
 func (h *harness) usualFaults() standin.ServerFaults {
-	return standin.ServerFaults{Cut: h.options.CutAnswers}
+	return standin.ServerFaults{Cut: h.options.CutAnswers, ReportFails: h.options.ReportFails}
 }
 
 // proxyFor returns the proxy of a server that has ended, which accepts connections
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -63,7 +63,7 @@
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
 			runSeed(t, soak.Options{Seed: seed, Binary: binary, Daemons: daemons, Servers: max(minServers, daemons/daemonsPerServer) + serversPerCrashPart*int(seed%2), Callers: callersPerDaemon * daemons, CrashRequests: 2,
 				CrashParts: int(seed % 2), UnframedAnswers: 0.2, BrittleMost: brittleMost(seed), BrittleRoom: 10, ChangeQueries: seed%2 == 0, ReplaceServers: seed%4 >= 2, Versions: 1 + int(seed%3), StatementEvery: statementEvery(), DrillEvery: drillEvery(), CutEvery: drillEvery(), UsageRate: usageRateOfAll(daemons),
-				CutAnswers: cutAnswers(seed), InPlace: inPlace(), StreamCallers: streamCallers(daemons), ClockBehind: clockBehind(seed), Duration: duration})
+				CutAnswers: faultShare(seed), ReportFails: faultShare(seed), InPlace: inPlace(), StreamCallers: streamCallers(daemons), ClockBehind: clockBehind(seed), Duration: duration})
 		})
 	}
 }
@@ -88,8 +88,9 @@
 	return 2 * daemons
 }
 
-// cutAnswers returns the share of the answers that servers break off in the runs of a seed.
-func cutAnswers(seed uint64) float64 {
+// faultShare returns the share of the answers that servers break off in the runs of a seed, and that
+// of their reports that fail.
+func faultShare(seed uint64) float64 {
 	if !playsInPlace() || seed%3 == 0 {
 		return 0
 	}
@@ -247,11 +248,13 @@
 // TestStreamsOfARunThatIsNotListedAreNotJoined guards against streams of two software versions that
 // arise when a server starts again in place with another version while the store is away, so that
 // its entry still describes the earlier run, and then ends. With clocks of the servers that are
-// behind, streams that the earlier run began pass for those of the next one.
+// behind, streams that the earlier run began pass for those of the next one. With reports that fail,
+// a server does not say which run it is.
 func TestStreamsOfARunThatIsNotListedAreNotJoined(t *testing.T) {
 	t.Parallel()
 	for name, options := range map[string]soak.Options{
 		"store away":    {Servers: 5, Versions: 1, InPlace: &soak.InPlace{Pause: 500 * time.Millisecond, StoreAway: 1, Quiet: true}},
+		"reports fail":  {Servers: 5, Versions: 1, ReportFails: 0.4, InPlace: &soak.InPlace{Pause: 500 * time.Millisecond, StoreAway: 1, Quiet: true}},
 		"clocks behind": {Servers: 3, Versions: 3, Callers: 14, InPlace: &soak.InPlace{Pause: time.Second}, ClockBehind: allBehind},
 	} {
 		t.Run(name, func(t *testing.T) {
