--- a/pkg/relay/forward.go
+++ b/pkg/relay/forward.go
@@ -9,6 +9,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"net/url"
 	"strconv"
 	"sync/atomic"
 	"time"
@@ -19,6 +20,7 @@
 	"github.com/monsooncrank/monsooncrank/pkg/backendconn"
 	"github.com/monsooncrank/monsooncrank/pkg/catalog"
 	"github.com/monsooncrank/monsooncrank/pkg/fleet"
+	"github.com/monsooncrank/monsooncrank/pkg/streamversion"
 )
 
 // A daemon that has lost its links to the servers of a service forwards the requests for
@@ -37,6 +39,9 @@
 	// headerForwardedStream is the ID of the attempt that brought the first event of a stream
 	// which goes on.
 	headerForwardedStream = "Forwarded-Stream"
+	// headerForwardedOrigin is the service and the version that began the stream, as a query
+	// string, where that daemon knows them. It is named in Connection, as headerForwardedServer is.
+	headerForwardedOrigin = "Forwarded-Origin"
 	// headerForwardedOutcome is the outcome that the receiving daemon states.
 	headerForwardedOutcome = "Forwarded-Outcome"
 	// headerForwardedServer is the run of the server whose response it is. It is named in
@@ -92,6 +97,36 @@
 	attempts      int
 	// stream is the ID of the attempt that brought the first event of a stream that goes on.
 	stream string
+	// origin is the service and the version that began it, if that daemon knows them.
+	origin *streamversion.Origin
+}
+
+// hopOrigin returns the origin of the stream that goes on as the daemon that has forwarded the
+// request knows it.
+func (x *exchange) hopOrigin() (streamversion.Origin, bool) {
+	if x.hop == nil || x.hop.origin == nil {
+		return streamversion.Origin{}, false
+	}
+	return *x.hop.origin, true
+}
+
+// Fields of headerForwardedOrigin.
+const (
+	originService = "service"
+	originVersion = "version"
+)
+
+// decodeOrigin decodes headerForwardedOrigin, which is empty if the origin is not known.
+func decodeOrigin(from, encoded string) *streamversion.Origin {
+	if encoded == "" {
+		return nil
+	}
+	fields, err := url.ParseQuery(encoded)
+	if err != nil || !fields.Has(originService) || fields.Get(originVersion) == "" {
+		klog.InfoS("unreadable origin of a forwarded stream", "from", from, "origin", encoded, "err", err)
+		return nil
+	}
+	return &streamversion.Origin{Service: fields.Get(originService), Version: fields.Get(originVersion)}
 }
 
 // hopOf returns the hop of a forwarded request and removes its headers.
@@ -102,7 +137,8 @@
 	if err != nil || errAttempts != nil {
 		klog.InfoS("unreadable header of a forwarded request", "from", h.from, "err", errors.Join(err, errAttempts))
 	}
-	for _, name := range []string{headerForwardedBy, headerForwardedConfiguration, headerForwardedAttempts, headerForwardedStream} {
+	h.origin = decodeOrigin(h.from, r.Header.Get(headerForwardedOrigin))
+	for _, name := range []string{headerForwardedBy, headerForwardedConfiguration, headerForwardedAttempts, headerForwardedStream, headerForwardedOrigin} {
 		r.Header.Del(name)
 	}
 	return h
@@ -226,9 +262,25 @@
 			return true, 0
 		}
 	}
+	if f.refusal != nil {
+		x.answerRefused(f.refusal, lastFailure)
+		return true, 0
+	}
 	return result == outcomeDone, f.retryAfter
 }
 
+// answerRefused answers a request that another daemon has refused. A server may have run it before.
+func (x *exchange) answerRefused(refusal *api.Problem, lastFailure *bufferedResponse) {
+	switch {
+	case lastFailure != nil:
+		x.writeResponse(lastFailure)
+	case x.mayHaveRun:
+		x.abort(refusal.Detail)
+	default:
+		x.refundAndReject(refusal)
+	}
+}
+
 // answerUnreachable answers a request whose service no daemon reaches, as far as this one
 // knows.
 func (x *exchange) answerUnreachable(lastFailure *bufferedResponse, after time.Duration) {
@@ -253,7 +305,9 @@
 	stated     string
 	retryAfter time.Duration
 	failure    string
-	reusable   bool
+	// refusal is set if the request did not run and should not be sent to another daemon.
+	refusal  *api.Problem
+	reusable bool
 	// silent is set when the connection was closed because the daemon sent nothing, and
 	// stopSilence stops the timer for that; it may be nil.
 	silent      atomic.Bool
@@ -271,13 +325,16 @@
 	}
 	f.conn = conn
 	stop := f.startTimers()
+	// An answer that can't follow the events of a stream aborts the handler.
+	defer func() {
+		stop()
+		if f.reusable {
+			pool.Put(conn, forwardIdleTimeout)
+		} else {
+			pool.Discard(conn)
+		}
+	}()
 	result := f.exchangeMessages()
-	stop()
-	if f.reusable {
-		pool.Put(conn, forwardIdleTimeout)
-	} else {
-		pool.Discard(conn)
-	}
 	if result == outcomeIncomplete && f.caller.Err() != nil {
 		f.exchange.status, f.exchange.cause = statusCallerDisconnected, "caller disconnected"
 		return outcomeDone
@@ -387,6 +444,10 @@
 	if last != "" {
 		header.Set(headerForwardedStream, f.streamID())
 	}
+	if f.begun && f.version != "" {
+		header.Set(headerForwardedOrigin, url.Values{originService: {f.service}, originVersion: {f.version}}.Encode())
+		header.Add("Connection", headerForwardedOrigin)
+	}
 	header.Set(headerForwardedBy, f.handler.node)
 	header.Set(headerForwardedConfiguration, strconv.FormatInt(f.configVersion, 10))
 	header.Set(headerForwardedAttempts, strconv.Itoa(f.attempts))
@@ -416,8 +477,8 @@
 		f.failure = detail
 		return outcomeNotRun
 	}
-	f.refundAndReject(api.NewNotRunProblem(api.ProblemNoBackendServer, response.StatusCode, detail).WithRetryAfter(f.retryAfter))
-	return outcomeDone
+	f.refusal = api.NewNotRunProblem(api.ProblemNoBackendServer, response.StatusCode, detail).WithRetryAfter(f.retryAfter)
+	return outcomeNotRun
 }
 
 // readProblem reads a problem of another daemon and returns its title.
@@ -449,6 +510,10 @@
 
 // passStream passes the events of a stream on as they arrive.
 func (f *forwardAttempt) passStream(response *http.Response) outcome {
+	if err := f.checkContinuation(response); err != nil {
+		f.failure = err.Error()
+		return outcomeIncomplete
+	}
 	events := newEventReader(response.Body)
 	control := http.NewResponseController(f.w)
 	for {
@@ -463,6 +528,10 @@
 			f.failure = "read event: " + err.Error()
 			return outcomeIncomplete
 		}
+		if err := f.checkNumbered(event); err != nil {
+			f.failure = err.Error()
+			return outcomeIncomplete
+		}
 		if !f.isNewEvent(event.id) {
 			continue
 		}
@@ -475,9 +544,9 @@
 			f.failure = "write event: " + err.Error()
 			return outcomeIncomplete
 		}
+		f.beganElsewhere = f.beganElsewhere || !f.begun
 		f.begun = true
-		f.lastSentEventID = event.id
-		f.eventsSent++
+		f.sentEvent(event)
 	}
 }
 
--- a/pkg/relay/relay_test.go
+++ b/pkg/relay/relay_test.go
@@ -28,6 +28,7 @@
 	"github.com/monsooncrank/monsooncrank/pkg/placement"
 	"github.com/monsooncrank/monsooncrank/pkg/reach"
 	"github.com/monsooncrank/monsooncrank/pkg/relay"
+	"github.com/monsooncrank/monsooncrank/pkg/serverlimit"
 	"github.com/monsooncrank/monsooncrank/pkg/streamversion"
 )
 
@@ -103,6 +104,8 @@
 	// lateness is by how much answers of the service are later than expected; 0 means 1.
 	lateness     int
 	retriesSpent bool
+	// noRetries is set if no retry may be taken from the budget.
+	noRetries bool
 	// leaveAtConnect holds servers that begin to leave while they are connected to.
 	leaveAtConnect map[string]bool
 	// origins holds the origins of streams by ID.
@@ -118,6 +121,8 @@
 	saidLeaving []string
 	// saidBy is the run of the server of which anything was said last.
 	saidBy string
+	// saidLimits holds what responses said of request limits.
+	saidLimits []serverlimit.Statement
 	// otherRuns holds the listed runs in place of which others have answered.
 	otherRuns  []string
 	retryAfter time.Duration
@@ -210,6 +215,7 @@
 	if said.Leaving {
 		f.saidLeaving = append(f.saidLeaving, s.ID)
 	}
+	f.saidLimits = append(f.saidLimits, said.RequestLimit)
 	f.saidBy, f.retryAfter = s.RunID(), max(f.retryAfter, said.RetryAfter)
 }
 func (f *fake) Connected(_ *fleet.Server, r reach.Result) {
@@ -217,7 +223,11 @@
 	defer f.mu.Unlock()
 	f.connected = append(f.connected, r)
 }
-func (f *fake) Reaches(string) bool  { return !f.cut }
+func (f *fake) Reaches(string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return !f.cut
+}
 func (f *fake) MayReach(string) bool { return !f.cut || f.doubtful }
 func (f *fake) ForwardTo(_ string, exclude []string) (relay.ForwardTarget, bool) {
 	for _, target := range f.targets {
@@ -245,9 +255,14 @@
 	defer f.mu.Unlock()
 	f.otherRuns = append(f.otherRuns, s.RunID())
 }
-func (f *fake) Began(string)                       { f.mu.Lock(); defer f.mu.Unlock(); f.began++ }
-func (f *fake) Arrived(string)                     {}
-func (f *fake) SpendRetry(string) bool             { f.mu.Lock(); defer f.mu.Unlock(); f.retries++; return true }
+func (f *fake) Began(string)   { f.mu.Lock(); defer f.mu.Unlock(); f.began++ }
+func (f *fake) Arrived(string) {}
+func (f *fake) SpendRetry(string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.retries++
+	return !f.noRetries
+}
 func (f *fake) CanRetry(string) bool               { return !f.retriesSpent }
 func (f *fake) ConnectionLimit(string, string) int { return cmp.Or(f.connectionLimit, 10) }
 
