Begin late streams that are far from the end of the grace period

Cause: after 2.6 s a stopping daemon refused each stream whose deadline lay after the end of the grace period, however short such streams are. Change: a stream that comes late (by a slow upload) is begun if three times the longest recent time of its route is left. It can only be cut, so that it needs more room than the 1.5 times of other requests.

--- a/pkg/shutdown/shutdown.go
+++ b/pkg/shutdown/shutdown.go
@@ -22,6 +22,9 @@
 	// onceFactor is the multiple of the longest recent time within which a request that must
 	// not run twice is expected to be answered.
 	onceFactor = 1.5
+	// lateStreamFactor is the same for a stream that arrives once the load balancer has noticed
+	// the stop.
+	lateStreamFactor = 3.0
 	// repeatableFactor is the multiple of the repeatableQuantile of recent times within which a
 	// request is expected to be answered that another daemon can run again or take up.
 	repeatableFactor   = 1.1
@@ -61,23 +64,22 @@
 }
 
 // MayBegin reports whether a request is to be begun, and the time that it is expected to take.
-// Once the load balancer has noticed the stop, a stream is begun only if it ends by itself in time.
 func (p Plan) MayBegin(now time.Time, r Request) (ok bool, expected time.Duration) {
-	left, bound := p.AnswerUntil.Sub(now), r.Deadline.Sub(now)
-	expected = min(r.expected(bound), bound)
-	if r.Stream && now.After(p.AcceptUntil) {
-		return bound <= left, expected
-	}
-	return expected <= left, expected
+	bound := r.Deadline.Sub(now)
+	expected = min(r.expected(bound, now.After(p.AcceptUntil)), bound)
+	return expected <= p.AnswerUntil.Sub(now), expected
 }
 
 // expected returns the time within which a request is expected to be answered, which is bound if
-// too little is known.
-func (r Request) expected(bound time.Duration) time.Duration {
-	if len(r.Recent) == 0 {
+// too little is known. A stream that arrives late has to end more surely than others, as it can only
+// be cut.
+func (r Request) expected(bound time.Duration, late bool) time.Duration {
+	switch {
+	case len(r.Recent) == 0:
 		return bound
-	}
-	if r.Once {
+	case r.Stream && late:
+		return time.Duration(lateStreamFactor * float64(slices.Max(r.Recent)))
+	case r.Once:
 		return time.Duration(onceFactor * float64(slices.Max(r.Recent)))
 	}
 	sorted := slices.Sorted(slices.Values(r.Recent))
