Take no head for one that contains the begin of another

A server that stopped in the middle of a head and then wrote its next answer on the same connection gave one head of two: the status of the first and the rest of the second, as the second status line became part of the reason phrase or of a field's value. Callers got a 200 with the body of an error.

A head is now malformed if its reason phrase or a field's value contains a status line.

--- a/pkg/backendconn/pool.go
+++ b/pkg/backendconn/pool.go
@@ -12,6 +12,7 @@
 	"math"
 	"net"
 	"net/http"
+	"regexp"
 	"slices"
 	"sync"
 	"syscall"
@@ -124,7 +125,39 @@
 	c.limited.left = maxHeadBytes
 	response, err := http.ReadResponse(c.Reader, request)
 	c.limited.left = math.MaxInt64
-	return response, err
+	if err != nil {
+		return nil, err
+	}
+	if err := checkHead(response); err != nil {
+		return nil, err
+	}
+	return response, nil
+}
+
+// MixedHeadError reports the head of a response that contains the begin of another one.
+type MixedHeadError struct{ Text string }
+
+func (e *MixedHeadError) Error() string {
+	return fmt.Sprintf("head of a response contains another one: %q", e.Text)
+}
+
+// statusLine matches the begin of a head.
+var statusLine = regexp.MustCompile(`HTTP/\d\.\d \d{3}`)
+
+// checkHead returns an error if a server has stopped in the middle of a head and has written another
+// response after it: the status would be that of the first and the body that of the second.
+func checkHead(response *http.Response) error {
+	for _, values := range response.Header {
+		for _, value := range values {
+			if statusLine.MatchString(value) {
+				return &MixedHeadError{Text: value}
+			}
+		}
+	}
+	if statusLine.MatchString(response.Status) {
+		return &MixedHeadError{Text: response.Status}
+	}
+	return nil
 }
 
 // Pool holds the idle connections to all servers. It is safe for concurrent
--- a/pkg/relay/heads_test.go
+++ b/pkg/relay/heads_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -255,3 +256,33 @@
 		t.Errorf("%d of %d cases:\n%s", len(wrong), of, strings.Join(wrong[:min(len(wrong), shown)], "\n"))
 	}
 }
+
+// Guards against a success that is made of the beginning of one head and the rest of another, when a server
+// stops in the head of an answer and writes the next answer after it on the same connection.
+func TestAHeadIsNotMixedWithTheNext(t *testing.T) {
+	const stale = "HTTP/1.1 200 OK\r\nSeal: s\r\nCustom: 1\r\nContent-Type: text/event-stream\r\nLast: 1"
+	answers := []string{"HTTP/1.1 500 X\r\nId: ID\r\nSeal: s\r\nContent-Length: 16\r\n\r\nid: 1\ndata: no\n\n", "HTTP/1.1 404 X\r\nId: ID\r\nContent-Length: 16\r\n\r\nid: 1\ndata: no\n\n",
+		"HTTP/1.1 503 X\r\nId: ID\r\nNot-Run: 1\r\nContent-Length: 16\r\n\r\nid: 1\ndata: no\n\n", "HTTP/1.1 200 OK\r\nId: ID\r\nContent-Length: 16\r\n\r\nid: 1\ndata: no\n\n"}
+	b := newBackend(t, func(_ int, r *http.Request, c net.Conn) bool {
+		var at, answer int
+		id := r.Header.Get("Id")
+		if _, err := fmt.Sscanf(id, "%d-%d", &at, &answer); err != nil {
+			return false
+		}
+		_, _ = io.WriteString(c, stale[:at]+strings.ReplaceAll(answers[answer], "ID", id))
+		return true
+	})
+	f := newFixture(t, b)
+	f.connectionLimit = 1000
+	paths := []string{"/once/x", "/look/x", "/whole/x", "/stream/x"}
+	found := make([]string, len(stale)*len(answers)*len(paths))
+	together(len(found), func(i int) {
+		at, answer, path := i%len(stale), i/len(stale)%len(answers), paths[i/len(stale)/len(answers)]
+		got := rawCall{path: path, id: fmt.Sprintf("%d-%d", at, answer), header: "Left: 300ms\r\n"}.call(f.address())
+		if got.status/100 == 2 {
+			found[i] = fmt.Sprintf("%s after %q: %q: status %d, body %q, err %v", path, stale[:at], answers[answer], got.status, got.body, got.err)
+		}
+	})
+	wrong := slices.DeleteFunc(found, func(text string) bool { return text == "" })
+	report(t, wrong, len(stale)*len(answers)*len(paths))
+}
