Take no head of a service for one that contains the begin of another

The client of plain services made one head of two, too, when a service stopped in the middle of a head and wrote its next answer on the same connection: the call succeeded with the body of an error.

Such a response is now a broken one, whose outcome is unknown.

--- a/pkg/service/client.go
+++ b/pkg/service/client.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"net/url"
 	"os"
+	"regexp"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -223,6 +224,9 @@
 // guarantees that the request did not run. The first result reports whether the
 // connection can be reused.
 func (c *HTTPClient) checkResponse(address, attemptID string, resp *fasthttp.Response, reusable bool) (bool, error) {
+	if text := mixedHead(resp); text != nil {
+		return false, &BrokenError{Address: address, Cause: &MixedHeadError{Text: string(text)}}
+	}
 	if got := string(resp.Header.Peek(HeaderAttempt)); got != attemptID {
 		c.mismatched.Add(1)
 		cause := &AttemptMismatchError{Want: attemptID, Got: got}
@@ -239,6 +243,23 @@
 	return reusable, nil
 }
 
+// statusLine matches the begin of the head of a response.
+var statusLine = regexp.MustCompile(`HTTP/\d\.\d \d{3}`)
+
+// mixedHead returns the part of a head that contains the begin of another one, or nil. A service that
+// stops in the middle of a head may write another response after it on the same connection.
+func mixedHead(resp *fasthttp.Response) []byte {
+	if message := resp.Header.StatusMessage(); statusLine.Match(message) {
+		return message
+	}
+	for _, value := range resp.Header.All() {
+		if statusLine.Match(value) {
+			return value
+		}
+	}
+	return nil
+}
+
 func headerIsTrue(resp *fasthttp.Response, name string) bool {
 	return string(resp.Header.Peek(name)) == headerTrue
 }
@@ -251,6 +272,13 @@
 	}
 }
 
+// MixedHeadError reports the head of a response that contains the begin of another one.
+type MixedHeadError struct{ Text string }
+
+func (e *MixedHeadError) Error() string {
+	return fmt.Sprintf("head of a response contains another one: %q", e.Text)
+}
+
 // AttemptMismatchError reports a response that carries the ID of another
 // attempt.
 type AttemptMismatchError struct {
--- a/pkg/service/heads_test.go
+++ b/pkg/service/heads_test.go
@@ -94,3 +94,46 @@
 		t.Errorf("%d of %d cases:\n%s", len(wrong), n, strings.Join(wrong[:min(len(wrong), shown)], "\n"))
 	}
 }
+
+// Guards against a call that succeeds with the body of an error, because its service stopped in the middle of
+// a head and wrote the next answer after it on the same connection.
+func TestAHeadIsNotMixedWithTheNext(t *testing.T) {
+	const stale = "HTTP/1.1 200 OK\r\nCustom: 1\r\nContent-Type: text/plain"
+	failure := "HTTP/1.1 500 X\r\n" + service.HeaderAttempt + ": 1\r\nContent-Length: 6\r\n\r\nfailed"
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var conns sync.WaitGroup
+	conns.Go(func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			var at int
+			if r, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
+				if _, err := fmt.Sscanf(r.URL.Path, "/%d", &at); err == nil {
+					_, _ = io.WriteString(conn, stale[:at]+failure)
+				}
+				_, _ = io.Copy(io.Discard, r.Body)
+			}
+			_ = conn.Close()
+		}
+	})
+	client := service.NewClient(service.Options{})
+	defer func() { client.Close(); _ = listener.Close(); conns.Wait() }()
+	mixed := 0
+	for at := range stale {
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		got, err := client.Call(ctx, listener.Addr().String(), &service.Request{AttemptID: "1", Path: fmt.Sprintf("/%d", at), Body: []byte("{}"), FreshConnection: true})
+		cancel()
+		if err == nil && got.Status == http.StatusOK {
+			mixed++
+			t.Logf("after %q: status %d, body %q", stale[:at], got.Status, got.Body)
+		}
+	}
+	if mixed > 0 {
+		t.Errorf("%d of %d calls succeeded", mixed, len(stale))
+	}
+}
