--- a/soak/stop.go
+++ b/soak/stop.go
@@ -433,10 +433,9 @@
 	}
 	request.ContentLength = int64(len(strings.Join(body.halves, "")))
 	request.Host = hostName
-	for name, value := range map[string]string{"Attempt-Id": r.ID, "Deadline-Ms": strconv.FormatInt(s.deadline().Milliseconds(), 10),
-		"Authorization": "Bearer " + apiKey, standin.WorkHeader: strconv.FormatInt(r.Kind.Work.Milliseconds(), 10)} {
-		request.Header.Set(name, value)
-	}
+	attempt := standin.Request{ID: r.ID, Key: apiKey, Deadline: s.deadline()}
+	attempt.SetHeader(request.Header)
+	request.Header.Set(standin.WorkHeader, strconv.FormatInt(r.Kind.Work.Milliseconds(), 10))
 	response, err := c.Do(request)
 	if err != nil {
 		return nil, "", err
