review: case 8, daemons that stop together each hand out the whole usage limit

Cause: daemons drop a stopping daemon from the division of usage limits and ignore its totals, although it admits requests for 2.6 s more; those that stop together drop one another. Change: review/8 with a script; a port is no longer given to two daemons.

--- a/review/cases/lab.go
+++ b/review/cases/lab.go
@@ -264,16 +264,24 @@
 	return d.misses < maxMisses
 }
 
+// takenPorts holds the ports that freePorts has returned. A daemon listens on its ports only after its
+// start.
+var takenPorts = make(map[int]bool)
+
 // freePorts returns loopback ports below the ephemeral range that nothing listens on.
 func freePorts(n int) []int {
 	var ports []int
 	for tries := 0; len(ports) < n && tries < 100*n; tries++ {
 		port := 15000 + rand.IntN(16000)
+		if takenPorts[port] {
+			continue
+		}
 		listener, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port))
 		if err != nil {
 			continue
 		}
 		_ = listener.Close()
+		takenPorts[port] = true
 		ports = append(ports, port)
 	}
 	if len(ports) < n {
