--- a/review/cases/lab.go
+++ b/review/cases/lab.go
@@ -11,6 +11,7 @@
 	"os/exec"
 	"path/filepath"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -65,7 +66,7 @@
 	daemons []*daemon
 	servers []*standin.Server
 
-	storeAddress, cloudAddress string
+	cloudAddress string
 }
 
 // record is the record of what was sent, answered and run.
@@ -87,7 +88,7 @@
 	folder, err := os.MkdirTemp("", "monsooncrank-review-")
 	must("temporary folder", err)
 	l := &lab{ctx: ctx, folder: folder, log: log, store: standin.NewStore(), cloud: standin.NewCloud(), ledger: standin.NewLedger()}
-	l.storeAddress, l.cloudAddress = serve("store", l.store), serve("cloud", l.cloud)
+	l.cloudAddress = serve("cloud", l.cloud)
 	return l
 }
 
@@ -133,6 +134,9 @@
 	front *soak.Proxy
 	ready string
 
+	// turnedAway is set while the store turns the machine away with 503.
+	turnedAway atomic.Bool
+
 	mu      sync.Mutex
 	process *os.Process
 	exited  chan struct{}
@@ -154,7 +158,7 @@
 			"limits": map[string]any{"cpuShare": 0.4, "cores": 1, "memoryMb": 284, "maxFds": 4100},
 			"bounds": map[string]any{"drainMs": 2000, "graceS": grace.Seconds(), "retryBudgetRatio": 0.2, "budgetWindowS": 10, "budgetSlack": 54,
 				"quotaWindowS": quotaWindow.Seconds(), "quotaOverage": quotaOverage, "quotaSlack": quotaSlack, "leaseMs": 3000, "usageWindowS": 5, "usageLateS": 10},
-			"platform": map[string]any{"address": l.storeAddress},
+			"platform": map[string]any{"address": serve("store", d)},
 			"cloud":    map[string]any{"address": l.cloudAddress, "duties": []string{"usage_reporting"}},
 		}
 		var err error
@@ -182,6 +186,15 @@
 	time.Sleep(startTime)
 }
 
+// ServeHTTP passes calls of the daemon on to the store, unless that turns the machine away.
+func (d *daemon) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if d.turnedAway.Load() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	d.lab.store.ServeHTTP(w, r)
+}
+
 // start writes the settings file and starts the process.
 func (d *daemon) start() {
 	d.mu.Lock()
@@ -290,6 +303,6 @@
 	return ports
 }
 
-// withoutChange reports whether the case is played without the planned change beside the
-// disruption, to tell which of them matters.
+// withoutChange reports whether the case is played without what stands beside the main disruption,
+// to tell which of them matters.
 func withoutChange() bool { return os.Getenv("CHANGE") == "0" }
--- a/review/cases/main.go
+++ b/review/cases/main.go
@@ -22,6 +22,7 @@
 var cases = map[string]func(l *lab, trouble bool) bool{
 	"one-machine-lost": oneMachineLost,
 	"all-stopped":      allStopped,
+	"versions-joined":  versionsJoined,
 }
 
 func main() {
--- a/review/cases/streams.go
+++ b/review/cases/streams.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -53,7 +54,9 @@
 	name  string
 	path  string
 	tally *tally
-	sent  int
+	// seen records the versions of the events, or is nil.
+	seen *versionsSeen
+	sent int
 }
 
 // tally counts streams.
@@ -116,6 +119,9 @@
 				result.last = n
 			}
 		}
+		if c.seen != nil && strings.HasPrefix(lines.Text(), "data: ") {
+			c.seen.add(cmp.Or(t.resumes, t.id), lines.Text())
+		}
 	}
 	result.err = lines.Err()
 	result.complete = result.err == nil && result.status == http.StatusOK
