--- a/pkg/edge/daemon.go
+++ b/pkg/edge/daemon.go
@@ -123,7 +123,7 @@
 	if err != nil {
 		return err
 	}
-	for _, loop := range []func(context.Context){d.followCatalog, d.followServers, d.register, d.exchangeLoop, d.state.copyStreams, d.state.storeNewVersions, d.state.storeStreams, d.probeLoop, d.maintenanceLoop, d.followRollouts} {
+	for _, loop := range []func(context.Context){d.followCatalog, d.followServers, d.register, d.exchangeLoop, d.state.copyStreams, d.state.storeNewVersions, d.state.collectStreams, d.state.storeRecords, d.probeLoop, d.maintenanceLoop, d.followRollouts} {
 		running.Go(func() { loop(ctx) })
 	}
 	dutiesCtx, stopDuties := context.WithCancel(ctx)
--- a/pkg/edge/epoch_test.go
+++ b/pkg/edge/epoch_test.go
@@ -64,19 +64,14 @@
 	for _, version := range []string{"v1", "v2"} {
 		s.applyServerEvents([]fleet.Event{{Server: fleet.Server{ID: version, Service: "s", Version: version, StartedUnixMilli: 1}, Change: fleet.ServerJoined}}, "store")
 	}
-	row := s.newStreamRow()
 	copied := store.Copy()
-	s.streams.Began(bootNow(), "stream", &fleet.Server{ID: "v1", Service: "s", Version: "v1", StartedUnixMilli: 1})
-	g.Expect(s.storeStreamsOnce(t.Context(), row)).To(gomega.Succeed())
-	g.Expect(s.streams.IsStored("stream")).To(gomega.BeTrue())
+	beginStored(t, s, "v1", "stream")
+	defer runRecords(t, s)()
+	time.Sleep(2 * collectIdleInterval)
 	store.Restore(copied)
-	s.streams.StoreReturned()
-	g.Expect(s.streams.IsStored("stream")).To(gomega.BeFalse())
-	g.Expect(s.storeStreamsOnce(t.Context(), row)).NotTo(gomega.Succeed(), "the version of the row is of the earlier epoch")
-	g.Expect(s.storeStreamsOnce(t.Context(), row)).To(gomega.Succeed())
-	items, err := store.Query(t.Context(), s.streams.RecordsPart(), "", 10)
-	g.Expect(err).NotTo(gomega.HaveOccurred())
-	g.Expect(items).To(gomega.HaveLen(1))
+	g.Expect(rowsOf(t, store)).To(gomega.BeEmpty())
+	g.Eventually(func() []table.Item { return rowsOf(t, store) }, "3s").ShouldNot(gomega.BeEmpty())
+	g.Eventually(func() bool { return isStored(s, "stream") }).Should(gomega.BeTrue())
 }
 
 // Guards against a user of the store that does not hear of a return, or waits for its next turn.
--- a/pkg/edge/odd_test.go
+++ b/pkg/edge/odd_test.go
@@ -32,7 +32,7 @@
 			put(versionsKey)
 			put(sizeKey("s"))
 			put(table.Key{Partition: usagePartition, Sort: "00000000000000000007"})
-			for _, part := range streamversion.RecordsParts() {
+			for _, part := range streamversion.RecordsPartitions() {
 				put(table.Key{Partition: part, Sort: "odd"})
 			}
 			u := newTestDuties(t, &fakePlatform{Store: store})
@@ -52,7 +52,7 @@
 			core.Inherit(bootNow(), 3)
 			u.saveSize(t.Context(), "s", core)
 			g.Expect(u.storedSizes["s"].row.Present).To(gomega.Equal(3), "it is written again")
-			s.learnStoredStreams(t.Context())
+			s.learnStoredStreams(t.Context(), "stream")
 			_, err = u.storeFinalCounts(t.Context(), 7, usage.Counts{"account": 1})
 			if strings.HasPrefix(value, "{") {
 				g.Expect(err).To(gomega.Or(gomega.BeNil(), gomega.BeAssignableToTypeOf(&UnusableRowError{})))
--- a/pkg/edge/state.go
+++ b/pkg/edge/state.go
@@ -78,13 +78,7 @@
 	// versionsReadFailedAt is when a read of them because of a stream that was taken up last
 	// failed. It is guarded by versionsReading.
 	versionsReadFailedAt time.Time
-	// streamsReadAt is when this daemon last read the stored records of streams, or zero, and
-	// streamsReadFailedAt when a read of them last failed. Both are guarded by versionsReading.
-	streamsReadAt, streamsReadFailedAt time.Time
-	// streamsWake wakes storeStreams, and streamsStored is closed and replaced when the store has
-	// further records.
-	streamsWake   chan struct{}
-	streamsStored chan struct{}
+	records              recordsState
 	// versionsWake wakes storeNewVersions when a server has joined.
 	versionsWake   chan struct{}
 	fleetMetrics   *fleetMetrics
@@ -132,7 +126,7 @@
 func newState(settings Settings, pool *backendconn.Pool) *state {
 	now := bootNow()
 	incarnation := uint64(time.Now().UnixNano())
-	return &state{
+	s := &state{
 		settings:    settings,
 		incarnation: incarnation,
 		startedAt:   now,
@@ -157,13 +151,14 @@
 		catalogLag:     make(map[string]catalogLag),
 		exchangeWake:   make(chan struct{}, 1),
 		versionsWake:   make(chan struct{}, 1),
-		streamsWake:    make(chan struct{}, 1),
-		streamsStored:  make(chan struct{}),
+		records:        newRecordsState(settings.Node, incarnation),
 		forward:        newForwardState(incarnation),
 		rollouts:       newRolloutState(settings.Rollout, incarnation),
 
 		versionsReading: newSemaphore(),
 	}
+	s.streams.SetCores(settings.Cores)
+	return s
 }
 
 // Catalog returns the configuration in force, or nil if there is none.
--- a/pkg/edge/storedstreams.go
+++ b/pkg/edge/storedstreams.go
@@ -3,33 +3,34 @@
 import (
 	"context"
 	stderrors "errors"
-	"fmt"
 	"slices"
 	"sync"
 	"time"
 
-	"github.com/juju/errors"
 	"k8s.io/klog/v2"
 
 	"github.com/monsooncrank/monsooncrank/coordination/table"
+	"github.com/monsooncrank/monsooncrank/pkg/mesh"
 	"github.com/monsooncrank/monsooncrank/pkg/streamversion"
 )
 
 const (
-	// streamsStoreInterval and streamsStorePerDaemon are how often a daemon stores its records at
-	// most: all daemons together make 100 writes a second. maxStreamStorers is the number of
-	// daemons from which on they store none, since a loss of all would take the records of seconds.
-	streamsStoreInterval  = 50 * time.Millisecond
-	streamsStorePerDaemon = 10 * time.Millisecond
-	maxStreamStorers      = 64
 	// streamsStoreWait is how long the first event of a stream waits for its record to be stored.
 	// It is a small part of the time in which an answer must begin.
 	streamsStoreWait = 150 * time.Millisecond
-	// streamsStoreTick is how often a daemon looks for records to store besides when a stream
-	// begins, streamsReadInterval the least time between two reads, and streamsRetryInterval that
-	// after a read that failed. It is longer than a read may take, so that take-ups which come
-	// together share one failed read.
-	streamsStoreTick     = 200 * time.Millisecond
+	// collectInterval is how often a daemon looks for records to send while the store lacks some, and
+	// collectIdleInterval otherwise, besides when a stream begins. collectGap is the least time between
+	// two looks, so that streams that begin together share calls.
+	collectInterval     = 20 * time.Millisecond
+	collectIdleInterval = 200 * time.Millisecond
+	collectGap          = 2 * time.Millisecond
+	// collectReplyTime is how long a reply may take beyond the time that a collector may wait for the
+	// store.
+	collectReplyTime = 200 * time.Millisecond
+	// streamsReadInterval is the least time between two reads of a part of the records, and
+	// streamsRetryInterval that after a read that failed. It is longer than a read may take, so that
+	// take-ups which come together share one failed read. A daemon makes at most 32 reads a second,
+	// where the store answers 50 for each.
 	streamsReadInterval  = time.Second
 	streamsRetryInterval = 300 * time.Millisecond
 	// streamsCleanInterval is how often the holder of the duties looks for rows to delete, unless
@@ -37,158 +38,209 @@
 	streamsCleanInterval = 30 * time.Second
 )
 
-// streamRow is what a daemon knows of its row of records.
-type streamRow struct {
-	core    streamversion.RecordRow
-	key     table.Key
-	version table.Version
+// recordsState is what a daemon does with the records of streams that other daemons, and itself, have
+// begun. Its fields are guarded by the mutex of state unless they say otherwise.
+type recordsState struct {
+	log *streamversion.RecordLog
+	// collectWake wakes collectStreams, and storeWake storeRecords.
+	collectWake, storeWake chan struct{}
+	// collected is closed and replaced when a collector has replied, and written when a write of
+	// records has ended.
+	collected, written chan struct{}
+	// reads holds when the parts were read, by their first partition. It is guarded by versionsReading.
+	reads map[string]recordsRead
 }
 
-func (s *state) newStreamRow() *streamRow {
-	return &streamRow{key: table.Key{Sort: fmt.Sprintf("%s/%016x", s.settings.Node, s.incarnation)}, version: s.versionStore.Epoch().At(0)}
+// recordsRead is when a part of the records was last read, or zero, and when a read last failed.
+type recordsRead struct{ at, failedAt time.Time }
+
+func newRecordsState(node string, incarnation uint64) recordsState {
+	return recordsState{log: streamversion.NewRecordLog(node, incarnation), collectWake: make(chan struct{}, 1), storeWake: make(chan struct{}, 1),
+		collected: make(chan struct{}), written: make(chan struct{}), reads: make(map[string]recordsRead)}
+}
+
+func wake(c chan struct{}) {
+	select {
+	case c <- struct{}{}:
+	default:
+	}
 }
 
-// storeStreams keeps the records of this daemon's streams in the store until the context ends.
-func (s *state) storeStreams(ctx context.Context) {
-	row := s.newStreamRow()
+// collectStreams sends the records of this daemon's streams to collectors until the context ends.
+func (s *state) collectStreams(ctx context.Context) {
 	watch := epochWatch{store: s.versionStore}
-	tick := time.NewTicker(streamsStoreTick)
-	defer tick.Stop()
+	timer := time.NewTimer(collectIdleInterval)
+	defer timer.Stop()
+	var calls sync.WaitGroup
+	defer calls.Wait()
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case <-s.streamsWake:
-		case <-tick.C:
+		case <-s.records.collectWake:
+		case <-timer.C:
 		}
 		s.mu.Lock()
-		daemons := s.peers.Size()
-		s.mu.Unlock()
-		if daemons > maxStreamStorers {
-			continue
-		}
 		if watch.changed() {
-			s.mu.Lock()
 			s.streams.StoreReturned()
-			s.mu.Unlock()
 		}
-		if err := s.storeStreamsOnce(ctx, row); err != nil {
-			klog.V(1).InfoS("records of streams not stored", "err", err)
+		due := s.streams.Collections(bootNow())
+		interval := collectIdleInterval
+		if s.streams.Uncollected() {
+			interval = collectInterval
 		}
-		pause(ctx, streamsStorePause(daemons))
+		s.mu.Unlock()
+		for _, call := range due {
+			calls.Go(func() { s.sendCollection(ctx, &call) })
+		}
+		pause(ctx, collectGap)
+		timer.Reset(interval)
 	}
 }
 
-// streamsStorePause returns how long a daemon pauses between two writes of its records.
-func streamsStorePause(daemons int) time.Duration {
-	return max(streamsStoreInterval, time.Duration(daemons)*streamsStorePerDaemon)
-}
-
-// awaitsStored reports whether the first event of a stream waits for its record to be stored. With
-// longer pauses between writes most waits would end before the write.
-func awaitsStored(daemons int) bool { return streamsStorePause(daemons) <= streamsStoreWait/2 }
-
-func (s *state) wakeStoreStreams() {
-	select {
-	case s.streamsWake <- struct{}{}:
-	default:
+// sendCollection makes a call to a collector, which may be this daemon.
+func (s *state) sendCollection(ctx context.Context, call *streamversion.Collection) {
+	ctx, cancel := context.WithTimeout(ctx, time.Duration(call.Message.Collect)*time.Millisecond+collectReplyTime)
+	defer cancel()
+	var reply *streamversion.Reply
+	if call.Node == s.settings.Node {
+		reply = s.answerStreams(ctx, &call.Message)
+	} else {
+		s.mu.Lock()
+		p, known := s.peers.Lookup(call.Node)
+		s.mu.Unlock()
+		if known {
+			// A call that fails is logged, and leaves no reply.
+			reply, _ = s.exchangeStreams(ctx, &p, &call.Message)
+		}
 	}
+	s.mu.Lock()
+	s.streams.Collected(bootNow(), call, reply)
+	close(s.records.collected)
+	s.records.collected = make(chan struct{})
+	s.mu.Unlock()
+	wake(s.records.collectWake)
 }
 
-// awaitStored waits until the store has the record of a stream, or for streamsStoreWait.
-func (s *state) awaitStored(stream string) {
+// awaitCollected waits until the first event of a stream may be passed on, or for streamsStoreWait.
+func (s *state) awaitCollected(stream string) {
+	startedAt := time.Now()
 	timer := time.NewTimer(streamsStoreWait)
 	defer timer.Stop()
+	defer func() { s.streamMetrics.recordWait.Observe(time.Since(startedAt).Seconds()) }()
 	for {
 		s.mu.Lock()
-		isStored, stored := s.streams.IsStored(stream), s.streamsStored
+		mayPass, isStored, collected := s.streams.MayPass(bootNow(), stream), s.streams.IsStored(stream), s.records.collected
 		s.mu.Unlock()
-		if isStored {
+		if mayPass {
+			if !isStored {
+				s.streamMetrics.unstored.WithLabelValues(unstoredHeld).Inc()
+			}
 			return
 		}
 		select {
-		case <-stored:
+		case <-collected:
 		case <-timer.C:
-			s.streamMetrics.unstored.Inc()
+			s.streamMetrics.unstored.WithLabelValues(unstoredTimeout).Inc()
 			return
 		}
 	}
 }
 
-// storeStreamsOnce makes the calls by which the store gets the records that it lacks, until one
-// succeeds or fails for good.
-func (s *state) storeStreamsOnce(ctx context.Context, row *streamRow) error {
-	var failed error
+// answerStreams holds and stores the records of a message, and answers its questions.
+func (s *state) answerStreams(ctx context.Context, m *streamversion.Message) *streamversion.Reply {
+	s.mu.Lock()
+	reply := s.streams.Handle(bootNow(), m)
+	if m.Collect > 0 {
+		s.records.log.Add(bootNow(), &m.Batch)
+	}
+	s.mu.Unlock()
+	if m.Collect > 0 {
+		reply.Outcome = s.awaitStored(ctx, m)
+	}
+	return &reply
+}
+
+// awaitStored waits for the outcome of the records of a message, for as long as its sender allows.
+func (s *state) awaitStored(ctx context.Context, m *streamversion.Message) streamversion.CollectOutcome {
+	if s.versionStore == nil {
+		return streamversion.RecordsNotStored
+	}
+	wake(s.records.storeWake)
+	timer := time.NewTimer(time.Duration(m.Collect) * time.Millisecond)
+	defer timer.Stop()
 	for {
 		s.mu.Lock()
-		batch, due := s.streams.StreamsToStore(bootNow())
-		if due {
-			row.key.Partition = s.streams.RecordsPart()
-		}
+		outcome, written := s.records.log.Outcome(&m.Batch), s.records.written
 		s.mu.Unlock()
-		switch row.core.Next(due) {
-		case streamversion.WriteRecords:
-			if failed != nil {
-				return failed
-			}
-			if failed = s.writeStreams(ctx, row, &batch); failed == nil {
-				return nil
-			}
-		case streamversion.ReadRecords:
-			if err := s.readOwnStreams(ctx, row); err != nil {
-				return errors.Wrap(failed, err)
-			}
-		default:
-			return failed
+		if outcome != streamversion.RecordsBeingWritten {
+			return outcome
+		}
+		select {
+		case <-written:
+		case <-timer.C:
+			return outcome
+		case <-ctx.Done():
+			return outcome
 		}
 	}
 }
 
-// writeStreams writes the row of this daemon's run.
-func (s *state) writeStreams(ctx context.Context, row *streamRow, batch *streamversion.Batch) error {
-	ctx, cancel := context.WithTimeout(ctx, streamversion.RecordsTimeout)
-	defer cancel()
-	value, err := streamversion.Encode(&streamversion.Message{Batch: *batch})
-	if err != nil {
-		return err
-	}
-	err = s.versionStore.Transact(ctx, []table.Write{{Key: row.key, Version: row.version, Value: value}})
-	row.core.Written(err == nil)
-	if err != nil {
-		return err
+// storeRecords writes the records that this daemon collects to the store until the context ends.
+func (s *state) storeRecords(ctx context.Context) {
+	watch := epochWatch{store: s.versionStore}
+	timer := time.NewTimer(collectIdleInterval)
+	defer timer.Stop()
+	var writes sync.WaitGroup
+	defer writes.Wait()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-s.records.storeWake:
+		case <-timer.C:
+		}
+		s.mu.Lock()
+		if watch.changed() {
+			s.records.log.StoreReturned()
+		}
+		var again time.Time
+		for {
+			now := bootNow()
+			var w *streamversion.RecordsWrite
+			if w, again = s.records.log.Next(now); w == nil {
+				break
+			}
+			writes.Go(func() { s.writeRecords(ctx, w) })
+		}
+		s.mu.Unlock()
+		interval := collectIdleInterval
+		if !again.IsZero() {
+			interval = min(interval, max(again.Sub(bootNow()), time.Millisecond))
+		}
+		timer.Reset(interval)
 	}
-	row.version++
-	s.recordsStored(batch)
-	return nil
 }
 
-// readOwnStreams reads the row of this daemon's run after a failed write, which may have been made, or
-// whose row may have been deleted.
-func (s *state) readOwnStreams(ctx context.Context, row *streamRow) error {
+// writeRecords writes a row of records.
+func (s *state) writeRecords(ctx context.Context, w *streamversion.RecordsWrite) {
 	ctx, cancel := context.WithTimeout(ctx, streamversion.RecordsTimeout)
 	defer cancel()
-	item, err := s.versionStore.Get(ctx, row.key)
-	var missing *table.NotFoundError
-	switch {
-	case err == nil:
-		row.version = item.Version
-		if m, decodeErr := streamversion.Decode[streamversion.Message](item.Value); decodeErr == nil {
-			s.recordsStored(&m.Batch)
-		}
-	case errors.As(err, &missing):
-		row.version, err = s.versionStore.Epoch().At(0), nil
+	value, err := streamversion.Encode(&streamversion.Message{Batch: w.Batch})
+	if err == nil {
+		key := table.Key{Partition: w.Partition, Sort: w.Row}
+		err = s.versionStore.Transact(ctx, []table.Write{{Key: key, Version: s.versionStore.Epoch().At(w.Writes), Value: value}})
+	}
+	if err != nil {
+		s.streamMetrics.failedWrites.Inc()
+		klog.V(1).InfoS("records of streams not stored", "partition", w.Partition, "row", w.Row, "err", err)
 	}
-	row.core.Read(err == nil)
-	return err
-}
-
-// recordsStored records that the store has a batch, and wakes those that wait for it.
-func (s *state) recordsStored(batch *streamversion.Batch) {
 	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.streams.StreamsStored(batch)
-	close(s.streamsStored)
-	s.streamsStored = make(chan struct{})
+	s.records.log.Written(bootNow(), w, err == nil)
+	close(s.records.written)
+	s.records.written = make(chan struct{})
+	s.mu.Unlock()
+	wake(s.records.storeWake)
 }
 
 // semaphore is a mutex of which the wait ends with a context.
@@ -208,26 +260,37 @@
 
 func (s semaphore) release() { <-s }
 
-// learnStoredStreams reads the records that daemons have stored, unless that was done lately. All
-// that wait share one read, which goes on when its caller leaves.
-func (s *state) learnStoredStreams(ctx context.Context) {
+// learnStoredStreams reads the part of the stored records that has the one of a stream, unless that was
+// done lately. All that wait share one read, which goes on when its caller leaves.
+func (s *state) learnStoredStreams(ctx context.Context, stream string) {
 	if !s.versionsReading.acquire(ctx) {
 		return
 	}
 	defer s.versionsReading.release()
-	now := bootNow()
+	partitions, now := streamversion.PartitionsOf(stream), bootNow()
+	last := s.records.reads[partitions[0]]
 	lately := func(at time.Time, interval time.Duration) bool { return !at.IsZero() && now.Sub(at) < interval }
-	if s.versionStore == nil || lately(s.streamsReadAt, streamsReadInterval) || lately(s.streamsReadFailedAt, streamsRetryInterval) {
+	if s.versionStore == nil || lately(last.at, streamsReadInterval) || lately(last.failedAt, streamsRetryInterval) {
 		return
 	}
+	s.mu.Lock()
+	if s.peers.OldestFormat(now) < mesh.FormatCollectors {
+		// Daemons of earlier builds write to any partition.
+		for _, earlier := range streamversion.EarlierPartitions() {
+			if !slices.Contains(partitions, earlier) {
+				partitions = append(partitions, earlier)
+			}
+		}
+	}
+	s.mu.Unlock()
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), lookupTimeout)
 	defer cancel()
-	items, err := s.readStoredStreams(ctx)
+	items, err := s.readStoredStreams(ctx, partitions)
 	if err != nil {
-		s.streamsReadAt, s.streamsReadFailedAt = time.Time{}, bootNow()
-		klog.InfoS("failed to read the stored records of streams", "err", err)
+		s.records.reads[partitions[0]] = recordsRead{failedAt: bootNow()}
+		klog.InfoS("failed to read the stored records of streams", "partition", partitions[0], "err", err)
 	} else {
-		s.streamsReadAt = now
+		s.records.reads[partitions[0]] = recordsRead{at: now}
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -243,22 +306,24 @@
 			records += m.Batch.Groups[i].Len()
 		}
 	}
-	klog.InfoS("stored records of streams read", "rows", len(items), "records", records)
+	klog.InfoS("stored records of streams read", "partition", partitions[0], "rows", len(items), "records", records)
 }
 
-// readStoredStreams returns the rows of all parts that could be read. In a deployment whose daemons store
-// no records only earlier builds may have.
-func (s *state) readStoredStreams(ctx context.Context) ([]table.Item, error) {
-	parts := streamversion.RecordsParts()
-	s.mu.Lock()
-	if s.peers.Size() > maxStreamStorers {
-		parts = parts[:1]
-	}
-	s.mu.Unlock()
-	rows, failures := make([][]table.Item, len(parts)), make([]error, len(parts))
+// readStoredStreams returns the rows of all partitions that could be read.
+func (s *state) readStoredStreams(ctx context.Context, partitions []string) ([]table.Item, error) {
+	rows, failures := make([][]table.Item, len(partitions)), make([]error, len(partitions))
 	var reads sync.WaitGroup
-	for i, part := range parts {
-		reads.Go(func() { rows[i], failures[i] = s.versionStore.Query(ctx, part, "", maxDaemonRows) })
+	for i, partition := range partitions {
+		reads.Go(func() {
+			for after, more := "", true; more && failures[i] == nil; {
+				var page []table.Item
+				page, failures[i] = s.versionStore.Query(ctx, partition, after, maxDaemonRows)
+				rows[i] = append(rows[i], page...)
+				if more = len(page) == maxDaemonRows; more {
+					after = page[len(page)-1].Key.Sort
+				}
+			}
+		})
 	}
 	reads.Wait()
 	return slices.Concat(rows...), stderrors.Join(failures...)
@@ -267,14 +332,15 @@
 // storedStreams is what the holder of the duties knows of the rows of records.
 type storedStreams struct {
 	cleanedAt time.Time
-	// cleaned is how often it has looked for rows to delete, each time in the next part.
+	// cleaned is how often it has looked for rows to delete, each time in the next partition.
 	cleaned int
 	// versions holds the versions of the rows when they were last looked at.
 	versions map[table.Key]table.Version
 }
 
-// deleteOldStreams deletes the rows that have not changed since they were last looked at: those of
-// runs that have ended. A daemon whose row is deleted although it runs writes it again.
+// deleteOldStreams deletes the rows that have not changed since they were last looked at, some minutes
+// ago: those of runs that have ended, and those that are used no more. A daemon whose row is deleted
+// although it uses it writes the records to another one.
 func (u *duties) deleteOldStreams(ctx context.Context) {
 	old, now, s := &u.streams, bootNow(), u.daemon.state
 	s.mu.Lock()
@@ -284,8 +350,8 @@
 		return
 	}
 	old.cleanedAt = now
-	parts := streamversion.RecordsParts()
-	part := parts[old.cleaned%len(parts)]
+	partitions := streamversion.RecordsPartitions()
+	part := partitions[old.cleaned%len(partitions)]
 	old.cleaned++
 	items, err := u.daemon.platform.Query(ctx, part, "", table.MaxTransactionWrites)
 	if err != nil {
@@ -298,15 +364,21 @@
 			versions[key] = version
 		}
 	}
+	var deletions []table.Write
 	for _, item := range items {
-		if before, known := old.versions[item.Key]; !known || before != item.Version {
-			versions[item.Key] = item.Version
-			continue
-		}
-		if err := u.daemon.platform.Transact(ctx, []table.Write{{Key: item.Key, Version: item.Version, Delete: true}}); err != nil {
-			klog.InfoS("failed to delete old records of streams", "row", item.Key, "err", err)
-			versions[item.Key] = item.Version
+		if before, known := old.versions[item.Key]; known && before == item.Version {
+			deletions = append(deletions, table.Write{Key: item.Key, Version: item.Version, Delete: true})
 		}
+		versions[item.Key] = item.Version
 	}
 	old.versions = versions
+	if len(deletions) == 0 {
+		return
+	}
+	if err := u.daemon.platform.Transact(ctx, deletions[:min(len(deletions), maxDeletions)]); err != nil {
+		klog.InfoS("failed to delete old records of streams", "partition", part, "err", err)
+	}
 }
+
+// maxDeletions is the number of rows deleted at once. The guard of the partition needs a place, too.
+const maxDeletions = table.MaxTransactionWrites / 2
--- a/pkg/edge/storedstreams_test.go
+++ b/pkg/edge/storedstreams_test.go
@@ -8,7 +8,6 @@
 	"testing"
 	"time"
 
-	"github.com/juju/errors"
 	"github.com/onsi/gomega"
 	"github.com/prometheus/client_golang/prometheus/testutil"
 
@@ -25,47 +24,96 @@
 }
 
 func (c *countedReads) Query(ctx context.Context, partition, after string, limit int) ([]table.Item, error) {
-	if partition == streamversion.RecordsParts()[0] {
+	if partition == streamversion.PartitionsOf("one")[0] {
 		c.count.Add(1)
 	}
 	return c.Store.Query(ctx, partition, after, limit)
 }
 
+// runRecords lets a daemon send and store records of streams until stop is called.
+func runRecords(t *testing.T, s *state) (stop func()) {
+	t.Helper()
+	ctx, cancel := context.WithCancel(t.Context())
+	var running sync.WaitGroup
+	running.Go(func() { s.collectStreams(ctx) })
+	running.Go(func() { s.storeRecords(ctx) })
+	return func() {
+		cancel()
+		running.Wait()
+	}
+}
+
+// beginStored lets a daemon begin streams and waits until the store has their records.
+func beginStored(t *testing.T, s *state, version string, streams ...string) {
+	t.Helper()
+	defer runRecords(t, s)()
+	for _, stream := range streams {
+		s.StreamBegan(stream, versionEntry(version).Server)
+		gomega.NewWithT(t).Eventually(func() bool { return isStored(s, stream) }, 5*time.Second, time.Millisecond).Should(gomega.BeTrue(), stream)
+	}
+}
+
+func isStored(s *state, stream string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.streams.IsStored(stream)
+}
+
+// rowsOf returns the rows with records of streams.
+func rowsOf(t *testing.T, store table.Store) []table.Item {
+	t.Helper()
+	var all []table.Item
+	for _, partition := range streamversion.RecordsPartitions() {
+		items, err := store.Query(t.Context(), partition, "", 100)
+		if err != nil {
+			t.Fatal(err)
+		}
+		all = append(all, items...)
+	}
+	return all
+}
+
 // TestStreamsGoOnBesideTwoVersionsAfterAllWereLost guards against streams that are refused after a
-// loss of all daemons because their service had servers of two versions.
+// loss of all daemons because their service had servers of two versions, also if answers of the store
+// were lost.
 func TestStreamsGoOnBesideTwoVersionsAfterAllWereLost(t *testing.T) {
 	g := gomega.NewWithT(t)
 	store := memtable.New()
 	first := startWithServers(t, store, "v1", "v2")
-	row := first.newStreamRow()
-	g.Expect(first.storeStreamsOnce(t.Context(), row)).To(gomega.Succeed())
+	stop := runRecords(t, first)
+	time.Sleep(2 * collectIdleInterval)
 	g.Expect(store.Stats().Transactions).To(gomega.BeZero(), "there is nothing to store")
-	first.storeUp = false
-	first.StreamBegan("one", versionEntry("v1").Server)
 	store.SetFault(func(o memtable.Operation) memtable.Fault {
 		if o == memtable.OperationTransact {
 			return memtable.FaultAnswerLost
 		}
 		return memtable.FaultNone
 	})
-	g.Expect(first.storeStreamsOnce(t.Context(), row)).NotTo(gomega.Succeed())
+	first.StreamBegan("one", versionEntry("v1").Server)
+	g.Expect(isStored(first, "one")).To(gomega.BeFalse())
 	store.SetFault(nil)
-	first.StreamBegan("other", versionEntry("v2").Server)
-	g.Expect(first.storeStreamsOnce(t.Context(), row)).To(gomega.Succeed())
+	g.Eventually(func() bool { return isStored(first, "one") }, "3s").Should(gomega.BeTrue())
+	stop()
+	beginStored(t, first, "v2", "other")
 	writes := store.Stats().Transactions
-	g.Expect(first.storeStreamsOnce(t.Context(), row)).To(gomega.Succeed())
+	stop = runRecords(t, first)
+	time.Sleep(2 * collectIdleInterval)
+	stop()
 	g.Expect(store.Stats().Transactions).To(gomega.Equal(writes), "the store has them")
 
 	reads := &countedReads{Store: store}
 	restarted := startWithServers(t, reads, "v1", "v2")
-	restarted.StreamBegan("third", versionEntry("v2").Server)
-	g.Expect(restarted.storeStreamsOnce(t.Context(), restarted.newStreamRow())).To(gomega.Succeed(), "an earlier run's records stay")
+	beginStored(t, restarted, "v2", "third")
 	for stream, version := range map[string]string{"one": "v1", "other": "v2"} {
 		origin, known := restarted.StreamOrigin(t.Context(), "request", streamAt("s", stream))
 		g.Expect(known).To(gomega.BeTrue(), stream)
 		g.Expect(origin).To(gomega.Equal(streamversion.Origin{Service: "s", Version: version}))
 	}
-	_, known := restarted.StreamOrigin(t.Context(), "request", streamAt("s", "unknown"))
+	unknown := "unknown"
+	for i := 0; streamversion.PartitionsOf(unknown)[0] != streamversion.PartitionsOf("one")[0]; i++ {
+		unknown = fmt.Sprint("unknown-", i)
+	}
+	_, known := restarted.StreamOrigin(t.Context(), "request", streamAt("s", unknown))
 	g.Expect(known).To(gomega.BeFalse())
 	g.Expect(reads.count.Load()).To(gomega.BeEquivalentTo(1), "one read for all")
 }
@@ -86,7 +134,7 @@
 }
 
 func (s *silentStore) Query(ctx context.Context, partition, after string, limit int) ([]table.Item, error) {
-	if partition == streamversion.RecordsParts()[0] {
+	if partition == streamversion.PartitionsOf("one")[0] {
 		s.reads.Add(1)
 	}
 	if s.silent.Load() {
@@ -103,9 +151,7 @@
 	g := gomega.NewWithT(t)
 	store := &silentStore{Store: memtable.New()}
 	first := startWithServers(t, store, "v1", "v2")
-	first.storeUp = false
-	first.StreamBegan("one", versionEntry("v1").Server)
-	g.Expect(first.storeStreamsOnce(t.Context(), first.newStreamRow())).To(gomega.Succeed())
+	beginStored(t, first, "v1", "one")
 	s := startWithServers(t, store, "v1", "v2")
 	store.silent.Store(true)
 	at := time.Now()
@@ -140,32 +186,27 @@
 	g := gomega.NewWithT(t)
 	store := memtable.New()
 	s := startWithServers(t, store, "v1", "v2")
-	row := s.newStreamRow()
-	s.StreamBegan("one", versionEntry("v1").Server)
-	g.Expect(s.storeStreamsOnce(t.Context(), row)).To(gomega.Succeed())
+	beginStored(t, s, "v1", "one")
 	u := &duties{daemon: &Daemon{settings: settings, platform: &fakePlatform{Store: store}, state: s}}
-	rows := func() []table.Item {
-		items, err := store.Query(t.Context(), s.streams.RecordsPart(), "", 10)
-		g.Expect(err).NotTo(gomega.HaveOccurred())
-		return items
-	}
 	look := func() {
-		for range streamversion.RecordsParts() {
+		for range streamversion.RecordsPartitions() {
 			u.streams.cleanedAt = time.Time{}
 			u.deleteOldStreams(t.Context())
 			looked := u.streams.cleaned
 			u.deleteOldStreams(t.Context())
-			g.Expect(u.streams.cleaned).To(gomega.Equal(looked), "one part at a time")
+			g.Expect(u.streams.cleaned).To(gomega.Equal(looked), "one partition at a time")
 		}
 	}
 	look()
-	g.Expect(rows()).To(gomega.HaveLen(1))
+	g.Expect(rowsOf(t, store)).To(gomega.HaveLen(1))
 	look()
-	g.Expect(rows()).To(gomega.BeEmpty())
-	s.StreamBegan("two", versionEntry("v1").Server)
-	g.Expect(s.storeStreamsOnce(t.Context(), row)).NotTo(gomega.Succeed())
-	g.Expect(s.storeStreamsOnce(t.Context(), row)).To(gomega.Succeed())
-	g.Expect(rows()).To(gomega.HaveLen(1))
+	g.Expect(rowsOf(t, store)).To(gomega.BeEmpty())
+	samePart := "two"
+	for i := 0; streamversion.PartitionsOf(samePart)[0] != streamversion.PartitionsOf("one")[0]; i++ {
+		samePart = fmt.Sprint("two-", i)
+	}
+	beginStored(t, s, "v1", samePart)
+	g.Expect(rowsOf(t, store)).To(gomega.HaveLen(1))
 }
 
 // slowWrites is a table that performs each write of a part after the one before and takes a while for
@@ -197,8 +238,8 @@
 }
 
 // TestRecordsAreStoredWhileTheStoreIsSlow guards against records of streams that are not stored for as
-// long as a write takes over half a second, since it is given up before, and against daemons that wait
-// for one another's writes.
+// long as a write takes over half a second, since it is given up before, and against records that wait
+// for writes of others.
 func TestRecordsAreStoredWhileTheStoreIsSlow(t *testing.T) {
 	g := gomega.NewWithT(t)
 	store := &slowWrites{Store: memtable.New(), takes: milliseconds(600), free: make(map[string]time.Time)}
@@ -216,113 +257,193 @@
 	for _, s := range daemons {
 		s.copyStreamsOnce(t.Context())
 	}
-	ctx, cancel := context.WithCancel(t.Context())
-	var running sync.WaitGroup
 	for _, s := range daemons {
-		s.storeUp = false // StreamBegan does not wait.
-		s.StreamBegan("stream of "+s.settings.Node, versionEntry("v1").Server)
-		running.Go(func() { s.storeStreams(ctx) })
+		defer runRecords(t, s)()
 	}
-	time.Sleep(milliseconds(1100))
-	cancel()
-	running.Wait()
+	var begun sync.WaitGroup
+	for _, s := range daemons {
+		for i := range 2 {
+			begun.Go(func() {
+				time.Sleep(time.Duration(i) * milliseconds(100))
+				s.StreamBegan(fmt.Sprint("stream ", i, " of ", s.settings.Node), versionEntry("v1").Server)
+			})
+		}
+	}
+	begun.Wait()
+	// The write that takes 600 ms, and the time until the second stream of each daemon begins.
+	time.Sleep(milliseconds(800))
 	restarted := startWithServers(t, store, "v1", "v2")
 	for _, s := range daemons {
-		g.Expect(s.streams.IsStored("stream of "+s.settings.Node)).To(gomega.BeTrue(), "the daemon knows")
-		_, known := restarted.StreamOrigin(t.Context(), "request", streamAt("s", "stream of "+s.settings.Node))
-		g.Expect(known).To(gomega.BeTrue(), s.settings.Node)
+		for i := range 2 {
+			stream := fmt.Sprint("stream ", i, " of ", s.settings.Node)
+			g.Expect(isStored(s, stream)).To(gomega.BeTrue(), "the daemon knows")
+			_, known := restarted.StreamOrigin(t.Context(), "request", streamAt("s", stream))
+			g.Expect(known).To(gomega.BeTrue(), stream)
+		}
 	}
 }
 
-// TestAWriteThatIsGivenUpIsFoundOut guards against a daemon that can't store records any more since the
-// store has performed a write that it had given up, and against one that does not know what it stored.
-func TestAWriteThatIsGivenUpIsFoundOut(t *testing.T) {
+// TestRecordsAreStoredAfterAWriteThatIsGivenUp guards against a daemon that can't store records any more
+// since the store has performed a write that it had given up.
+func TestRecordsAreStoredAfterAWriteThatIsGivenUp(t *testing.T) {
 	g := gomega.NewWithT(t)
 	store := &slowWrites{Store: memtable.New(), takes: milliseconds(1300), free: make(map[string]time.Time)}
 	s := startWithServers(t, store, "v1", "v2")
-	s.storeUp = false
-	row := s.newStreamRow()
+	defer runRecords(t, s)()
 	s.StreamBegan("one", versionEntry("v1").Server)
-	g.Expect(s.storeStreamsOnce(t.Context(), row)).NotTo(gomega.Succeed())
-	time.Sleep(milliseconds(200))
+	time.Sleep(milliseconds(1300))
+	g.Expect(isStored(s, "one")).To(gomega.BeFalse())
 	store.mu.Lock()
 	store.takes = 0
 	store.mu.Unlock()
-	g.Expect(s.storeStreamsOnce(t.Context(), row)).NotTo(gomega.Succeed(), "the row has another version")
-	g.Expect(s.streams.IsStored("one")).To(gomega.BeTrue())
+	g.Eventually(func() bool { return isStored(s, "one") }, "3s").Should(gomega.BeTrue())
 	s.StreamBegan("two", versionEntry("v1").Server)
-	g.Expect(s.storeStreamsOnce(t.Context(), row)).To(gomega.Succeed())
-	g.Expect(s.streams.IsStored("two")).To(gomega.BeTrue())
+	g.Expect(isStored(s, "two")).To(gomega.BeTrue())
+}
+
+// TestTheFirstEventWaitsForItsRecord guards against a stream whose caller has events while no record
+// of it lies elsewhere, whatever the number of daemons (review cases 11 and 13), and against one that
+// waits although one version only can have begun it.
+func TestTheFirstEventWaitsForItsRecord(t *testing.T) {
+	for _, daemons := range []int{1, 2, 7, 8, 13, 65, 85} {
+		t.Run(fmt.Sprint(daemons, " daemons"), func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			store := memtable.New()
+			network := newStreamNetwork()
+			var all []*state
+			for i := range daemons {
+				s := network.add(t, fmt.Sprint("daemon-", i), fmt.Sprint("zone-", i%4))
+				s.versionStore = store
+				s.streams.SetStreamAge(bootNow(), time.Minute)
+				s.applyServerEvents(s.fleet.ApplySnapshot(bootNow(), 3, []fleet.Entry{versionEntry("v1"), versionEntry("v2")}), "store")
+				all = append(all, s)
+			}
+			for _, s := range all {
+				s.copyStreamsOnce(t.Context())
+				defer runRecords(t, s)()
+			}
+			for i, s := range []*state{all[0], all[daemons/2]} {
+				stream := fmt.Sprint("stream-", i)
+				s.StreamBegan(stream, versionEntry("v1").Server)
+				g.Expect(isStored(s, stream) || testutil.ToFloat64(s.streamMetrics.unstored.WithLabelValues(unstoredTimeout)) > 0).To(gomega.BeTrue())
+				g.Eventually(func() bool { return isStored(s, stream) }).Should(gomega.BeTrue())
+			}
+			restarted := startWithServers(t, store, "v1", "v2")
+			for i := range 2 {
+				_, known := restarted.StreamOrigin(t.Context(), "request", streamAt("s", fmt.Sprint("stream-", i)))
+				g.Expect(known).To(gomega.BeTrue(), "after a loss of all")
+			}
+		})
+	}
+	g := gomega.NewWithT(t)
+	one := startWithServers(t, memtable.New(), "v1")
+	row := streamversion.Row{Versions: streamversion.InUse{"s": {"v1"}}, Complete: true}
+	one.streams.MergeStored(bootNow(), row)
+	at := time.Now()
+	one.StreamBegan("only", versionEntry("v1").Server)
+	g.Expect(time.Since(at)).To(gomega.BeNumerically("<", streamsStoreWait/2))
+	g.Expect(one.records.collectWake).To(gomega.BeEmpty())
 }
 
-// TestTheFirstEventWaitsForTheStore guards against a stream whose caller has events while no record
-// of it outlives a loss of all daemons, and against one that waits for a store that is away, or
-// although one version only can have begun it.
-func TestTheFirstEventWaitsForTheStore(t *testing.T) {
+// TestTheFirstEventDoesNotWaitForAStoreThatIsAway guards against first events that wait for longer than
+// streamsStoreWait, or for that long each time while no collector can store records, and against
+// records that are not stored once it is back.
+func TestTheFirstEventDoesNotWaitForAStoreThatIsAway(t *testing.T) {
 	g := gomega.NewWithT(t)
 	store := memtable.New()
-	s := startWithServers(t, store, "v1", "v2")
+	network := newStreamNetwork()
+	var all []*state
+	for i := range 4 {
+		s := network.add(t, fmt.Sprint("daemon-", i), fmt.Sprint("zone-", i%2))
+		s.versionStore = store
+		s.streams.SetStreamAge(bootNow(), time.Minute)
+		s.applyServerEvents(s.fleet.ApplySnapshot(bootNow(), 3, []fleet.Entry{versionEntry("v1"), versionEntry("v2")}), "store")
+		all = append(all, s)
+	}
+	for _, s := range all {
+		s.copyStreamsOnce(t.Context())
+		defer runRecords(t, s)()
+	}
+	store.SetFault(func(memtable.Operation) memtable.Fault { return memtable.FaultUnavailable })
+	s := all[0]
 	began := func(stream string) time.Duration {
 		at := time.Now()
 		s.StreamBegan(stream, versionEntry("v1").Server)
 		return time.Since(at)
 	}
-	unstored := func() float64 { return testutil.ToFloat64(s.streamMetrics.unstored) }
-	s.recordStoreResult(errors.New("away"))
-	g.Expect(began("away")).To(gomega.BeNumerically("<", streamsStoreWait))
-	s.recordStoreResult(nil)
-	g.Expect(began("slow")).To(gomega.BeNumerically(">=", streamsStoreWait))
-	g.Expect(unstored()).To(gomega.Equal(1.0))
-	ctx, cancel := context.WithCancel(t.Context())
-	done := make(chan struct{})
-	go func() {
-		s.storeStreams(ctx)
-		close(done)
-	}()
-	for i := range 3 {
-		stream := fmt.Sprint("stream-", i)
-		began(stream)
-		s.mu.Lock()
-		isStored := s.streams.IsStored(stream)
-		s.mu.Unlock()
-		g.Expect(isStored || unstored() > 1).To(gomega.BeTrue())
+	for i := range 20 {
+		g.Expect(began(fmt.Sprint("away-", i))).To(gomega.BeNumerically("<", streamsStoreWait+milliseconds(100)))
+	}
+	held := func() float64 { return testutil.ToFloat64(s.streamMetrics.unstored.WithLabelValues(unstoredHeld)) }
+	g.Expect(held()).To(gomega.BeNumerically(">=", 10), "two daemons hold them")
+	for i := range 20 {
+		holders := 0
+		for _, o := range all[1:] {
+			o.mu.Lock()
+			if _, known := o.streams.Recorded(bootNow(), fmt.Sprint("away-", i)); known {
+				holders++
+			}
+			o.mu.Unlock()
+		}
+		g.Expect(holders).To(gomega.BeNumerically(">=", 2))
+	}
+	store.SetFault(nil)
+	for i := range 20 {
+		g.Eventually(func() bool { return isStored(s, fmt.Sprint("away-", i)) }, "3s").Should(gomega.BeTrue(), "the store is back")
 	}
-	cancel()
-	<-done
-	one := startWithServers(t, store, "v1")
-	row := streamversion.Row{Versions: streamversion.InUse{"s": {"v1"}}, Complete: true}
-	one.streams.MergeStored(bootNow(), row)
-	one.storeUp = true
-	one.StreamBegan("only", versionEntry("v1").Server)
-	g.Expect(testutil.ToFloat64(one.streamMetrics.unstored)).To(gomega.BeZero())
 }
 
-// TestTheFirstEventWaitsOnlyWhereWritesAreFrequent guards against streams that wait for the store
-// in vain: with many daemons, each pauses for longer between its writes than a stream waits.
-func TestTheFirstEventWaitsOnlyWhereWritesAreFrequent(t *testing.T) {
-	for _, c := range []struct {
-		daemons       int
-		waits, stored bool
-	}{{1, true, true}, {7, true, true}, {8, false, true}, {30, false, true}, {64, false, true}, {65, false, false}} {
-		t.Run(fmt.Sprint(c.daemons, " daemons"), func(t *testing.T) {
+// TestACollectorThatDoesNotReplyIsReplaced guards against records that only a daemon was sent which was
+// lost, and against one that stores none: of an earlier build, which holds what it is sent.
+func TestACollectorThatDoesNotReplyIsReplaced(t *testing.T) {
+	for _, kind := range []string{"lost", "silent", "earlier build"} {
+		t.Run(kind, func(t *testing.T) {
 			g := gomega.NewWithT(t)
-			s := startWithServers(t, memtable.New(), "v1", "v2")
-			s.storeUp = true
-			for i := 1; i < c.daemons; i++ {
-				node := fmt.Sprint("other-", i)
-				s.peers.UpdateEntry(bootNow(), node, node, 1, 1)
+			store := memtable.New()
+			network := newStreamNetwork()
+			var all []*state
+			for i := range 8 {
+				s := network.add(t, fmt.Sprint("daemon-", i), fmt.Sprint("zone-", i%2))
+				s.versionStore = store
+				s.streams.SetStreamAge(bootNow(), time.Minute)
+				s.applyServerEvents(s.fleet.ApplySnapshot(bootNow(), 3, []fleet.Entry{versionEntry("v1"), versionEntry("v2")}), "store")
+				all = append(all, s)
+			}
+			for _, s := range all {
+				s.copyStreamsOnce(t.Context())
+			}
+			s := all[0]
+			gone := s.streams.CollectorsFor("stream")[0]
+			call := s.callPeer
+			s.callPeer = func(ctx context.Context, address string, payload []byte) ([]byte, error) {
+				switch {
+				case address == gone && kind == "silent":
+					<-ctx.Done()
+					return nil, ctx.Err()
+				case address == gone && kind == "earlier build":
+					m, err := streamversion.Decode[streamversion.Message](payload)
+					g.Expect(err).NotTo(gomega.HaveOccurred())
+					m.Collect = 0
+					payload, err = streamversion.Encode(m)
+					g.Expect(err).NotTo(gomega.HaveOccurred())
+				}
+				return call(ctx, address, payload)
+			}
+			if kind == "lost" {
+				network.kill(gone)
+			}
+			for _, s := range all {
+				if s.settings.Node != gone || kind == "earlier build" {
+					defer runRecords(t, s)()
+				}
 			}
-			g.Expect(s.peers.Size()).To(gomega.Equal(c.daemons))
 			at := time.Now()
 			s.StreamBegan("stream", versionEntry("v1").Server)
-			took, unstored := time.Since(at), testutil.ToFloat64(s.streamMetrics.unstored)
-			if c.waits {
-				g.Expect(took).To(gomega.BeNumerically(">=", streamsStoreWait))
-			} else {
-				g.Expect(took).To(gomega.BeNumerically("<", streamsStoreWait/2))
-			}
-			g.Expect(len(s.streamsWake)).To(gomega.Equal(map[bool]int{true: 1}[c.stored]), "it is stored at once")
-			g.Expect(unstored).To(gomega.Equal(map[bool]float64{true: 1}[c.stored]), "began before the store had its record")
+			g.Expect(time.Since(at)).To(gomega.BeNumerically("<", streamsStoreWait+milliseconds(100)))
+			g.Eventually(func() bool { return isStored(s, "stream") }).Should(gomega.BeTrue())
+			again := time.Now()
+			s.StreamBegan("stream", versionEntry("v1").Server)
+			g.Expect(time.Since(again)).To(gomega.BeNumerically("<", streamsStoreWait))
 		})
 	}
 }
--- a/pkg/edge/streams.go
+++ b/pkg/edge/streams.go
@@ -16,10 +16,11 @@
 )
 
 const (
-	// copyInterval is how often records of streams are copied to their holders, and
-	// copyIntervalHubs how often with more daemons than a full mesh has, where a message
-	// costs more than the records in it. A daemon that is killed takes the records of this
-	// time with it.
+	// copyInterval is how often records of streams of services with one version, whose routes have
+	// changed, are copied to two holders, and copyIntervalHubs how often with more daemons than a full
+	// mesh has, where a message costs more than the records in it: 590 daemons send 2,360 messages a
+	// second. A daemon that is killed takes the records of this time with it. Records of services with
+	// several versions go to collectors at once.
 	copyInterval     = 200 * time.Millisecond
 	copyIntervalHubs = 500 * time.Millisecond
 	// copyTimeout is the timeout of one copy.
@@ -40,19 +41,34 @@
 // streamMetrics counts where the origins of streams that callers take up come from.
 type streamMetrics struct {
 	origins *prometheus.CounterVec
-	// unstored counts streams that began before the store had their record.
-	unstored prometheus.Counter
+	// unstored counts streams that began before the store had their record, recordWait is how long first
+	// events have waited for it, and failedWrites counts writes of records.
+	unstored     *prometheus.CounterVec
+	recordWait   prometheus.Histogram
+	failedWrites prometheus.Counter
 }
 
+// Reasons for which streams began before the store had their record.
+const (
+	// unstoredHeld means that the store did not take it, and other daemons hold it.
+	unstoredHeld = "held"
+	// unstoredTimeout means that the wait was over.
+	unstoredTimeout = "timeout"
+)
+
 func newStreamMetrics() *streamMetrics {
 	return &streamMetrics{origins: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "monsooncrank_stream_origins_total",
 		Help: "Streams that callers have taken up, by where the version that began them is known from."}, []string{"source"}),
-		unstored: prometheus.NewCounter(prometheus.CounterOpts{Name: "monsooncrank_streams_begun_unstored_total",
-			Help: "Streams of services with several software versions that began before the store had their record."})}
+		unstored: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "monsooncrank_streams_begun_unstored_total",
+			Help: "Streams of services with several software versions that began before the store had their record, by reason."}, []string{"reason"}),
+		recordWait: prometheus.NewHistogram(prometheus.HistogramOpts{Name: "monsooncrank_stream_record_wait_seconds",
+			Help: "How long first events of streams have waited for their records.", Buckets: []float64{.005, .01, .02, .03, .04, .06, .08, .1, .15, .2}}),
+		failedWrites: prometheus.NewCounter(prometheus.CounterOpts{Name: "monsooncrank_stream_records_failed_writes_total",
+			Help: "Writes of records of streams that the store has not acknowledged."})}
 }
 
 func (m *streamMetrics) register(registry prometheus.Registerer) {
-	registry.MustRegister(m.origins, m.unstored)
+	registry.MustRegister(m.origins, m.unstored, m.recordWait, m.failedWrites)
 }
 
 // streamAge returns how long after its begin a stream may be taken up.
@@ -108,23 +124,17 @@
 }
 
 // StreamBegan records the server that began a stream. While the service has several versions it
-// waits until the store has the record, if that takes no longer than streamsStoreWait and daemons
-// write often enough.
+// waits until the store has the record, or other daemons while the store takes none, for
+// streamsStoreWait at most.
 func (s *state) StreamBegan(stream string, server *fleet.Server) {
 	s.mu.Lock()
 	now := bootNow()
 	s.streams.Began(now, stream, server)
-	daemons := s.peers.Size()
-	stores := s.streams.SeveralVersions(now, server.Service) && s.versionStore != nil && s.storeUp && daemons <= maxStreamStorers
+	collects := s.streams.SeveralVersions(now, server.Service) && s.versionStore != nil
 	s.mu.Unlock()
-	if !stores {
-		return
-	}
-	s.wakeStoreStreams()
-	if awaitsStored(daemons) {
-		s.awaitStored(stream)
-	} else {
-		s.streamMetrics.unstored.Inc()
+	if collects {
+		wake(s.records.collectWake)
+		s.awaitCollected(stream)
 	}
 }
 
@@ -142,10 +152,13 @@
 		switch verdict.Next {
 		case streamversion.AskVersions:
 			evidence.VersionsRead(s.askVersions(ctx, arrivedAt))
+		case streamversion.AskCollectors:
+			evidence.CollectorsAsked = true
+			from = s.askForOrigin(ctx, s.collectorsFor(stream.ID), stream, &evidence)
 		case streamversion.AskPeers:
 			from = s.askPeers(ctx, stream, &evidence)
 		case streamversion.AskRecords:
-			s.learnStoredStreams(ctx)
+			s.learnStoredStreams(ctx, stream.ID)
 			evidence.RecordsAsked = true
 		default:
 			s.streamMetrics.origins.WithLabelValues(string(verdict.Source)).Inc()
@@ -180,16 +193,26 @@
 	near, far := s.lookupPeers()
 	for _, peers := range [][]mesh.Peer{near, far} {
 		e.Asked += len(peers)
-		if origin, node, found := s.askForOrigin(ctx, peers, stream, e); found {
-			s.mu.Lock()
-			defer s.mu.Unlock()
-			s.streams.Learned(bootNow(), stream.ID, origin)
-			return node
+		if from = s.askForOrigin(ctx, peers, stream, e); from != "" {
+			return from
 		}
 	}
 	return ""
 }
 
+// collectorsFor returns the daemons that collect the record of a stream.
+func (s *state) collectorsFor(stream string) []mesh.Peer {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var peers []mesh.Peer
+	for _, node := range s.streams.CollectorsFor(stream) {
+		if p, known := s.peers.Lookup(node); known {
+			peers = append(peers, p)
+		}
+	}
+	return peers
+}
+
 // lookupPeers returns the daemons to ask first and those to ask then: those in this one's
 // zone and all others, or all at once if they are few.
 func (s *state) lookupPeers() (near, far []mesh.Peer) {
@@ -205,9 +228,9 @@
 	return near, far
 }
 
-// askForOrigin asks daemons for the origin of a stream, adds their replies to the evidence and returns
-// the first origin in a reply, with the daemon that sent it.
-func (s *state) askForOrigin(ctx context.Context, peers []mesh.Peer, stream *streamversion.Stream, e *streamversion.Evidence) (origin streamversion.Origin, from string, found bool) {
+// askForOrigin asks daemons for the origin of a stream and adds their replies to the evidence. It learns
+// the first origin in a reply, and returns the daemon that sent it.
+func (s *state) askForOrigin(ctx context.Context, peers []mesh.Peer, stream *streamversion.Stream, e *streamversion.Evidence) (from string) {
 	type answer struct {
 		node  string
 		reply *streamversion.Reply
@@ -234,10 +257,13 @@
 		}
 		e.Replied(a.node, a.reply)
 		if origin, found := a.reply.OriginOf(stream.ID); found {
-			return origin, a.node, true
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			s.streams.Learned(bootNow(), stream.ID, origin)
+			return a.node
 		}
 	}
-	return streamversion.Origin{}, "", false
+	return ""
 }
 
 // exchangeStreams sends a message about streams to a daemon and returns its reply.
@@ -255,15 +281,12 @@
 }
 
 // handleStreams handles a message about streams from another daemon.
-func (s *state) handleStreams(_ context.Context, payload []byte) ([]byte, error) {
+func (s *state) handleStreams(ctx context.Context, payload []byte) ([]byte, error) {
 	m, err := streamversion.Decode[streamversion.Message](payload)
 	if err != nil {
 		return nil, err
 	}
-	s.mu.Lock()
-	reply := s.streams.Handle(bootNow(), m)
-	s.mu.Unlock()
-	return streamversion.Encode(&reply)
+	return streamversion.Encode(s.answerStreams(ctx, m))
 }
 
 // copyStreams copies the records of this daemon's streams to their holders until the
@@ -291,7 +314,7 @@
 	var members []streamversion.Member
 	for _, p := range s.peers.Alive(now, memberMaxAge) {
 		peers[p.Node] = p
-		members = append(members, streamversion.Member{Node: p.Node, Zone: p.Zone, Run: p.Record.Incarnation})
+		members = append(members, streamversion.Member{Node: p.Node, Zone: p.Zone, Run: p.Record.Incarnation, Cores: p.Weight})
 	}
 	s.streams.SetMembers(now, members)
 	batches := make(map[string]streamversion.Batch)
--- a/pkg/edge/versions.go
+++ b/pkg/edge/versions.go
@@ -29,6 +29,11 @@
 	// for the servers to be seen, which is checked every serversSeenCheck.
 	serversSeenWait  = 500 * time.Millisecond
 	serversSeenCheck = 20 * time.Millisecond
+	// maxRowReaders is the number of daemons up to which each reads the row once a second until it knows
+	// all versions in use: 64 of the 2,000 reads a second that a small deployment's store answers, for
+	// the age of streams after each start. Of more daemons the hubs read it and tell the others, and each
+	// take-up reads it.
+	maxRowReaders = 64
 	// versionsLogInterval is the least time between two log lines while the store is away.
 	versionsLogInterval = 2 * time.Second
 )
@@ -193,7 +198,7 @@
 	followsStore := s.followsStore()
 	s.mu.Lock()
 	now := bootNow()
-	role := streamversion.Role{RanksAsHub: s.peers.RanksAsHub(), FollowsStore: followsStore, Few: s.peers.Size() <= maxStreamStorers, Returned: returned}
+	role := streamversion.Role{RanksAsHub: s.peers.RanksAsHub(), FollowsStore: followsStore, Few: s.peers.Size() <= maxRowReaders, Returned: returned}
 	reads := s.streams.ReadsRow(now, role)
 	s.mu.Unlock()
 	if !reads {
--- a/pkg/edge/versions_test.go
+++ b/pkg/edge/versions_test.go
@@ -225,8 +225,7 @@
 			g.Expect(row.Complete).To(gomega.Equal(c.complete))
 			// While the row does not tell, the records of streams do.
 			s.streams.Began(bootNow(), "stream", &fleet.Server{ID: "a", Service: "s", Version: "v1", StartedUnixMilli: 1})
-			_, stores := s.streams.StreamsToStore(bootNow())
-			g.Expect(stores).To(gomega.Equal(!c.complete))
+			g.Expect(len(s.streams.Collections(bootNow())) > 0).To(gomega.Equal(!c.complete))
 		})
 	}
 }
--- a/pkg/mesh/format.go
+++ b/pkg/mesh/format.go
@@ -34,10 +34,12 @@
 	// FormatOrigins is that of daemons which state the routes and ages of streams that they know, and
 	// answer for which versions they know a moment before these had begun any stream.
 	FormatOrigins
+	// FormatCollectors is that of daemons which store records of streams that other daemons have begun.
+	FormatCollectors
 )
 
 // CurrentFormat is the format of this version.
-const CurrentFormat = FormatOrigins
+const CurrentFormat = FormatCollectors
 
 // formatMemory is how long a daemon that was heard counts when the oldest format is determined.
 // It covers the restart of a daemon, after which it states another one.
--- a/pkg/mesh/format_test.go
+++ b/pkg/mesh/format_test.go
@@ -20,6 +20,7 @@
 var goldenMessages = map[string]mesh.Format{
 	"message-3ce50e8.cbor": mesh.FormatRecords, "message-b5ba10b.cbor": mesh.FormatDigests, "message-format-3.cbor": mesh.FormatStated,
 	"message-format-4.cbor": mesh.FormatDemands, "message-format-5.cbor": mesh.FormatEpochs, "message-format-6.cbor": mesh.FormatOrigins,
+	"message-format-7.cbor": mesh.FormatCollectors,
 }
 
 func golden(t testing.TB, name string) []byte {
@@ -98,6 +99,21 @@
 	g.Expect(m.Versions.Uses).To(gomega.ContainElement(streamversion.Use{Service: "ages of streams", Version: "30000", AgeMillis: -9000}))
 }
 
+// TestTheFieldsOfCollectorsAreRead guards against fields of messages about streams that lose their meaning.
+func TestTheFieldsOfCollectorsAreRead(t *testing.T) {
+	g := gomega.NewWithT(t)
+	m, err := streamversion.Decode[streamversion.Message](golden(t, "streams-format-7.cbor"))
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(m.Collect).To(gomega.BeEquivalentTo(40))
+	g.Expect(m.Batch.Groups).To(gomega.HaveLen(1))
+	g.Expect(m.Batch.Groups[0].Origin).To(gomega.Equal(streamversion.Origin{Service: "s", Version: "v2"}))
+	g.Expect(m.Batch.Groups[0].Len()).To(gomega.Equal(2))
+	g.Expect(m.Batch.Groups[0].RemainingMillis).To(gomega.BeEquivalentTo(20_000))
+	reply, err := streamversion.Decode[streamversion.Reply](golden(t, "streams-reply-format-7.cbor"))
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(*reply).To(gomega.Equal(streamversion.Reply{Run: 5, Outcome: streamversion.RecordsBeingWritten}))
+}
+
 // TestTheCurrentFormatHasAGoldenMessage guards against a change of the format without a message
 // of it for later versions to read, and against fields that lose their numbers.
 func TestTheCurrentFormatHasAGoldenMessage(t *testing.T) {
--- a/pkg/streamversion/before_test.go
+++ b/pkg/streamversion/before_test.go
@@ -95,10 +95,8 @@
 	c.SetRoutes(after(10), append(routesTo("s"), streamversion.Route{PathPrefix: "/other/", Split: []catalog.Share{{Service: "s", Weight: 1}}}))
 	c.Began(after(20), "stream", server("i-1", "v1"))
 	g.Expect(c.SeveralVersions(after(20), "s")).To(BeFalse())
-	_, due := c.StreamsToStore(after(20))
-	g.Expect(due).To(BeFalse())
+	g.Expect(c.Collections(after(20))).To(BeEmpty())
 	join(c, after(100), server("i-2", "v2"))
 	g.Expect(c.SeveralVersions(after(100), "s")).To(BeTrue())
-	_, due = c.StreamsToStore(after(100))
-	g.Expect(due).To(BeTrue())
+	g.Expect(c.Collections(after(300))).NotTo(BeEmpty())
 }
--- a/pkg/streamversion/decide.go
+++ b/pkg/streamversion/decide.go
@@ -43,6 +43,8 @@
 	Listed []string
 	// ListUnknown is set if this daemon knows no others and has not read the list of daemons yet.
 	ListUnknown bool
+	// CollectorsAsked is set once the daemons that collect the record were asked.
+	CollectorsAsked bool
 	// PeersAsked is set once the other daemons that are alive were asked, Asked is how many, and
 	// Replies holds their replies by daemon.
 	PeersAsked bool
@@ -82,6 +84,8 @@
 	AskNobody Question = iota
 	// AskVersions asks the store for the row of versions.
 	AskVersions
+	// AskCollectors asks the daemons that collect the record of the stream.
+	AskCollectors
 	// AskPeers asks the other daemons for the record of the stream.
 	AskPeers
 	// AskRecords asks the store for the records of streams.
@@ -128,7 +132,7 @@
 		}
 		return proved(possible[0], source)
 	}
-	if next := c.nextQuestion(s, e, known && len(possible) == 1); next != AskNobody {
+	if next := c.nextQuestion(now, s, e, known && len(possible) == 1); next != AskNobody {
 		return Verdict{Source: SourceUnknown, Next: next}
 	}
 	switch {
@@ -204,20 +208,27 @@
 // sourceOfRecord returns where the record of a stream comes from that was not there at first.
 func sourceOfRecord(e *Evidence) Source {
 	switch {
+	case e.CollectorsAsked && e.PeersAsked:
+		return SourcePeer
 	case e.RecordsAsked:
 		return SourceStoredRecord
-	case e.PeersAsked:
+	case e.PeersAsked, e.CollectorsAsked:
 		return SourcePeer
 	}
 	return SourceRecord
 }
 
 // nextQuestion returns whom to ask next about a stream whose origin is not proved.
-func (c *Core) nextQuestion(s *Stream, e *Evidence, only bool) Question {
+func (c *Core) nextQuestion(now time.Time, s *Stream, e *Evidence, only bool) Question {
 	switch {
 	case only && e.Versions == NotAsked && !e.PeersAsked:
 		// This daemon may be behind: a version that it does not know may have begun the stream.
 		return AskVersions
+	case s.ID != "" && !e.CollectorsAsked && !e.PeersAsked && c.needsRecords(now, s.Service):
+		return AskCollectors
+	case s.ID != "" && e.CollectorsAsked && !e.RecordsAsked:
+		// What collectors were sent is stored.
+		return AskRecords
 	case s.ID != "" && !e.PeersAsked:
 		return AskPeers
 	case s.ID != "" && !e.RecordsAsked:
--- a/pkg/streamversion/holders.go
+++ b/pkg/streamversion/holders.go
@@ -15,6 +15,8 @@
 	Node, Zone string
 	// Run identifies the run of the daemon.
 	Run uint64
+	// Cores is the number of its CPU cores.
+	Cores float64
 }
 
 // holder is a daemon that holds copies of this daemon's records.
@@ -81,6 +83,7 @@
 	}
 	c.holders = chosen
 	c.turn = c.turnAmong(members)
+	c.setCollectors(members)
 }
 
 // holderCount is the number of daemons that hold copies of a daemon's records.
@@ -146,7 +149,8 @@
 	if h == nil || h.acknowledged >= c.revision {
 		return Batch{}, false
 	}
-	b := c.batch(now, c.own.order, h.acknowledged)
+	// What collectors are sent needs no other copies.
+	b := c.batch(now, slices.DeleteFunc(slices.Clone(c.own.order), func(key uint64) bool { return c.own.byKey[key].collected }), h.acknowledged)
 	return b, len(b.Groups) > 0
 }
 
@@ -156,7 +160,7 @@
 	groups := make(map[Origin]int)
 	for _, key := range keys {
 		r := c.own.byKey[key]
-		if r.revision <= acknowledged || !now.Before(r.expires) {
+		if acknowledged > 0 && r.revision <= acknowledged || !now.Before(r.expires) {
 			continue
 		}
 		i, ok := groups[r.origin]
--- a/pkg/streamversion/message.go
+++ b/pkg/streamversion/message.go
@@ -17,6 +17,9 @@
 	Lookup []uint64 `cbor:"2,keyasint,omitempty"`
 	// Possible holds the origins that are possible for the stream asked for.
 	Possible []Origin `cbor:"3,keyasint,omitempty"`
+	// Collect asks a daemon to store the records, and is the time in milliseconds for which it may wait
+	// for the store before it replies. Daemons before FormatCollectors hold them only.
+	Collect int64 `cbor:"4,keyasint,omitempty"`
 }
 
 // Reply is the response to a Message.
@@ -28,6 +31,8 @@
 	// Later holds those of the possible origins of which the daemon knows a moment in its run before
 	// which they had begun no stream.
 	Later []Origin `cbor:"3,keyasint,omitempty"`
+	// Outcome is what has become of the records to be stored.
+	Outcome CollectOutcome `cbor:"4,keyasint,omitempty"`
 }
 
 // Lookup returns the message that asks for the origin of a stream.
--- a/pkg/streamversion/model_test.go
+++ b/pkg/streamversion/model_test.go
@@ -16,8 +16,7 @@
 )
 
 const (
-	modelTick    = 50 * time.Millisecond
-	modelDaemons = 7
+	modelTick = 50 * time.Millisecond
 	// contactTime is how long a daemon and the store must have been calm until a take-up counts.
 	contactTime = 4 * time.Second
 	// calmLatency and slowLatency are those of a transaction; a read takes half of it.
@@ -71,8 +70,8 @@
 	service, version string
 	daemon           int
 	run              uint64
-	// eventAt is when its caller has its first event, and endsAt when it needs the stream no more.
-	begunAt, eventAt, endsAt time.Time
+	// endsAt is when its caller needs the stream no more.
+	begunAt, endsAt time.Time
 	// tryAt is when its caller takes it up, or zero.
 	tryAt           time.Time
 	counted, goneOn bool
@@ -81,6 +80,9 @@
 	// began it was lost without having reached the store for storeTime since.
 	losses   int
 	unstored bool
+	// waits is set until the caller has its first event, and recorded if the store had to have the
+	// record by then: its service had several versions, and the store was calm for all.
+	waits, recorded bool
 }
 
 // transaction is a write that the store performs at a time.
@@ -93,8 +95,19 @@
 }
 
 type storedRecords struct {
-	version int
-	batch   streamversion.Batch
+	partition string
+	writes    uint64
+	batch     streamversion.Batch
+}
+
+// collectCall is a call to a collector that has not replied yet.
+type collectCall struct {
+	from, to *modelDaemon
+	// fromRun and toRun are the runs of both when the call was sent, and toRun is 0 if it was not alive.
+	fromRun, toRun uint64
+	call           streamversion.Collection
+	sentAt         time.Time
+	lost           bool
 }
 
 // modelStore is the store: the row of versions and the records of streams.
@@ -108,6 +121,8 @@
 	partFree   map[string]time.Time
 	// calmSince is when the store last began to answer all calls at once.
 	calmSince time.Time
+	// losesAnswers is set while the answers of some writes are lost.
+	losesAnswers bool
 }
 
 // modelDaemon is one daemon with its core.
@@ -124,11 +139,10 @@
 	view       map[string]fleet.Server
 	viewAt     time.Time
 	config     *configuration
-	records    streamversion.RecordRow
-	recordsRow int
-	// versionsBusy and recordsBusy are set while a call is in progress.
-	versionsBusy, recordsBusy                bool
-	versionsAt, recordsAt, copyAt, messageAt time.Time
+	log        *streamversion.RecordLog
+	// versionsBusy is set while a call is in progress.
+	versionsBusy                  bool
+	versionsAt, copyAt, messageAt time.Time
 	// dutiesLoaded is set once the holder of the duties has read the row, dutiesRow.
 	dutiesLoaded  bool
 	dutiesRow     streamversion.Row
@@ -144,7 +158,10 @@
 	now     time.Time
 	daemons []*modelDaemon
 	store   modelStore
-	listed  map[string]fleet.Server
+	calls   []*collectCall
+	// losesReplies is set while some replies of collectors are lost.
+	losesReplies bool
+	listed       map[string]fleet.Server
 	// listedSince is when the servers of a version were last listed or withdrawn.
 	listedSince map[string]time.Time
 	configs     []*configuration
@@ -160,14 +177,18 @@
 	joinedStream string
 	// Counts of streams that count for LOST, and how often each rule was put to the test.
 	takenUp, wentOn, sent, began, decided int
+	// events counts the events played, waits the first events that waited for their record, and
+	// lateEvents those that waited for as long as they may.
+	events            map[string]int
+	waits, lateEvents int
 }
 
-func newModel(seed uint64) *model {
-	m := &model{rng: rand.New(rand.NewPCG(seed, 1)), now: start, listed: make(map[string]fleet.Server), listedSince: make(map[string]time.Time), paths: []string{"/a/x", "/a/b/x", "/c/x"}}
+func newModel(seed uint64, daemons int) *model {
+	m := &model{events: make(map[string]int), rng: rand.New(rand.NewPCG(seed, 1)), now: start, listed: make(map[string]fleet.Server), listedSince: make(map[string]time.Time), paths: []string{"/a/x", "/a/b/x", "/c/x"}}
 	m.store = modelStore{latency: calmLatency, records: make(map[string]storedRecords), partFree: make(map[string]time.Time), calmSince: start}
 	m.publish([]time.Duration{3 * time.Second, 8 * time.Second, 12 * time.Second}[m.rng.IntN(3)], routeTo("/", "s", 1))
 	m.join("v1")
-	for i := range modelDaemons {
+	for i := range daemons {
 		m.daemons = append(m.daemons, &modelDaemon{index: i})
 		m.startDaemon(m.daemons[i])
 	}
@@ -222,15 +243,13 @@
 	m.runs++
 	*d = modelDaemon{index: d.index, turnedAway: d.turnedAway, run: m.runs, alive: true, startedAt: m.now, lastAlive: m.now, view: make(map[string]fleet.Server)}
 	d.core = streamversion.New(d.node(), fmt.Sprint("zone-", d.index%3), d.run)
-	d.recordsRow = m.store.records[d.rowKey()].version
+	d.log = streamversion.NewRecordLog(d.node(), d.run)
 	if m.reaches(d) {
 		m.adopt(d)
 		m.refresh(d)
 	}
 }
 
-func (d *modelDaemon) rowKey() string { return fmt.Sprint(d.index, "/", d.run) }
-
 // reaches reports whether a daemon reaches the store.
 func (m *model) reaches(d *modelDaemon) bool { return !m.store.away && !d.turnedAway }
 
@@ -271,7 +290,7 @@
 	d.alive, d.startsAt = false, m.now.Add(dark)
 	for _, s := range m.streams {
 		if s.daemon == d.index && s.run == d.run && !s.finished {
-			s.unstored = s.unstored || d.reachedAt.Before(s.begunAt.Add(storeTime))
+			s.unstored = s.unstored || !s.recorded && d.reachedAt.Before(s.begunAt.Add(storeTime))
 			m.breakOff(s, time.Duration(200+m.rng.IntN(5000))*time.Millisecond)
 		}
 	}
@@ -279,7 +298,7 @@
 
 // breakOff lets the caller of a stream take it up after a while. A caller without an event does not.
 func (m *model) breakOff(s *modelStream, after time.Duration) {
-	if m.now.Before(s.eventAt) {
+	if s.waits {
 		s.finished = true
 		return
 	}
@@ -301,7 +320,7 @@
 
 // setStore sets how the store answers: slow, away for all, or not for the daemons that rank as hubs.
 func (m *model) setStore(slow, away, hubsTurnedAway bool) {
-	m.store.latency, m.store.away = calmLatency, away
+	m.store.latency, m.store.away, m.store.losesAnswers = calmLatency, away, false
 	if slow {
 		m.store.latency = slowLatency
 	}
@@ -351,7 +370,13 @@
 	}
 	at = at.Add(m.store.latency)
 	m.store.partFree[part] = at
-	m.store.queue = append(m.store.queue, transaction{at: at, apply: apply, done: ifRunning, deadline: m.now.Add(timeout)})
+	deadline := m.now.Add(timeout)
+	if m.store.losesAnswers && m.rng.IntN(3) == 0 {
+		// The write is made, and its answer is lost.
+		m.store.queue = append(m.store.queue, transaction{at: at, apply: apply})
+		apply, at = func() bool { return false }, deadline
+	}
+	m.store.queue = append(m.store.queue, transaction{at: at, apply: apply, done: ifRunning, deadline: deadline})
 }
 
 // read sends a read to the store.
@@ -411,7 +436,13 @@
 			m.exchange(d)
 			m.copyRecords(d)
 			m.storeVersions(d)
-			m.storeRecords(d)
+			m.collectRecords(d)
+		}
+	}
+	m.answerCollectCalls()
+	for _, d := range m.daemons {
+		if d.alive {
+			m.writeRecords(d)
 		}
 	}
 	m.performDuties()
@@ -421,6 +452,7 @@
 		}
 	}
 	for _, s := range m.streams {
+		m.passFirstEvent(s)
 		if !s.finished && s.tryAt.IsZero() && m.now.After(s.endsAt) {
 			s.finished = true
 		}
@@ -460,7 +492,7 @@
 		return
 	}
 	d.messageAt = m.now.Add(250 * time.Millisecond)
-	for _, o := range m.daemons {
+	for _, o := range m.exchangesWith(d) {
 		if o == d || !o.alive {
 			continue
 		}
@@ -471,12 +503,35 @@
 	}
 }
 
+// maxNeighbors is the number of daemons up to which each hears all others.
+const maxNeighbors = 12
+
+// exchangesWith returns the daemons that a daemon asks: all, or those that rank as hubs and some others.
+func (m *model) exchangesWith(d *modelDaemon) []*modelDaemon {
+	if len(m.daemons) <= maxNeighbors {
+		return m.daemons
+	}
+	var neighbors []*modelDaemon
+	for _, o := range m.daemons {
+		if m.isHub(o) {
+			neighbors = append(neighbors, o)
+		}
+	}
+	for range 2 {
+		neighbors = append(neighbors, m.daemons[m.rng.IntN(len(m.daemons))])
+	}
+	return neighbors
+}
+
 // copyRecords lets a daemon copy the records of its streams to its holders.
 func (m *model) copyRecords(d *modelDaemon) {
 	if m.now.Before(d.copyAt) {
 		return
 	}
 	d.copyAt = m.now.Add(200 * time.Millisecond)
+	if len(m.daemons) > maxNeighbors {
+		d.copyAt = m.now.Add(500 * time.Millisecond)
+	}
 	var members []streamversion.Member
 	for _, o := range m.daemons {
 		if o != d && m.seemsAlive(o) {
@@ -484,7 +539,8 @@
 		}
 	}
 	d.core.SetMembers(m.now, members)
-	for _, o := range m.daemons {
+	for _, node := range d.core.Holders() {
+		o := m.named(node)
 		if batch, ok := d.core.BatchFor(m.now, o.node()); ok && o.alive {
 			reply := o.core.Handle(m.now, &streamversion.Message{Batch: batch})
 			d.core.Acknowledged(o.node(), reply.Run, &batch)
@@ -492,6 +548,11 @@
 	}
 }
 
+// named returns the daemon of a name.
+func (m *model) named(node string) *modelDaemon {
+	return m.daemons[slices.IndexFunc(m.daemons, func(d *modelDaemon) bool { return d.node() == node })]
+}
+
 // storeVersions lets a daemon read the row of versions, and add to it.
 func (m *model) storeVersions(d *modelDaemon) {
 	if d.versionsBusy || d.config == nil || m.now.Before(d.versionsAt) && !d.joined {
@@ -565,42 +626,65 @@
 	})
 }
 
-// storeRecords lets a daemon keep the records of its streams in the store.
-func (m *model) storeRecords(d *modelDaemon) {
-	if d.recordsBusy || m.now.Before(d.recordsAt) {
-		return
+// collectRecords lets a daemon send records of its streams to collectors.
+func (m *model) collectRecords(d *modelDaemon) {
+	for _, call := range d.core.Collections(m.now) {
+		c := &collectCall{from: d, to: m.named(call.Node), fromRun: d.run, call: call, sentAt: m.now, lost: m.losesReplies && m.rng.IntN(4) == 0}
+		if c.to.alive {
+			c.toRun = c.to.run
+			if call.Message.Collect > 0 {
+				c.to.log.Add(m.now, &call.Message.Batch)
+			}
+			c.to.core.Handle(m.now, &call.Message)
+		}
+		m.calls = append(m.calls, c)
 	}
-	batch, due := d.core.StreamsToStore(m.now)
-	again := func() { d.recordsBusy, d.recordsAt = false, m.now.Add(100*time.Millisecond) }
-	switch d.records.Next(due) {
-	case streamversion.WriteRecords:
-		d.recordsBusy = true
-		key, version := d.rowKey(), d.recordsRow
-		m.transact(d, d.core.RecordsPart(), streamversion.RecordsTimeout, func() bool {
-			if m.store.records[key].version != version {
+}
+
+// collectTimeout is how long a daemon waits for a reply beyond the time that it gives the collector.
+const collectTimeout = 200 * time.Millisecond
+
+// answerCollectCalls lets collectors reply once the store has the records, or their time is over. Those
+// that were lost do not.
+func (m *model) answerCollectCalls() {
+	m.calls = slices.DeleteFunc(m.calls, func(c *collectCall) bool {
+		if !c.from.alive || c.from.run != c.fromRun {
+			return true
+		}
+		wait := time.Duration(c.call.Message.Collect) * time.Millisecond
+		if c.lost || c.toRun == 0 || !c.to.alive || c.to.run != c.toRun {
+			if m.now.Sub(c.sentAt) < wait+collectTimeout {
 				return false
 			}
-			m.store.records[key] = storedRecords{version: version + 1, batch: batch}
+			c.from.core.Collected(m.now, &c.call, nil)
 			return true
-		}, func(ok bool) {
-			again()
-			d.records.Written(ok)
-			if ok {
-				d.recordsRow++
-				d.core.StreamsStored(&batch)
+		}
+		reply := streamversion.Reply{Run: c.to.run}
+		if wait > 0 {
+			reply.Outcome = c.to.log.Outcome(&c.call.Message.Batch)
+			if reply.Outcome == streamversion.RecordsBeingWritten && m.now.Sub(c.sentAt) < wait {
+				return false
 			}
-		})
-	case streamversion.ReadRecords:
-		d.recordsBusy = true
-		m.read(d, streamversion.RecordsTimeout, func(ok bool) {
-			again()
-			d.records.Read(ok)
-			if ok {
-				stored := m.store.records[d.rowKey()]
-				d.recordsRow = stored.version
-				d.core.StreamsStored(&stored.batch)
+		}
+		c.from.core.Collected(m.now, &c.call, &reply)
+		return true
+	})
+}
+
+// writeRecords lets a collector write the records that it was sent.
+func (m *model) writeRecords(d *modelDaemon) {
+	for {
+		w, _ := d.log.Next(m.now)
+		if w == nil {
+			return
+		}
+		m.transact(d, w.Partition, streamversion.RecordsTimeout, func() bool {
+			if m.store.records[w.Row].writes != w.Writes {
+				return false
 			}
-		})
+			m.store.records[w.Row] = storedRecords{partition: w.Partition, writes: w.Writes + 1, batch: w.Batch}
+			return true
+		}, func(ok bool) { d.log.Written(m.now, w, ok) })
 	}
 }
 
@@ -632,14 +716,30 @@
 	}
 	server := servers[m.rng.IntN(len(servers))]
 	d.core.Began(m.now, id, &server)
-	s := &modelStream{id: id, path: path, service: service, version: server.Version, daemon: d.index, run: d.run, begunAt: m.now, eventAt: m.now}
+	s := &modelStream{id: id, path: path, service: service, version: server.Version, daemon: d.index, run: d.run, begunAt: m.now}
 	if d.core.SeveralVersions(m.now, service) {
-		s.eventAt = m.now.Add(firstEventWait)
+		s.waits, s.recorded = true, m.calm() >= contactTime && !m.losesReplies
 	}
 	s.endsAt = m.now.Add(time.Duration((0.3 + 1.3*m.rng.Float64()) * float64(d.config.timeout)))
 	m.streams = append(m.streams, s)
 }
 
+// passFirstEvent lets the caller of a stream have its first event once the store has the record, or after
+// firstEventWait.
+func (m *model) passFirstEvent(s *modelStream) {
+	if !s.waits || s.finished {
+		return
+	}
+	late := m.now.Sub(s.begunAt) >= firstEventWait
+	if !late && !m.daemons[s.daemon].core.MayPass(m.now, s.id) {
+		return
+	}
+	s.waits = false
+	if m.waits++; late {
+		m.lateEvents++
+	}
+}
+
 // inTouch reports whether what a daemon does counts for LOST.
 func (m *model) inTouch(d *modelDaemon) bool {
 	return d.alive && m.now.Sub(d.startedAt) >= contactTime && m.calm() >= contactTime
@@ -714,7 +814,7 @@
 	for _, server := range m.listed {
 		listed = listed || server.Version == s.version && server.Service == s.service
 	}
-	return m.inTouch(d) && listed && m.now.Sub(m.listedSince[s.version]) >= contactTime && d.config == m.config() && !m.moved(s) && !s.unstored && s.losses <= 1
+	return m.inTouch(d) && listed && m.now.Sub(m.listedSince[s.version]) >= contactTime && d.config == m.config() && !m.moved(s) && !s.unstored && (s.losses <= 1 || s.recorded)
 }
 
 // decide asks those that the core names until it has concluded.
@@ -736,6 +836,18 @@
 				}
 			}
 			evidence.VersionsRead(outcome)
+		case streamversion.AskCollectors:
+			evidence.CollectorsAsked = true
+			lookup := d.core.Lookup(m.now, s)
+			for _, node := range d.core.CollectorsFor(s.ID) {
+				if o := m.named(node); o.alive {
+					reply := o.core.Handle(m.now, &lookup)
+					evidence.Replied(node, &reply)
+					if origin, found := reply.OriginOf(s.ID); found {
+						d.core.Learned(m.now, s.ID, origin)
+					}
+				}
+			}
 		case streamversion.AskPeers:
 			evidence.PeersAsked = true
 			lookup := d.core.Lookup(m.now, s)
@@ -759,9 +871,10 @@
 		case streamversion.AskRecords:
 			evidence.RecordsAsked = true
 			if answers {
-				for _, key := range slices.Sorted(maps.Keys(m.store.records)) {
-					batch := m.store.records[key].batch
-					d.core.MergeStreams(m.now, &batch)
+				for _, row := range slices.Sorted(maps.Keys(m.store.records)) {
+					if stored := m.store.records[row]; slices.Contains(streamversion.PartitionsOf(s.ID), stored.partition) {
+						d.core.MergeStreams(m.now, &stored.batch)
+					}
 				}
 			}
 		default:
@@ -780,6 +893,7 @@
 // event plays an event of a name.
 func (m *model) event(name string, variant int) {
 	c := m.config()
+	m.events[name]++
 	switch name {
 	case "join":
 		m.join(fmt.Sprint("v", 1+variant%3))
@@ -808,6 +922,16 @@
 		m.reset()
 	case "kill one":
 		m.kill(m.daemons[variant], 3500*time.Millisecond)
+	case "kill 55 in 100":
+		for _, i := range m.rng.Perm(len(m.daemons))[:(55*len(m.daemons)+99)/100] {
+			m.kill(m.daemons[i], 2*time.Second)
+		}
+	case "kill two zones":
+		for _, d := range m.daemons {
+			if d.index%3 != variant%3 {
+				m.kill(d, 2*time.Second)
+			}
+		}
 	case "kill all":
 		for _, d := range m.daemons {
 			m.kill(d, time.Second)
@@ -815,6 +939,10 @@
 		for _, s := range m.streams {
 			s.losses++
 		}
+	case "kill all twice":
+		m.event("kill all", variant)
+		m.play(time.Duration(1500+m.rng.IntN(4000)) * time.Millisecond)
+		m.event("kill all", variant)
 	case "kill all beside a slow store":
 		m.setStore(true, false, false)
 		m.play(time.Duration(3+variant) * time.Second)
@@ -827,7 +955,13 @@
 		m.setStore(false, true, false)
 	case "store slow":
 		m.setStore(true, false, false)
+	case "answers lost":
+		m.setStore(false, false, false)
+		m.store.losesAnswers, m.store.calmSince = true, m.now.Add(time.Hour)
+	case "replies lost":
+		m.losesReplies = true
 	case "store calm":
+		m.losesReplies = false
 		m.setStore(false, false, false)
 	}
 }
--- a/pkg/streamversion/random_test.go
+++ b/pkg/streamversion/random_test.go
@@ -135,6 +135,12 @@
 	})
 }
 
+// modelDaemons is the number of daemons in the model, and largeModels are numbers at each of which
+// daemons exchange messages or share work in another way.
+const modelDaemons = 7
+
+var largeModels = []int{7, 13, 65, 85}
+
 // defaultChecks is the number of runs of each subtest of TestRandomResumedStreams, unless CHECKS sets it.
 const defaultChecks = "60"
 
@@ -154,28 +160,46 @@
 	for _, test := range []struct {
 		name   string
 		events []string
+		// daemons are the sizes of the deployments, one after the other, instead of modelDaemons, and
+		// fraction is by how much fewer runs there are.
+		daemons  []int
+		fraction uint64
 	}{
-		{"timeouts changed after a canary release", []string{"canary", "timeout", "reset"}},
-		{"the store away for hubs", []string{"canary", "hubs turned away", "canary beside hubs turned away", "store calm", "kill all"}},
-		{"the store away for all", []string{"canary", "join", "store away", "store calm", "kill all", "reset"}},
-		{"versions around a loss of all", []string{"join", "kill all", "withdraw"}},
-		{"routes around a loss of one", []string{"kill one", "routes"}},
-		{"routes around a loss of all", []string{"kill all", "routes", "timeout"}},
-		{"a slow store", []string{"join", "store slow", "store calm", "kill all", "kill all beside a slow store"}},
-		{"all", []string{"join", "withdraw", "canary", "timeout", "reset", "hubs turned away", "store away", "store slow", "store calm", "kill all", "kill one", "routes"}},
+		{name: "timeouts changed after a canary release", events: []string{"canary", "timeout", "reset"}},
+		{name: "the store away for hubs", events: []string{"canary", "hubs turned away", "canary beside hubs turned away", "store calm", "kill all"}},
+		{name: "the store away for all", events: []string{"canary", "join", "store away", "store calm", "kill all", "reset"}},
+		{name: "versions around a loss of all", events: []string{"join", "kill all", "withdraw"}},
+		{name: "routes around a loss of one", events: []string{"kill one", "routes"}},
+		{name: "routes around a loss of all", events: []string{"kill all", "routes", "timeout"}},
+		{name: "a slow store", events: []string{"join", "store slow", "store calm", "kill all", "kill all beside a slow store"}},
+		{name: "all", events: []string{"join", "withdraw", "canary", "timeout", "reset", "hubs turned away", "store away", "store slow", "store calm", "kill all", "kill one", "routes"}},
+		{name: "some lost", events: []string{"join", "withdraw", "kill one", "kill 55 in 100", "kill two zones", "answers lost", "replies lost", "store calm"}, daemons: largeModels, fraction: 4},
+		{name: "all lost", events: []string{"join", "withdraw", "kill all", "kill all twice", "kill 55 in 100", "store calm"}, daemons: largeModels, fraction: 4},
+		{name: "some lost beside a slow store", events: []string{"join", "kill 55 in 100", "kill two zones", "store slow", "store away", "store calm", "hubs turned away"}, daemons: largeModels, fraction: 4},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			t.Parallel()
 			var total model
 			var joined, lost []string
-			for seed := first; seed < first+checks; seed++ {
-				m := newModel(seed)
+			tried := make(map[string]int)
+			sizes := test.daemons
+			if len(sizes) == 0 {
+				sizes = []int{modelDaemons}
+			}
+			runs := checks / max(test.fraction, 1)
+			for seed := first; seed < first+runs; seed++ {
+				m := newModel(seed, sizes[seed%uint64(len(sizes))])
 				m.play(14 * time.Second)
+				if len(test.daemons) > 0 {
+					// Losses only matter beside two versions.
+					m.event("join", 1)
+					m.play(time.Duration(5+m.rng.IntN(20)) * 200 * time.Millisecond)
+				}
 				for range 2 + m.rng.IntN(5) {
 					m.event(test.events[m.rng.IntN(len(test.events))], m.rng.IntN(6))
 					m.play(time.Duration(1+m.rng.IntN(30)) * 200 * time.Millisecond)
 				}
-				m.setStore(false, false, false)
+				m.event("store calm", 0)
 				m.play(6 * time.Second)
 				m.reset()
 				m.play(6 * time.Second)
@@ -183,14 +207,18 @@
 				if m.joinedStream != "" {
 					joined = append(joined, fmt.Sprintf("seed %d: %s\n%s", seed, m.joinedStream, strings.Join(m.log, "\n")))
 				}
+				for name, n := range m.events {
+					tried[name] += n
+				}
+				total.lateEvents, total.waits = total.lateEvents+m.lateEvents, total.waits+m.waits
 				if m.takenUp >= minTakeUps && float64(m.wentOn)/float64(m.takenUp) < float64(m.began)/float64(m.sent)/2 {
-					lost = append(lost, fmt.Sprintf("seed %d: %d of %d streams taken up went on, %d of %d new ones began\n%s", seed, m.wentOn, m.takenUp, m.began, m.sent, strings.Join(m.log, "\n")))
+					lost = append(lost, fmt.Sprintf("seed %d, %d daemons: %d of %d streams taken up went on, %d of %d new ones began\n%s", seed, len(m.daemons), m.wentOn, m.takenUp, m.began, m.sent, strings.Join(m.log, "\n")))
 				}
 			}
-			t.Logf("%d runs, %d take-ups put ORDER to the test, %d LOST, of which %d went on", checks, total.decided, total.takenUp, total.wentOn)
+			t.Logf("%d runs, %d take-ups put ORDER to the test, %d LOST, of which %d went on; %d of %d first events waited in vain; events: %v", runs, total.decided, total.takenUp, total.wentOn, total.lateEvents, total.waits, tried)
 			for rule, broken := range map[string][]string{"ORDER": joined, "LOST": lost} {
 				if len(broken) > 0 {
-					t.Errorf("%s broken in %d of %d runs, first %s", rule, len(broken), checks, broken[0])
+					t.Errorf("%s broken in %d of %d runs, first %s", rule, len(broken), runs, broken[0])
 				}
 			}
 			if total.decided == 0 || total.takenUp == 0 {
--- a/pkg/streamversion/streamversion.go
+++ b/pkg/streamversion/streamversion.go
@@ -44,6 +44,8 @@
 	expires time.Time
 	// revision numbers the records of which holders need a copy; it is 0 for others.
 	revision uint64
+	// collected is set once collectors are sent the record, and stored once the store has it.
+	collected, stored bool
 }
 
 // Core holds what one daemon knows of versions and streams. It is not safe for
@@ -61,17 +63,28 @@
 	ageText   string
 	// revision is the number of changes to records of which holders need a copy.
 	revision uint64
-	// storedRevision is the revision up to which the store has the records.
-	storedRevision uint64
-	holders        map[string]*holder
+	holders  map[string]*holder
+	// cores is the number of cores of this daemon, members are the other daemons that are alive, and
+	// collectors the order in which all collect the records of each part, unless it is to be determined.
+	cores      float64
+	members    []Member
+	collectors *[recordsParts][]candidate
+	// newKeys holds the records since the last call of Collections, and fullPassAt is when that last
+	// looked at all. uncollected holds the records that the store lacks, uncollectedOrder their keys.
+	newKeys          []uint64
+	fullPassAt       time.Time
+	uncollected      map[uint64]*collected
+	uncollectedOrder []uint64
+	// calls is the number of calls in progress to each collector, passedOver holds until when others
+	// collect in place of those that do not reply, and refusing those that can't store records.
+	calls                map[string]int
+	passedOver, refusing map[string]time.Time
 	// uncoveredReadAt is when ReadsRow last let a daemon read the row that does not know all versions
 	// in use.
 	uncoveredReadAt time.Time
 	// rowWrittenAt is when this daemon last wrote the row of versions, and turn the position at which
 	// it does so if the daemons that rank as hubs do not.
 	rowWrittenAt time.Time
-	// recordsPart is the part of the store with the records of this run, once it is chosen.
-	recordsPart string
 	// aliveAt is when each other daemon was last known to be alive, by node.
 	aliveAt map[string]time.Time
 	turn    int
@@ -80,7 +93,8 @@
 // New returns an empty Core of a daemon.
 func New(node, zone string, run uint64) *Core {
 	return &Core{node: node, zone: zone, run: run, streamAge: defaultStreamAge, versions: newHistory(), own: newRecords(maxOwnRecords), copies: newRecords(maxCopies),
-		holders: make(map[string]*holder), aliveAt: make(map[string]time.Time)}
+		holders: make(map[string]*holder), aliveAt: make(map[string]time.Time), uncollected: make(map[uint64]*collected), calls: make(map[string]int),
+		passedOver: make(map[string]time.Time), refusing: make(map[string]time.Time)}
 }
 
 // keyBytes is the size of a key. Among the streams of 590 daemons, of which millions may be
@@ -91,10 +105,14 @@
 // that brought its first event.
 func keyOf(stream string) uint64 { return xxhash.Sum64String(stream) >> (64 - 8*keyBytes) }
 
+// SetCores sets the number of cores of this daemon.
+func (c *Core) SetCores(cores float64) { c.cores = cores }
+
 // Began records that the run in a server's entry has begun a stream. It is called before the
 // first event is passed on to the caller.
 func (c *Core) Began(now time.Time, stream string, server *fleet.Server) {
 	c.own.put(now, keyOf(stream), record{origin: originOf(server), expires: now.Add(c.streamAge)})
+	c.newKeys = append(c.newKeys, keyOf(stream))
 }
 
 // originOf returns the origin that a server gives to streams. The version in an entry that does
