Collect records of streams with fewer writes

There is one collector for each 150 daemons now, which writes every 60 ms; the store has eight partitions as before, of which a collector uses further ones only while writes are slow. Collectors also read the store for take-ups, so that not every daemon does after a loss of all.

--- a/pkg/edge/odd_test.go
+++ b/pkg/edge/odd_test.go
@@ -52,7 +52,7 @@
 			core.Inherit(bootNow(), 3)
 			u.saveSize(t.Context(), "s", core)
 			g.Expect(u.storedSizes["s"].row.Present).To(gomega.Equal(3), "it is written again")
-			s.learnStoredStreams(t.Context(), "stream")
+			s.learnStoredStreams(t.Context())
 			_, err = u.storeFinalCounts(t.Context(), 7, usage.Counts{"account": 1})
 			if strings.HasPrefix(value, "{") {
 				g.Expect(err).To(gomega.Or(gomega.BeNil(), gomega.BeAssignableToTypeOf(&UnusableRowError{})))
--- a/pkg/edge/storedstreams.go
+++ b/pkg/edge/storedstreams.go
@@ -10,7 +10,6 @@
 	"k8s.io/klog/v2"
 
 	"github.com/monsooncrank/monsooncrank/coordination/table"
-	"github.com/monsooncrank/monsooncrank/pkg/mesh"
 	"github.com/monsooncrank/monsooncrank/pkg/streamversion"
 )
 
@@ -27,10 +26,9 @@
 	// collectReplyTime is how long a reply may take beyond the time that a collector may wait for the
 	// store.
 	collectReplyTime = 200 * time.Millisecond
-	// streamsReadInterval is the least time between two reads of a part of the records, and
-	// streamsRetryInterval that after a read that failed. It is longer than a read may take, so that
-	// take-ups which come together share one failed read. A daemon makes at most 32 reads a second,
-	// where the store answers 50 for each.
+	// streamsReadInterval is the least time between two reads of the records, and streamsRetryInterval
+	// that after a read that failed. It is longer than a read may take, so that take-ups which come
+	// together share one failed read. Daemons leave it to the collectors, as long as one replies.
 	streamsReadInterval  = time.Second
 	streamsRetryInterval = 300 * time.Millisecond
 	// streamsCleanInterval is how often the holder of the duties looks for rows to delete, unless
@@ -47,16 +45,14 @@
 	// collected is closed and replaced when a collector has replied, and written when a write of
 	// records has ended.
 	collected, written chan struct{}
-	// reads holds when the parts were read, by their first partition. It is guarded by versionsReading.
-	reads map[string]recordsRead
+	// readAt is when this daemon last read the stored records of streams, or zero, and readFailedAt when
+	// a read of them last failed. Both are guarded by versionsReading.
+	readAt, readFailedAt time.Time
 }
 
-// recordsRead is when a part of the records was last read, or zero, and when a read last failed.
-type recordsRead struct{ at, failedAt time.Time }
-
 func newRecordsState(node string, incarnation uint64) recordsState {
 	return recordsState{log: streamversion.NewRecordLog(node, incarnation), collectWake: make(chan struct{}, 1), storeWake: make(chan struct{}, 1),
-		collected: make(chan struct{}), written: make(chan struct{}), reads: make(map[string]recordsRead)}
+		collected: make(chan struct{}), written: make(chan struct{})}
 }
 
 func wake(c chan struct{}) {
@@ -152,12 +148,19 @@
 	s.mu.Lock()
 	reply := s.streams.Handle(bootNow(), m)
 	if m.Collect > 0 {
-		s.records.log.Add(bootNow(), &m.Batch)
+		s.records.log.Add(bootNow(), m)
 	}
 	s.mu.Unlock()
 	if m.Collect > 0 {
 		reply.Outcome = s.awaitStored(ctx, m)
 	}
+	if m.ReadsStore && len(reply.Origins) < len(m.Lookup) {
+		hasRead := s.learnStoredStreams(ctx)
+		s.mu.Lock()
+		reply = s.streams.Answer(bootNow(), m)
+		s.mu.Unlock()
+		reply.HasRead = hasRead
+	}
 	return &reply
 }
 
@@ -260,37 +263,29 @@
 
 func (s semaphore) release() { <-s }
 
-// learnStoredStreams reads the part of the stored records that has the one of a stream, unless that was
-// done lately. All that wait share one read, which goes on when its caller leaves.
-func (s *state) learnStoredStreams(ctx context.Context, stream string) {
-	if !s.versionsReading.acquire(ctx) {
-		return
+// learnStoredStreams reads the records that daemons have stored, unless that was done lately. All that
+// wait share one read, which goes on when its caller leaves. It reports whether it has read them.
+func (s *state) learnStoredStreams(ctx context.Context) bool {
+	if s.versionStore == nil || !s.versionsReading.acquire(ctx) {
+		return false
 	}
 	defer s.versionsReading.release()
-	partitions, now := streamversion.PartitionsOf(stream), bootNow()
-	last := s.records.reads[partitions[0]]
+	now := bootNow()
 	lately := func(at time.Time, interval time.Duration) bool { return !at.IsZero() && now.Sub(at) < interval }
-	if s.versionStore == nil || lately(last.at, streamsReadInterval) || lately(last.failedAt, streamsRetryInterval) {
-		return
+	if lately(s.records.readAt, streamsReadInterval) {
+		return true
 	}
-	s.mu.Lock()
-	if s.peers.OldestFormat(now) < mesh.FormatCollectors {
-		// Daemons of earlier builds write to any partition.
-		for _, earlier := range streamversion.EarlierPartitions() {
-			if !slices.Contains(partitions, earlier) {
-				partitions = append(partitions, earlier)
-			}
-		}
+	if lately(s.records.readFailedAt, streamsRetryInterval) {
+		return false
 	}
-	s.mu.Unlock()
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), lookupTimeout)
 	defer cancel()
-	items, err := s.readStoredStreams(ctx, partitions)
+	items, err := s.readStoredStreams(ctx)
 	if err != nil {
-		s.records.reads[partitions[0]] = recordsRead{failedAt: bootNow()}
-		klog.InfoS("failed to read the stored records of streams", "partition", partitions[0], "err", err)
+		s.records.readAt, s.records.readFailedAt = time.Time{}, bootNow()
+		klog.InfoS("failed to read the stored records of streams", "err", err)
 	} else {
-		s.records.reads[partitions[0]] = recordsRead{at: now}
+		s.records.readAt = now
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -306,11 +301,13 @@
 			records += m.Batch.Groups[i].Len()
 		}
 	}
-	klog.InfoS("stored records of streams read", "partition", partitions[0], "rows", len(items), "records", records)
+	klog.InfoS("stored records of streams read", "rows", len(items), "records", records)
+	return err == nil
 }
 
 // readStoredStreams returns the rows of all partitions that could be read.
-func (s *state) readStoredStreams(ctx context.Context, partitions []string) ([]table.Item, error) {
+func (s *state) readStoredStreams(ctx context.Context) ([]table.Item, error) {
+	partitions := streamversion.RecordsPartitions()
 	rows, failures := make([][]table.Item, len(partitions)), make([]error, len(partitions))
 	var reads sync.WaitGroup
 	for i, partition := range partitions {
--- a/pkg/edge/storedstreams_test.go
+++ b/pkg/edge/storedstreams_test.go
@@ -24,7 +24,7 @@
 }
 
 func (c *countedReads) Query(ctx context.Context, partition, after string, limit int) ([]table.Item, error) {
-	if partition == streamversion.PartitionsOf("one")[0] {
+	if partition == streamversion.RecordsPartitions()[0] {
 		c.count.Add(1)
 	}
 	return c.Store.Query(ctx, partition, after, limit)
@@ -109,11 +109,7 @@
 		g.Expect(known).To(gomega.BeTrue(), stream)
 		g.Expect(origin).To(gomega.Equal(streamversion.Origin{Service: "s", Version: version}))
 	}
-	unknown := "unknown"
-	for i := 0; streamversion.PartitionsOf(unknown)[0] != streamversion.PartitionsOf("one")[0]; i++ {
-		unknown = fmt.Sprint("unknown-", i)
-	}
-	_, known := restarted.StreamOrigin(t.Context(), "request", streamAt("s", unknown))
+	_, known := restarted.StreamOrigin(t.Context(), "request", streamAt("s", "unknown"))
 	g.Expect(known).To(gomega.BeFalse())
 	g.Expect(reads.count.Load()).To(gomega.BeEquivalentTo(1), "one read for all")
 }
@@ -134,7 +130,7 @@
 }
 
 func (s *silentStore) Query(ctx context.Context, partition, after string, limit int) ([]table.Item, error) {
-	if partition == streamversion.PartitionsOf("one")[0] {
+	if partition == streamversion.RecordsPartitions()[0] {
 		s.reads.Add(1)
 	}
 	if s.silent.Load() {
@@ -201,11 +197,7 @@
 	g.Expect(rowsOf(t, store)).To(gomega.HaveLen(1))
 	look()
 	g.Expect(rowsOf(t, store)).To(gomega.BeEmpty())
-	samePart := "two"
-	for i := 0; streamversion.PartitionsOf(samePart)[0] != streamversion.PartitionsOf("one")[0]; i++ {
-		samePart = fmt.Sprint("two-", i)
-	}
-	beginStored(t, s, "v1", samePart)
+	beginStored(t, s, "v1", "two")
 	g.Expect(rowsOf(t, store)).To(gomega.HaveLen(1))
 }
 
--- a/pkg/edge/streams.go
+++ b/pkg/edge/streams.go
@@ -154,11 +154,11 @@
 			evidence.VersionsRead(s.askVersions(ctx, arrivedAt))
 		case streamversion.AskCollectors:
 			evidence.CollectorsAsked = true
-			from = s.askForOrigin(ctx, s.collectorsFor(stream.ID), stream, &evidence)
+			from = s.askForOrigin(ctx, s.collectorsFor(stream.ID), true, stream, &evidence)
 		case streamversion.AskPeers:
 			from = s.askPeers(ctx, stream, &evidence)
 		case streamversion.AskRecords:
-			s.learnStoredStreams(ctx, stream.ID)
+			s.learnStoredStreams(ctx)
 			evidence.RecordsAsked = true
 		default:
 			s.streamMetrics.origins.WithLabelValues(string(verdict.Source)).Inc()
@@ -193,7 +193,7 @@
 	near, far := s.lookupPeers()
 	for _, peers := range [][]mesh.Peer{near, far} {
 		e.Asked += len(peers)
-		if from = s.askForOrigin(ctx, peers, stream, e); from != "" {
+		if from = s.askForOrigin(ctx, peers, false, stream, e); from != "" {
 			return from
 		}
 	}
@@ -229,8 +229,9 @@
 }
 
 // askForOrigin asks daemons for the origin of a stream and adds their replies to the evidence. It learns
-// the first origin in a reply, and returns the daemon that sent it.
-func (s *state) askForOrigin(ctx context.Context, peers []mesh.Peer, stream *streamversion.Stream, e *streamversion.Evidence) (from string) {
+// the first origin in a reply, and returns the daemon that sent it. If readStore is set, those that have
+// no record read the stored ones.
+func (s *state) askForOrigin(ctx context.Context, peers []mesh.Peer, readStore bool, stream *streamversion.Stream, e *streamversion.Evidence) (from string) {
 	type answer struct {
 		node  string
 		reply *streamversion.Reply
@@ -240,6 +241,7 @@
 	answers := make(chan answer, len(peers))
 	s.mu.Lock()
 	lookup := s.streams.Lookup(bootNow(), stream)
+	lookup.ReadsStore = readStore
 	s.mu.Unlock()
 	for _, p := range peers {
 		go func() {
--- a/pkg/edge/streams_test.go
+++ b/pkg/edge/streams_test.go
@@ -84,7 +84,7 @@
 // meet lets a daemon know another one.
 func (n *streamNetwork) meet(s, other *state) {
 	node := other.settings.Node
-	s.peers.UpdateEntry(bootNow(), node, node, 1, 1)
+	s.peers.UpdateEntry(bootNow(), node, node, other.settings.Cores, 1)
 	s.peers.SetZone(node, other.settings.AvailabilityZone)
 	s.peers.MergeRecord(bootNow(), &mesh.Record{Node: node, Incarnation: other.incarnation, Sequence: 1})
 }
--- a/pkg/streamversion/collecting.go
+++ b/pkg/streamversion/collecting.go
@@ -8,12 +8,12 @@
 
 const (
 	// FirstReplyWait is how long a collector waits for the store before it replies that it holds
-	// records which are being written. A write takes a third of it, the pause before it as long at most.
-	FirstReplyWait = 40 * time.Millisecond
+	// records which are being written. A write takes a small part of it after a pause of writeSpacing.
+	FirstReplyWait = 80 * time.Millisecond
 	// OutcomeWait is how long it waits if it is asked again.
 	OutcomeWait = 600 * time.Millisecond
 	// collectorPatience is how long the first reply of a collector may take.
-	collectorPatience = 2 * FirstReplyWait
+	collectorPatience = FirstReplyWait + 20*time.Millisecond
 	// copiesHeld is the number of other daemons that hold a record until the store has it.
 	copiesHeld = 2
 	// enoughRefusals is the number of collectors that have to say that they can't store records until
@@ -30,7 +30,7 @@
 	fullPassInterval = 200 * time.Millisecond
 	// maxCallsPerCollector is the number of calls in progress to one collector from which on further
 	// records wait for one of them, so that many go together.
-	maxCallsPerCollector = 8
+	maxCallsPerCollector = 4
 	// maxCollected is the number of records in one call. Their keys take 24 KB.
 	maxCollected = 4096
 )
@@ -74,7 +74,6 @@
 	// Message asks the collector to hold the records, and to store them if Collect is set.
 	Message Message
 	keys    []uint64
-	sentAt  time.Time
 }
 
 // collect lets a record be stored by a collector.
@@ -126,7 +125,8 @@
 				return false
 			}
 			c.calls[node]++
-			call := &Collection{Node: node, sentAt: now}
+			call := &Collection{Node: node}
+			call.Message.Partition = c.partOf(key) * recordsPartitions / c.parts()
 			if store {
 				call.Message.Collect = FirstReplyWait.Milliseconds()
 			}
@@ -151,7 +151,7 @@
 			continue
 		}
 		kept = append(kept, key)
-		part := partOf(key)
+		part := c.partOf(key)
 		if _, known := ranked[part]; !known {
 			ranked[part] = c.collectorsOf(now, part)
 		}
@@ -296,7 +296,7 @@
 		return c.own.byKey[key].stored
 	}
 	held, others, refusing := 0, 0, 0
-	ranked := c.collectorsOf(now, partOf(key))
+	ranked := c.collectorsOf(now, c.partOf(key))
 	for i, o := range ranked {
 		if i < maxWriters && now.Before(c.refusing[o.node]) {
 			refusing++
--- a/pkg/streamversion/collectors.go
+++ b/pkg/streamversion/collectors.go
@@ -10,15 +10,16 @@
 )
 
 const (
-	// recordsPart is the first part of the store with the records of streams, and the only one of
-	// early builds.
-	recordsPart = "streams"
-	// recordsParts is the number of parts into which the records are divided by key. Each has a
-	// collector.
-	recordsParts = 8
-	// recordsLanes is the number of parts of the store for one part of the records. A part of the
-	// store performs one write after the other: while a write is slow, records go to another.
-	recordsLanes = 4
+	// recordsPartition is the first partition of the store with the records of streams, and the only one
+	// of early builds.
+	recordsPartition = "streams"
+	// recordsPartitions is the number of partitions. Each performs one write after the other.
+	recordsPartitions = 8
+	// maxParts limits the number of parts into which the records are divided by key, and daemonsPerPart
+	// is the number of daemons for each of which there is one. Each part has a collector, which makes 17
+	// writes a second. With 85 daemons it gets 550 records a second, with 590 daemons 12,500.
+	maxParts       = 8
+	daemonsPerPart = 150
 	// collectorPause is how long a daemon that does not reply is passed over as a collector.
 	collectorPause = time.Second
 	// collectorsAsked is the number of collectors that are asked for the record of a stream: the two
@@ -26,49 +27,27 @@
 	collectorsAsked = 3
 )
 
-// partOf returns the part of the records that holds the one of a stream.
-func partOf(key uint64) int { return int(key % recordsParts) }
-
-// partitionOf returns the partition of the store for a lane of a part.
-func partitionOf(part, lane int) string {
-	partition := recordsPart
-	if part > 0 {
-		partition += "-" + strconv.Itoa(part)
-	}
-	if lane > 0 {
-		partition += "." + strconv.Itoa(lane)
-	}
-	return partition
-}
-
-// PartitionsOf returns the partitions of the store that hold the record of a stream, if it has one.
-func PartitionsOf(stream string) []string { return partitions(partOf(keyOf(stream))) }
-
-func partitions(part int) []string {
-	var all []string
-	for lane := range recordsLanes {
-		all = append(all, partitionOf(part, lane))
+// RecordsPartitions returns the partitions of the store with records of streams.
+func RecordsPartitions() []string {
+	all := []string{recordsPartition}
+	for i := 1; i < recordsPartitions; i++ {
+		all = append(all, recordsPartition+"-"+strconv.Itoa(i))
 	}
 	return all
 }
 
-// EarlierPartitions returns the partitions to which daemons before FormatCollectors write.
-func EarlierPartitions() []string {
-	var all []string
-	for part := range recordsParts {
-		all = append(all, partitionOf(part, 0))
+// parts returns the number of parts. A daemon that knows of fewer others may divide the records otherwise;
+// it finds a record in the store then.
+func (c *Core) parts() int {
+	parts := 1
+	for parts < maxParts && parts*daemonsPerPart <= len(c.members) {
+		parts *= 2
 	}
-	return all
+	return parts
 }
 
-// RecordsPartitions returns all partitions of the store with records of streams.
-func RecordsPartitions() []string {
-	var all []string
-	for part := range recordsParts {
-		all = append(all, partitions(part)...)
-	}
-	return all
-}
+// partOf returns the part that holds the record of a stream.
+func (c *Core) partOf(key uint64) int { return int(key % uint64(c.parts())) }
 
 // candidate is a daemon in the order in which daemons collect the records of a part.
 type candidate struct {
@@ -91,13 +70,13 @@
 	if c.collectors != nil {
 		return c.collectors[part]
 	}
-	c.collectors = new([recordsParts][]candidate)
+	c.collectors = new([maxParts][]candidate)
 	all := append([]Member{{Node: c.node, Run: c.run, Cores: c.cores}}, c.members...)
 	most := 0.0
 	for i := range all {
 		most = max(most, all[i].Cores)
 	}
-	for i := range recordsParts {
+	for i := range maxParts {
 		c.collectors[i] = rank(i, all, most)
 	}
 	return c.collectors[part]
@@ -137,7 +116,7 @@
 // CollectorsFor returns the other daemons to ask first for the record of a stream.
 func (c *Core) CollectorsFor(stream string) []string {
 	var nodes []string
-	for _, o := range c.ranked(partOf(keyOf(stream))) {
+	for _, o := range c.ranked(c.partOf(keyOf(stream))) {
 		if o.node != c.node && len(nodes) < collectorsAsked {
 			nodes = append(nodes, o.node)
 		}
--- a/pkg/streamversion/decide.go
+++ b/pkg/streamversion/decide.go
@@ -60,6 +60,7 @@
 		e.Replies = make(map[string]*Reply)
 	}
 	e.Replies[node] = r
+	e.RecordsAsked = e.RecordsAsked || r.HasRead
 }
 
 // allReplied reports whether all daemons that are listed have replied.
--- a/pkg/streamversion/message.go
+++ b/pkg/streamversion/message.go
@@ -20,6 +20,11 @@
 	// Collect asks a daemon to store the records, and is the time in milliseconds for which it may wait
 	// for the store before it replies. Daemons before FormatCollectors hold them only.
 	Collect int64 `cbor:"4,keyasint,omitempty"`
+	// Partition is the number of the partition of the store for these records.
+	Partition int `cbor:"6,keyasint,omitempty"`
+	// ReadsStore lets a daemon read the stored records of streams if it has no record of one that is
+	// asked for.
+	ReadsStore bool `cbor:"5,keyasint,omitempty"`
 }
 
 // Reply is the response to a Message.
@@ -33,6 +38,8 @@
 	Later []Origin `cbor:"3,keyasint,omitempty"`
 	// Outcome is what has become of the records to be stored.
 	Outcome CollectOutcome `cbor:"4,keyasint,omitempty"`
+	// HasRead is set if the daemon has read the stored records lately.
+	HasRead bool `cbor:"5,keyasint,omitempty"`
 }
 
 // Lookup returns the message that asks for the origin of a stream.
@@ -53,6 +60,11 @@
 // Handle stores the records of a message and answers its questions.
 func (c *Core) Handle(now time.Time, m *Message) Reply {
 	c.store(now, &m.Batch)
+	return c.Answer(now, m)
+}
+
+// Answer answers the questions of a message.
+func (c *Core) Answer(now time.Time, m *Message) Reply {
 	reply := Reply{Run: c.run}
 	for _, key := range m.Lookup {
 		if origin, ok := c.recorded(now, key); ok {
--- a/pkg/streamversion/model_test.go
+++ b/pkg/streamversion/model_test.go
@@ -633,7 +633,7 @@
 		if c.to.alive {
 			c.toRun = c.to.run
 			if call.Message.Collect > 0 {
-				c.to.log.Add(m.now, &call.Message.Batch)
+				c.to.log.Add(m.now, &call.Message)
 			}
 			c.to.core.Handle(m.now, &call.Message)
 		}
@@ -872,7 +872,7 @@
 			evidence.RecordsAsked = true
 			if answers {
 				for _, row := range slices.Sorted(maps.Keys(m.store.records)) {
-					if stored := m.store.records[row]; slices.Contains(streamversion.PartitionsOf(s.ID), stored.partition) {
+					if stored := m.store.records[row]; slices.Contains(streamversion.RecordsPartitions(), stored.partition) {
 						d.core.MergeStreams(m.now, &stored.batch)
 					}
 				}
--- a/pkg/streamversion/recordlog.go
+++ b/pkg/streamversion/recordlog.go
@@ -9,9 +9,9 @@
 	// RecordsTimeout is the time for one write of records. It is that of a call to a store which is 60
 	// times slower than usual.
 	RecordsTimeout = 1200 * time.Millisecond
-	// writeSpacing is the least time between the begins of two writes to a partition. All parts
-	// together make 200 writes a second, each of a fifth of what a part of the store performs.
-	writeSpacing = 40 * time.Millisecond
+	// writeSpacing is the least time between the begins of two writes to a partition. A collector
+	// makes 17 writes a second, where the store of a small deployment takes 400 and a partition 125.
+	writeSpacing = 60 * time.Millisecond
 	// slowWrite is the time from which on a write counts as slow, so that other records need not wait
 	// for it.
 	slowWrite = 50 * time.Millisecond
@@ -21,6 +21,9 @@
 	// begun. Each write repeats the records of its row.
 	rowSpan       = time.Second
 	maxRowRecords = 512
+	// maxLanes is the number of partitions to which a collector writes: its own, and the next ones while
+	// writes to those before them are slow.
+	maxLanes = 4
 	// rowReuse is how long after its last write a row is used again. The holder of the duties deletes
 	// rows that have not changed for some minutes.
 	rowReuse = time.Minute
@@ -57,7 +60,7 @@
 	writtenAt, expires time.Time
 }
 
-// logLane is a partition of the store to which a RecordLog writes one row after the other.
+// logLane is the rows of a RecordLog in one partition of the store, which are written one after the other.
 type logLane struct {
 	writing bool
 	beganAt time.Time
@@ -66,22 +69,20 @@
 	closed []*logRow
 }
 
-type logPart struct {
-	// waiting holds the keys of the records to be written.
-	waiting []uint64
-	lanes   [recordsLanes]logLane
-}
-
 // RecordLog decides how a collector writes records of streams to the store. It appends to rows of its
 // own. It is not safe for concurrent use.
 //
 // Invariant: a row is written again only if all its writes were acknowledged, so that its version is
 // known, and no late write can replace records that the store has acknowledged.
 type RecordLog struct {
-	owner   string
+	owner string
+	// home is the number of the partition to which records are written first.
+	home    int
 	entries map[uint64]*logEntry
 	order   []uint64
-	parts   [recordsParts]logPart
+	// waiting holds the keys of the records to be written.
+	waiting []uint64
+	lanes   [recordsPartitions]logLane
 	rows    int
 	// failing is set once a write has failed, until one succeeds.
 	failing bool
@@ -92,9 +93,11 @@
 	return &RecordLog{owner: fmt.Sprintf("%s/%016x", node, run), entries: make(map[uint64]*logEntry)}
 }
 
-// Add adds records that are to be stored, unless they are.
-func (l *RecordLog) Add(now time.Time, b *Batch) {
+// Add adds the records of a message that are to be stored, unless they are.
+func (l *RecordLog) Add(now time.Time, m *Message) {
 	l.expire(now)
+	l.home = max(m.Partition, 0) % recordsPartitions
+	b := &m.Batch
 	for i := range b.Groups {
 		g := &b.Groups[i]
 		expires := now.Add(time.Duration(g.RemainingMillis) * time.Millisecond)
@@ -105,8 +108,7 @@
 			}
 			l.entries[key] = &logEntry{origin: g.Origin, expires: expires}
 			l.order = append(l.order, key)
-			p := &l.parts[partOf(key)]
-			p.waiting = append(p.waiting, key)
+			l.waiting = append(l.waiting, key)
 		}
 	}
 }
@@ -145,7 +147,7 @@
 	Partition, Row string
 	Writes         uint64
 	Batch          Batch
-	part, lane     int
+	lane           int
 	row            *logRow
 	keys           []uint64
 }
@@ -153,35 +155,21 @@
 // Next returns the next write to make, or none, and when to ask again at the latest; zero means when
 // records are added or a write has ended.
 func (l *RecordLog) Next(now time.Time) (write *RecordsWrite, again time.Time) {
-	for i := range l.parts {
-		w, at := l.nextOf(now, i)
-		if w != nil {
-			return w, now
-		}
-		if !at.IsZero() && (again.IsZero() || at.Before(again)) {
-			again = at
-		}
-	}
-	return nil, again
-}
-
-func (l *RecordLog) nextOf(now time.Time, part int) (*RecordsWrite, time.Time) {
-	p := &l.parts[part]
-	due, again := l.due(now, p)
+	due, again := l.due(now)
 	if len(due) == 0 {
 		return nil, again
 	}
-	lane, at := p.freeLane(now)
+	lane, again := l.freeLane(now)
 	if lane < 0 {
-		return nil, at
+		return nil, again
 	}
-	return l.write(now, part, lane, due), now
+	return l.write(now, lane, due), now
 }
 
-// due returns the records of a part that may be written now, and when the next one may be.
-func (l *RecordLog) due(now time.Time, p *logPart) (due []uint64, again time.Time) {
-	kept := p.waiting[:0]
-	for _, key := range p.waiting {
+// due returns the records that may be written now, and when the next one may be.
+func (l *RecordLog) due(now time.Time) (due []uint64, again time.Time) {
+	kept := l.waiting[:0]
+	for _, key := range l.waiting {
 		e := l.entries[key]
 		if e == nil || !now.Before(e.expires) {
 			continue
@@ -194,19 +182,20 @@
 			again = e.retryAt
 		}
 	}
-	p.waiting = kept
+	l.waiting = kept
 	return due, again
 }
 
-// freeLane returns the lane for the next write: the first one, or another while the writes to those
+// freeLane returns the partition for the next write: the first one, or another while the writes to those
 // before it are slow. Otherwise it returns -1, and when to look again.
-func (p *logPart) freeLane(now time.Time) (int, time.Time) {
+func (l *RecordLog) freeLane(now time.Time) (int, time.Time) {
 	again := time.Time{}
-	for i := range p.lanes {
-		lane := &p.lanes[i]
+	for i := range maxLanes {
+		number := (l.home + i) % recordsPartitions
+		lane := &l.lanes[number]
 		wait := lane.beganAt.Add(writeSpacing)
 		if !lane.writing && !now.Before(wait) {
-			return i, now
+			return number, now
 		}
 		if lane.writing {
 			wait = lane.beganAt.Add(slowWrite)
@@ -222,23 +211,22 @@
 	return -1, again
 }
 
-func (l *RecordLog) write(now time.Time, part, number int, due []uint64) *RecordsWrite {
-	p := &l.parts[part]
-	lane := &p.lanes[number]
+func (l *RecordLog) write(now time.Time, number int, due []uint64) *RecordsWrite {
+	lane := &l.lanes[number]
 	row := l.rowFor(now, lane, len(due))
-	w := &RecordsWrite{Partition: partitionOf(part, number), Row: row.key, Writes: row.writes, part: part, lane: number, row: row, keys: due}
+	w := &RecordsWrite{Partition: RecordsPartitions()[number], Row: row.key, Writes: row.writes, lane: number, row: row, keys: due}
 	taken := make(map[uint64]bool, len(due))
 	for _, key := range due {
 		l.entries[key].state = logWriting
 		taken[key] = true
 	}
-	kept := p.waiting[:0]
-	for _, key := range p.waiting {
+	kept := l.waiting[:0]
+	for _, key := range l.waiting {
 		if !taken[key] {
 			kept = append(kept, key)
 		}
 	}
-	p.waiting = kept
+	l.waiting = kept
 	row.keys = append(row.keys, due...)
 	w.Batch = l.batch(now, row)
 	lane.writing, lane.beganAt, row.writtenAt = true, now, now
@@ -296,8 +284,7 @@
 // Written records the outcome of a write. One that has failed may have been made, or be made later: its
 // row is not written again.
 func (l *RecordLog) Written(now time.Time, w *RecordsWrite, ok bool) {
-	p := &l.parts[w.part]
-	lane := &p.lanes[w.lane]
+	lane := &l.lanes[w.lane]
 	lane.writing, l.failing = false, !ok
 	current := lane.open == w.row
 	if ok && current {
@@ -315,25 +302,21 @@
 			continue
 		}
 		e.state, e.retryAt = logFailed, now.Add(writeRetry)
-		p.waiting = append(p.waiting, key)
+		l.waiting = append(l.waiting, key)
 	}
 }
 
 // StoreReturned records that the store has returned from an older copy, which may lack what was written
 // to it: everything is written again, to other rows.
 func (l *RecordLog) StoreReturned() {
-	for i := range l.parts {
-		p := &l.parts[i]
-		p.waiting = nil
-		for j := range p.lanes {
-			p.lanes[j].open, p.lanes[j].closed = nil, nil
-		}
+	l.waiting = nil
+	for i := range l.lanes {
+		l.lanes[i].open, l.lanes[i].closed = nil, nil
 	}
 	for _, key := range l.order {
 		if e := l.entries[key]; e != nil {
 			e.state, e.retryAt = logPending, time.Time{}
-			p := &l.parts[partOf(key)]
-			p.waiting = append(p.waiting, key)
+			l.waiting = append(l.waiting, key)
 		}
 	}
 }
--- a/pkg/streamversion/streamversion.go
+++ b/pkg/streamversion/streamversion.go
@@ -68,7 +68,7 @@
 	// collectors the order in which all collect the records of each part, unless it is to be determined.
 	cores      float64
 	members    []Member
-	collectors *[recordsParts][]candidate
+	collectors *[maxParts][]candidate
 	// newKeys holds the records since the last call of Collections, and fullPassAt is when that last
 	// looked at all. uncollected holds the records that the store lacks, uncollectedOrder their keys.
 	newKeys          []uint64
