Report usage only once more than half of the daemons have accepted the counts

Cause: the holder waited 0.4 s without having been told that anyone knew its counts, and the next one took hearing half of the daemons for proof that there were none.

Final counts are now accepted by daemons, with the epoch of the store as ballot, as docs/design/store-epochs.md says. A holder that hears few others makes none final, and hands the lease over. Statements travel in messages that are sent anyway; daemons of earlier builds send and get what they did.

--- a/pkg/edge/daemon.go
+++ b/pkg/edge/daemon.go
@@ -138,6 +138,7 @@
 // hubs. Other daemons do not compete, because each candidate costs the store a
 // few calls per second.
 func (d *Daemon) runDuties(ctx context.Context) {
+	handedOver := int64(0)
 	pause(ctx, dutiesStartDelay)
 	for ctx.Err() == nil {
 		if !d.ranksAsHub() {
@@ -145,6 +146,7 @@
 			continue
 		}
 		u := newDuties(d)
+		u.handedOver = handedOver
 		decisions := newRolloutDuty(d, u.held)
 		var running sync.WaitGroup
 		decisionsCtx, stopDecisions := context.WithCancel(ctx)
@@ -153,6 +155,10 @@
 		stopDecisions()
 		running.Wait()
 		u.manager.Close()
+		if u.handsOver {
+			handedOver = u.handedOver
+			pause(ctx, handOverPause)
+		}
 	}
 }
 
--- a/pkg/edge/duties.go
+++ b/pkg/edge/duties.go
@@ -15,6 +15,7 @@
 	"github.com/monsooncrank/monsooncrank/coordination/table"
 	"github.com/monsooncrank/monsooncrank/pkg/catalog"
 	"github.com/monsooncrank/monsooncrank/pkg/fleet"
+	"github.com/monsooncrank/monsooncrank/pkg/mesh"
 	"github.com/monsooncrank/monsooncrank/pkg/scaling"
 	"github.com/monsooncrank/monsooncrank/pkg/usage"
 )
@@ -45,9 +46,14 @@
 	// usageSettleTime is the time after the end of a window by which the counts of
 	// all daemons have been received.
 	usageSettleTime = 1200 * time.Millisecond
-	// finalsSpreadTime is the time in which the other daemons learn the final counts of a window. A
-	// message reaches all that may hold the duties within 0.25 s.
+	// finalsSpreadTime is the time in which daemons of an earlier build, which do not state what they have
+	// accepted, learn the final counts of a window.
 	finalsSpreadTime = 400 * time.Millisecond
+	// proofPatience is how long a holder that hears few other daemons tries to report a window before it
+	// lets another one hold the lease, and handOverPause is how long it does not compete then: a lease
+	// that was given up is taken within a second.
+	proofPatience = time.Second
+	handOverPause = 3 * time.Second
 	// usagePartition is the table partition with the final counts of each window.
 	usagePartition = "usage"
 	// sizePartition is the table partition with the size of each service.
@@ -78,6 +84,10 @@
 	streams       storedStreams
 	// actedAt is the latest time at which this host may have performed a duty.
 	actedAt time.Time
+	// handedOver is the last window because of which this daemon has given the lease up, and handsOver
+	// is set once it does again.
+	handedOver int64
+	handsOver  bool
 }
 
 func newDuties(d *Daemon) *duties {
@@ -107,7 +117,7 @@
 }
 
 // run performs the duties while the lease is held. It returns when the context
-// ends or this daemon has not ranked among the hubs for unrankedGrace.
+// ends, this daemon has not ranked among the hubs for unrankedGrace, or it hands the duties over.
 func (u *duties) run(ctx context.Context) {
 	tick := time.NewTicker(dutyInterval)
 	defer tick.Stop()
@@ -149,6 +159,9 @@
 		if u.daemon.settings.ReportsUsage {
 			u.reportUsage(ctx)
 		}
+		if u.handsOver {
+			return
+		}
 		if u.daemon.settings.OrdersServers {
 			u.orderServers(ctx)
 		}
@@ -184,12 +197,24 @@
 				return
 			}
 		}
+		if !u.reported[window] && now.Sub(end) >= usageSettleTime+proofPatience && window > u.handedOver && u.hearsFew() {
+			klog.InfoS("duties handed over, as few other daemons are heard", "window", window)
+			u.handedOver, u.handsOver = window, true
+			return
+		}
 	}
 	isOld := func(window int64) bool { return window < current-2*usageWindows }
 	maps.DeleteFunc(u.reported, func(window int64, _ bool) bool { return isOld(window) })
 	maps.DeleteFunc(u.finalAt, func(window int64, _ time.Time) bool { return isOld(window) })
 }
 
+func (u *duties) hearsFew() bool {
+	s := u.daemon.state
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.hearsFew()
+}
+
 // usageWindows is the number of past windows that may still be reported.
 const usageWindows = 4
 
@@ -216,37 +241,95 @@
 }
 
 // finalCounts returns the counts under which a window may be reported, or none if it may not be
-// reported yet. They are stored and known to the other daemons before, so that each later holder of
-// the duties reports the same, also if the store returns from a copy that lacks them.
+// reported yet: they are stored, and more than half of the daemons have accepted them, so that each later
+// holder of the duties reports the same, also if the store returns from a copy that lacks them.
 func (u *duties) finalCounts(ctx context.Context, window int64) (usage.Counts, error) {
-	s := u.daemon.state
+	s, epoch := u.daemon.state, u.daemon.platform.Epoch()
 	s.mu.Lock()
-	counts, isFinal := s.usage.Final(window)
-	if !isFinal {
-		counts = s.usage.Total(window)
-	}
+	earlierBuild := s.peers.OldestFormat(bootNow()) < mesh.FormatCollectors
+	known, isFinal := s.usage.Final(window)
 	s.mu.Unlock()
-	if len(counts) == 0 || !isFinal && u.mayBeReported() {
+	if earlierBuild && !isFinal && u.mayBeReported() {
 		return nil, nil
 	}
-	stored, err := u.storeFinalCounts(ctx, window, counts)
-	if err != nil {
-		return nil, err
+	if !isFinal || known.Epoch != epoch {
+		if err := u.makeFinal(ctx, window, epoch, earlierBuild); err != nil {
+			return nil, err
+		}
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	f, isFinal := s.usage.Final(window)
+	proved := isFinal && s.usage.Proved(window, epoch)
+	if earlierBuild && isFinal {
+		// Daemons of such a build do not say what they have accepted.
+		proved = bootNow().Sub(u.finalAt[window]) >= finalsSpreadTime
+	}
+	if !proved {
+		return nil, nil
 	}
-	if !isFinal {
-		s.mu.Lock()
-		counts = s.usage.SetFinal(window, stored)
-		s.wakeExchange()
-		s.mu.Unlock()
-		u.finalAt[window] = bootNow()
+	return f.Counts, nil
+}
+
+// makeFinal lets the store hold counts of a window that were written in an epoch, and accepts them. It
+// does nothing while others may have been reported.
+func (u *duties) makeFinal(ctx context.Context, window int64, epoch table.Epoch, earlierBuild bool) error {
+	final, err := u.writeFinalCounts(ctx, window, epoch, epoch.At(0), nil, earlierBuild)
+	if err == nil && final == nil || isConditionFailed(err) {
+		// Another holder may have written the row, in this epoch or an earlier one.
+		var row table.Version
+		row, final, err = u.readFinalCounts(ctx, window)
+		if err == nil && final != nil && final.Epoch != epoch {
+			final, err = u.writeFinalCounts(ctx, window, epoch, row, final, earlierBuild)
+		}
 	}
-	if !maps.Equal(counts, stored) {
-		klog.ErrorS(&FinalCountsError{Window: window}, "stored counts are not those that other daemons know", "stored", stored, "known", counts)
+	if err != nil || final == nil {
+		return err
 	}
-	if bootNow().Sub(u.finalAt[window]) < finalsSpreadTime {
+	s := u.daemon.state
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	f, isFinal := s.usage.Accept(bootNow(), window, *final)
+	if isFinal && f.Epoch == epoch && !maps.Equal(f.Counts, final.Counts) {
+		klog.ErrorS(&FinalCountsError{Window: window}, "stored counts are not those that other daemons know", "stored", final.Counts, "known", f.Counts)
+	}
+	u.finalAt[window] = bootNow()
+	klog.InfoS("usage counts stored", "window", window, "epoch", epoch, "accounts", len(final.Counts), "accepted", isFinal)
+	s.wakeExchange()
+	return nil
+}
+
+func isConditionFailed(err error) bool {
+	var failed *table.ConditionFailedError
+	return errors.As(err, &failed)
+}
+
+// writeFinalCounts writes the counts that may be final in an epoch in place of a version of the row, which
+// holds earlier ones or none. It returns them, or none if there are none yet.
+func (u *duties) writeFinalCounts(ctx context.Context, window int64, epoch table.Epoch, row table.Version, earlier *usage.Final, earlierBuild bool) (*usage.Final, error) {
+	s := u.daemon.state
+	s.mu.Lock()
+	s.noteEpoch(bootNow())
+	endedAt := bootNow().Add(s.usage.End(window).Sub(s.clusterTime()))
+	counts, ok := s.usage.Proposal(window, epoch, endedAt, earlier)
+	if earlierBuild && !ok {
+		counts, ok = s.usage.Total(window), earlier == nil
+	}
+	// A daemon that hears few others knows little of what they count.
+	ok = ok && len(counts) > 0 && !s.hearsFew()
+	s.mu.Unlock()
+	if !ok {
 		return nil, nil
 	}
-	return counts, nil
+	value, err := json.Marshal(counts)
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	err = u.daemon.platform.Transact(ctx, []table.Write{{Key: finalCountsKey(window), Version: row, Value: value}})
+	if err != nil {
+		return nil, err
+	}
+	return &usage.Final{Epoch: epoch, Counts: counts}, nil
 }
 
 // mayBeReported reports whether another daemon may have reported windows of which this one has not
@@ -272,28 +355,27 @@
 	return fmt.Sprintf("final counts of usage window %d differ", e.Window)
 }
 
-// storeFinalCounts stores the counts of a window and returns the final ones: the
-// first counts that a lease holder writes are final for all later holders.
-func (u *duties) storeFinalCounts(ctx context.Context, window int64, total usage.Counts) (usage.Counts, error) {
-	key := table.Key{Partition: usagePartition, Sort: fmt.Sprintf("%020d", window)}
-	value, err := json.Marshal(total)
-	if err != nil {
-		return nil, errors.Trace(err)
-	}
-	err = u.daemon.platform.Transact(ctx, []table.Write{{Key: key, Version: u.daemon.platform.Epoch().At(0), Value: value}})
-	if err == nil {
-		return total, nil
-	}
-	item, readErr := u.daemon.platform.Get(ctx, key)
-	if readErr != nil {
-		return nil, errors.Annotatef(err, "read the stored counts: %v", readErr)
+func finalCountsKey(window int64) table.Key {
+	return table.Key{Partition: usagePartition, Sort: fmt.Sprintf("%020d", window)}
+}
+
+// readFinalCounts returns the version of the row of a window and the counts in it, or none.
+func (u *duties) readFinalCounts(ctx context.Context, window int64) (table.Version, *usage.Final, error) {
+	key := finalCountsKey(window)
+	item, err := u.daemon.platform.Get(ctx, key)
+	var missing *table.NotFoundError
+	switch {
+	case errors.As(err, &missing):
+		return u.daemon.platform.Epoch().At(0), nil, nil
+	case err != nil:
+		return 0, nil, errors.Annotate(err, "read the stored counts")
 	}
-	var final usage.Counts
-	if err := json.Unmarshal(item.Value, &final); err != nil {
+	final := usage.Final{Epoch: item.Written}
+	if err := json.Unmarshal(item.Value, &final.Counts); err != nil {
 		klog.ErrorS(err, "stored counts cannot be decoded", "window", window)
-		return nil, &UnusableRowError{Key: key}
+		return 0, nil, &UnusableRowError{Key: key}
 	}
-	return final, nil
+	return item.Version, &final, nil
 }
 
 // deleteOldUsage deletes final counts that no later lease holder needs.
--- a/pkg/edge/exchange.go
+++ b/pkg/edge/exchange.go
@@ -100,7 +100,7 @@
 	m.Quarantine, m.QuarantineSpan = s.quarantine.EntriesFor(node, neighbor.Quarantine.Acknowledged, !s.peers.IsFullMesh(), maxQuarantineEntries)
 	m.LimitsReceived = neighbor.Limits.Received
 	m.Limits, m.LimitsSpan = s.limits.EntriesFor(node, neighbor.Limits.Acknowledged)
-	m.FinalWindows, m.FinalCounts = s.usage.FinalWindows(), s.usage.FinalsExcept(neighbor.FinalWindows)
+	s.addFinals(now, m, &neighbor)
 	m.Versions = s.streams.History(now)
 	m.Rollouts, m.RolloutsAsOf = s.rollouts.follower.Entries(now), s.rollouts.follower.OrdersAsOf()
 	m.RolloutsWithdrawn = s.rollouts.follower.Withdrawn()
@@ -203,9 +203,7 @@
 	}
 	s.placement.ExpirePeers(time.Now())
 	s.quota.SetStaleness(s.peers.MaxStaleness())
-	for window, counts := range m.FinalCounts {
-		s.usage.SetFinal(window, counts)
-	}
+	s.applyFinals(bootNow(), m)
 	s.applyFleet(m, requestedAt)
 	s.applyLimits(m)
 	s.confirmVersions()
--- a/pkg/edge/state.go
+++ b/pkg/edge/state.go
@@ -158,6 +158,7 @@
 		versionsReading: newSemaphore(),
 	}
 	s.streams.SetCores(settings.Cores)
+	s.usage.Started(settings.Node, incarnation)
 	return s
 }
 
--- a/pkg/mesh/format.go
+++ b/pkg/mesh/format.go
@@ -34,7 +34,8 @@
 	// FormatOrigins is that of daemons which state the routes and ages of streams that they know, and
 	// answer for which versions they know a moment before these had begun any stream.
 	FormatOrigins
-	// FormatCollectors is that of daemons which store records of streams that other daemons have begun.
+	// FormatCollectors is that of daemons which store records of streams that other daemons have begun, and
+	// which state the final counts of usage windows that they have accepted.
 	FormatCollectors
 )
 
--- a/pkg/mesh/message.go
+++ b/pkg/mesh/message.go
@@ -150,6 +150,12 @@
 	// FinalCounts those counts that the receiver lacks.
 	FinalWindows []int64       `cbor:"42,keyasint,omitempty"`
 	FinalCounts  usage.Windows `cbor:"43,keyasint,omitempty"`
+	// FinalStatement is what the sender states of final counts, FinalStatements what a hub passes on to
+	// other hubs, and Finals the counts that the receiver lacks. Daemons before FormatCollectors are sent
+	// FinalCounts in place of them.
+	FinalStatement  *usage.Statement      `cbor:"44,keyasint,omitempty"`
+	FinalStatements []usage.Statement     `cbor:"45,keyasint,omitempty"`
+	Finals          map[int64]usage.Final `cbor:"46,keyasint,omitempty"`
 	// RolloutsWithdrawn holds, by service, the store's version at which there was no order.
 	RolloutsWithdrawn map[string]table.Version `cbor:"36,keyasint,omitempty"`
 }
--- a/pkg/mesh/roles.go
+++ b/pkg/mesh/roles.go
@@ -83,6 +83,9 @@
 // daemons.
 func (d *Directory) RanksAsHub() bool { return d.isRankedHub(d.self) }
 
+// IsRankedHub reports whether a daemon ranks as a hub.
+func (d *Directory) IsRankedHub(node string) bool { return d.isRankedHub(node) }
+
 // Collects reports whether this daemon receives the records of all daemons, and not
 // digests of them. A leaf does so during an upgrade if its hub knows no digests.
 func (d *Directory) Collects() bool {
--- a/pkg/usage/usage.go
+++ b/pkg/usage/usage.go
@@ -4,9 +4,9 @@
 package usage
 
 import (
-	"maps"
-	"slices"
 	"time"
+
+	"github.com/monsooncrank/monsooncrank/coordination/table"
 )
 
 // Counts maps account names to numbers of requests.
@@ -37,14 +37,26 @@
 	windowLength time.Duration
 	own          Windows
 	peers        map[daemonStart]Windows
-	// finals holds the counts of windows that were reported, or are about to be. All daemons
-	// know them, as the store may return from a copy that lacks them.
-	finals Windows
+	// finals holds the counts that this daemon has accepted, by window.
+	finals map[int64]Final
+	// learned holds counts that others have accepted in an epoch before one of which this daemon had
+	// heard by then.
+	learned map[int64]Final
+	// daemon and run identify this daemon and its run, storeSeenAt is when the store first answered to
+	// it, epoch the latest epoch of which it has heard, and epochAt when it did.
+	daemon, run          uint64
+	storeSeenAt, epochAt time.Time
+	epoch                table.Epoch
+	// witnesses holds what other daemons have stated, by the hash of their names.
+	witnesses map[uint64]*witness
+	// daemons is the number of daemons that were known at daemonsAt.
+	daemons   int
+	daemonsAt time.Time
 }
 
 // New returns a Core for windows of the given length.
 func New(windowLength time.Duration) *Core {
-	return &Core{windowLength: windowLength, own: make(Windows), peers: make(map[daemonStart]Windows), finals: make(Windows)}
+	return &Core{windowLength: windowLength, own: make(Windows), peers: make(map[daemonStart]Windows), finals: make(map[int64]Final), learned: make(map[int64]Final), witnesses: make(map[uint64]*witness)}
 }
 
 // WindowAt returns the number of the window that contains a time.
@@ -110,44 +122,6 @@
 	known.expire(newest)
 }
 
-// finalsRetained is the number of most recent windows whose final counts are retained. It covers
-// the time within which a window may be reported.
-const finalsRetained = 6
-
-// SetFinal makes counts of a window final, unless others are, and returns the final ones.
-func (c *Core) SetFinal(window int64, counts Counts) Counts {
-	if known, ok := c.finals[window]; ok {
-		return known
-	}
-	newest := window
-	for known := range c.finals {
-		newest = max(newest, known)
-	}
-	if window <= newest-finalsRetained {
-		return counts
-	}
-	c.finals[window] = counts
-	maps.DeleteFunc(c.finals, func(known int64, _ Counts) bool { return known <= newest-finalsRetained })
-	return counts
-}
-
-// Final returns the final counts of a window, if there are any.
-func (c *Core) Final(window int64) (Counts, bool) {
-	counts, ok := c.finals[window]
-	return counts, ok
-}
-
-// FinalWindows returns the windows with final counts, in order.
-func (c *Core) FinalWindows() []int64 { return slices.Sorted(maps.Keys(c.finals)) }
-
-// FinalsExcept returns the final counts of all windows but the given ones. The caller must not
-// change them.
-func (c *Core) FinalsExcept(known []int64) Windows {
-	finals := maps.Clone(c.finals)
-	maps.DeleteFunc(finals, func(window int64, _ Counts) bool { return slices.Contains(known, window) })
-	return finals
-}
-
 // Total returns the counts of a window over all daemons.
 func (c *Core) Total(window int64) Counts {
 	total := make(Counts)
