Hold records of streams at a stand-in in another zone

The collector and its stand-in could be in one zone, so that its loss while the store is slow left nothing. TestStandInsAreInOtherZones failed before.

--- a/pkg/streamversion/collecting.go
+++ b/pkg/streamversion/collecting.go
@@ -193,7 +193,7 @@
 			held++
 		}
 	}
-	for _, o := range ranked {
+	for _, o := range standInFirst(ranked) {
 		if h := u.holds[o.node]; held >= copiesHeld {
 			break
 		} else if (h == nil || h.run != o.run) && o.node != c.node && addTo(o.node, key, false, false) {
--- a/pkg/streamversion/collectors.go
+++ b/pkg/streamversion/collectors.go
@@ -22,8 +22,8 @@
 	daemonsPerPart = 150
 	// collectorPause is how long a daemon that does not reply is passed over as a collector.
 	collectorPause = time.Second
-	// collectorsAsked is the number of collectors that are asked for the record of a stream: the two
-	// that have it, and the one that stood in while either was silent.
+	// collectorsAsked is the number of daemons that are asked for the record of a stream: the collector,
+	// its stand-in, and the one that collects while the first one is silent.
 	collectorsAsked = 3
 )
 
@@ -51,8 +51,29 @@
 
 // candidate is a daemon in the order in which daemons collect the records of a part.
 type candidate struct {
-	node string
-	run  uint64
+	node, zone string
+	run        uint64
+}
+
+// standInFirst returns candidates in the order in which they hold records that the first one stores: those
+// of other AvailabilityZones before those of its own, so that a loss of that zone leaves one.
+func standInFirst(ranked []candidate) []candidate {
+	if len(ranked) == 0 {
+		return nil
+	}
+	return slices.SortedStableFunc(slices.Values(ranked), func(a, b candidate) int {
+		return cmp.Compare(standInRank(a, ranked[0]), standInRank(b, ranked[0]))
+	})
+}
+
+func standInRank(o, first candidate) int {
+	switch {
+	case o == first:
+		return 0
+	case o.zone != first.zone:
+		return 1
+	}
+	return 2
 }
 
 // setCollectors records the other daemons that are alive.
@@ -71,7 +92,7 @@
 		return c.collectors[part]
 	}
 	c.collectors = new([maxParts][]candidate)
-	all := append([]Member{{Node: c.node, Run: c.run, Cores: c.cores}}, c.members...)
+	all := append([]Member{{Node: c.node, Zone: c.zone, Run: c.run, Cores: c.cores}}, c.members...)
 	most := 0.0
 	for i := range all {
 		most = max(most, all[i].Cores)
@@ -92,7 +113,7 @@
 	order := make([]ranked, len(all))
 	for i := range all {
 		m := &all[i]
-		order[i] = ranked{candidate{m.Node, m.Run}, 2*m.Cores < most, xxhash.Sum64String(strconv.Itoa(part) + "\x00" + m.Node)}
+		order[i] = ranked{candidate{m.Node, m.Zone, m.Run}, 2*m.Cores < most, xxhash.Sum64String(strconv.Itoa(part) + "\x00" + m.Node)}
 	}
 	slices.SortFunc(order, func(a, b ranked) int {
 		if a.weak != b.weak {
@@ -116,8 +137,9 @@
 // CollectorsFor returns the other daemons to ask first for the record of a stream.
 func (c *Core) CollectorsFor(stream string) []string {
 	var nodes []string
-	for _, o := range c.ranked(c.partOf(keyOf(stream))) {
-		if o.node != c.node && len(nodes) < collectorsAsked {
+	ranked := c.ranked(c.partOf(keyOf(stream)))
+	for _, o := range append(standInFirst(ranked)[:min(2, len(ranked))], ranked...) {
+		if o.node != c.node && len(nodes) < collectorsAsked && !slices.Contains(nodes, o.node) {
 			nodes = append(nodes, o.node)
 		}
 	}
--- a/soak/upgrade_test.go
+++ b/soak/upgrade_test.go
@@ -16,7 +16,7 @@
 )
 
 // defaultProduction is the commit of the build that is in use when the current one is rolled out.
-const defaultProduction = "4fb2033"
+const defaultProduction = "d8f1e29"
 
 // oldBuildFolder holds what oldBinary has built, or is empty.
 var oldBuildFolder string
