--- a/pkg/streamversion/collecting_test.go
+++ b/pkg/streamversion/collecting_test.go
@@ -68,23 +68,25 @@
 
 // TestStandInsAreInOtherZones guards against records that are lost with one AvailabilityZone.
 func TestStandInsAreInOtherZones(t *testing.T) {
-	g := NewWithT(t)
-	c := collectingCore(0)
-	var members []streamversion.Member
-	zones := make(map[string]string)
-	for i := range 30 {
-		m := streamversion.Member{Node: fmt.Sprint("daemon-", i), Zone: fmt.Sprint("zone-", i%3), Run: 1, Cores: 1}
-		members, zones[m.Node] = append(members, m), m.Zone
-	}
-	c.SetCores(0.2)
-	c.SetMembers(after(1), members)
-	store, hold := callsOf(c.Collections(after(2)))
-	g.Expect(store).To(HaveLen(1))
-	g.Expect(hold).To(HaveLen(1))
-	for collector := range store {
-		for standIn := range hold {
-			g.Expect(zones[standIn]).NotTo(Equal(zones[collector]))
-			g.Expect(c.CollectorsFor("stream")).To(ContainElements(collector, standIn))
+	for deployment := range 20 {
+		g := NewWithT(t)
+		c := collectingCore(0)
+		var members []streamversion.Member
+		zones := make(map[string]string)
+		for i := range 30 {
+			m := streamversion.Member{Node: fmt.Sprint("daemon-", deployment, "-", i), Zone: fmt.Sprint("zone-", i%3), Run: 1, Cores: 1}
+			members, zones[m.Node] = append(members, m), m.Zone
+		}
+		c.SetCores(0.2)
+		c.SetMembers(after(1), members)
+		store, hold := callsOf(c.Collections(after(2)))
+		g.Expect(store).To(HaveLen(1))
+		g.Expect(hold).To(HaveLen(1))
+		for collector := range store {
+			for standIn := range hold {
+				g.Expect(zones[standIn]).NotTo(Equal(zones[collector]))
+				g.Expect(c.CollectorsFor("stream")).To(ContainElements(collector, standIn))
+			}
 		}
 	}
 }
