--- a/pkg/streamversion/collecting_test.go
+++ b/pkg/streamversion/collecting_test.go
@@ -113,13 +113,9 @@
 func TestFirstEventsWaitForTwoHoldersWithoutTheStore(t *testing.T) {
 	g := NewWithT(t)
 	c := collectingCore(20)
-	var held []*streamversion.Collection
 	for asked := 0; asked < 2; asked++ {
-		store, hold := callsOf(c.Collections(after(asked)))
+		store, _ := callsOf(c.Collections(after(asked)))
 		g.Expect(store).To(HaveLen(1))
-		for _, call := range hold {
-			held = append(held, call)
-		}
 		for _, call := range store {
 			c.Collected(after(asked), call, reply(streamversion.RecordsNotStored))
 		}
